Add base modules, build, linters and the check script

Cause: every later part needs time, strings, errors, counters, strict settings and one command that gives a verdict. Conclusion: the frame is in place; parts are found by wildcard.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,128 @@
+# Build, test and measurement targets. Every source file below src/, bench/
+# and fakes/ is found by wildcard.
+
+CC	= gcc
+CXX	= g++
+BUILD	?= build/rel
+SAN	?=
+OPT	?= -O2 -g
+PKGS	= talloc tevent libprotobuf-c libmicrohttpd libcurl glib-2.0 json-c
+PKGINC	:= $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKGLIB	:= $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+WARN	= -Wall -Wextra -Wshadow -Wpointer-arith -Wwrite-strings \
+	  -Wno-unused-parameter -Werror
+CPPFLAGS += -D_GNU_SOURCE -Isrc $(PKGINC)
+CFLAGS	= -std=gnu17 $(OPT) $(WARN) -Wmissing-prototypes -Wstrict-prototypes \
+	  $(SAN) -pthread
+CXXFLAGS = -std=gnu++17 -O1 -g $(WARN) $(SAN) -pthread
+LDFLAGS	+= $(SAN) -pthread
+LDLIBS	= $(PKGLIB) -lm
+
+SRC	:= $(sort $(wildcard src/*/*.c))
+LIBSRC	:= $(filter-out src/cli/main.c,$(SRC))
+HDR	:= $(sort $(wildcard src/*.h src/*/*.h))
+TESTSRC	:= $(sort $(wildcard src/*/tests/*_test.cc))
+TESTC	:= $(sort $(wildcard src/*/tests/*.c))
+BENCHSRC := $(sort $(wildcard bench/*.c))
+FAKESRC	:= $(sort $(wildcard fakes/*.c))
+FORMATTED := $(filter-out %.pb-c.c %.pb-c.h,$(SRC) $(HDR) $(TESTSRC) \
+	     $(TESTC) $(BENCHSRC) $(FAKESRC) $(wildcard src/*/tests/*.h \
+	     bench/*.h fakes/*.h))
+LINTED	:= $(filter-out %.pb-c.c,$(SRC) $(BENCHSRC) $(FAKESRC))
+
+LIBOBJ	:= $(LIBSRC:%.c=$(BUILD)/%.o)
+TESTOBJ	:= $(TESTSRC:%.cc=$(BUILD)/%.o) $(TESTC:%.c=$(BUILD)/%.o)
+BENCHES	:= $(BENCHSRC:bench/%.c=$(BUILD)/bench_%)
+FAKES	:= $(FAKESRC:fakes/%.c=$(BUILD)/%)
+
+.PHONY: all check demo bench model capacity format lint tidy cppcheck unit \
+	proto clean deps
+
+all: $(BUILD)/cicadabay $(FAKES)
+
+deps:
+	@scripts/install-deps.sh
+
+$(BUILD)/%.pb-c.o: %.pb-c.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -Wno-missing-prototypes -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/libcicadabay.a: $(LIBOBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/cicadabay: $(BUILD)/src/cli/main.o $(BUILD)/libcicadabay.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/unit_tests: $(TESTOBJ) $(BUILD)/libcicadabay.a
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LDLIBS)
+
+$(BUILD)/bench_%: $(BUILD)/bench/%.o $(BUILD)/libcicadabay.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/%: $(BUILD)/fakes/%.o $(BUILD)/libcicadabay.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+unit: $(BUILD)/unit_tests
+	$(BUILD)/unit_tests --gtest_brief=1
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	@clang-format --dry-run --Werror $(FORMATTED)
+
+# One stamp per file, so that an unchanged file is not analysed again.
+TIDYSTAMPS := $(LINTED:%.c=build/tidy/%.ok)
+build/tidy/%.ok: %.c $(HDR) .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- -std=gnu17 $(CPPFLAGS) 2>/dev/null
+	@touch $@
+tidy: $(TIDYSTAMPS)
+
+cppcheck:
+	@cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr -j 8 \
+	    --enable=warning,performance,portability \
+	    --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
+	    -Isrc -D__BEGIN_DECLS= -D__END_DECLS= $(LINTED)
+
+lint: format-check tidy cppcheck
+
+asan:
+	$(MAKE) BUILD=build/asan OPT="-O1 -g" \
+	    SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
+	    build/asan/unit_tests build/asan/cicadabay
+
+benches: all $(BENCHES)
+
+bench: benches
+	@scripts/bench.sh $(BUILD)
+
+capacity: benches
+	@scripts/capacity.sh $(BUILD)
+
+model:
+	@scripts/model.sh full
+
+demo: deps
+	@$(MAKE) -s -j8 all
+	@scripts/demo.sh $(BUILD)
+
+check: deps
+	@scripts/check.sh
+
+proto:
+	for f in src/*/*.proto; do protoc-c --c_out=. $$f; done
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/scripts/install-deps.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Installs the Debian packages the build and the checks need, asking only
+# for those that are missing.
+set -eu
+packages="gcc g++ make pkg-config clang-format clang-tidy cppcheck
+ libclang-rt-14-dev libtalloc-dev libtevent-dev libprotobuf-c-dev
+ libmicrohttpd-dev libcurl4-gnutls-dev libglib2.0-dev libjson-c-dev
+ libgtest-dev spin curl"
+missing=""
+for p in $packages; do
+	dpkg-query -W -f='${Status}' "$p" 2>/dev/null |
+	    grep -q 'install ok installed' || missing="$missing $p"
+done
+[ -z "$missing" ] && exit 0
+echo "installing:$missing"
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+# shellcheck disable=SC2086
+apt-get install -y -qq --no-install-recommends $missing >/dev/null
--- /dev/null
+++ b/src/base/ctr.c
@@ -0,0 +1,40 @@
+#include "base/ctr.h"
+
+#include <stdlib.h>
+
+/* Starts all n counters described by desc at zero; memory is owned by ctx. */
+void
+ctr_init(
+    struct ctr_set *c, TALLOC_CTX *ctx, const struct ctr_desc *desc, size_t n)
+{
+	c->desc = desc;
+	c->n = n;
+	c->v = talloc_zero_array(ctx, uint64_t, n);
+	if (c->v == NULL)
+		abort();
+}
+
+/* Adds to a counter. Only the owning thread of the set calls this. */
+void
+ctr_add(struct ctr_set *c, size_t which, uint64_t by)
+{
+	uint64_t old = __atomic_load_n(&c->v[which], __ATOMIC_RELAXED);
+
+	__atomic_store_n(&c->v[which], old + by, __ATOMIC_RELAXED);
+}
+
+/* Reads a counter from any thread. */
+uint64_t
+ctr_get(const struct ctr_set *c, size_t which)
+{
+	return __atomic_load_n(&c->v[which], __ATOMIC_RELAXED);
+}
+
+/* Releases the counters. */
+void
+ctr_finish(struct ctr_set *c)
+{
+	talloc_free(c->v);
+	c->v = NULL;
+	c->n = 0;
+}
--- /dev/null
+++ b/src/base/ctr.h
@@ -0,0 +1,35 @@
+/*
+ * Counters. Each module has an enum and a table of descriptors, one entry for
+ * each refusal and each retry reason. A set has one writer; any thread may
+ * read it.
+ */
+#ifndef BASE_CTR_H
+#define BASE_CTR_H
+
+#include <sys/cdefs.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+
+__BEGIN_DECLS
+
+struct ctr_desc {
+	const char *name; /* lower case, words joined by _ */
+	const char *help; /* one sentence: what it counts, what to do */
+};
+
+struct ctr_set {
+	const struct ctr_desc *desc;
+	size_t n;
+	uint64_t *v;
+};
+
+void ctr_init(
+    struct ctr_set *, TALLOC_CTX *, const struct ctr_desc *, size_t n);
+void ctr_add(struct ctr_set *, size_t which, uint64_t by);
+uint64_t ctr_get(const struct ctr_set *, size_t which);
+void ctr_finish(struct ctr_set *);
+
+__END_DECLS
+
+#endif
