--- a/Makefile
+++ b/Makefile
@@ -122,7 +122,7 @@
 	@scripts/check.sh
 
 proto:
-	for f in src/*/*.proto; do protoc-c --c_out=. $$f; done
+	cd src && protoc-c --c_out=. control/control.proto
 
 clean:
 	rm -rf build
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Runs every benchmark of a build; each prints "name value unit" lines.
+set -eu
+for b in "$1"/bench_*; do
+	case $b in *.o | *.d) continue ;; esac
+	[ -x "$b" ] && "$b"
+done
--- /dev/null
+++ b/src/placement/sched.h
@@ -0,0 +1,207 @@
+/*
+ * Placement of tasks on the workers of one group. Pure and deterministic: an
+ * event and the time in, actions out. All state is soft; a new leader feeds
+ * workers, classes, teams, jobs and running tasks again.
+ *
+ * START is a proposal. It takes effect when ASSIGNED confirms it, and is
+ * dropped by ASSIGN_FAILED; resources are held from START on.
+ */
+#ifndef PLACEMENT_SCHED_H
+#define PLACEMENT_SCHED_H
+
+#include "base/clk.h"
+#include "base/ctr.h"
+#include "base/err.h"
+#include "base/str.h"
+
+__BEGIN_DECLS
+
+struct sched_res {
+	int64_t cpu_milli; /* thousandths of a processor */
+	int64_t mem_mb;	   /* MiB */
+	int64_t accel;	   /* accelerators */
+};
+
+struct sched_conf {
+	uint64_t seed;
+	bool interference;   /* false: baseline without the model */
+	bool learning;	     /* false: reserve declared sizes */
+	bool targets;	     /* false: no target control */
+	unsigned candidates; /* scored per placement, 8 */
+};
+
+enum sched_ev_kind {
+	SCHED_EV_TICK,
+	SCHED_EV_WORKER_UP,
+	SCHED_EV_WORKER_LOST,
+	SCHED_EV_WORKER_DRAIN,
+	SCHED_EV_CLASS_SET,
+	SCHED_EV_CLASS_GONE,
+	SCHED_EV_TEAM_SET,
+	SCHED_EV_JOB_SUBMIT,
+	SCHED_EV_JOB_CANCEL,
+	SCHED_EV_ASSIGNED, /* also at rebuild: task runs on worker */
+	SCHED_EV_ASSIGN_FAILED,
+	SCHED_EV_TASK_RUNNING,
+	SCHED_EV_TASK_DONE,
+	SCHED_EV_TASK_FAILED,
+	SCHED_EV_TASK_CHECKPOINT,
+	SCHED_EV_TASK_STOPPED, /* evicted: waits again, progress kept */
+	SCHED_EV_USAGE,
+	SCHED_EV_LATENCY
+};
+
+struct sched_worker {
+	uint64_t epoch; /* names the worker incarnation */
+	struct str name;
+	struct sched_res cap;
+	struct str rack;
+	struct str domain;
+	unsigned slots;		  /* request slots, 0: serves no requests */
+	const struct str *serves; /* classes of requests */
+	size_t nserves;
+};
+
+struct sched_class {
+	struct str name;
+	bool urgent;
+	int percentile_x10;
+	int64_t bound_ms;
+	int64_t finish_per_hour;
+	struct str team;
+};
+
+struct sched_job {
+	uint64_t id; /* task ids are id << 20 | number */
+	struct str class_name;
+	uint32_t tasks;
+	struct sched_res declared; /* per task */
+	bool gang;		   /* all tasks start together or none */
+	int64_t run_ms;		   /* declared, 0: unknown */
+	/* At rebuild: tasks that are already finished, one bit each. */
+	const uint8_t *done;
+};
+
+struct sched_usage {
+	uint64_t task;
+	int64_t cpu_milli;
+	int64_t mem_mb;
+};
+
+struct sched_ev {
+	enum sched_ev_kind kind;
+	union {
+		struct sched_worker worker;
+		uint64_t epoch; /* LOST, DRAIN */
+		struct sched_class cls;
+		struct str name; /* CLASS_GONE */
+		struct {
+			struct str name;
+			struct sched_res quota; /* -1: no limit */
+		} team;
+		struct sched_job job;
+		uint64_t job_id; /* CANCEL */
+		struct {
+			uint64_t task;
+			uint32_t attempt;
+			uint64_t epoch;	  /* of the worker */
+			int64_t progress; /* CHECKPOINT, STOPPED */
+		} task;
+		struct {
+			uint64_t epoch;
+			int64_t age_ms;	       /* how late the figures are */
+			struct sched_res used; /* whole worker */
+			const struct sched_usage *tasks;
+			size_t n;
+		} usage;
+		struct {
+			uint64_t epoch;
+			struct str class_name;
+			uint32_t count; /* answers */
+			uint32_t late;	/* of them over the bound */
+			double mean_ms;
+			double high_ms; /* at the class's percentile */
+		} latency;
+	} u;
+};
+
+enum sched_wait {
+	SCHED_WAIT_NONE,
+	SCHED_WAIT_QUEUED,    /* behind other work of its class */
+	SCHED_WAIT_NO_ROOM,   /* fits a worker, none is free now */
+	SCHED_WAIT_TOO_LARGE, /* larger than the largest worker */
+	SCHED_WAIT_NO_ACCELERATOR,
+	SCHED_WAIT_OVER_QUOTA,
+	SCHED_WAIT_GANG,   /* room for some of the tasks, not all */
+	SCHED_WAIT_TARGET, /* held back for a class at risk */
+	SCHED_WAIT_NO_CLASS,
+	SCHED_WAIT_FAILED, /* failed on too many workers */
+	SCHED_WAIT_COUNT
+};
+
+enum sched_act_kind {
+	SCHED_ACT_START,
+	SCHED_ACT_THROTTLE,
+	SCHED_ACT_CHECKPOINT, /* then stop; ends in TASK_STOPPED */
+	SCHED_ACT_STOP,
+	SCHED_ACT_JOB_STATE,
+	SCHED_ACT_JOB_FAILED, /* a task failed on too many workers */
+	SCHED_ACT_QUARANTINE  /* of a worker, or its end */
+};
+
+struct sched_act {
+	enum sched_act_kind kind;
+	union {
+		struct {
+			uint64_t task;
+			uint64_t epoch;
+			struct sched_res limit; /* reserved on the worker */
+			unsigned percent;	/* THROTTLE, of the limit */
+		} task;
+		struct {
+			uint64_t id;
+			enum sched_wait wait;
+		} job;
+		struct {
+			uint64_t epoch;
+			bool on;
+		} quarantine;
+	} u;
+};
+
+struct sched_acts {
+	struct sched_act *v;
+	size_t n, cap;
+};
+
+struct sched;
+
+struct sched *sched_new(
+    TALLOC_CTX *, const struct sched_conf *, struct timespec now);
+enum status sched_step(struct sched *, struct timespec now,
+    const struct sched_ev *, struct sched_acts *);
+struct timespec sched_deadline(const struct sched *);
+const struct ctr_set *sched_counters(const struct sched *);
+const char *sched_wait_name(enum sched_wait);
+
+struct sched_attainment {
+	struct str name;
+	double share_1m; /* of the target met, 1.0 or more is met */
+	double share_10m;
+	bool at_risk;
+	uint32_t waiting, running;
+};
+/* Fills at most n classes, returns how many there are. */
+size_t sched_attainment(
+    const struct sched *, struct sched_attainment *, size_t n);
+/* Explains a job on one screen, one fact a line, in memory of ctx. */
+char *sched_why(const struct sched *, TALLOC_CTX *ctx, uint64_t job);
+/* What is held on a worker; for invariants. */
+bool sched_worker_held(const struct sched *, uint64_t epoch,
+    struct sched_res *held, struct sched_res *cap);
+/* Bytes of state, for the capacity page. */
+size_t sched_bytes(const struct sched *);
+
+__END_DECLS
+
+#endif
