--- a/src/base/ini.c
+++ b/src/base/ini.c
@@ -197,31 +197,44 @@
 	return NULL;
 }
 
-/* Reads a file of at most INI_FILE_MAX bytes and parses it. */
-struct ini *
-ini_load(TALLOC_CTX *ctx, const char *file, const struct ini_group *groups,
-    size_t ngroups, struct err *e)
+/* Reads a file of at most INI_FILE_MAX bytes into memory owned by ctx. */
+enum status
+ini_read(TALLOC_CTX *ctx, const char *file, struct str *text, struct err *e)
 {
-	struct ini *ini = NULL;
 	FILE *f = fopen(file, "re");
+	enum status st = STATUS_OK;
 	char *buf;
 	size_t n;
 
-	if (f == NULL) {
-		err_errno(e, STATUS_IO, "%s: cannot open", file);
-		return NULL;
-	}
-	buf = talloc_array(NULL, char, INI_FILE_MAX + 1);
+	if (f == NULL)
+		return err_errno(e, STATUS_IO, "%s: cannot open", file);
+	buf = talloc_array(ctx, char, INI_FILE_MAX + 1);
 	n = fread(buf, 1, INI_FILE_MAX + 1, f);
 	if (ferror(f))
-		err_errno(e, STATUS_IO, "%s: cannot read", file);
+		st = err_errno(e, STATUS_IO, "%s: cannot read", file);
 	else if (n > INI_FILE_MAX)
-		err_set(e, STATUS_LIMIT, "%s: larger than %d bytes", file,
+		st = err_set(e, STATUS_LIMIT, "%s: larger than %d bytes", file,
 		    INI_FILE_MAX);
-	else
-		ini = ini_parse(ctx, file, str_mem(buf, n), groups, ngroups, e);
-	talloc_free(buf);
 	fclose(f);
+	if (st != STATUS_OK)
+		talloc_free(buf);
+	else
+		*text = str_mem(buf, n);
+	return st;
+}
+
+/* Reads a file and parses it. */
+struct ini *
+ini_load(TALLOC_CTX *ctx, const char *file, const struct ini_group *groups,
+    size_t ngroups, struct err *e)
+{
+	struct ini *ini;
+	struct str text;
+
+	if (ini_read(ctx, file, &text, e) != STATUS_OK)
+		return NULL;
+	ini = ini_parse(ctx, file, text, groups, ngroups, e);
+	talloc_free((void *)(uintptr_t)text.p);
 	return ini;
 }
 
--- a/src/base/ini.h
+++ b/src/base/ini.h
@@ -52,6 +52,9 @@
 /* Parses text and checks all groups and keys; file is named in errors. */
 struct ini *ini_parse(TALLOC_CTX *, const char *file, struct str text,
     const struct ini_group *, size_t ngroups, struct err *);
+/* Reads a file of at most INI_FILE_MAX bytes; text->p is owned by ctx. */
+enum status ini_read(
+    TALLOC_CTX *, const char *file, struct str *text, struct err *);
 struct ini *ini_load(TALLOC_CTX *, const char *file, const struct ini_group *,
     size_t ngroups, struct err *);
 /* Number of groups of a kind, and the NAME part of the i-th, in file order. */
