--- /dev/null
+++ b/src/node/api.c
@@ -0,0 +1,687 @@
+#include "node/api.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/pjson.h"
+#include "node/sock.h"
+
+struct input {
+	TALLOC_CTX *ctx;
+	struct str id; /* the part of the path that "*" stands for */
+	struct str query;
+	struct json_object *json; /* NULL when the route takes no body */
+	Control__Op *op;
+	struct api_req *out;
+};
+
+struct route {
+	const char *method;
+	const char *path; /* "*" stands for one segment */
+	enum api_route route;
+	bool body;
+	enum status (*parse)(struct input *, struct err *);
+};
+
+/* Letters, digits and . _ : - up to API_NAME_MAX bytes. */
+bool
+api_name_valid(struct str s)
+{
+	size_t i;
+
+	if (s.len == 0 || s.len > API_NAME_MAX)
+		return false;
+	for (i = 0; i < s.len; i++) {
+		if (!isalnum((unsigned char)s.p[i]) &&
+		    strchr("._:-", s.p[i]) == NULL)
+			return false;
+	}
+	return true;
+}
+
+static enum status
+name_check(const char *what, const char *name, struct err *e)
+{
+	if (!api_name_valid(str_from(name)))
+		return err_set(e, STATUS_INVALID,
+		    "%s \"%.64s\": expected 1 to %d of A-Z a-z 0-9 . _ : -",
+		    what, name, API_NAME_MAX);
+	return STATUS_OK;
+}
+
+static void *
+new_message(TALLOC_CTX *ctx, const ProtobufCMessageDescriptor *d)
+{
+	ProtobufCMessage *m = talloc_zero_size(ctx, d->sizeof_message);
+
+	if (m == NULL)
+		abort();
+	protobuf_c_message_init(d, m);
+	return m;
+}
+
+static enum status
+id_number(const struct input *in, uint64_t *id, struct err *e)
+{
+	int64_t v;
+
+	if (!str_to_i64(in->id, &v) || v < 0)
+		return err_set(e, STATUS_INVALID,
+		    "path: expected a number, not \"" STR_FMT "\"",
+		    (int)(in->id.len > 64 ? 64 : in->id.len), in->id.p);
+	*id = (uint64_t)v;
+	return STATUS_OK;
+}
+
+/* Moves a string field out of the object, so that the rest can be filled. */
+static enum status
+take_change_id(struct input *in, char **out, struct err *e)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(in->json, "change_id", &v) ||
+	    !json_object_is_type(v, json_type_string))
+		return err_set(e, STATUS_INVALID,
+		    "field \"change_id\": expected a string that is unique "
+		    "to this change");
+	*out = str_cstr(in->ctx,
+	    str_mem(json_object_get_string(v),
+		(size_t)json_object_get_string_len(v)));
+	json_object_object_del(in->json, "change_id");
+	return name_check("change_id", *out, e);
+}
+
+static enum status
+query_op(struct input *in, Control__QueryKind kind)
+{
+	in->op->query = new_message(in->ctx, &control__query__descriptor);
+	in->op->query->kind = kind;
+	return STATUS_OK;
+}
+
+static enum status
+query_field(struct str item, const char *name, bool *found, uint64_t *out,
+    struct err *e)
+{
+	size_t len = strlen(name);
+	int64_t v;
+
+	*found = false;
+	if (item.len <= len || memcmp(item.p, name, len) != 0 ||
+	    item.p[len] != '=')
+		return STATUS_OK;
+	if (!str_to_i64(str_mem(item.p + len + 1, item.len - len - 1), &v) ||
+	    v < 0)
+		return err_set(
+		    e, STATUS_INVALID, "query: %s: expected a number", name);
+	*found = true;
+	*out = (uint64_t)v;
+	return STATUS_OK;
+}
+
+/* Reads after= and limit= of a listing. */
+static enum status
+query_paging(struct input *in, struct err *e)
+{
+	Control__Query *q = in->op->query;
+	struct str rest = in->query, item;
+	const char *amp;
+	bool found;
+	uint64_t v;
+
+	while (rest.len > 0) {
+		amp = memchr(rest.p, '&', rest.len);
+		item = str_mem(
+		    rest.p, amp == NULL ? rest.len : (size_t)(amp - rest.p));
+		rest = amp == NULL
+		    ? str_from("")
+		    : str_mem(amp + 1, rest.len - item.len - 1);
+		if (query_field(item, "after", &found, &v, e) != STATUS_OK)
+			return STATUS_INVALID;
+		if (found) {
+			q->has_after = 1;
+			q->after = v;
+			continue;
+		}
+		if (query_field(item, "limit", &found, &v, e) != STATUS_OK)
+			return STATUS_INVALID;
+		if (!found || v > UINT32_MAX)
+			return err_set(e, STATUS_INVALID,
+			    "query: expected after=N or limit=N");
+		q->has_limit = 1;
+		q->limit = (uint32_t)v;
+	}
+	return STATUS_OK;
+}
+
+static enum status
+get_classes(struct input *in, struct err *e)
+{
+	return query_op(in, CONTROL__QUERY_KIND__QUERY_CONFIG);
+}
+
+static enum status
+get_workers(struct input *in, struct err *e)
+{
+	query_op(in, CONTROL__QUERY_KIND__QUERY_WORKERS);
+	return query_paging(in, e);
+}
+
+static enum status
+get_jobs(struct input *in, struct err *e)
+{
+	query_op(in, CONTROL__QUERY_KIND__QUERY_JOBS);
+	return query_paging(in, e);
+}
+
+static enum status
+get_status(struct input *in, struct err *e)
+{
+	return query_op(in, CONTROL__QUERY_KIND__QUERY_STATUS);
+}
+
+static enum status
+get_members(struct input *in, struct err *e)
+{
+	return query_op(in, CONTROL__QUERY_KIND__QUERY_MEMBERS);
+}
+
+static enum status
+get_job(struct input *in, struct err *e)
+{
+	query_op(in, CONTROL__QUERY_KIND__QUERY_JOB);
+	in->op->query->has_id = 1;
+	return id_number(in, &in->op->query->id, e);
+}
+
+static enum status
+get_why(struct input *in, struct err *e)
+{
+	query_op(in, CONTROL__QUERY_KIND__QUERY_WHY);
+	in->op->query->has_id = 1;
+	return id_number(in, &in->op->query->id, e);
+}
+
+/* Operators state outcomes; how they are met is up to the system. */
+static enum status
+class_check(struct json_object *o, struct err *e)
+{
+	static const struct {
+		const char *field, *reason;
+	} denied[] = { { "weight", "shares are found by the system" },
+		{ "pin", "work is not tied to workers" },
+		{ "worker", "work is not tied to workers" },
+		{ "workers", "work is not tied to workers" },
+		{ "addr", "workers announce their own addresses" },
+		{ "address", "workers announce their own addresses" },
+		{ "priority", "state the expected outcome" } };
+	size_t i;
+
+	for (i = 0; i < sizeof(denied) / sizeof(denied[0]); i++) {
+		if (json_object_object_get_ex(o, denied[i].field, NULL))
+			return err_set(e, STATUS_REFUSED,
+			    "Class: field \"%s\" is refused: %s",
+			    denied[i].field, denied[i].reason);
+	}
+	return STATUS_OK;
+}
+
+static enum status
+put_classes(struct input *in, struct err *e)
+{
+	Control__ConfigSet *set;
+	struct json_object *v, *list;
+	enum status st;
+	size_t i;
+
+	set = new_message(in->ctx, &control__config_set__descriptor);
+	set->config = new_message(in->ctx, &control__config__descriptor);
+	in->op->config_set = set;
+	st = take_change_id(in, &set->change_id, e);
+	if (st != STATUS_OK)
+		return st;
+	if (!json_object_object_get_ex(in->json, "expected_version", &v) ||
+	    !json_object_is_type(v, json_type_int) ||
+	    json_object_get_int64(v) < 0)
+		return err_set(e, STATUS_INVALID,
+		    "field \"expected_version\": expected the number of the "
+		    "version to replace");
+	set->expected_version = json_object_get_uint64(v);
+	json_object_object_del(in->json, "expected_version");
+	if (json_object_object_get_ex(in->json, "version", NULL))
+		return err_set(e, STATUS_INVALID,
+		    "field \"version\" is set by the system; use "
+		    "\"expected_version\"");
+	if (json_object_object_get_ex(in->json, "classes", &list) &&
+	    json_object_is_type(list, json_type_array)) {
+		for (i = 0; i < json_object_array_length(list); i++) {
+			v = json_object_array_get_idx(list, i);
+			if (!json_object_is_type(v, json_type_object))
+				continue;
+			st = class_check(v, e);
+			if (st != STATUS_OK)
+				return st;
+		}
+	}
+	json_object_object_add(
+	    in->json, "version", json_object_new_uint64(0));
+	st = pjson_fill(in->ctx, &set->config->base, in->json, e);
+	if (st != STATUS_OK)
+		return st;
+	for (i = 0; i < set->config->n_classes; i++) {
+		st = name_check(
+		    "Class: name", set->config->classes[i]->name, e);
+		if (st != STATUS_OK)
+			return st;
+	}
+	for (i = 0; i < set->config->n_teams; i++) {
+		st =
+		    name_check("Team: name", set->config->teams[i]->name, e);
+		if (st != STATUS_OK)
+			return st;
+	}
+	return STATUS_OK;
+}
+
+/* The path names the worker; a name in the body is refused. */
+static enum status
+worker_body(struct input *in, ProtobufCMessage *m, struct err *e)
+{
+	char *name = str_cstr(in->ctx, in->id);
+	enum status st;
+
+	st = name_check("worker", name, e);
+	if (st != STATUS_OK)
+		return st;
+	if (json_object_object_get_ex(in->json, "name", NULL))
+		return err_set(e, STATUS_INVALID,
+		    "field \"name\": the name is in the path");
+	json_object_object_add(
+	    in->json, "name", json_object_new_string(name));
+	return pjson_fill(in->ctx, m, in->json, e);
+}
+
+static enum status
+post_worker(struct input *in, struct err *e)
+{
+	Control__WorkerUp *up;
+	struct sockaddr_storage ss;
+	socklen_t len;
+	enum status st;
+	size_t i;
+
+	up = new_message(in->ctx, &control__worker_up__descriptor);
+	in->op->worker_up = up;
+	st = worker_body(in, &up->base, e);
+	if (st != STATUS_OK)
+		return st;
+	st = sock_addr(str_from(up->addr), &ss, &len, e);
+	for (i = 0; st == STATUS_OK && i < up->n_serves; i++)
+		st = name_check("serves", up->serves[i], e);
+	if (st == STATUS_OK && up->rack != NULL)
+		st = name_check("rack", up->rack, e);
+	if (st == STATUS_OK && up->domain != NULL)
+		st = name_check("domain", up->domain, e);
+	return st;
+}
+
+static enum status
+post_poll(struct input *in, struct err *e)
+{
+	in->op->worker_poll =
+	    new_message(in->ctx, &control__worker_poll__descriptor);
+	return worker_body(in, &in->op->worker_poll->base, e);
+}
+
+static enum status
+post_leave(struct input *in, struct err *e)
+{
+	in->op->worker_leave =
+	    new_message(in->ctx, &control__worker_leave__descriptor);
+	return worker_body(in, &in->op->worker_leave->base, e);
+}
+
+static enum status
+post_job(struct input *in, struct err *e)
+{
+	Control__JobSubmit *sub;
+	enum status st;
+
+	sub = new_message(in->ctx, &control__job_submit__descriptor);
+	sub->spec = new_message(in->ctx, &control__job_spec__descriptor);
+	in->op->job_submit = sub;
+	st = take_change_id(in, &sub->change_id, e);
+	if (st != STATUS_OK)
+		return st;
+	st = pjson_fill(in->ctx, &sub->spec->base, in->json, e);
+	if (st != STATUS_OK)
+		return st;
+	st = name_check("class_name", sub->spec->class_name, e);
+	if (st != STATUS_OK)
+		return st;
+	if (sub->spec->tasks == 0 || sub->spec->tasks >= 1u << 20)
+		return err_set(e, STATUS_INVALID,
+		    "field \"tasks\": expected 1 to %u", (1u << 20) - 1);
+	return STATUS_OK;
+}
+
+static enum status
+delete_job(struct input *in, struct err *e)
+{
+	in->op->job_cancel =
+	    new_message(in->ctx, &control__job_cancel__descriptor);
+	return id_number(in, &in->op->job_cancel->job, e);
+}
+
+static enum status
+post_member(struct input *in, struct err *e)
+{
+	in->op->member_add =
+	    new_message(in->ctx, &control__member_add__descriptor);
+	return pjson_fill(in->ctx, &in->op->member_add->base, in->json, e);
+}
+
+/* Replica ids use all 64 bits. */
+static enum status
+delete_member(struct input *in, struct err *e)
+{
+	char *end, *text = str_cstr(in->ctx, in->id);
+
+	in->op->member_remove =
+	    new_message(in->ctx, &control__member_remove__descriptor);
+	if (!isdigit((unsigned char)text[0]))
+		return err_set(
+		    e, STATUS_INVALID, "path: expected the number of a replica");
+	in->op->member_remove->replica = strtoull(text, &end, 10);
+	if (*end != '\0')
+		return err_set(
+		    e, STATUS_INVALID, "path: expected the number of a replica");
+	return STATUS_OK;
+}
+
+/* {"worker": NAME} drains a worker, {} this instance. */
+static enum status
+post_drain(struct input *in, struct err *e)
+{
+	if (json_object_object_length(in->json) == 0) {
+		in->out->kind = API_DRAIN;
+		return STATUS_OK;
+	}
+	struct json_object *v;
+	if (!json_object_object_get_ex(in->json, "worker", &v) ||
+	    !json_object_is_type(v, json_type_string) ||
+	    json_object_object_length(in->json) != 1)
+		return err_set(e, STATUS_INVALID,
+		    "expected {} for this instance or {\"worker\": NAME}");
+	in->op->worker_drain =
+	    new_message(in->ctx, &control__worker_drain__descriptor);
+	in->op->worker_drain->name =
+	    str_cstr(in->ctx, str_from(json_object_get_string(v)));
+	return name_check("worker", in->op->worker_drain->name, e);
+}
+
+static enum status
+get_health(struct input *in, struct err *e)
+{
+	in->out->kind = API_HEALTH;
+	return STATUS_OK;
+}
+
+static enum status
+get_ready(struct input *in, struct err *e)
+{
+	in->out->kind = API_READY;
+	return STATUS_OK;
+}
+
+static enum status
+get_counters(struct input *in, struct err *e)
+{
+	in->out->kind = API_COUNTERS;
+	return STATUS_OK;
+}
+
+static const struct route routes[] = {
+	{ "GET", "/healthz", API_ROUTE_OTHER, false, get_health },
+	{ "GET", "/readyz", API_ROUTE_OTHER, false, get_ready },
+	{ "GET", "/v1/counters", API_ROUTE_OTHER, false, get_counters },
+	{ "GET", "/v1/classes", API_ROUTE_CLASSES, false, get_classes },
+	{ "PUT", "/v1/classes", API_ROUTE_OTHER, true, put_classes },
+	{ "GET", "/v1/workers", API_ROUTE_WORKERS, false, get_workers },
+	{ "POST", "/v1/workers/*", API_ROUTE_ANNOUNCE, true, post_worker },
+	{ "POST", "/v1/workers/*/poll", API_ROUTE_POLL, true, post_poll },
+	{ "POST", "/v1/workers/*/leave", API_ROUTE_OTHER, true, post_leave },
+	{ "GET", "/v1/instances", API_ROUTE_INSTANCES, false, get_status },
+	{ "GET", "/v1/jobs", API_ROUTE_JOBS, false, get_jobs },
+	{ "POST", "/v1/jobs", API_ROUTE_OTHER, true, post_job },
+	{ "GET", "/v1/jobs/*", API_ROUTE_JOBS, false, get_job },
+	{ "DELETE", "/v1/jobs/*", API_ROUTE_OTHER, false, delete_job },
+	{ "GET", "/v1/jobs/*/why", API_ROUTE_OTHER, false, get_why },
+	{ "GET", "/v1/status", API_ROUTE_STATUS, false, get_status },
+	{ "GET", "/v1/members", API_ROUTE_MEMBERS, false, get_members },
+	{ "POST", "/v1/members", API_ROUTE_OTHER, true, post_member },
+	{ "DELETE", "/v1/members/*", API_ROUTE_OTHER, false, delete_member },
+	{ "POST", "/v1/drain", API_ROUTE_OTHER, true, post_drain },
+};
+
+/* Matches a path with a pattern in which "*" stands for one segment. */
+static bool
+path_match(const char *pattern, struct str path, struct str *id)
+{
+	const char *p = path.p, *end = path.p + path.len;
+
+	for (; *pattern != '\0'; pattern++) {
+		if (*pattern != '*') {
+			if (p == end || *p != *pattern)
+				return false;
+			p++;
+			continue;
+		}
+		id->p = p;
+		while (p < end && *p != '/')
+			p++;
+		id->len = (size_t)(p - id->p);
+		if (id->len == 0)
+			return false;
+	}
+	return p == end;
+}
+
+/* The class of /svc/CLASS or /svc/CLASS/...; other paths give false. */
+static bool
+service_path(struct str path, struct str *name)
+{
+	const char *slash;
+
+	if (!str_starts(path, "/svc/"))
+		return false;
+	*name = str_mem(path.p + 5, path.len - 5);
+	slash = name->len == 0 ? NULL : memchr(name->p, '/', name->len);
+	if (slash != NULL)
+		name->len = (size_t)(slash - name->p);
+	return true;
+}
+
+static enum status
+route_parse(const struct route *r, struct input *in, struct str body,
+    struct err *e)
+{
+	enum status st;
+
+	if (r->body) {
+		in->json = pjson_parse(body, e);
+		if (in->json == NULL) {
+			in->out->http_status = 400;
+			return STATUS_PROTOCOL;
+		}
+	}
+	st = r->parse(in, e);
+	if (in->json != NULL)
+		json_object_put(in->json);
+	if (st != STATUS_OK)
+		in->out->http_status = st == STATUS_REFUSED ? 403 : 400;
+	return st;
+}
+
+/*
+ * Turns a request into an operation. On failure out->http_status is set:
+ * STATUS_NOT_FOUND and STATUS_REFUSED without a route (404, 405),
+ * STATUS_PROTOCOL for a body that is not JSON, STATUS_INVALID for a field.
+ */
+enum status
+api_parse(TALLOC_CTX *ctx, struct str method, struct str path,
+    struct str query, struct str body, struct api_req *out, struct err *e)
+{
+	struct input in = { .ctx = ctx, .query = query, .out = out };
+	bool known = false;
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	if (service_path(path, &out->class_name)) {
+		out->kind = API_SERVICE;
+		return STATUS_OK;
+	}
+	in.op = out->op = new_message(ctx, &control__op__descriptor);
+	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		if (!path_match(routes[i].path, path, &in.id))
+			continue;
+		known = true;
+		if (!str_eq_c(method, routes[i].method))
+			continue;
+		out->route = routes[i].route;
+		return route_parse(&routes[i], &in, body, e);
+	}
+	if (known) {
+		out->http_status = 405;
+		return err_set(
+		    e, STATUS_REFUSED, "the path does not have this method");
+	}
+	out->http_status = 404;
+	return err_set(e, STATUS_NOT_FOUND, "no such path");
+}
+
+static int
+http_of(uint32_t status)
+{
+	switch (status) {
+	case STATUS_OK:
+		return 200;
+	case STATUS_INVALID:
+	case STATUS_PROTOCOL:
+		return 400;
+	case STATUS_NOT_FOUND:
+		return 404;
+	case STATUS_CONFLICT:
+	case STATUS_EXISTS:
+	case STATUS_STALE:
+		return 409;
+	case STATUS_REFUSED:
+		return 403;
+	case STATUS_LIMIT:
+		return 413;
+	case STATUS_NOT_LEADER:
+	case STATUS_UNAVAILABLE:
+	case STATUS_FULL:
+		return 503;
+	case STATUS_TIMEOUT:
+	case STATUS_UNKNOWN:
+		return 504;
+	default:
+		return 500;
+	}
+}
+
+static struct str
+json_text(TALLOC_CTX *ctx, struct json_object *o)
+{
+	size_t len;
+	const char *text;
+	struct str s;
+
+	text = json_object_to_json_string_length(o,
+	    JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &len);
+	s = str_dup(ctx, str_mem(text, len));
+	json_object_put(o);
+	return s;
+}
+
+static void
+keep_list(struct json_object *to, struct json_object *from, const char *name)
+{
+	struct json_object *v;
+
+	if (from != NULL && json_object_object_get_ex(from, name, &v))
+		json_object_object_add(to, name, json_object_get(v));
+	else
+		json_object_object_add(to, name, json_object_new_array());
+}
+
+/*
+ * Renders an outcome. A refusal has the name of its status and a message;
+ * lists appear on the routes they belong to, also when they are empty.
+ */
+struct str
+api_render(TALLOC_CTX *ctx, enum api_route route, const Control__OpResult *r,
+    int *http_status)
+{
+	static const char *const lists[] = { "orders", "workers", "jobs" };
+	struct json_object *o, *all, *sub = NULL;
+	size_t i;
+
+	*http_status = http_of(r->status);
+	all = pjson_render(&r->base);
+	for (i = 0; i < sizeof(lists) / sizeof(lists[0]); i++) {
+		if ((route == API_ROUTE_POLL && i == 0) ||
+		    (route == API_ROUTE_WORKERS && i == 1) ||
+		    (route == API_ROUTE_JOBS && i == 2))
+			continue;
+		json_object_object_del(all, lists[i]);
+	}
+	json_object_object_del(all, "body");
+	o = json_object_new_object();
+	json_object_object_add(o, "status",
+	    json_object_new_string(status_name((enum status)r->status)));
+	json_object_object_foreach(all, name, value)
+	{
+		if (strcmp(name, "status") == 0 ||
+		    strcmp(name, "config") == 0 || strcmp(name, "info") == 0 ||
+		    strcmp(name, "members") == 0)
+			continue;
+		json_object_object_add(o, name, json_object_get(value));
+	}
+	if (r->status == STATUS_OK && route == API_ROUTE_CLASSES) {
+		json_object_object_get_ex(all, "config", &sub);
+		keep_list(o, sub, "classes");
+		keep_list(o, sub, "teams");
+		if (r->config != NULL)
+			json_object_object_add(o, "version",
+			    json_object_new_uint64(r->config->version));
+	} else if (r->status == STATUS_OK && route == API_ROUTE_INSTANCES) {
+		json_object_object_get_ex(all, "info", &sub);
+		keep_list(o, sub, "instances");
+	} else if (r->status == STATUS_OK && route == API_ROUTE_MEMBERS) {
+		json_object_object_get_ex(all, "members", &sub);
+		keep_list(o, sub, "members");
+	} else if (json_object_object_get_ex(all, "info", &sub)) {
+		json_object_object_foreach(sub, key, item)
+		    json_object_object_add(o, key, json_object_get(item));
+	}
+	json_object_put(all);
+	return json_text(ctx, o);
+}
+
+/* Renders a failure that was found on this instance. */
+struct str
+api_render_error(TALLOC_CTX *ctx, enum status st, const char *message,
+    int *http_status)
+{
+	struct json_object *o = json_object_new_object();
+
+	*http_status = http_of(st);
+	json_object_object_add(
+	    o, "status", json_object_new_string(status_name(st)));
+	json_object_object_add(
+	    o, "message", json_object_new_string(message));
+	return json_text(ctx, o);
+}
--- /dev/null
+++ b/src/node/api.h
@@ -0,0 +1,58 @@
+/*
+ * The HTTP interface for operators, workers and the platform: paths and JSON
+ * to and from Op and OpResult. Without state and without I/O.
+ */
+#ifndef NODE_API_H
+#define NODE_API_H
+
+#include "base/err.h"
+#include "base/str.h"
+#include "control/control.pb-c.h"
+
+__BEGIN_DECLS
+
+#define API_NAME_MAX 128
+
+enum api_kind {
+	API_OP,	      /* op is for the leader */
+	API_SERVICE,  /* /svc/CLASS/...: class_name is set */
+	API_HEALTH,
+	API_READY,
+	API_COUNTERS,
+	API_DRAIN /* of this instance */
+};
+
+enum api_route {
+	API_ROUTE_NONE,
+	API_ROUTE_CLASSES,
+	API_ROUTE_WORKERS,
+	API_ROUTE_INSTANCES,
+	API_ROUTE_JOBS,
+	API_ROUTE_STATUS,
+	API_ROUTE_MEMBERS,
+	API_ROUTE_ANNOUNCE,
+	API_ROUTE_POLL,
+	API_ROUTE_OTHER
+};
+
+struct api_req {
+	enum api_kind kind;
+	enum api_route route;
+	int http_status; /* when the request is refused */
+	struct str class_name;
+	Control__Op *op; /* owned by the context of api_parse */
+};
+
+enum status api_parse(TALLOC_CTX *, struct str method, struct str path,
+    struct str query, struct str body, struct api_req *, struct err *);
+/* JSON text of an outcome and its HTTP status. */
+struct str api_render(TALLOC_CTX *, enum api_route,
+    const Control__OpResult *, int *http_status);
+struct str api_render_error(
+    TALLOC_CTX *, enum status, const char *message, int *http_status);
+/* Names of classes, workers, racks and the like. */
+bool api_name_valid(struct str);
+
+__END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/frame.h
@@ -0,0 +1,48 @@
+/*
+ * Frames between instances: magic "CB", version, type, length and CRC-32C of
+ * the payload (both big endian), payload.
+ */
+#ifndef NODE_FRAME_H
+#define NODE_FRAME_H
+
+#include "base/err.h"
+#include "base/str.h"
+
+__BEGIN_DECLS
+
+#define FRAME_HEAD    12
+#define FRAME_MAX     (4 * 1024 * 1024) /* of the payload */
+#define FRAME_VERSION 1
+
+enum frame_type {
+	FRAME_HELLO = 1,
+	FRAME_HEARTBEAT = 2, /* no payload */
+	FRAME_MSG = 3
+};
+
+enum frame_fault {
+	FRAME_OK,
+	FRAME_MORE, /* the frame is not complete yet */
+	FRAME_BAD_MAGIC,
+	FRAME_BAD_VERSION,
+	FRAME_BAD_TYPE,
+	FRAME_BAD_LENGTH,
+	FRAME_BAD_CRC
+};
+
+struct frame {
+	enum frame_type type;
+	struct str payload; /* points into the parsed bytes */
+	size_t size;	    /* of the whole frame */
+};
+
+uint32_t frame_crc32c(const void *, size_t);
+/* Writes the FRAME_HEAD bytes that go before the payload. */
+void frame_head(uint8_t *head, enum frame_type, const void *p, size_t len);
+/* Parses the frame at the start of buf. */
+enum frame_fault frame_parse(struct str buf, struct frame *);
+const char *frame_fault_name(enum frame_fault);
+
+__END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/front.h
@@ -0,0 +1,74 @@
+/*
+ * Inbound HTTP of one thread: libmicrohttpd driven from a tevent loop.
+ * A request is handed on once its body is complete and is answered with one
+ * call of front_reply, at once or later.
+ */
+#ifndef NODE_FRONT_H
+#define NODE_FRONT_H
+
+#include <tevent.h>
+
+#include "base/ctr.h"
+#include "base/err.h"
+#include "base/str.h"
+
+__BEGIN_DECLS
+
+#define FRONT_IDLE_S	    60	  /* without progress, then closed */
+#define FRONT_HEAD_MAX	    32768 /* memory of a connection's headers */
+#define FRONT_BODY_SLOW_MS  30000 /* for the whole body to arrive */
+#define FRONT_TARGET_MAX    4096
+
+struct front;
+
+struct front_header {
+	struct str name, value;
+};
+
+/* A talloc tree; valid until its reply is given. */
+struct front_req {
+	struct front *front;
+	struct str method;
+	struct str target; /* as sent: path and query */
+	struct str path;   /* target without the query */
+	struct str query;  /* behind "?", may be empty */
+	struct str body;
+	const struct front_header *headers;
+	size_t nheaders;
+	void *user; /* of the handler */
+};
+
+struct front_reply {
+	int status;
+	const struct front_header *headers;
+	size_t nheaders;
+	struct str body;
+};
+
+struct front_conf {
+	int listen_fd; /* closed by the front */
+	size_t body_max;
+	unsigned connections_max;
+	struct ctr_set *ctr;
+	/* A whole request. */
+	void (*request)(void *arg, struct front_req *);
+	/* Its client is gone; a reply is still due and goes nowhere. */
+	void (*gone)(void *arg, struct front_req *);
+	void *arg;
+};
+
+struct front *front_new(TALLOC_CTX *, struct tevent_context *,
+    const struct front_conf *, struct err *);
+/* Answers a request; copies everything. The request is invalid afterwards. */
+void front_reply(struct front_req *, const struct front_reply *);
+/* Value of a header, empty when absent; nfound counts occurrences. */
+struct str front_header_get(
+    const struct front_req *, const char *name, size_t *nfound);
+/* From now on connections are closed after their answer. */
+void front_drain(struct front *);
+/* Requests that are being received, handled or answered. */
+size_t front_busy(const struct front *);
+
+__END_DECLS
+
+#endif
--- /dev/null
+++ b/src/node/mbox.h
@@ -0,0 +1,56 @@
+/*
+ * A message queue into one thread. Any thread posts, the owner takes; an
+ * eventfd becomes readable when there is something to take.
+ */
+#ifndef NODE_MBOX_H
+#define NODE_MBOX_H
+
+#include <pthread.h>
+
+#include "base/err.h"
+#include "base/str.h"
+
+__BEGIN_DECLS
+
+enum mbox_kind {
+	MBOX_OP,     /* data: packed Op */
+	MBOX_RESULT, /* data: packed OpResult */
+	MBOX_STATS,  /* data: packed Beat with the figures of a thread */
+	MBOX_VIEW,   /* view: owned by the receiver */
+	MBOX_DRAIN,  /* traffic: take no new work; control: start to stop */
+	MBOX_IDLE,   /* a traffic thread has nothing left to do */
+	MBOX_STOP
+};
+
+struct view;
+
+/* One message, a talloc tree without parent that changes hands whole. */
+struct mbox_msg {
+	struct mbox_msg *next;
+	enum mbox_kind kind;
+	unsigned thread; /* of the traffic thread concerned */
+	uint64_t id;
+	struct str data;
+	struct view *view;
+};
+
+struct mbox {
+	pthread_mutex_t lock;
+	struct mbox_msg *head, **tail;
+	size_t n, max;
+	int fd;
+};
+
+enum status mbox_init(struct mbox *, size_t max, struct err *);
+/* A message with len bytes of data to fill in. */
+struct mbox_msg *mbox_msg_new(enum mbox_kind, size_t len);
+/* STATUS_FULL leaves the message with the caller; VIEW, DRAIN, IDLE, RESULT
+ * and STOP are never refused. */
+enum status mbox_post(struct mbox *, struct mbox_msg *);
+/* All messages in order of arrival, linked by next; NULL if there are none. */
+struct mbox_msg *mbox_take(struct mbox *);
+void mbox_finish(struct mbox *);
+
+__END_DECLS
+
+#endif
