--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -5363,7 +5363,7 @@
   (ProtobufCMessageInit) control__assignment__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__command__field_descriptors[15] =
+static const ProtobufCFieldDescriptor control__command__field_descriptors[16] =
 {
   {
     "now_ms",
@@ -5545,6 +5545,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_cutoff_ms",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Control__Command, has_key_cutoff_ms),
+    offsetof(Control__Command, key_cutoff_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__command__field_indices_by_name[] = {
   7,   /* field[7] = assign */
@@ -5555,6 +5567,7 @@
   6,   /* field[6] = job_cancel */
   5,   /* field[5] = job_submit */
   10,   /* field[10] = key_claim */
+  15,   /* field[15] = key_cutoff_ms */
   11,   /* field[11] = key_done */
   12,   /* field[12] = key_expire */
   0,   /* field[0] = now_ms */
@@ -5566,7 +5579,7 @@
 static const ProtobufCIntRange control__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor control__command__descriptor =
 {
@@ -5576,7 +5589,7 @@
   "Control__Command",
   "control",
   sizeof(Control__Command),
-  15,
+  16,
   control__command__field_descriptors,
   control__command__field_indices_by_name,
   1,  control__command__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -935,10 +935,15 @@
    */
   size_t n_fail_tasks;
   uint64_t *fail_tasks;
+  /*
+   * with key_expire: last change
+   */
+  protobuf_c_boolean has_key_cutoff_ms;
+  uint64_t key_cutoff_ms;
 };
 #define CONTROL__COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__command__descriptor) \
-    , 0, 0, NULL, NULL, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0, 0, NULL, NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, NULL, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0, 0, NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Control__SlotUse
--- /dev/null
+++ b/src/control/st_config.c
@@ -0,0 +1,275 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/pb.h"
+#include "control/st_impl.h"
+
+static bool
+change_is(const void *object, const void *key)
+{
+	return str_eq(
+	    ((const struct st_change *)object)->id, *(const struct str *)key);
+}
+
+static void
+changes_finish(struct st_changes *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->n; i++)
+		free(
+		    (void *)(uintptr_t)c->ring[(c->first + i) % ST_CHANGES_KEPT]
+			.id.p);
+	free(c->ring);
+	idx_finish(&c->by_id);
+	memset(c, 0, sizeof(*c));
+}
+
+/* Starts with version 0 and no classes. */
+void
+st_config_init(struct st *st)
+{
+	st->config = talloc(st, Control__Config);
+	if (st->config == NULL)
+		abort();
+	control__config__init(st->config);
+}
+
+/* Frees the configuration and the results of changes. */
+void
+st_config_finish(struct st *st)
+{
+	TALLOC_FREE(st->config);
+	changes_finish(&st->config_changes);
+	changes_finish(&st->job_changes);
+}
+
+/* Identifies the content of a change, to tell a resend from a reused id. */
+uint64_t
+st_change_digest(const void *msg)
+{
+	struct str s = pb_pack(NULL, msg);
+	uint64_t h = str_hash(s);
+
+	talloc_free((void *)(uintptr_t)s.p);
+	return h;
+}
+
+/*
+ * Looks for the result of an earlier change with this id and makes it the
+ * result of the command. An id that was used for other content is refused.
+ * Returns false when the id is new.
+ */
+bool
+st_change_find(struct st *st, struct st_changes *c, struct str id,
+    uint64_t digest, uint64_t *value)
+{
+	const struct st_change *k =
+	    idx_find(&c->by_id, str_hash(id), change_is, &id);
+
+	if (k == NULL)
+		return false;
+	*value = 0;
+	if (k->digest != digest) {
+		st_fail(st, STATUS_INVALID,
+		    "change id was used for another change");
+		return true;
+	}
+	*value = k->value;
+	st->res.status = k->status;
+	st->res.message = "result of the first request with this change id";
+	return true;
+}
+
+/* Keeps a result under its id and drops the oldest one over the limit. */
+void
+st_change_keep(struct st_changes *c, struct str id, struct st_change result)
+{
+	struct st_change *k;
+	char *p;
+
+	if (c->ring == NULL) {
+		c->ring = calloc(ST_CHANGES_KEPT, sizeof(*c->ring));
+		if (c->ring == NULL)
+			abort();
+	}
+	if (c->n == ST_CHANGES_KEPT) {
+		k = &c->ring[c->first];
+		idx_remove(&c->by_id, str_hash(k->id), k);
+		free((void *)(uintptr_t)k->id.p);
+		c->first = (c->first + 1) % ST_CHANGES_KEPT;
+		c->n--;
+	}
+	p = malloc(id.len + 1);
+	if (p == NULL)
+		abort();
+	memcpy(p, id.p, id.len);
+	k = &c->ring[(c->first + c->n++) % ST_CHANGES_KEPT];
+	*k = result;
+	k->id = str_mem(p, id.len);
+	idx_add(&c->by_id, str_hash(id), k);
+}
+
+static int
+class_cmp(const void *a, const void *b)
+{
+	return strcmp((*(Control__Class *const *)a)->name,
+	    (*(Control__Class *const *)b)->name);
+}
+
+static int
+team_cmp(const void *a, const void *b)
+{
+	return strcmp((*(Control__Team *const *)a)->name,
+	    (*(Control__Team *const *)b)->name);
+}
+
+static bool
+name_ok(const char *name)
+{
+	size_t n = strlen(name);
+
+	return n > 0 && n <= ST_NAME_MAX;
+}
+
+/* Sorts classes and teams by name and returns what is wrong, or NULL. */
+static const char *
+config_check(Control__Config *c)
+{
+	size_t i;
+
+	if (c->n_classes > 0)
+		qsort(c->classes, c->n_classes, sizeof(Control__Class *),
+		    class_cmp);
+	if (c->n_teams > 0)
+		qsort(c->teams, c->n_teams, sizeof(Control__Team *), team_cmp);
+	for (i = 0; i < c->n_classes; i++) {
+		if (!name_ok(c->classes[i]->name))
+			return "class name is empty or too long";
+		if (i > 0 && class_cmp(&c->classes[i - 1], &c->classes[i]) == 0)
+			return "class name occurs twice";
+	}
+	for (i = 0; i < c->n_teams; i++) {
+		if (!name_ok(c->teams[i]->name))
+			return "team name is empty or too long";
+		if (i > 0 && team_cmp(&c->teams[i - 1], &c->teams[i]) == 0)
+			return "team name occurs twice";
+	}
+	return NULL;
+}
+
+/*
+ * Replaces the configuration if the expected version is the current one. The
+ * result, also a refusal, is kept under the change id.
+ */
+void
+st_config_set(struct st *st, const Control__ConfigSet *set)
+{
+	struct str id = str_from(set->change_id);
+	uint64_t digest = st_change_digest(set), version;
+	const char *fault;
+	Control__Config *c;
+
+	if (!name_ok(set->change_id)) {
+		st_fail(st, STATUS_INVALID, "change id is empty or too long");
+		return;
+	}
+	if (st_change_find(st, &st->config_changes, id, digest, &version)) {
+		st->res.version = version;
+		return;
+	}
+	c = pb_dup(st, set->config);
+	fault = config_check(c);
+	if (set->expected_version != st->config->version) {
+		st_fail(st, STATUS_CONFLICT,
+		    "expected version is not the current version");
+		talloc_free(c);
+	} else if (fault != NULL) {
+		st_fail(st, STATUS_INVALID, fault);
+		talloc_free(c);
+	} else {
+		c->version = st->config->version + 1;
+		talloc_free(st->config);
+		st->config = c;
+		st_note(st, ST_NOTE_CONFIG, c->version);
+	}
+	st_change_keep(&st->config_changes, id,
+	    (struct st_change){ .digest = digest,
+		.value = st->config->version,
+		.status = st->res.status });
+}
+
+static void
+changes_save(const struct st_changes *c, struct enc *e)
+{
+	size_t i;
+
+	enc_u64(e, c->n);
+	for (i = 0; i < c->n; i++) {
+		const struct st_change *k =
+		    &c->ring[(c->first + i) % ST_CHANGES_KEPT];
+
+		enc_str(e, k->id);
+		enc_u64(e, k->digest);
+		enc_u64(e, k->value);
+		enc_u64(e, k->status);
+	}
+}
+
+static void
+changes_load(struct st_changes *c, struct dec *d)
+{
+	uint64_t n = dec_u64(d);
+
+	if (n > ST_CHANGES_KEPT)
+		d->bad = true;
+	for (; n > 0 && !d->bad; n--) {
+		struct str id = dec_str(d);
+		struct st_change k = { .digest = dec_u64(d) };
+
+		k.value = dec_u64(d);
+		k.status = (uint8_t)dec_u64(d);
+		if (!d->bad)
+			st_change_keep(c, id, k);
+	}
+}
+
+/* Writes configuration and results of changes into a snapshot. */
+void
+st_config_save(const struct st *st, struct enc *e)
+{
+	struct str s = pb_pack(NULL, st->config);
+
+	enc_str(e, s);
+	talloc_free((void *)(uintptr_t)s.p);
+	changes_save(&st->config_changes, e);
+	changes_save(&st->job_changes, e);
+}
+
+/* Reads what st_config_save wrote. */
+void
+st_config_load(struct st *st, struct dec *d)
+{
+	TALLOC_CTX *tmp = talloc_new(NULL);
+	struct str s = dec_str(d);
+	Control__Config *c = NULL;
+
+	if (!d->bad)
+		c = pb_unpack(tmp, &control__config__descriptor, s);
+	if (c == NULL) {
+		d->bad = true;
+	} else {
+		talloc_free(st->config);
+		st->config = pb_dup(st, c);
+		changes_load(&st->config_changes, d);
+		changes_load(&st->job_changes, d);
+	}
+	talloc_free(tmp);
+}
+
+/* Returns the configuration in force; classes are sorted by name. */
+const Control__Config *
+st_config(const struct st *st)
+{
+	return st->config;
+}
--- /dev/null
+++ b/src/control/st_worker.c
@@ -0,0 +1,379 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/pb.h"
+#include "control/st_impl.h"
+
+static bool
+worker_named(const void *object, const void *key)
+{
+	return str_eq(
+	    ((const struct st_worker *)object)->name, *(const struct str *)key);
+}
+
+/* Returns the position of the first worker with an epoch not below epoch. */
+static size_t
+worker_pos(const struct st *st, uint64_t epoch)
+{
+	size_t lo = 0, hi = st->nworkers;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (st->workers[mid]->epoch < epoch)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+/* Returns the worker with this epoch, or NULL when it is not current. */
+struct st_worker *
+st_worker_mut(struct st *st, uint64_t epoch)
+{
+	size_t i = worker_pos(st, epoch);
+
+	if (i == st->nworkers || st->workers[i]->epoch != epoch)
+		return NULL;
+	return st->workers[i];
+}
+
+static void
+worker_free(struct st_worker *w)
+{
+	free((void *)(uintptr_t)w->name.p);
+	free((void *)(uintptr_t)w->up.p);
+	free(w->tasks);
+	free(w);
+}
+
+/* Frees all workers. */
+void
+st_worker_finish(struct st *st)
+{
+	size_t i;
+
+	for (i = 0; i < st->nworkers; i++)
+		worker_free(st->workers[i]);
+	free(st->workers);
+	st->workers = NULL;
+	st->nworkers = st->capworkers = 0;
+	idx_finish(&st->worker_by_name);
+	st->worker_version = st->gone_floor = 0;
+	st->first_gone = st->ngone = 0;
+}
+
+static struct str
+worker_copy(struct str s)
+{
+	char *p = malloc(s.len + 1);
+
+	if (p == NULL)
+		abort();
+	if (s.len > 0)
+		memcpy(p, s.p, s.len);
+	return str_mem(p, s.len);
+}
+
+static struct st_worker *
+worker_add(struct st *st, uint64_t epoch, struct str name, struct str up)
+{
+	struct st_worker *w = calloc(1, sizeof(*w));
+
+	if (st->nworkers == st->capworkers) {
+		st->capworkers = st->capworkers == 0 ? 16 : 2 * st->capworkers;
+		st->workers = realloc(
+		    st->workers, st->capworkers * sizeof(struct st_worker *));
+	}
+	if (w == NULL || st->workers == NULL)
+		abort();
+	w->epoch = epoch;
+	w->name = worker_copy(name);
+	w->up = worker_copy(up);
+	st->workers[st->nworkers++] = w;
+	idx_add(&st->worker_by_name, str_hash(w->name), w);
+	return w;
+}
+
+static void
+gone_add(struct st *st, uint64_t epoch, uint64_t index)
+{
+	if (st->ngone == ST_GONE_KEPT) {
+		st->gone_floor = st->gone[st->first_gone].index;
+		st->first_gone = (st->first_gone + 1) % ST_GONE_KEPT;
+		st->ngone--;
+	}
+	st->gone[(st->first_gone + st->ngone++) % ST_GONE_KEPT] =
+	    (struct st_gone){ epoch, index };
+}
+
+static void
+worker_remove(struct st *st, struct st_worker *w)
+{
+	size_t i = worker_pos(st, w->epoch);
+
+	while (w->ntasks > 0)
+		st_job_lost(st, w->tasks[w->ntasks - 1]);
+	st_note(st, ST_NOTE_WORKER_GONE, w->epoch);
+	gone_add(st, w->epoch, st->index);
+	st->worker_version = st->index;
+	idx_remove(&st->worker_by_name, str_hash(w->name), w);
+	memmove(&st->workers[i], &st->workers[i + 1],
+	    (st->nworkers - i - 1) * sizeof(struct st_worker *));
+	st->nworkers--;
+	worker_free(w);
+}
+
+/*
+ * Registers a worker start. The epoch is the index of the entry. The same
+ * incarnation gets its epoch again; a new one ends the old one's epoch. A
+ * late copy of a superseded incarnation's announcement is refused, since it
+ * would end the epoch of its successor.
+ */
+void
+st_worker_apply_up(struct st *st, const Control__WorkerUp *up)
+{
+	struct str name = str_from(up->name), packed;
+	struct st_worker *w, *old;
+	uint64_t superseded = 0;
+
+	if (name.len == 0 || name.len > ST_NAME_MAX || up->slots > UINT16_MAX) {
+		st_fail(
+		    st, STATUS_INVALID, "worker name or slots out of range");
+		return;
+	}
+	old =
+	    idx_find(&st->worker_by_name, str_hash(name), worker_named, &name);
+	if (old != NULL && old->incarnation == up->incarnation) {
+		st->res.epoch = old->epoch;
+		return;
+	}
+	if (old != NULL && old->superseded == up->incarnation) {
+		st->res.epoch = old->epoch;
+		st_fail(st, STATUS_STALE,
+		    "a later incarnation of the worker is known");
+		return;
+	}
+	if (old != NULL) {
+		superseded = old->incarnation;
+		worker_remove(st, old);
+	}
+	packed = pb_pack(NULL, up);
+	w = worker_add(st, st->index, name, packed);
+	talloc_free((void *)(uintptr_t)packed.p);
+	w->incarnation = up->incarnation;
+	w->superseded = superseded;
+	w->changed = st->index;
+	st->worker_version = st->index;
+	st->res.epoch = w->epoch;
+	st_note(st, ST_NOTE_WORKER_UP, w->epoch);
+}
+
+/* Ends an epoch; its tasks become pending under a new attempt. */
+void
+st_worker_apply_lost(struct st *st, uint64_t epoch)
+{
+	struct st_worker *w = st_worker_mut(st, epoch);
+
+	if (w == NULL)
+		st_fail(st, STATUS_NOT_FOUND, "worker epoch has ended");
+	else
+		worker_remove(st, w);
+}
+
+/* Marks a worker as leaving; it gets no new work. */
+void
+st_worker_apply_drain(struct st *st, const Control__WorkerDrain *drain)
+{
+	struct str name = str_from(drain->name);
+	struct st_worker *w =
+	    idx_find(&st->worker_by_name, str_hash(name), worker_named, &name);
+
+	if (w == NULL) {
+		st_fail(st, STATUS_NOT_FOUND, "no worker of this name");
+		return;
+	}
+	st->res.epoch = w->epoch;
+	if (w->draining)
+		return;
+	w->draining = true;
+	w->changed = st->index;
+	st->worker_version = st->index;
+	st_note(st, ST_NOTE_WORKER_DRAIN, w->epoch);
+}
+
+/* Records that the worker has the task. */
+void
+st_worker_attach(struct st_worker *w, uint64_t task)
+{
+	if (w->ntasks == w->captasks) {
+		w->captasks = w->captasks == 0 ? 4 : 2 * w->captasks;
+		w->tasks = realloc(w->tasks, w->captasks * sizeof(uint64_t));
+		if (w->tasks == NULL)
+			abort();
+	}
+	w->tasks[w->ntasks++] = task;
+}
+
+/* Records that the worker no longer has the task. */
+void
+st_worker_detach(struct st_worker *w, uint64_t task)
+{
+	uint32_t i = w->ntasks;
+
+	/* From the end, since a lost worker's tasks go from there. */
+	while (i > 0) {
+		if (w->tasks[--i] == task) {
+			w->tasks[i] = w->tasks[--w->ntasks];
+			return;
+		}
+	}
+}
+
+/* Writes the workers, without their tasks, into a snapshot. */
+void
+st_worker_save(const struct st *st, struct enc *e)
+{
+	size_t i;
+
+	enc_u64(e, st->worker_version);
+	enc_u64(e, st->gone_floor);
+	enc_u64(e, st->ngone);
+	for (i = 0; i < st->ngone; i++) {
+		const struct st_gone *g =
+		    &st->gone[(st->first_gone + i) % ST_GONE_KEPT];
+
+		enc_u64(e, g->epoch);
+		enc_u64(e, g->index);
+	}
+	enc_u64(e, st->nworkers);
+	for (i = 0; i < st->nworkers; i++) {
+		const struct st_worker *w = st->workers[i];
+
+		enc_u64(e, w->epoch);
+		enc_u64(e, w->superseded);
+		enc_u64(e, w->changed);
+		enc_u64(e, w->event_seq);
+		enc_u64(e, w->draining);
+		enc_str(e, w->up);
+	}
+}
+
+/* Reads what st_worker_save wrote. */
+void
+st_worker_load(struct st *st, struct dec *d)
+{
+	TALLOC_CTX *tmp = talloc_new(NULL);
+	uint64_t n;
+
+	st->worker_version = dec_u64(d);
+	st->gone_floor = dec_u64(d);
+	n = dec_u64(d);
+	if (n > ST_GONE_KEPT)
+		d->bad = true;
+	for (; n > 0 && !d->bad; n--) {
+		uint64_t epoch = dec_u64(d);
+
+		gone_add(st, epoch, dec_u64(d));
+	}
+	for (n = dec_u64(d); n > 0 && !d->bad; n--) {
+		uint64_t epoch = dec_u64(d), superseded = dec_u64(d);
+		uint64_t changed = dec_u64(d), seq = dec_u64(d);
+		bool draining = dec_u64(d) != 0;
+		struct str packed = dec_str(d);
+		const Control__WorkerUp *up = d->bad
+		    ? NULL
+		    : pb_unpack(tmp, &control__worker_up__descriptor, packed);
+		struct st_worker *w;
+
+		/* Epochs ascend, or lookups by epoch would fail. */
+		if (up == NULL ||
+		    (st->nworkers > 0 &&
+			st->workers[st->nworkers - 1]->epoch >= epoch)) {
+			d->bad = true;
+			break;
+		}
+		w = worker_add(st, epoch, str_from(up->name), packed);
+		w->incarnation = up->incarnation;
+		w->superseded = superseded;
+		w->changed = changed;
+		w->event_seq = seq;
+		w->draining = draining;
+	}
+	talloc_free(tmp);
+}
+
+/* Returns the number of workers with a current epoch. */
+size_t
+st_nworkers(const struct st *st)
+{
+	return st->nworkers;
+}
+
+/* Returns the i-th worker by epoch. */
+const struct st_worker *
+st_worker_at(const struct st *st, size_t i)
+{
+	return st->workers[i];
+}
+
+/* Returns the worker with a current epoch, or NULL. */
+const struct st_worker *
+st_worker(const struct st *st, uint64_t epoch)
+{
+	size_t i = worker_pos(st, epoch);
+
+	if (i == st->nworkers || st->workers[i]->epoch != epoch)
+		return NULL;
+	return st->workers[i];
+}
+
+/* Returns the worker of a name, or NULL. */
+const struct st_worker *
+st_worker_named(const struct st *st, struct str name)
+{
+	return idx_find(
+	    &st->worker_by_name, str_hash(name), worker_named, &name);
+}
+
+/* Decodes a worker's announcement into memory of ctx. */
+Control__WorkerUp *
+st_worker_up(const struct st_worker *w, TALLOC_CTX *ctx)
+{
+	return pb_unpack(ctx, &control__worker_up__descriptor, w->up);
+}
+
+/* Returns the index of the last change of the table of workers. */
+uint64_t
+st_worker_version(const struct st *st)
+{
+	return st->worker_version;
+}
+
+/*
+ * Lists the epochs that ended after a version, in memory of ctx. Returns
+ * false when the list does not go back that far.
+ */
+bool
+st_workers_gone(const struct st *st, uint64_t version, TALLOC_CTX *ctx,
+    uint64_t **epochs, size_t *n)
+{
+	size_t i;
+
+	*n = 0;
+	*epochs = NULL;
+	if (version < st->gone_floor)
+		return false;
+	*epochs = talloc_array(ctx, uint64_t, st->ngone);
+	if (*epochs == NULL && st->ngone > 0)
+		abort();
+	for (i = 0; i < st->ngone; i++) {
+		const struct st_gone *g =
+		    &st->gone[(st->first_gone + i) % ST_GONE_KEPT];
+
+		if (g->index > version)
+			(*epochs)[(*n)++] = g->epoch;
+	}
+	return true;
+}
