--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -2089,7 +2089,7 @@
   (ProtobufCMessageInit) control__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__raft_msg__field_descriptors[15] =
+static const ProtobufCFieldDescriptor control__raft_msg__field_descriptors[16] =
 {
   {
     "kind",
@@ -2271,6 +2271,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instance",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Control__RaftMsg, has_instance),
+    offsetof(Control__RaftMsg, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__raft_msg__field_indices_by_name[] = {
   11,   /* field[11] = chunk */
@@ -2279,6 +2291,7 @@
   2,   /* field[2] = from */
   8,   /* field[8] = hint */
   4,   /* field[4] = index */
+  15,   /* field[15] = instance */
   0,   /* field[0] = kind */
   13,   /* field[13] = last */
   5,   /* field[5] = log_term */
@@ -2292,7 +2305,7 @@
 static const ProtobufCIntRange control__raft_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor control__raft_msg__descriptor =
 {
@@ -2302,7 +2315,7 @@
   "Control__RaftMsg",
   "control",
   sizeof(Control__RaftMsg),
-  15,
+  16,
   control__raft_msg__field_descriptors,
   control__raft_msg__field_indices_by_name,
   1,  control__raft_msg__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -262,10 +262,15 @@
    */
   protobuf_c_boolean has_transfer;
   protobuf_c_boolean transfer;
+  /*
+   * of the sender; a joining replica
+   */
+  protobuf_c_boolean has_instance;
+  uint32_t instance;
 };
 #define CONTROL__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__raft_msg__descriptor) \
-    , CONTROL__RAFT_KIND__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0 }
+    , CONTROL__RAFT_KIND__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Control__Class
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -51,6 +51,7 @@
 	uint64_t term;
 	uint64_t voted_for;
 	uint64_t snap_index, snap_term;
+	struct str snap_data;		   /* for followers that need it */
 	const struct raft_member *members; /* as of the snapshot */
 	size_t nmembers;
 	const struct raft_entry *entries; /* after the snapshot */
--- /dev/null
+++ b/src/control/raft_repl.c
@@ -0,0 +1,413 @@
+#include "control/raft_priv.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Fills an APPEND with entries from index on, RAFT_MSG_BYTES at most. */
+static size_t
+add_entries(struct raft *r, Control__RaftMsg *m, uint64_t from, size_t *bytes)
+{
+	uint64_t last = raft_log_last(r), i;
+	Control__Entry *store;
+	size_t n = 0, size = 0;
+
+	for (i = from; i <= last; i++) {
+		size += raft_log_at(r, i)->data.len + RAFT_ENTRY_OVERHEAD;
+		if (n > 0 && size > RAFT_MSG_BYTES)
+			break;
+		n++;
+		if (size > RAFT_MSG_BYTES)
+			break;
+	}
+	*bytes = size;
+	if (n == 0)
+		return 0;
+	store = talloc_array(r->scratch, Control__Entry, n);
+	m->entries = talloc_array(r->scratch, Control__Entry *, n);
+	if (store == NULL || m->entries == NULL)
+		abort();
+	for (i = 0; i < n; i++) {
+		const struct raft_entry *e = raft_log_at(r, from + i);
+
+		control__entry__init(&store[i]);
+		store[i].index = e->index;
+		store[i].term = e->term;
+		store[i].kind = e->kind;
+		store[i].has_data = e->data.len > 0;
+		store[i].data.len = e->data.len;
+		store[i].data.data = (uint8_t *)(uintptr_t)e->data.p;
+		m->entries[i] = &store[i];
+	}
+	m->n_entries = n;
+	return n;
+}
+
+static void
+start_snapshot(struct raft *r, struct raft_peer *p)
+{
+	p->flow = FLOW_SNAPSHOT;
+	p->snap_index = r->snap_index;
+	p->snap_offset = 0;
+	p->nflight = p->flight_bytes = 0;
+	p->paused = false;
+}
+
+/*
+ * Sends one APPEND from p->next on. Returns the number of entries in it, 0
+ * also when the follower needs a snapshot first.
+ */
+static size_t
+send_append(struct raft *r, struct raft_peer *p, size_t *bytes)
+{
+	uint64_t prev = p->next - 1, term = 0;
+	Control__RaftMsg *m;
+	size_t n;
+
+	if (prev < r->base_index || !raft_log_term(r, prev, &term)) {
+		start_snapshot(r, p);
+		return 0;
+	}
+	m = raft_msg_new(r, CONTROL__RAFT_KIND__RAFT_APPEND, p->replica);
+	m->has_index = m->has_log_term = m->has_commit = m->has_round = 1;
+	m->index = prev;
+	m->log_term = term;
+	m->commit = r->commit;
+	m->round = r->round;
+	n = add_entries(r, m, p->next, bytes);
+	raft_send(r, m, p->instance);
+	return n;
+}
+
+/* Sends what flow control lets through; returns whether anything was sent. */
+static bool
+send_peer(struct raft *r, struct raft_peer *p)
+{
+	size_t bytes, n;
+	bool sent = false;
+
+	if (p->flow == FLOW_PROBE && !p->paused &&
+	    p->next <= raft_log_last(r)) {
+		send_append(r, p, &bytes);
+		if (p->flow == FLOW_PROBE)
+			p->paused = sent = true;
+	}
+	while (p->flow == FLOW_REPLICATE && p->next <= raft_log_last(r) &&
+	    p->nflight < RAFT_FLIGHT_MAX &&
+	    p->flight_bytes < RAFT_WINDOW_BYTES) {
+		n = send_append(r, p, &bytes);
+		if (n == 0)
+			break;
+		sent = true;
+		p->next += n;
+		p->flight[p->nflight].last = p->next - 1;
+		p->flight[p->nflight++].bytes = bytes;
+		p->flight_bytes += bytes;
+	}
+	if (p->flow == FLOW_SNAPSHOT && !p->paused) {
+		raft_send_chunk(r, p);
+		p->paused = sent = true;
+	}
+	return sent;
+}
+
+/* Sends new entries to all members as far as flow control permits. */
+void
+raft_replicate(struct raft *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++) {
+		if (r->peers[i].replica != r->self)
+			send_peer(r, &r->peers[i]);
+	}
+}
+
+/* Starts a heartbeat round: every member gets entries or an empty APPEND. */
+void
+raft_broadcast(struct raft *r)
+{
+	size_t i, bytes;
+
+	r->round++;
+	r->round_sent[r->round % RAFT_ROUNDS] = r->now;
+	r->heartbeat_at = clk_add_ms(r->now, RAFT_HEARTBEAT_MS);
+	r->commit_at_beat = r->commit >= r->term_start ? r->commit : UINT64_MAX;
+	r->transfer_sent = false;
+	for (i = 0; i < r->npeers; i++) {
+		struct raft_peer *p = &r->peers[i];
+
+		if (p->replica == r->self)
+			continue;
+		p->paused = false;
+		if (!send_peer(r, p))
+			send_append(r, p, &bytes);
+	}
+}
+
+/* Commits what a majority has on disk, if it is of the own term. */
+void
+raft_advance_commit(struct raft *r)
+{
+	uint64_t n = raft_quorum_value(r, false), term;
+
+	if (n > r->commit && raft_log_term(r, n, &term) && term == r->term)
+		r->commit = n;
+}
+
+/* Gives out the entries that became committed. */
+void
+raft_deliver(struct raft *r)
+{
+	struct raft_act *a;
+	size_t i;
+
+	if (r->commit == r->applied)
+		return;
+	a = raft_act_add(r, RAFT_ACT_COMMIT);
+	a->u.commit.entries =
+	    raft_log_copy(r, r->applied + 1, r->commit, &a->u.commit.n);
+	for (i = 0; i < a->u.commit.n; i++)
+		r->uncommitted_bytes -=
+		    a->u.commit.entries[i].data.len + RAFT_ENTRY_OVERHEAD;
+	r->applied = r->commit;
+}
+
+static bool
+entries_valid(const Control__RaftMsg *m)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_entries; i++) {
+		if (m->entries[i]->index != m->index + 1 + i ||
+		    m->entries[i]->term > m->term)
+			return false;
+	}
+	return true;
+}
+
+/* Takes over entries; conflicting ones of the own log are dropped. */
+static void
+take_entries(struct raft *r, const Control__RaftMsg *m)
+{
+	uint64_t term;
+	size_t i;
+
+	for (i = 0; i < m->n_entries; i++) {
+		const Control__Entry *e = m->entries[i];
+
+		if (e->index <= r->commit)
+			continue;
+		if (raft_log_term(r, e->index, &term)) {
+			if (term == e->term)
+				continue;
+			raft_log_cut(r, e->index);
+		}
+		raft_log_append(r, e->term, e->kind,
+		    str_mem(e->data.data, e->has_data ? e->data.len : 0));
+	}
+}
+
+static void
+reply_append(struct raft *r, const Control__RaftMsg *m, uint64_t verified)
+{
+	Control__RaftMsg *a =
+	    raft_msg_new(r, CONTROL__RAFT_KIND__RAFT_APPEND_REPLY, m->from);
+
+	a->has_ok = a->ok = 1;
+	a->has_index = a->has_round = 1;
+	a->index = verified;
+	a->round = m->round;
+	/* A heartbeat is answered at once, so that a slow disk does not look
+	 * like a lost follower; it promises only what is on disk. */
+	if (m->n_entries == 0 && !r->hard_dirty &&
+	    r->synced_seq >= r->hard_seq) {
+		if (a->index > r->durable)
+			a->index = r->durable;
+		raft_send(r, a, raft_instance_of(r, m));
+		return;
+	}
+	raft_send_synced(r, a, raft_instance_of(r, m));
+}
+
+static void
+reject_append(struct raft *r, const Control__RaftMsg *m)
+{
+	Control__RaftMsg *a =
+	    raft_msg_new(r, CONTROL__RAFT_KIND__RAFT_APPEND_REPLY, m->from);
+
+	a->has_ok = a->has_index = a->has_round = 1;
+	a->has_hint = a->has_log_term = 1;
+	a->index = m->index;
+	a->round = m->round;
+	a->hint = raft_log_find(r, m->index, m->log_term);
+	raft_log_term(r, a->hint, &a->log_term);
+	raft_send_synced(r, a, raft_instance_of(r, m));
+}
+
+/* Handles an APPEND of the current term. */
+void
+raft_on_append(struct raft *r, const Control__RaftMsg *m)
+{
+	uint64_t verified, term;
+
+	if (r->loading || !entries_valid(m))
+		return;
+	if (m->index < r->commit) {
+		/* Committed entries agree with every later leader's log. */
+		verified = r->commit;
+		if (m->index + m->n_entries > verified) {
+			take_entries(r, m);
+			verified = m->index + m->n_entries;
+		}
+	} else if (!raft_log_term(r, m->index, &term) || term != m->log_term) {
+		reject_append(r, m);
+		return;
+	} else {
+		take_entries(r, m);
+		verified = m->index + m->n_entries;
+	}
+	if (m->commit > r->commit)
+		r->commit = m->commit < verified ? m->commit : verified;
+	reply_append(r, m, verified);
+}
+
+static void
+free_flight(struct raft_peer *p, uint64_t index)
+{
+	size_t i, k = 0;
+
+	while (k < p->nflight && p->flight[k].last <= index)
+		p->flight_bytes -= p->flight[k++].bytes;
+	for (i = k; i < p->nflight; i++)
+		p->flight[i - k] = p->flight[i];
+	p->nflight -= k;
+}
+
+/* Handles an APPEND_REPLY of the current term on the leader. */
+void
+raft_on_append_reply(struct raft *r, const Control__RaftMsg *m)
+{
+	struct raft_peer *p = raft_peer_find(r, m->from);
+	uint64_t next;
+
+	if (p == NULL || r->role != RAFT_LEADER)
+		return;
+	p->heard = r->now;
+	if (m->round > p->acked_round && m->round <= r->round)
+		p->acked_round = m->round;
+	if (m->ok) {
+		if (m->index > raft_log_last(r))
+			return;
+		if (m->index > p->match)
+			p->match = m->index;
+		if (p->next <= p->match)
+			p->next = p->match + 1;
+		free_flight(p, m->index);
+		if (p->flow == FLOW_SNAPSHOT && p->match < p->snap_index)
+			return;
+		if (p->flow != FLOW_REPLICATE)
+			p->nflight = p->flight_bytes = 0;
+		p->flow = FLOW_REPLICATE;
+		p->paused = false;
+		return;
+	}
+	if (p->flow == FLOW_SNAPSHOT || m->index <= p->match ||
+	    (p->flow == FLOW_PROBE && m->index != p->next - 1))
+		return;
+	next = raft_log_find(r, m->hint, m->log_term) + 1;
+	if (next > m->index)
+		next = m->index;
+	p->next = next > p->match ? next : p->match + 1;
+	p->flow = FLOW_PROBE;
+	p->nflight = p->flight_bytes = 0;
+	p->paused = false;
+}
+
+/* Tells whether a majority answered within the shortest election timeout. */
+bool
+raft_quorum_heard(const struct raft *r)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < r->npeers; i++) {
+		const struct raft_peer *p = &r->peers[i];
+
+		n += p->voter &&
+		    (p->replica == r->self ||
+			clk_diff_ms(r->now, p->heard) < RAFT_ELECTION_MIN_MS);
+	}
+	return n >= raft_quorum(r);
+}
+
+static bool
+lease_valid(const struct raft *r)
+{
+	uint64_t round = raft_quorum_value(r, true);
+
+	if (r->lease_void || round == 0 || round + RAFT_ROUNDS <= r->round)
+		return false;
+	return clk_diff_ms(r->now, r->round_sent[round % RAFT_ROUNDS]) <
+	    RAFT_LEASE_MS;
+}
+
+/*
+ * Registers a request for proof of leadership. It is answered at once within
+ * the leader lease, else when a majority has answered a later round.
+ */
+void
+raft_start_confirm(struct raft *r, uint64_t id)
+{
+	struct raft_confirm *c;
+
+	r->confirms = raft_grow(r, r->confirms, sizeof(*c), r->nconfirms);
+	c = &r->confirms[r->nconfirms++];
+	c->id = id;
+	c->round = lease_valid(r) ? 0 : r->round + 1;
+}
+
+static void
+confirm_round(struct raft *r)
+{
+	uint64_t acked = raft_quorum_value(r, true);
+	size_t i;
+
+	/* One extra round at a time; requests that come meanwhile share the
+	 * next one. */
+	if (r->confirm_round > acked)
+		return;
+	for (i = 0; i < r->nconfirms; i++) {
+		if (r->confirms[i].round > r->round) {
+			raft_broadcast(r);
+			r->confirm_round = r->round;
+			return;
+		}
+	}
+}
+
+/*
+ * Answers the requests whose round a majority has acknowledged; all of them,
+ * negatively, when leadership is lost. A leader that has not committed in its
+ * own term yet may not know all that was accepted before, so it waits.
+ */
+void
+raft_answer_confirms(struct raft *r, bool lost)
+{
+	uint64_t acked = lost ? 0 : raft_quorum_value(r, true);
+	size_t i, k = 0;
+
+	for (i = 0; i < r->nconfirms; i++) {
+		struct raft_confirm c = r->confirms[i];
+		struct raft_act *a;
+
+		if (!lost && (r->commit < r->term_start || c.round > acked)) {
+			r->confirms[k++] = c;
+			continue;
+		}
+		a = raft_act_add(r, RAFT_ACT_CONFIRMED);
+		a->u.confirmed.id = c.id;
+		a->u.confirmed.ok = !lost;
+	}
+	r->nconfirms = k;
+	if (!lost)
+		confirm_round(r);
+}
--- /dev/null
+++ b/src/control/tests/raft_sim.h
@@ -0,0 +1,705 @@
+/*
+ * Replicas of one group in one process on a simulated network, disk and
+ * clock. Every run is determined by its seed. The checks run with every
+ * action: one leader per term, one history of committed entries that every
+ * replica applies in order, states equal to those of a sequential oracle, and
+ * read barriers that see all that was accepted before them.
+ */
+#ifndef CONTROL_TESTS_RAFT_SIM_H
+#define CONTROL_TESTS_RAFT_SIM_H
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/rng.h"
+#include "control/raft.h"
+
+struct SimEntry {
+	uint64_t term;
+	int kind;
+	std::string data;
+	bool operator==(const SimEntry &o) const
+	{
+		return term == o.term && kind == o.kind && data == o.data;
+	}
+};
+
+struct SimMember {
+	uint64_t replica;
+	uint32_t instance;
+	bool voter;
+};
+
+/* What a data directory holds. */
+struct SimDisk {
+	uint64_t replica = 0, generation = 0;
+	uint64_t term = 0, vote = 0;
+	uint64_t snap_index = 0, snap_term = 0, state = 0;
+	std::vector<SimMember> members;
+	std::vector<SimEntry> log; /* from snap_index + 1 */
+
+	void cut(uint64_t from);
+	void put(uint64_t index, const SimEntry &);
+};
+
+/* A PERSIST action that is written but not synced. */
+struct SimWrite {
+	uint64_t seq, term, vote, truncate_from, first;
+	std::vector<SimEntry> entries;
+};
+
+struct SimNode {
+	struct raft *raft = nullptr;
+	struct raft_acts acts = {};
+	SimDisk disk;
+	std::vector<SimWrite> writes;
+	uint64_t life = 0; /* events of an earlier life are void */
+	double rate = 1.0; /* of its clock */
+	uint64_t incarnation = 0;
+	uint64_t applied = 0, state = 0, tick_at = 0;
+	std::map<uint64_t, std::pair<uint64_t, uint64_t>> seen;
+	std::map<uint64_t, uint64_t> barriers;
+	std::vector<SimMember> members() const;
+	bool up() const
+	{
+		return raft != nullptr;
+	}
+};
+
+struct SimConf {
+	uint64_t seed = 1;
+	double drop = 0, duplicate = 0;
+	int64_t delay_ns = 1000000, jitter_ns = 0;
+	int64_t sync_ns = 200000;
+	uint64_t snapshot_every = 50;
+};
+
+class RaftSim {
+      public:
+	explicit RaftSim(const SimConf &);
+	~RaftSim();
+	SimConf conf;
+	struct rng rng;
+	int64_t now = 0;
+	std::vector<std::unique_ptr<SimNode>> nodes; /* by instance - 1 */
+	std::vector<SimEntry> history;		     /* committed; 1 is [0] */
+	std::vector<uint64_t> oracle;		     /* state after index */
+	std::map<uint64_t, uint64_t> leaders;	     /* term -> replica */
+	std::set<std::pair<uint32_t, uint32_t>> blocked; /* from, to */
+	std::vector<std::string> faults;
+	uint64_t messages = 0, bytes = 0, barriers_ok = 0;
+	bool check_generation = true;
+
+	uint32_t add_node(const SimDisk &);
+	uint32_t add_group(size_t voters);
+	void start(uint32_t instance);
+	/* keep: how many of the unsynced writes reach the disk anyway */
+	void crash(uint32_t instance, size_t keep);
+	void run(int64_t ns);
+	bool run_until(const std::function<bool()> &, int64_t limit_ns);
+	enum status step(uint32_t instance, const struct raft_ev &);
+	enum status propose(uint32_t instance, const std::string &);
+	enum status add_member(uint32_t leader, uint32_t instance);
+	enum status remove_member(uint32_t leader, uint64_t replica);
+	enum status event(uint32_t instance, enum raft_ev_kind);
+	void barrier(uint32_t instance);
+	uint32_t leader() const; /* of the highest term; 0: none */
+	bool settled() const;
+	void isolate(uint32_t instance, bool in, bool out);
+	uint64_t new_replica();
+	SimNode &node(uint32_t instance)
+	{
+		return *nodes[instance - 1];
+	}
+
+      private:
+	struct Event {
+		int64_t at;
+		uint64_t seq;
+		std::function<void()> fn;
+		bool operator<(const Event &o) const
+		{
+			return at != o.at ? at > o.at : seq > o.seq;
+		}
+	};
+	std::priority_queue<Event> queue;
+	uint64_t seq = 0, next_replica = 0, next_barrier = 0;
+	void at(int64_t when, std::function<void()> fn);
+	struct timespec local(const SimNode &) const;
+	void arm(uint32_t instance);
+	void carry_out(uint32_t instance);
+	void send(uint32_t from, uint32_t to, const Control__RaftMsg *);
+	void deliver(uint32_t from, uint32_t to, uint64_t incarnation,
+	    const std::string &);
+	void persist(uint32_t instance, const struct raft_act &);
+	void write(SimDisk &, const SimWrite &);
+	void commit(uint32_t instance, const struct raft_act &);
+	void load(uint32_t instance, const struct raft_act &);
+	void snapshot(uint32_t instance);
+	void fault(const std::string &);
+};
+
+inline void
+SimDisk::cut(uint64_t from)
+{
+	if (from <= snap_index)
+		log.clear();
+	else if (from <= snap_index + log.size())
+		log.resize(from - snap_index - 1);
+}
+
+inline void
+SimDisk::put(uint64_t index, const SimEntry &e)
+{
+	if (index <= snap_index)
+		return;
+	cut(index);
+	log.push_back(e);
+}
+
+inline std::vector<SimMember>
+SimNode::members() const
+{
+	std::vector<SimMember> v;
+	const struct raft_member *m;
+	size_t n = raft_members(raft, &m);
+
+	for (size_t i = 0; i < n; i++)
+		v.push_back({ m[i].replica, m[i].instance, m[i].voter });
+	return v;
+}
+
+/* The oracle's step: the order and content of all commands so far. */
+inline uint64_t
+sim_apply(uint64_t state, const SimEntry &e)
+{
+	uint64_t h = str_hash(str_mem(e.data.data(), e.data.size()));
+
+	return (state * 1099511628211ULL) ^ h ^ (uint64_t)e.kind;
+}
+
+inline RaftSim::RaftSim(const SimConf &c) : conf(c)
+{
+	rng_init(&rng, c.seed);
+	oracle.push_back(0);
+}
+
+inline RaftSim::~RaftSim()
+{
+	for (auto &n : nodes) {
+		talloc_free(n->raft);
+		talloc_free(n->acts.v);
+	}
+}
+
+inline void
+RaftSim::fault(const std::string &what)
+{
+	faults.push_back(what + " at " + std::to_string(now / 1000000) + " ms");
+}
+
+inline void
+RaftSim::at(int64_t when, std::function<void()> fn)
+{
+	queue.push({ when, seq++, std::move(fn) });
+}
+
+inline struct timespec
+RaftSim::local(const SimNode &n) const
+{
+	/* The rate may change; only differences of one life matter. */
+	return clk_from_ns((int64_t)((double)now * n.rate) + CLK_NS_PER_S);
+}
+
+inline uint64_t
+RaftSim::new_replica()
+{
+	return ++next_replica * 1000;
+}
+
+inline uint32_t
+RaftSim::add_node(const SimDisk &d)
+{
+	nodes.push_back(std::make_unique<SimNode>());
+	nodes.back()->disk = d;
+	return (uint32_t)nodes.size();
+}
+
+inline uint32_t
+RaftSim::add_group(size_t voters)
+{
+	std::vector<SimMember> m;
+	for (size_t i = 0; i < voters; i++)
+		m.push_back({ new_replica(), (uint32_t)i + 1, true });
+	for (auto &x : m) {
+		SimDisk d;
+		d.replica = x.replica;
+		d.members = m;
+		start(add_node(d));
+	}
+	return (uint32_t)voters;
+}
+
+inline void
+RaftSim::start(uint32_t instance)
+{
+	SimNode &n = node(instance);
+	std::vector<struct raft_member> members;
+	std::vector<struct raft_entry> log;
+	struct raft_conf c = {};
+
+	n.life++;
+	n.disk.generation++;
+	n.incarnation = rng_next(&rng);
+	n.writes.clear();
+	n.barriers.clear();
+	for (auto &m : n.disk.members)
+		members.push_back(
+		    { m.replica, m.instance, m.voter, str_from("zone") });
+	for (size_t i = 0; i < n.disk.log.size(); i++) {
+		const SimEntry &e = n.disk.log[i];
+		log.push_back({ n.disk.snap_index + 1 + i, e.term,
+		    (Control__EntryKind)e.kind,
+		    str_mem(e.data.data(), e.data.size()) });
+	}
+	std::string state((const char *)&n.disk.state, sizeof(uint64_t));
+	/* Longer than one chunk, so that transfers can break in the middle. */
+	state.resize(RAFT_CHUNK_BYTES + 100, 's');
+	c.replica = n.disk.replica;
+	c.seed = rng_next(&rng);
+	c.term = n.disk.term;
+	c.voted_for = n.disk.vote;
+	c.snap_index = n.disk.snap_index;
+	c.snap_term = n.disk.snap_term;
+	c.snap_data = str_mem(state.data(), state.size());
+	c.members = members.data();
+	c.nmembers = members.size();
+	c.entries = log.data();
+	c.nentries = log.size();
+	n.applied = n.disk.snap_index;
+	n.state = n.disk.state;
+	n.raft = raft_new(NULL, &c, local(n));
+	arm(instance);
+}
+
+inline void
+RaftSim::crash(uint32_t instance, size_t keep)
+{
+	SimNode &n = node(instance);
+
+	for (size_t i = 0; i < n.writes.size() && i < keep; i++)
+		write(n.disk, n.writes[i]);
+	n.writes.clear();
+	n.life++;
+	talloc_free(n.raft);
+	n.raft = nullptr;
+}
+
+inline void
+RaftSim::run(int64_t ns)
+{
+	int64_t end = now + ns;
+
+	while (!queue.empty() && queue.top().at <= end) {
+		Event e = queue.top();
+		queue.pop();
+		now = e.at > now ? e.at : now;
+		e.fn();
+	}
+	now = end;
+}
+
+inline bool
+RaftSim::run_until(const std::function<bool()> &done, int64_t limit_ns)
+{
+	int64_t end = now + limit_ns;
+
+	while (!done()) {
+		if (queue.empty() || queue.top().at > end)
+			return false;
+		Event e = queue.top();
+		queue.pop();
+		now = e.at > now ? e.at : now;
+		e.fn();
+	}
+	return true;
+}
+
+inline void
+RaftSim::arm(uint32_t instance)
+{
+	SimNode &n = node(instance);
+	int64_t left = clk_diff_ns(raft_deadline(n.raft), local(n));
+	uint64_t life = n.life, id = ++n.tick_at;
+
+	left = left < 0 ? 0 : (int64_t)((double)left / n.rate) + 1000;
+	at(now + left, [this, instance, life, id] {
+		struct raft_ev ev = {};
+		SimNode &m = node(instance);
+		if (m.life == life && m.tick_at == id)
+			step(instance, ev);
+	});
+}
+
+inline enum status
+RaftSim::step(uint32_t instance, const struct raft_ev &ev)
+{
+	SimNode &n = node(instance);
+
+	if (!n.up())
+		return STATUS_UNAVAILABLE;
+	n.acts.n = 0;
+	enum status st = raft_step(n.raft, local(n), &ev, &n.acts);
+	carry_out(instance);
+	arm(instance);
+	return st;
+}
+
+inline void
+RaftSim::carry_out(uint32_t instance)
+{
+	SimNode &n = node(instance);
+	std::vector<struct raft_act> acts(n.acts.v, n.acts.v + n.acts.n);
+	bool applied = false;
+
+	for (auto &a : acts) {
+		switch (a.kind) {
+		case RAFT_ACT_SEND:
+			send(instance, a.u.send.instance, a.u.send.msg);
+			break;
+		case RAFT_ACT_PERSIST:
+			persist(instance, a);
+			break;
+		case RAFT_ACT_COMMIT:
+			commit(instance, a);
+			applied = true;
+			break;
+		case RAFT_ACT_ROLE:
+			if (a.u.role.role != RAFT_LEADER)
+				break;
+			if (leaders.count(a.u.role.term) &&
+			    leaders[a.u.role.term] != n.disk.replica)
+				fault("two leaders in term " +
+				    std::to_string(a.u.role.term));
+			leaders[a.u.role.term] = n.disk.replica;
+			break;
+		case RAFT_ACT_CONFIRMED:
+			if (a.u.confirmed.ok) {
+				barriers_ok++;
+				if (n.applied < n.barriers[a.u.confirmed.id])
+					fault("stale read barrier");
+			}
+			break;
+		case RAFT_ACT_LOAD_SNAPSHOT:
+			load(instance, a);
+			break;
+		}
+	}
+	if (applied)
+		snapshot(instance);
+}
+
+inline void
+RaftSim::send(uint32_t from, uint32_t to, const Control__RaftMsg *m)
+{
+	std::string buf(control__raft_msg__get_packed_size(m), '\0');
+
+	control__raft_msg__pack(m, (uint8_t *)buf.data());
+	messages++;
+	bytes += buf.size();
+	if (to == 0 || to > nodes.size()) {
+		fault("message to no instance");
+		return;
+	}
+	int copies = rng_chance(&rng, conf.duplicate) ? 2 : 1;
+	for (int i = 0; i < copies; i++) {
+		if (rng_chance(&rng, conf.drop))
+			continue;
+		int64_t delay = conf.delay_ns +
+		    (int64_t)rng_below(&rng, (uint64_t)conf.jitter_ns + 1);
+		uint64_t inc = node(from).incarnation;
+		at(now + delay, [this, from, to, inc, buf] {
+			deliver(from, to, inc, buf);
+		});
+	}
+}
+
+inline void
+RaftSim::deliver(
+    uint32_t from, uint32_t to, uint64_t incarnation, const std::string &buf)
+{
+	SimNode &n = node(to);
+
+	if (!n.up() || blocked.count({ from, to }))
+		return;
+	/* The check of HELLO: a lower generation, or the same one under
+	 * another incarnation, comes from a copy of a directory. */
+	SimNode &s = node(from);
+	if (check_generation && s.incarnation == incarnation) {
+		auto &seen = n.seen[s.disk.replica];
+		if (s.disk.generation < seen.first ||
+		    (s.disk.generation == seen.first &&
+			incarnation != seen.second))
+			return;
+		seen = { s.disk.generation, incarnation };
+	}
+	Control__RaftMsg *m = control__raft_msg__unpack(
+	    NULL, buf.size(), (const uint8_t *)buf.data());
+	struct raft_ev ev = {};
+	ev.kind = RAFT_EV_MSG;
+	ev.u.msg = m;
+	step(to, ev);
+	control__raft_msg__free_unpacked(m, NULL);
+}
+
+inline void
+RaftSim::write(SimDisk &d, const SimWrite &w)
+{
+	d.term = w.term;
+	d.vote = w.vote;
+	if (w.truncate_from != 0)
+		d.cut(w.truncate_from);
+	for (size_t i = 0; i < w.entries.size(); i++)
+		d.put(w.first + i, w.entries[i]);
+}
+
+inline void
+RaftSim::persist(uint32_t instance, const struct raft_act &a)
+{
+	SimNode &n = node(instance);
+	SimWrite w = { a.u.persist.seq, a.u.persist.term, a.u.persist.voted_for,
+		a.u.persist.truncate_from, 0, {} };
+	uint64_t life = n.life, id = w.seq;
+
+	for (size_t i = 0; i < a.u.persist.n; i++) {
+		const struct raft_entry &e = a.u.persist.entries[i];
+		if (i == 0)
+			w.first = e.index;
+		w.entries.push_back({ e.term, (int)e.kind,
+		    std::string(e.data.p ? e.data.p : "", e.data.len) });
+	}
+	n.writes.push_back(w);
+	int64_t d = conf.sync_ns / 2 +
+	    (int64_t)rng_below(&rng, (uint64_t)conf.sync_ns + 1);
+	at(now + d, [this, instance, life, id] {
+		SimNode &m = node(instance);
+		struct raft_ev ev = {};
+		if (m.life != life || m.writes.empty() || m.writes[0].seq > id)
+			return;
+		while (!m.writes.empty() && m.writes[0].seq <= id) {
+			write(m.disk, m.writes[0]);
+			m.writes.erase(m.writes.begin());
+		}
+		ev.kind = RAFT_EV_SYNCED;
+		ev.u.synced = id;
+		step(instance, ev);
+	});
+}
+
+inline void
+RaftSim::commit(uint32_t instance, const struct raft_act &a)
+{
+	SimNode &n = node(instance);
+
+	for (size_t i = 0; i < a.u.commit.n; i++) {
+		const struct raft_entry &e = a.u.commit.entries[i];
+		SimEntry s = { e.term, (int)e.kind,
+			std::string(e.data.p ? e.data.p : "", e.data.len) };
+
+		if (e.index != n.applied + 1)
+			fault("applied out of order");
+		if (e.index == history.size() + 1) {
+			history.push_back(s);
+			oracle.push_back(sim_apply(oracle.back(), s));
+		} else if (e.index > history.size() ||
+		    !(history[e.index - 1] == s)) {
+			fault("committed entry differs");
+			return;
+		}
+		n.applied = e.index;
+		n.state = sim_apply(n.state, s);
+		if (n.state != oracle[e.index])
+			fault("state differs from the oracle");
+	}
+}
+
+inline void
+RaftSim::load(uint32_t instance, const struct raft_act &a)
+{
+	SimNode &n = node(instance);
+	auto &s = a.u.snapshot;
+	SimDisk &d = n.disk;
+
+	if (s.data.len != RAFT_CHUNK_BYTES + 100)
+		fault("snapshot has a wrong length");
+	d.log.clear();
+	d.snap_index = s.index;
+	d.snap_term = s.term;
+	memcpy(&d.state, s.data.p, sizeof(d.state));
+	d.members.clear();
+	for (size_t i = 0; i < s.nmembers; i++)
+		d.members.push_back({ s.members[i].replica,
+		    s.members[i].instance, s.members[i].voter });
+	if (s.index >= oracle.size() || d.state != oracle[s.index])
+		fault("snapshot differs from the oracle");
+	n.applied = s.index;
+	n.state = d.state;
+	struct raft_ev ev = {};
+	ev.kind = RAFT_EV_SNAPSHOT_LOADED;
+	ev.u.snapshot.index = s.index;
+	uint64_t life = n.life;
+	at(now + conf.sync_ns, [this, instance, life, ev] {
+		if (node(instance).life == life)
+			step(instance, ev);
+	});
+}
+
+inline void
+RaftSim::snapshot(uint32_t instance)
+{
+	SimNode &n = node(instance);
+	SimDisk &d = n.disk;
+
+	if (n.applied < d.snap_index + conf.snapshot_every)
+		return;
+	std::string state((const char *)&n.state, sizeof(uint64_t));
+	state.resize(RAFT_CHUNK_BYTES + 100, 's');
+	struct raft_ev ev = {};
+	ev.kind = RAFT_EV_SNAPSHOT_TAKEN;
+	ev.u.snapshot.index = n.applied;
+	ev.u.snapshot.data = str_mem(state.data(), state.size());
+	uint64_t old = d.snap_index, index = n.applied;
+	/* The member list as of the snapshot, from the history. */
+	for (uint64_t i = old + 1; i <= index; i++) {
+		const SimEntry &e = history[i - 1];
+		if (e.kind != CONTROL__ENTRY_KIND__ENTRY_MEMBERS)
+			continue;
+		Control__Members *m = control__members__unpack(
+		    NULL, e.data.size(), (const uint8_t *)e.data.data());
+		d.members.clear();
+		for (size_t k = 0; k < m->n_members; k++)
+			d.members.push_back(
+			    { m->members[k]->replica, m->members[k]->instance,
+				(bool)m->members[k]->voter });
+		control__members__free_unpacked(m, NULL);
+	}
+	/* Entries behind the snapshot stay only if they continue it. */
+	bool joins = d.log.size() >= index - old &&
+	    d.log[index - old - 1] == history[index - 1];
+	if (joins)
+		d.log.erase(d.log.begin(), d.log.begin() + (long)(index - old));
+	else
+		d.log.clear();
+	d.snap_index = index;
+	d.snap_term = history[index - 1].term;
+	d.state = n.state;
+	step(instance, ev);
+}
+
+inline enum status
+RaftSim::propose(uint32_t instance, const std::string &data)
+{
+	struct str s = str_mem(data.data(), data.size());
+	struct raft_ev ev = {};
+
+	ev.kind = RAFT_EV_PROPOSE;
+	ev.u.propose.data = &s;
+	ev.u.propose.n = 1;
+	return step(instance, ev);
+}
+
+inline enum status
+RaftSim::add_member(uint32_t leader, uint32_t instance)
+{
+	struct raft_ev ev = {};
+
+	ev.kind = RAFT_EV_MEMBER_ADD;
+	ev.u.member.replica = node(instance).disk.replica;
+	ev.u.member.instance = instance;
+	ev.u.member.domain = str_from("zone");
+	return step(leader, ev);
+}
+
+inline enum status
+RaftSim::remove_member(uint32_t leader, uint64_t replica)
+{
+	struct raft_ev ev = {};
+
+	ev.kind = RAFT_EV_MEMBER_REMOVE;
+	ev.u.member.replica = replica;
+	return step(leader, ev);
+}
+
+inline enum status
+RaftSim::event(uint32_t instance, enum raft_ev_kind kind)
+{
+	struct raft_ev ev = {};
+
+	ev.kind = kind;
+	return step(instance, ev);
+}
+
+/* Asks for proof of leadership; the answer is checked when it comes. */
+inline void
+RaftSim::barrier(uint32_t instance)
+{
+	struct raft_ev ev = {};
+
+	ev.kind = RAFT_EV_CONFIRM;
+	ev.u.confirm = ++next_barrier;
+	node(instance).barriers[next_barrier] = history.size();
+	step(instance, ev);
+}
+
+inline uint32_t
+RaftSim::leader() const
+{
+	uint32_t best = 0;
+	uint64_t term = 0;
+
+	for (size_t i = 0; i < nodes.size(); i++) {
+		const SimNode &n = *nodes[i];
+		if (n.up() && raft_role(n.raft) == RAFT_LEADER &&
+		    raft_term(n.raft) > term) {
+			term = raft_term(n.raft);
+			best = (uint32_t)i + 1;
+		}
+	}
+	return best;
+}
+
+/* Every running member has applied the whole history. */
+inline bool
+RaftSim::settled() const
+{
+	uint32_t l = leader();
+
+	if (l == 0)
+		return false;
+	for (auto &m : nodes[l - 1]->members()) {
+		const SimNode &n = *nodes[m.instance - 1];
+		if (n.disk.replica == m.replica && n.up() &&
+		    n.applied != raft_last_index(nodes[l - 1]->raft))
+			return false;
+	}
+	return true;
+}
+
+inline void
+RaftSim::isolate(uint32_t instance, bool in, bool out)
+{
+	for (uint32_t i = 1; i <= nodes.size(); i++) {
+		if (out)
+			blocked.insert({ instance, i });
+		if (in)
+			blocked.insert({ i, instance });
+	}
+}
+
+#endif
