Add the request engine and slot grants, first version

Cause: the daemon and the leader's services need an engine that admits, dispatches and answers, and a table of slot grants. Change: eng (admission, queues, claims, attempts, retries, suspicion, ejection, statistics) on tmr, lat, rtb, out, slot and adm; grant. A Beat names the newest term it took a reply from, so that a new leader can tell what was held before it took over from what may still be adopted; grant_lead names that term and the first epoch of it. eng.h says that SENT comes before a byte may leave and that RECORD may follow ANSWER.

--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -5840,7 +5840,7 @@
   (ProtobufCMessageInit) control__latency__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor control__beat__field_descriptors[13] =
 {
   {
     "instance",
@@ -5986,6 +5986,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Control__Beat, has_term),
+    offsetof(Control__Beat, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__beat__field_indices_by_name[] = {
   3,   /* field[3] = config_version */
@@ -5999,12 +6011,13 @@
   11,   /* field[11] = replica_index */
   2,   /* field[2] = seq */
   5,   /* field[5] = slots */
+  12,   /* field[12] = term */
   4,   /* field[4] = worker_version */
 };
 static const ProtobufCIntRange control__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor control__beat__descriptor =
 {
@@ -6014,7 +6027,7 @@
   "Control__Beat",
   "control",
   sizeof(Control__Beat),
-  12,
+  13,
   control__beat__field_descriptors,
   control__beat__field_indices_by_name,
   1,  control__beat__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -1032,10 +1032,15 @@
    */
   protobuf_c_boolean has_replica_index;
   uint64_t replica_index;
+  /*
+   * newest term a reply was taken from;
+   */
+  protobuf_c_boolean has_term;
+  uint64_t term;
 };
 #define CONTROL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Control__Grant
--- a/src/request/eng.h
+++ b/src/request/eng.h
@@ -62,7 +62,7 @@
 	ENG_EV_TICK,
 	ENG_EV_ARRIVE,
 	ENG_EV_CLAIMED, /* answer to CLAIM */
-	ENG_EV_SENT,	/* the first byte may have left */
+	ENG_EV_SENT,	/* comes before the first byte may leave */
 	ENG_EV_DONE,	/* a whole answer came */
 	ENG_EV_FAILED,
 	ENG_EV_CANCEL,
@@ -120,7 +120,7 @@
 	ENG_ACT_DISPATCH, /* to worker, until deadline */
 	ENG_ACT_ABORT,	  /* close the attempt's connection */
 	ENG_ACT_ANSWER,
-	ENG_ACT_RECORD, /* end of a claimed key */
+	ENG_ACT_RECORD, /* end of a claimed key; may follow the ANSWER */
 	ENG_ACT_PROBE	/* on a new connection */
 };
 
@@ -191,7 +191,11 @@
 	struct eng_latency *latency;
 	size_t nlatency;
 };
+/* C++ warns of a function with the name of a struct. */
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
 void eng_stats(struct eng *, TALLOC_CTX *, struct eng_stats *);
+#pragma GCC diagnostic pop
 
 __END_DECLS
 
--- /dev/null
+++ b/src/request/eng_run.c
@@ -0,0 +1,356 @@
+#include "request/eng_priv.h"
+
+/* Up to so many workers of a class are all compared, else a sample. */
+#define ENG_SCAN   64
+#define ENG_SAMPLE 32
+/* Queued requests that are looked at for one free slot. */
+#define ENG_LOOK 4
+/* A connection has a quarter of the time left, within these limits. */
+#define ENG_CONNECT_MIN (50 * CLK_NS_PER_MS)
+#define ENG_CONNECT_MAX (1 * CLK_NS_PER_S)
+
+/* Gives a slot of a worker back. */
+void
+eng_release(struct eng *e, struct eng_worker *w)
+{
+	slot_give(&w->slot);
+	e->racks[w->rack].used--;
+}
+
+/*
+ * Latest end of an attempt that starts at now. An idempotent request keeps
+ * time for another worker as long as there is one and attempts are left.
+ */
+static int64_t
+eng_attempt_deadline(const struct eng_req *r, int64_t now)
+{
+	if (!r->idempotent || r->gone || r->class->usable < 2 ||
+	    r->attempts + 1 >= ENG_ATTEMPTS_MAX)
+		return r->deadline;
+	return now + adm_attempt(&r->class->adm, r->deadline - now);
+}
+
+static bool
+eng_fits(const struct eng *e, const struct eng_req *r,
+    const struct eng_worker *w, int64_t now, int64_t deadline)
+{
+	return eng_worker_usable(w) && slot_free(&w->slot, now) > 0 &&
+	    (r->avoid != w->epoch || r->class->usable < 2) &&
+	    slot_fits(&w->slot, now, deadline, e->conf.clock_ppm);
+}
+
+/*
+ * Worse is higher: recent failures first, then the share of this instance's
+ * slots in use, on the worker and in its rack.
+ */
+static unsigned
+eng_score(const struct eng *e, const struct eng_worker *w)
+{
+	const struct eng_rack *k = &e->racks[w->rack];
+	unsigned score = out_failures(&w->out) * 64 + w->out.timeouts * 512U;
+
+	score += w->slot.used * 256 / w->slot.granted;
+	if (k->granted > 0)
+		score += k->used * 128 / k->granted;
+	return score;
+}
+
+/*
+ * Returns the best worker with a free slot, or NULL. In a large class a
+ * random sample is compared first, so that the cost does not grow with the
+ * fleet while slots are easy to find.
+ */
+static struct eng_worker *
+eng_pick(struct eng *e, const struct eng_req *r, int64_t now, int64_t deadline)
+{
+	const struct eng_class *c = r->class;
+	size_t n = c->nworkers, look = n > ENG_SCAN ? ENG_SAMPLE : n, i;
+	struct eng_worker *best = NULL;
+	unsigned best_score = 0;
+
+	if (n == 0 || now >= e->fresh_until)
+		return NULL;
+	i = (size_t)rng_below(&e->rng, n);
+	for (size_t k = 0; k < n; k++, i = i + 1 < n ? i + 1 : 0) {
+		struct eng_worker *w = c->workers[i];
+		unsigned score;
+
+		if (k >= look && best != NULL)
+			break;
+		if (!eng_fits(e, r, w, now, deadline))
+			continue;
+		score = eng_score(e, w);
+		if (best == NULL || score < best_score) {
+			best = w;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+static void
+eng_dispatch(struct eng *e, struct eng_req *r, struct eng_worker *w,
+    int64_t now, int64_t deadline)
+{
+	struct eng_act *a;
+	int64_t wait = (deadline - now) / 4;
+
+	slot_take(&w->slot);
+	e->racks[w->rack].used++;
+	r->class->running++;
+	r->state = ENG_S_RUNNING;
+	r->worker = w;
+	r->attempt = ++e->attempt;
+	r->attempts++;
+	r->begun = now;
+	r->attempt_deadline = deadline;
+	r->sent = false;
+	if (wait < ENG_CONNECT_MIN)
+		wait = ENG_CONNECT_MIN;
+	if (wait > ENG_CONNECT_MAX)
+		wait = ENG_CONNECT_MAX;
+	tmr_set(
+	    &e->tmr, &r->tmr, now + wait < deadline ? now + wait : deadline);
+	a = eng_emit(e, ENG_ACT_DISPATCH, r->id);
+	a->attempt = r->attempt;
+	a->u.dispatch.worker = w->index;
+	a->u.dispatch.epoch = w->epoch;
+	a->u.dispatch.deadline = clk_from_ns(deadline);
+}
+
+/* Puts a request at the tail of its queue, or at the head if it had its turn
+ * before. */
+static void
+eng_queue_up(struct eng *e, struct eng_req *r)
+{
+	struct eng_class *c = r->class;
+
+	r->state = ENG_S_QUEUED;
+	c->queued++;
+	if (r->attempts > 0)
+		TAILQ_INSERT_HEAD(&c->queue, r, link);
+	else
+		TAILQ_INSERT_TAIL(&c->queue, r, link);
+	tmr_set(&e->tmr, &r->tmr, r->start_by);
+}
+
+/* Takes a request out of its queue. */
+void
+eng_dequeue(struct eng *e, struct eng_req *r)
+{
+	TAILQ_REMOVE(&r->class->queue, r, link);
+	r->class->queued--;
+	tmr_clear(&e->tmr, &r->tmr);
+}
+
+/*
+ * Sends an admitted request to a worker, or queues it until a slot is free or
+ * its latest start has passed. A request does not overtake its own class.
+ */
+void
+eng_enqueue(struct eng *e, struct eng_req *r, int64_t now)
+{
+	struct eng_worker *w = NULL;
+	int64_t deadline = eng_attempt_deadline(r, now);
+
+	if (r->class->index == SIZE_MAX) {
+		eng_answer(e, r, now, eng_fail_outcome(r),
+		    r->maybe_run ? (enum eng_reason)r->reason
+				 : ENG_R_UNKNOWN_CLASS);
+		return;
+	}
+	if (r->class->queued == 0 || r->attempts > 0)
+		w = eng_pick(e, r, now, deadline);
+	if (w != NULL)
+		eng_dispatch(e, r, w, now, deadline);
+	else
+		eng_queue_up(e, r);
+}
+
+/* The first queued request of a class that may run on the worker now. */
+static struct eng_req *
+eng_next(const struct eng *e, const struct eng_class *c,
+    const struct eng_worker *w, int64_t now)
+{
+	struct eng_req *r = TAILQ_FIRST(&c->queue);
+
+	for (unsigned i = 0; r != NULL && i < ENG_LOOK; i++) {
+		if (eng_fits(e, r, w, now, eng_attempt_deadline(r, now)))
+			return r;
+		r = TAILQ_NEXT(r, link);
+	}
+	return NULL;
+}
+
+/* Urgent before batch, then the one that must start first. */
+void
+eng_pump(struct eng *e, struct eng_worker *w, int64_t now)
+{
+	while (now < e->fresh_until && eng_worker_usable(w) &&
+	    slot_free(&w->slot, now) > 0) {
+		struct eng_req *best = NULL;
+
+		for (size_t i = 0; i < w->nserves; i++) {
+			const struct eng_class *c = w->serves[i].class;
+			struct eng_req *r;
+
+			if (c->queued == 0)
+				continue;
+			r = eng_next(e, c, w, now);
+			if (r == NULL)
+				continue;
+			if (best == NULL || c->urgent > best->class->urgent ||
+			    (c->urgent == best->class->urgent &&
+				r->start_by < best->start_by))
+				best = r;
+		}
+		if (best == NULL)
+			return;
+		eng_dequeue(e, best);
+		eng_dispatch(e, best, w, now, eng_attempt_deadline(best, now));
+	}
+}
+
+/* Not run is said only if no attempt can have run. */
+enum eng_outcome
+eng_fail_outcome(const struct eng_req *r)
+{
+	return r->maybe_run ? ENG_UNKNOWN : ENG_NOT_RUN;
+}
+
+static enum eng_ctr
+eng_retry_ctr(enum eng_reason why)
+{
+	switch (why) {
+	case ENG_R_CONNECT:
+		return ENG_C_RETRY_CONNECT;
+	case ENG_R_NOT_STARTED:
+		return ENG_C_RETRY_NOT_STARTED;
+	case ENG_R_RESET:
+		return ENG_C_RETRY_RESET;
+	case ENG_R_TRUNCATED:
+		return ENG_C_RETRY_TRUNCATED;
+	default:
+		return ENG_C_RETRY_TIMEOUT;
+	}
+}
+
+/*
+ * Keeps the slot of an attempt that may still run on its worker until its
+ * deadline has passed there too.
+ */
+static void
+eng_keep_slot(struct eng *e, const struct eng_req *r)
+{
+	struct eng_req *l = eng_req_new(e);
+
+	l->state = ENG_S_LINGER;
+	l->worker = r->worker;
+	slot_linger(&r->worker->slot);
+	tmr_set(&e->tmr, &l->tmr,
+	    slot_end(r->begun, r->attempt_deadline, e->conf.clock_ppm));
+}
+
+/*
+ * Ends an attempt without an answer and repeats the request or answers it.
+ * It is repeated if the attempt certainly did not run or the request is
+ * idempotent, the client waits, time is left, and the budget allows it.
+ */
+void
+eng_failed(struct eng *e, struct eng_req *r, int64_t now, enum eng_reason why,
+    bool maybe)
+{
+	struct eng_class *c = r->class;
+	struct eng_worker *w = r->worker;
+	bool timed_out = why == ENG_R_TIMEOUT;
+
+	tmr_clear(&e->tmr, &r->tmr);
+	c->running--;
+	if (maybe) {
+		r->maybe_run = true;
+		eng_keep_slot(e, r);
+	} else {
+		eng_release(e, w);
+	}
+	if (timed_out && r->attempt_deadline < r->deadline &&
+	    w->out.timeouts == 0)
+		adm_cut(&c->adm, now - r->begun);
+	if (!timed_out)
+		eng_worker_result(e, w, now, false, false);
+	else if (!r->sent || adm_overlong(&c->adm, now - r->begun))
+		eng_worker_result(e, w, now, false, true);
+	eng_worker_changed(e, w);
+	r->avoid = w->epoch;
+	r->reason = why;
+	r->start_by = r->deadline - c->adm.p50_ns;
+	if (r->gone || (r->maybe_run && !r->idempotent) || r->start_by <= now ||
+	    r->attempts >= ENG_ATTEMPTS_MAX) {
+		eng_answer(e, r, now, eng_fail_outcome(r), why);
+	} else if (!rtb_take(&c->rtb, now)) {
+		eng_answer(e, r, now, eng_fail_outcome(r), ENG_R_RETRY_BUDGET);
+	} else {
+		ctr_add(&e->ctr, eng_retry_ctr(why), 1);
+		eng_enqueue(e, r, now);
+	}
+	if (!maybe)
+		eng_pump(e, w, now);
+}
+
+/*
+ * A whole answer came. A status of 500 and above is passed on like any other,
+ * but counts as a failure of the worker.
+ */
+void
+eng_done(struct eng *e, struct eng_req *r, int64_t now, int http_status)
+{
+	struct eng_worker *w = r->worker;
+	struct eng_class *c = r->class;
+	int64_t took = now - r->begun;
+
+	tmr_clear(&e->tmr, &r->tmr);
+	c->running--;
+	eng_release(e, w);
+	adm_served(&c->adm, took);
+	for (size_t i = 0; i < w->nserves; i++) {
+		struct eng_serve *s = &w->serves[i];
+
+		if (s->class != c)
+			continue;
+		if (s->lat == NULL)
+			s->lat = talloc_zero(w, struct lat);
+		if (s->lat != NULL)
+			lat_add(s->lat, took / 1000);
+	}
+	eng_worker_result(e, w, now, http_status < 500, false);
+	eng_answer(e, r, now, ENG_ANSWERED, ENG_R_NONE);
+	eng_pump(e, w, now);
+}
+
+/* The timer of a queued, running or lingering request is due. */
+void
+eng_req_timer(struct eng *e, struct eng_req *r, int64_t now)
+{
+	struct eng_worker *w = r->worker;
+
+	switch (r->state) {
+	case ENG_S_QUEUED:
+		eng_dequeue(e, r);
+		eng_answer(e, r, now, eng_fail_outcome(r),
+		    r->maybe_run ? (enum eng_reason)r->reason
+				 : ENG_R_QUEUE_TIMEOUT);
+		break;
+	case ENG_S_RUNNING:
+		eng_emit(e, ENG_ACT_ABORT, r->id)->attempt = r->attempt;
+		eng_failed(e, r, now, ENG_R_TIMEOUT, r->sent);
+		break;
+	case ENG_S_LINGER:
+		slot_linger_end(&w->slot);
+		e->racks[w->rack].used--;
+		eng_req_free(e, r);
+		eng_worker_changed(e, w);
+		eng_pump(e, w, now);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/src/request/eng_stats.c
@@ -0,0 +1,101 @@
+#include "request/eng_priv.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+static void
+eng_stats_slots(struct eng *e, TALLOC_CTX *ctx, struct eng_stats *s)
+{
+	s->slots = talloc_array(ctx, struct eng_slot_use, e->nworkers + 1);
+	if (s->slots == NULL)
+		abort();
+	for (size_t i = 0; i < e->nworkers; i++) {
+		const struct eng_worker *w = e->workers[i];
+		struct eng_slot_use *u = &s->slots[s->nslots];
+
+		if (w->slot.seq == 0 && w->slot.used == 0)
+			continue;
+		u->epoch = w->epoch;
+		u->held = slot_held(&w->slot, e->asked);
+		u->used = w->slot.used;
+		u->grant_seq = w->slot.seq;
+		s->nslots++;
+	}
+}
+
+/*
+ * Slots that the refused requests would have needed, by Little's law: their
+ * rate since the last call times the mean time that one holds a slot.
+ */
+static unsigned
+eng_unmet(const struct eng_class *c, int64_t since_ns)
+{
+	if (since_ns <= 0)
+		return c->unmet > 0;
+	return (unsigned)ceil(c->unmet * c->adm.service_ns / (double)since_ns);
+}
+
+static void
+eng_stats_latency(struct eng *e, TALLOC_CTX *ctx, struct eng_stats *s)
+{
+	size_t cap = 0;
+
+	for (size_t i = 0; i < e->nworkers; i++)
+		cap += e->workers[i]->nserves;
+	s->latency = talloc_array(ctx, struct eng_latency, cap + 1);
+	if (s->latency == NULL)
+		abort();
+	for (size_t i = 0; i < e->nworkers; i++) {
+		struct eng_worker *w = e->workers[i];
+
+		for (size_t k = 0; k < w->nserves; k++) {
+			struct lat *l = w->serves[k].lat;
+			struct eng_latency *o = &s->latency[s->nlatency];
+			uint32_t *v;
+
+			if (l == NULL || l->n == 0)
+				continue;
+			v = talloc_array(ctx, uint32_t, 2 * LAT_BUCKETS);
+			if (v == NULL)
+				abort();
+			o->epoch = w->epoch;
+			o->class_name = str_dup(ctx, w->serves[k].class->name);
+			o->n = lat_export(l, v, v + LAT_BUCKETS);
+			o->bucket = v;
+			o->count = v + LAT_BUCKETS;
+			lat_init(l);
+			s->nlatency++;
+		}
+	}
+}
+
+/*
+ * Fills the figures of a heartbeat, in memory owned by ctx. queued is what
+ * waits plus the slots that requests refused since the last call would have
+ * needed, so that the leader sees demand that was not let in.
+ */
+void
+eng_stats(struct eng *e, TALLOC_CTX *ctx, struct eng_stats *s)
+{
+	int64_t now = e->now, since = now - e->asked;
+
+	*s = (struct eng_stats){ 0 };
+	e->asked = now;
+	eng_stats_slots(e, ctx, s);
+	s->demand = talloc_array(ctx, struct eng_demand, e->nclasses + 1);
+	if (s->demand == NULL)
+		abort();
+	for (size_t i = 0; i < e->nclasses; i++) {
+		struct eng_class *c = e->classes[i];
+		struct eng_demand *d = &s->demand[s->ndemand++];
+
+		d->name = str_dup(ctx, c->name);
+		d->queued = c->queued + eng_unmet(c, since);
+		d->running = c->running;
+		d->answered = c->answered;
+		d->late = c->late;
+		d->refused = c->refused;
+		c->unmet = 0;
+	}
+	eng_stats_latency(e, ctx, s);
+}
--- /dev/null
+++ b/src/request/eng_worker.c
@@ -0,0 +1,410 @@
+#include "request/eng_priv.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A probe without an answer has failed after this time. */
+#define ENG_PROBE_NS (1 * CLK_NS_PER_S)
+
+/* Returns the worker with an epoch, NULL if it is not known. */
+struct eng_worker *
+eng_worker_find(const struct eng *e, uint64_t epoch)
+{
+	size_t lo = 0, hi = e->nworkers;
+
+	while (lo < hi) {
+		size_t mid = (lo + hi) / 2;
+
+		if (e->workers[mid]->epoch == epoch)
+			return e->workers[mid];
+		if (e->workers[mid]->epoch < epoch)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return NULL;
+}
+
+/* Tells whether the worker may get new work. */
+bool
+eng_worker_usable(const struct eng_worker *w)
+{
+	return w->index != SIZE_MAX && !w->draining && w->out.state == OUT_OK;
+}
+
+/* Brings the sums of its classes up to date with the state of a worker. */
+void
+eng_worker_changed(struct eng *e, struct eng_worker *w)
+{
+	bool usable = eng_worker_usable(w);
+	unsigned slots = 0;
+
+	(void)e;
+	if (usable && w->slot.granted > w->slot.linger)
+		slots = w->slot.granted - w->slot.linger;
+	for (size_t i = 0; i < w->nserves; i++) {
+		struct eng_class *c = w->serves[i].class;
+
+		c->slots += slots - w->counted;
+		c->usable += (unsigned)usable - (unsigned)w->counted_usable;
+	}
+	w->counted = slots;
+	w->counted_usable = usable;
+}
+
+static bool
+eng_may_eject(const struct eng *e, const struct eng_worker *w)
+{
+	for (size_t i = 0; i < w->nserves; i++) {
+		const struct eng_class *c = w->serves[i].class;
+
+		if (c->ejected >=
+		    out_cap((unsigned)c->nworkers, e->conf.eject_percent))
+			return false;
+	}
+	return true;
+}
+
+static void
+eng_remove_worker(
+    struct eng *e, struct eng_worker *w, enum out_state state, int64_t now)
+{
+	if (state == OUT_EJECTED)
+		for (size_t i = 0; i < w->nserves; i++)
+			w->serves[i].class->ejected++;
+	tmr_set(&e->tmr, &w->tmr, out_remove(&w->out, state, now));
+	ctr_add(
+	    &e->ctr, state == OUT_EJECTED ? ENG_C_EJECTED : ENG_C_SUSPECTED, 1);
+	eng_worker_changed(e, w);
+}
+
+static void
+eng_readmit(struct eng *e, struct eng_worker *w, int64_t now)
+{
+	if (w->out.state == OUT_EJECTED)
+		for (size_t i = 0; i < w->nserves; i++)
+			w->serves[i].class->ejected--;
+	out_readmit(&w->out, now);
+	tmr_clear(&e->tmr, &w->tmr);
+	ctr_add(&e->ctr, ENG_C_READMITTED, 1);
+	eng_worker_changed(e, w);
+	eng_pump(e, w, now);
+}
+
+/* Counts a result of an attempt and takes the worker out of use if due. */
+void
+eng_worker_result(
+    struct eng *e, struct eng_worker *w, int64_t now, bool ok, bool timed_out)
+{
+	bool failing = out_result(&w->out, ok);
+
+	if (timed_out && out_timeout(&w->out))
+		eng_remove_worker(e, w, OUT_SUSPECT, now);
+	else if (failing && !ok && eng_may_eject(e, w))
+		eng_remove_worker(e, w, OUT_EJECTED, now);
+	else if (failing && !ok)
+		ctr_add(&e->ctr, ENG_C_EJECT_CAPPED, 1);
+}
+
+static void
+eng_probe_failed(struct eng *e, struct eng_worker *w, int64_t now)
+{
+	w->slot.probes--;
+	ctr_add(&e->ctr, ENG_C_PROBE_FAILED, 1);
+	tmr_set(&e->tmr, &w->tmr, out_probe_failed(&w->out, now));
+}
+
+/*
+ * Sends a probe, or ends the wait for its answer. A worker that left the view
+ * or whose connections are all in use is looked at again later.
+ */
+void
+eng_worker_timer(struct eng *e, struct eng_worker *w, int64_t now)
+{
+	struct eng_act *a;
+
+	if (w->out.probing) {
+		eng_probe_failed(e, w, now);
+		return;
+	}
+	tmr_set(&e->tmr, &w->tmr, now + ENG_PROBE_NS);
+	if (w->index == SIZE_MAX || w->slot.expiry <= now ||
+	    w->slot.used + w->slot.probes >= w->slot.connections)
+		return;
+	w->out.probing = true;
+	w->slot.probes++;
+	a = eng_emit(e, ENG_ACT_PROBE, 0);
+	a->u.probe.worker = w->index;
+	a->u.probe.epoch = w->epoch;
+}
+
+/* The answer to a probe. */
+void
+eng_probed(struct eng *e, uint64_t epoch, bool ok, int64_t now)
+{
+	struct eng_worker *w = eng_worker_find(e, epoch);
+
+	if (w == NULL || !w->out.probing) {
+		ctr_add(&e->ctr, ENG_C_OLD_EVENT, 1);
+	} else if (ok) {
+		w->slot.probes--;
+		eng_readmit(e, w, now);
+	} else {
+		eng_probe_failed(e, w, now);
+	}
+}
+
+static size_t
+eng_rack(struct eng *e, struct str name)
+{
+	for (size_t i = 0; i < e->nracks; i++)
+		if (str_eq(e->racks[i].name, name))
+			return i;
+	e->racks = talloc_realloc(e, e->racks, struct eng_rack, e->nracks + 1);
+	if (e->racks == NULL)
+		abort();
+	memset(&e->racks[e->nracks], 0, sizeof(e->racks[0]));
+	e->racks[e->nracks].name = str_dup(e->racks, name);
+	return e->nracks++;
+}
+
+static struct eng_class *
+eng_class_find(const struct eng *e, struct str name)
+{
+	for (size_t i = 0; i < e->nclasses; i++)
+		if (str_eq(e->classes[i]->name, name))
+			return e->classes[i];
+	return NULL;
+}
+
+static struct eng_class *
+eng_class_new(struct eng *e, struct str name, int64_t now)
+{
+	struct eng_class *c = talloc_zero(e, struct eng_class);
+
+	e->classes =
+	    talloc_realloc(e, e->classes, struct eng_class *, e->nclasses + 1);
+	if (c == NULL || e->classes == NULL)
+		abort();
+	c->name = str_dup(c, name);
+	adm_init(&c->adm);
+	rtb_init(&c->rtb, e->conf.retry_percent, e->conf.retry_min_per_s, now);
+	TAILQ_INIT(&c->queue);
+	e->classes[e->nclasses++] = c;
+	return c;
+}
+
+/* Takes the classes over; those that are gone have index SIZE_MAX. */
+static void
+eng_view_classes(struct eng *e, const struct view *v, int64_t now)
+{
+	for (size_t i = 0; i < e->nclasses; i++) {
+		struct eng_class *c = e->classes[i];
+
+		c->index = SIZE_MAX;
+		c->nworkers = 0;
+		c->usable = c->slots = c->ejected = 0;
+	}
+	e->by_index =
+	    talloc_realloc(e, e->by_index, struct eng_class *, v->nclasses + 1);
+	if (e->by_index == NULL)
+		abort();
+	for (size_t i = 0; i < v->nclasses; i++) {
+		const struct view_class *vc = &v->classes[i];
+		struct eng_class *c = eng_class_find(e, vc->name);
+
+		if (c == NULL)
+			c = eng_class_new(e, vc->name, now);
+		c->index = i;
+		c->urgent = vc->urgent;
+		adm_target(&c->adm, vc->percentile_x10 > 0 ? vc->bound_ms : 0,
+		    vc->timeout_ms);
+		e->by_index[i] = c;
+	}
+}
+
+static struct eng_worker *
+eng_worker_new(struct eng *e, const struct view_worker *vw)
+{
+	struct eng_worker *w = talloc_zero(e, struct eng_worker);
+
+	if (w == NULL)
+		abort();
+	w->epoch = vw->epoch;
+	w->rack = eng_rack(e, vw->rack);
+	w->tmr.kind = ENG_TMR_WORKER;
+	out_init(&w->out);
+	return w;
+}
+
+static void
+eng_class_serve(struct eng_class *c, struct eng_worker *w)
+{
+	if (c->nworkers == c->cap) {
+		c->cap = c->cap > 0 ? 2 * c->cap : 16;
+		c->workers =
+		    talloc_realloc(c, c->workers, struct eng_worker *, c->cap);
+		if (c->workers == NULL)
+			abort();
+	}
+	c->workers[c->nworkers++] = w;
+}
+
+/* Takes one worker over; latency counts of classes it still serves stay. */
+static void
+eng_view_worker(struct eng *e, struct eng_worker *w,
+    const struct view_worker *vw, size_t index)
+{
+	struct eng_serve *s = NULL;
+
+	if (vw->nserves > 0) {
+		s = talloc_zero_array(w, struct eng_serve, vw->nserves);
+		if (s == NULL)
+			abort();
+	}
+	for (size_t i = 0; i < vw->nserves; i++) {
+		s[i].class = e->by_index[vw->serves[i]];
+		for (size_t k = 0; k < w->nserves; k++)
+			if (w->serves[k].class == s[i].class)
+				s[i].lat = w->serves[k].lat;
+		eng_class_serve(s[i].class, w);
+		if (w->out.state == OUT_EJECTED)
+			s[i].class->ejected++;
+	}
+	talloc_free(w->serves);
+	w->serves = s;
+	w->nserves = vw->nserves;
+	w->index = index;
+	w->draining = vw->draining;
+	slot_grant(&w->slot, vw->slots, vw->connections, vw->grant_seq,
+	    clk_ns(vw->grant_expiry));
+	e->racks[w->rack].granted += vw->slots;
+	w->counted = 0;
+	w->counted_usable = false;
+	eng_worker_changed(e, w);
+}
+
+/* A worker that is not in the view stays while it may run requests. */
+static bool
+eng_view_gone(struct eng *e, struct eng_worker *w)
+{
+	w->index = SIZE_MAX;
+	w->nserves = 0;
+	w->counted = 0;
+	w->counted_usable = false;
+	if (w->slot.used > 0)
+		return true;
+	tmr_clear(&e->tmr, &w->tmr);
+	talloc_free(w);
+	return false;
+}
+
+/* Merges the workers of the engine with those of the view, by epoch. */
+static void
+eng_view_workers(struct eng *e, const struct view *v)
+{
+	struct eng_worker **old = e->workers;
+	size_t nold = e->nworkers, o = 0, n = 0;
+
+	for (size_t i = 0; i < e->nracks; i++)
+		e->racks[i].granted = 0;
+	e->workers =
+	    talloc_array(e, struct eng_worker *, nold + v->nworkers + 1);
+	if (e->workers == NULL)
+		abort();
+	for (size_t i = 0; i < v->nworkers; i++) {
+		const struct view_worker *vw = &v->workers[i];
+		struct eng_worker *w;
+
+		for (; o < nold && old[o]->epoch < vw->epoch; o++)
+			if (eng_view_gone(e, old[o]))
+				e->workers[n++] = old[o];
+		if (o < nold && old[o]->epoch == vw->epoch)
+			w = old[o++];
+		else
+			w = eng_worker_new(e, vw);
+		eng_view_worker(e, w, vw, i);
+		e->workers[n++] = w;
+	}
+	for (; o < nold; o++)
+		if (eng_view_gone(e, old[o]))
+			e->workers[n++] = old[o];
+	e->nworkers = n;
+	talloc_free(old);
+}
+
+/* Classes that left the configuration refuse what waits for them. */
+static void
+eng_view_drop(struct eng *e, int64_t now)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < e->nclasses; i++) {
+		struct eng_class *c = e->classes[i];
+		struct eng_req *r;
+
+		while (c->index == SIZE_MAX &&
+		    (r = TAILQ_FIRST(&c->queue)) != NULL) {
+			eng_dequeue(e, r);
+			eng_answer(e, r, now, eng_fail_outcome(r),
+			    r->maybe_run ? (enum eng_reason)r->reason
+					 : ENG_R_UNKNOWN_CLASS);
+		}
+		if (c->index == SIZE_MAX && c->running + c->claiming == 0)
+			talloc_free(c);
+		else
+			e->classes[n++] = c;
+	}
+	e->nclasses = n;
+}
+
+/* Fewer workers lower the cap: the longest ejected come back first. */
+static void
+eng_view_cap(struct eng *e, int64_t now)
+{
+	for (size_t i = 0; i < e->nclasses; i++) {
+		struct eng_class *c = e->classes[i];
+		unsigned cap =
+		    out_cap((unsigned)c->nworkers, e->conf.eject_percent);
+
+		while (c->ejected > cap) {
+			struct eng_worker *first = NULL;
+
+			for (size_t k = 0; k < c->nworkers; k++) {
+				struct eng_worker *w = c->workers[k];
+
+				if (w->out.state == OUT_EJECTED &&
+				    (first == NULL ||
+					w->out.since < first->out.since))
+					first = w;
+			}
+			if (first == NULL)
+				break;
+			if (first->out.probing)
+				first->slot.probes--;
+			eng_readmit(e, first, now);
+		}
+	}
+}
+
+/*
+ * Takes a new view over. Requests that run on workers that left it go on;
+ * queued ones are sent to slots that the view brings.
+ */
+void
+eng_take_view(struct eng *e, const struct view *v, int64_t now)
+{
+	size_t start;
+
+	e->view = v;
+	e->fresh_until = clk_ns(v->fresh_until);
+	eng_view_classes(e, v, now);
+	eng_view_workers(e, v);
+	eng_view_drop(e, now);
+	eng_view_cap(e, now);
+	if (e->nworkers == 0)
+		return;
+	start = (size_t)rng_below(&e->rng, e->nworkers);
+	for (size_t i = 0; i < e->nworkers; i++)
+		eng_pump(e, e->workers[(start + i) % e->nworkers], now);
+}
--- /dev/null
+++ b/src/request/grant.c
@@ -0,0 +1,428 @@
+#include "request/grant.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An instance that has been silent for four beats has no demand. */
+#define GRANT_QUIET_MS 2000
+
+/* What one instance may rely on of one worker. */
+struct grant_hold {
+	uint64_t seq;	/* of the newest offer */
+	unsigned offer; /* slots in the newest offer */
+	unsigned bound; /* most slots the holder may still use */
+	unsigned used;	/* as of the newest beat */
+	int64_t expiry; /* ns, by this clock; nothing is held after */
+};
+
+/* One incarnation of an instance. */
+struct grant_holder {
+	uint32_t instance;
+	uint64_t incarnation;
+	uint64_t beat_seq;
+	int64_t heard; /* ns */
+	double demand; /* slots wanted; rises at once, falls slowly */
+	bool draining;
+	bool proven;		 /* takes replies of this leader's term only */
+	struct grant_hold *hold; /* by index of the worker */
+	size_t nhold;
+};
+
+struct grant_worker {
+	uint64_t epoch;
+	unsigned slots, connections, overdue;
+	unsigned unknown; /* may be held under grants of earlier leaders */
+	bool draining;
+	double offset; /* of rounding, so that remainders spread */
+};
+
+struct grant {
+	struct grant_conf conf;
+	int64_t start; /* ns */
+	int64_t ttl;   /* ns, lengthened by the clock-rate bound */
+	uint64_t term, first_epoch;
+	uint64_t seq;
+	struct grant_worker *workers; /* epoch 0: unused place */
+	size_t nworkers;
+	struct grant_holder **holders; /* by instance, incarnation */
+	size_t nholders;
+};
+
+static void *
+grant_grow(void *ctx, void *p, size_t size, size_t n)
+{
+	p = _talloc_realloc_array(ctx, p, size, n, "grant");
+	if (p == NULL)
+		abort();
+	return p;
+}
+
+/*
+ * Creates the table of a leader that takes over at now. Nothing is free until
+ * grant_lead has named the term, or ttl_ms (plus the clock-rate bound) has
+ * passed.
+ */
+struct grant *
+grant_new(TALLOC_CTX *ctx, const struct grant_conf *conf, struct timespec now)
+{
+	struct grant *g = talloc_zero(ctx, struct grant);
+
+	if (g == NULL)
+		abort();
+	g->conf = *conf;
+	g->start = clk_ns(now);
+	g->ttl = conf->ttl_ms * CLK_NS_PER_MS;
+	g->ttl += g->ttl / 1000000 * conf->clock_ppm + CLK_NS_PER_MS;
+	g->first_epoch = UINT64_MAX;
+	return g;
+}
+
+/*
+ * Names the leader's term and the log index at which it began. Called once,
+ * before any worker is added. Without it the table is still safe: it grants
+ * nothing of any worker until ttl_ms has passed.
+ */
+void
+grant_lead(struct grant *g, uint64_t term, uint64_t first_epoch)
+{
+	g->term = term;
+	g->first_epoch = first_epoch;
+}
+
+static size_t
+grant_find(const struct grant *g, uint64_t epoch)
+{
+	for (size_t i = 0; i < g->nworkers; i++)
+		if (g->workers[i].epoch == epoch)
+			return i;
+	return g->nworkers;
+}
+
+/*
+ * Adds a worker or updates its figures. connections bounds the open
+ * connections of all instances together; a worker with fewer connections than
+ * slots is granted as if it had only as many slots.
+ */
+void
+grant_worker(struct grant *g, struct timespec now, uint64_t epoch,
+    unsigned slots, unsigned connections, bool draining)
+{
+	size_t i = grant_find(g, epoch);
+	struct grant_worker *w;
+
+	if (connections < slots)
+		slots = connections;
+	if (i == g->nworkers) {
+		i = grant_find(g, 0);
+		if (i == g->nworkers) {
+			g->workers = grant_grow(g, g->workers,
+			    sizeof(*g->workers), g->nworkers + 1);
+			g->nworkers++;
+		}
+		w = &g->workers[i];
+		memset(w, 0, sizeof(*w));
+		w->epoch = epoch;
+		w->offset = fmod((double)epoch * 0.6180339887498949, 1.0);
+		if (epoch <= g->first_epoch && clk_ns(now) < g->start + g->ttl)
+			w->unknown = slots;
+	}
+	w = &g->workers[i];
+	w->slots = slots;
+	w->connections = connections;
+	w->draining = draining;
+}
+
+/* Forgets a worker; its epoch is fenced and never returns. */
+void
+grant_worker_gone(struct grant *g, uint64_t epoch)
+{
+	size_t i = grant_find(g, epoch);
+
+	if (epoch == 0 || i == g->nworkers)
+		return;
+	memset(&g->workers[i], 0, sizeof(g->workers[i]));
+	for (size_t h = 0; h < g->nholders; h++)
+		if (i < g->holders[h]->nhold)
+			memset(&g->holders[h]->hold[i], 0,
+			    sizeof(struct grant_hold));
+}
+
+/* Sets the number of requests that run past their timeout on a worker. */
+void
+grant_overdue(struct grant *g, uint64_t epoch, unsigned n)
+{
+	size_t i = grant_find(g, epoch);
+
+	if (epoch != 0 && i < g->nworkers)
+		g->workers[i].overdue = n;
+}
+
+/* Slots of worker i that are neither held, nor maybe held, nor overdue. */
+static unsigned
+grant_free_at(const struct grant *g, int64_t now, size_t i)
+{
+	const struct grant_worker *w = &g->workers[i];
+	unsigned taken = w->overdue;
+
+	if (now < g->start + g->ttl)
+		taken += w->unknown;
+	for (size_t h = 0; h < g->nholders; h++) {
+		const struct grant_holder *p = g->holders[h];
+
+		if (i < p->nhold && p->hold[i].expiry > now)
+			taken += p->hold[i].bound;
+	}
+	return taken < w->slots ? w->slots - taken : 0;
+}
+
+/* Returns the slots of a worker that no instance can hold at now. */
+unsigned
+grant_free(const struct grant *g, struct timespec now, uint64_t epoch)
+{
+	size_t i = grant_find(g, epoch);
+
+	if (epoch == 0 || i == g->nworkers)
+		return 0;
+	return grant_free_at(g, clk_ns(now), i);
+}
+
+static struct grant_holder *
+grant_holder(struct grant *g, const Control__Beat *b)
+{
+	struct grant_holder *p;
+	size_t at = 0;
+
+	for (; at < g->nholders; at++) {
+		p = g->holders[at];
+		if (p->instance == b->instance &&
+		    p->incarnation == b->incarnation)
+			return p;
+		if (p->instance > b->instance ||
+		    (p->instance == b->instance &&
+			p->incarnation > b->incarnation))
+			break;
+	}
+	g->holders =
+	    grant_grow(g, g->holders, sizeof(*g->holders), g->nholders + 1);
+	memmove(g->holders + at + 1, g->holders + at,
+	    (g->nholders - at) * sizeof(*g->holders));
+	g->nholders++;
+	p = talloc_zero(g, struct grant_holder);
+	if (p == NULL)
+		abort();
+	p->instance = b->instance;
+	p->incarnation = b->incarnation;
+	g->holders[at] = p;
+	return p;
+}
+
+/* Drops incarnations that have been silent for longer than a grant lives. */
+static void
+grant_expire(struct grant *g, int64_t now)
+{
+	size_t n = 0;
+
+	for (size_t h = 0; h < g->nholders; h++) {
+		if (g->holders[h]->heard + g->ttl <= now)
+			talloc_free(g->holders[h]);
+		else
+			g->holders[n++] = g->holders[h];
+	}
+	g->nholders = n;
+}
+
+static double
+grant_weight(const struct grant *g, const struct grant_holder *p, int64_t now)
+{
+	if (p->draining || p->heard + GRANT_QUIET_MS * CLK_NS_PER_MS < now)
+		return 0;
+	return p->demand + (g->conf.reserve > 0 ? g->conf.reserve : 1);
+}
+
+/*
+ * The slots of a worker that holder number h should have: its share of the
+ * demand. Cumulated shares are rounded, so that the targets of all holders
+ * add up to the slots; the offset makes remainders fall on different holders
+ * at different workers.
+ */
+static unsigned
+grant_target(const struct grant_worker *w, const double *cum, size_t h)
+{
+	double n = w->overdue < w->slots ? w->slots - w->overdue : 0;
+
+	if (w->draining)
+		return 0;
+	return (unsigned)(floor(cum[h + 1] * n + w->offset) -
+	    floor(cum[h] * n + w->offset));
+}
+
+/* Takes over what the holder reports; only beats newer than all before. */
+static void
+grant_learn(struct grant *g, struct grant_holder *p, int64_t now,
+    const Control__Beat *b)
+{
+	bool proven = g->term != 0 && b->has_term && b->term == g->term;
+	bool first = proven && !p->proven && now < g->start + g->ttl;
+	double demand = 0;
+
+	for (size_t i = 0; i < b->n_demand; i++)
+		demand += b->demand[i]->queued + (double)b->demand[i]->running;
+	p->demand = demand > p->demand ? demand
+				       : p->demand + (demand - p->demand) * 0.1;
+	p->draining = b->has_draining && b->draining;
+	p->proven = p->proven || proven;
+	for (size_t i = 0; i < b->n_slots; i++) {
+		const Control__SlotUse *s = b->slots[i];
+		size_t at = grant_find(g, s->epoch);
+		struct grant_worker *w;
+		struct grant_hold *d;
+
+		if (s->epoch == 0 || at == g->nworkers)
+			continue;
+		w = &g->workers[at];
+		d = &p->hold[at];
+		if (s->has_grant_seq && s->grant_seq > g->seq)
+			g->seq = s->grant_seq;
+		if (first && w->unknown > 0 && d->expiry == 0) {
+			/* The holder takes no more grants of earlier leaders,
+			 * so what it holds moves out of the unknown part. */
+			unsigned n =
+			    s->held < w->unknown ? s->held : w->unknown;
+
+			w->unknown -= n;
+			d->bound = d->offer = n;
+			d->seq = s->has_grant_seq ? s->grant_seq : 0;
+			d->expiry = now + g->ttl;
+		} else if (d->expiry > now && s->has_grant_seq &&
+		    s->grant_seq == d->seq) {
+			unsigned n = s->held > d->offer ? s->held : d->offer;
+
+			if (n < d->bound)
+				d->bound = n;
+		}
+		d->used = s->used;
+	}
+}
+
+/* True if another holder has less of worker i than its target. */
+static bool
+grant_wanted(const struct grant *g, int64_t now, size_t i, const double *cum,
+    size_t self)
+{
+	for (size_t h = 0; h < g->nholders; h++) {
+		const struct grant_holder *p = g->holders[h];
+		unsigned has = 0;
+
+		if (h == self)
+			continue;
+		if (i < p->nhold && p->hold[i].expiry > now)
+			has = p->hold[i].offer;
+		if (has < grant_target(&g->workers[i], cum, h))
+			return true;
+	}
+	return false;
+}
+
+/* Decides the newest offer to holder number h of worker i. */
+static void
+grant_offer(struct grant *g, int64_t now, size_t h, size_t i, const double *cum)
+{
+	struct grant_holder *p = g->holders[h];
+	struct grant_worker *w = &g->workers[i];
+	struct grant_hold *d = &p->hold[i];
+	unsigned target = grant_target(w, cum, h), offer;
+
+	if (d->expiry <= now)
+		d->offer = d->bound = d->used = 0;
+	offer = d->offer;
+	if (target > offer) {
+		unsigned free = grant_free_at(g, now, i);
+
+		/* What it may still use counts already in its bound. */
+		free += d->bound - offer;
+		offer += target - offer < free ? target - offer : free;
+	} else if (target < offer &&
+	    (w->draining || p->draining || w->overdue > 0 ||
+		grant_wanted(g, now, i, cum, h))) {
+		unsigned keep = d->used < offer ? d->used : offer;
+
+		offer = target > keep ? target : keep;
+	}
+	if (offer != d->offer) {
+		d->offer = offer;
+		d->seq = ++g->seq;
+		if (offer > d->bound)
+			d->bound = offer;
+	}
+	if (d->bound > 0)
+		d->expiry = now + g->ttl;
+}
+
+/*
+ * Handles the heartbeat of an instance: learns what it holds and puts its
+ * grants into the reply, with their lifetime from when the beat was sent. A
+ * beat that is not newer than all before, and within ttl_ms of a change of
+ * leader one that does not prove to be newer than the change, is given none.
+ */
+void
+grant_beat(struct grant *g, struct timespec at, const Control__Beat *b,
+    TALLOC_CTX *ctx, Control__BeatReply *r)
+{
+	int64_t now = clk_ns(at);
+	struct grant_holder *p;
+	double *cum, sum = 0;
+	size_t self = 0;
+
+	grant_expire(g, now);
+	r->has_grant_ttl_ms = 1;
+	r->grant_ttl_ms = (uint64_t)g->conf.ttl_ms;
+	r->n_grants = 0;
+	p = grant_holder(g, b);
+	if (b->seq <= p->beat_seq)
+		return;
+	p->beat_seq = b->seq;
+	p->heard = now;
+	if (p->nhold < g->nworkers) {
+		p->hold = grant_grow(p, p->hold, sizeof(*p->hold), g->nworkers);
+		memset(p->hold + p->nhold, 0,
+		    (g->nworkers - p->nhold) * sizeof(*p->hold));
+		p->nhold = g->nworkers;
+	}
+	grant_learn(g, p, now, b);
+	cum = grant_grow(ctx, NULL, sizeof(*cum), g->nholders + 1);
+	cum[0] = 0;
+	for (size_t h = 0; h < g->nholders; h++) {
+		if (g->holders[h] == p)
+			self = h;
+		sum += grant_weight(g, g->holders[h], now);
+		cum[h + 1] = sum;
+	}
+	for (size_t h = 1; sum > 0 && h <= g->nholders; h++)
+		cum[h] /= sum;
+	r->grants = grant_grow(ctx, NULL, sizeof(*r->grants), g->nworkers + 1);
+	for (size_t i = 0; i < g->nworkers; i++) {
+		struct grant_worker *w = &g->workers[i];
+		struct grant_hold *d = &p->hold[i];
+		Control__Grant *gr;
+
+		if (w->epoch == 0 ||
+		    (!p->proven && w->epoch <= g->first_epoch &&
+			now < g->start + g->ttl))
+			continue;
+		grant_offer(g, now, self, i, cum);
+		if (d->bound == 0)
+			continue;
+		gr = talloc(ctx, Control__Grant);
+		if (gr == NULL)
+			abort();
+		control__grant__init(gr);
+		gr->epoch = w->epoch;
+		gr->slots = d->offer;
+		gr->seq = d->seq;
+		gr->has_connections = 1;
+		gr->connections = d->offer * (w->connections / w->slots);
+		r->grants[r->n_grants++] = gr;
+	}
+	talloc_free(cum);
+}
--- a/src/request/grant.h
+++ b/src/request/grant.h
@@ -24,6 +24,9 @@
  * held by anyone until ttl has passed. */
 struct grant *grant_new(
     TALLOC_CTX *, const struct grant_conf *, struct timespec now);
+/* Beats that name this term were sent after this leader took over; workers
+ * with epochs above first_epoch were never granted by an earlier leader. */
+void grant_lead(struct grant *, uint64_t term, uint64_t first_epoch);
 void grant_worker(struct grant *, struct timespec now, uint64_t epoch,
     unsigned slots, unsigned connections, bool draining);
 void grant_worker_gone(struct grant *, uint64_t epoch);
--- /dev/null
+++ b/src/request/tmr.c
@@ -0,0 +1,99 @@
+#include "request/tmr.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Starts an empty heap. */
+void
+tmr_init(struct tmr_heap *h)
+{
+	memset(h, 0, sizeof(*h));
+}
+
+static void
+tmr_put(struct tmr_heap *h, size_t i, struct tmr *t)
+{
+	h->v[i] = t;
+	t->pos = (unsigned)i + 1;
+}
+
+static void
+tmr_up(struct tmr_heap *h, size_t i)
+{
+	struct tmr *t = h->v[i];
+
+	while (i > 0 && h->v[(i - 1) / 2]->at > t->at) {
+		tmr_put(h, i, h->v[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+	tmr_put(h, i, t);
+}
+
+static void
+tmr_down(struct tmr_heap *h, size_t i)
+{
+	struct tmr *t = h->v[i];
+
+	for (;;) {
+		size_t c = 2 * i + 1;
+
+		if (c + 1 < h->n && h->v[c + 1]->at < h->v[c]->at)
+			c++;
+		if (c >= h->n || h->v[c]->at >= t->at)
+			break;
+		tmr_put(h, i, h->v[c]);
+		i = c;
+	}
+	tmr_put(h, i, t);
+}
+
+/* Sets a timer to the instant at, in nanoseconds; a set one is moved. */
+void
+tmr_set(struct tmr_heap *h, struct tmr *t, int64_t at)
+{
+	if (t->pos == 0) {
+		if (h->n == h->cap) {
+			h->cap = h->cap > 0 ? 2 * h->cap : 64;
+			h->v = talloc_realloc(NULL, h->v, struct tmr *, h->cap);
+			if (h->v == NULL)
+				abort();
+		}
+		tmr_put(h, h->n++, t);
+	}
+	t->at = at;
+	tmr_up(h, t->pos - 1);
+	tmr_down(h, t->pos - 1);
+}
+
+/* Takes a timer out of the heap; nothing happens if it is not set. */
+void
+tmr_clear(struct tmr_heap *h, struct tmr *t)
+{
+	size_t i;
+	struct tmr *last;
+
+	if (t->pos == 0)
+		return;
+	i = t->pos - 1;
+	t->pos = 0;
+	last = h->v[--h->n];
+	if (last == t)
+		return;
+	tmr_put(h, i, last);
+	tmr_up(h, i);
+	tmr_down(h, last->pos - 1);
+}
+
+struct tmr *
+tmr_first(const struct tmr_heap *h)
+{
+	return h->n > 0 ? h->v[0] : NULL;
+}
+
+/* Releases the heap; the timers belong to their owners. */
+void
+tmr_finish(struct tmr_heap *h)
+{
+	talloc_free(h->v);
+	memset(h, 0, sizeof(*h));
+}
