Add placement by declared size

Cause: other modules need a scheduler that handles all events of sched.h. Change: allocator with workers in buckets by free capacity, job queues with quotas and parks by resource need, gangs placed whole or not at all. Every reservation goes through one function that refuses what does not fit. A new object starts nothing before its first TICK, so that a rebuild can feed what already runs.

--- /dev/null
+++ b/src/placement/alloc.h
@@ -0,0 +1,145 @@
+/*
+ * The allocator: the one owner of each worker's processors, memory and
+ * accelerators. What is held on a worker never exceeds its capacity. Workers
+ * are kept in a grid of buckets by free capacity, so that the cost of finding
+ * candidates does not grow with the fleet.
+ */
+#ifndef PLACEMENT_ALLOC_H
+#define PLACEMENT_ALLOC_H
+
+#include <stdbool.h>
+#include "base/rng.h"
+#include "placement/hmap.h"
+#include "placement/sched.h"
+
+__BEGIN_DECLS
+
+#define ALLOC_NONE   UINT32_MAX
+#define ALLOC_LEVELS 32 /* steps of half an octave */
+#define ALLOC_GRIDS  5	/* by free accelerators: 0, 1, 2-3, 4-7, 8+ */
+#define ALLOC_SCAN   64 /* workers examined per pick at most */
+#define ALLOC_SHAPES 64 /* distinct capacities remembered */
+
+enum alloc_state {
+	ALLOC_STARTING,
+	ALLOC_RUNNING,
+	ALLOC_STOPPING
+};
+
+/* A task that holds resources on a worker. */
+struct alloc_task {
+	uint64_t id;
+	struct sched_res held;
+	int64_t since_ms;      /* of START or ASSIGNED */
+	int64_t progress;      /* of the last checkpoint */
+	int32_t used_cpu;      /* last reported, -1: never */
+	int32_t used_mem;      /* MiB, last reported */
+	int32_t peak_mem;      /* MiB */
+	int32_t peak_cpu;      /* decaying maximum */
+	uint32_t attempt;      /* 0: not yet known */
+	uint32_t worker;       /* index */
+	uint32_t job, cls;     /* indices in jobq */
+	uint32_t wnext, wprev; /* on the worker */
+	uint32_t jnext, jprev; /* of the job */
+	uint8_t state;	       /* enum alloc_state */
+	uint8_t percent;       /* throttle, 100: none */
+	bool urgent;
+	bool running; /* TASK_RUNNING or usage seen */
+};
+
+/* Tasks of one class on a worker. */
+struct alloc_share {
+	uint32_t cls;
+	uint32_t n;
+	int64_t cpu_milli; /* held */
+};
+
+struct alloc_worker {
+	uint64_t epoch; /* 0: entry is free */
+	char *name;
+	struct sched_res cap;
+	struct sched_res held;	/* tasks and requests together */
+	struct sched_res svc;	/* of it for requests */
+	struct sched_res batch; /* of it by batch tasks */
+	uint32_t rack, domain;	/* indices */
+	uint32_t head;		/* of the task list */
+	uint32_t ntasks;
+	struct alloc_share *shares;
+	uint32_t nshares, cshares;
+	uint32_t *serves; /* class indices */
+	uint32_t nserves;
+	uint32_t slots;
+	uint32_t bucket, pos; /* ALLOC_NONE: in no bucket */
+	bool draining, quarantined, closed;
+	bool probing;	   /* quarantined, one task is under way */
+	uint32_t ok, bad;  /* outcomes since the last of the other kind */
+	uint64_t bad_job;  /* of the last failure */
+	uint32_t bad_jobs; /* distinct jobs in a row */
+	int64_t probe_ms;  /* next probe */
+	int64_t probe_gap_ms;
+	int64_t usage_ms; /* instant the last report describes */
+	int64_t over_ms;  /* since when over capacity, 0: not */
+	int64_t acted_ms; /* last reaction */
+	int64_t used_cpu, used_mem;
+	double batch_cap; /* share of the processors batch may hold */
+	double lat_ewma;  /* worst class's answers over its bound */
+};
+
+struct alloc_bucket {
+	uint32_t *v;
+	uint32_t n, cap;
+};
+
+struct alloc {
+	struct alloc_worker *w;
+	uint32_t nw, cw; /* entries used and allocated */
+	uint32_t alive;
+	struct hmap by_epoch;
+	struct alloc_task *t;
+	uint32_t nt, ct, tfree;
+	struct hmap by_task;
+	uint32_t *wfree;
+	uint32_t nwfree;
+	struct alloc_bucket grid[ALLOC_GRIDS][ALLOC_LEVELS * ALLOC_LEVELS];
+	uint32_t row[ALLOC_GRIDS][ALLOC_LEVELS]; /* non-empty columns */
+	struct sched_res shape[ALLOC_SHAPES];
+	uint32_t shape_n[ALLOC_SHAPES];
+	uint32_t nshapes;
+	struct sched_res total, held; /* of all open workers */
+	struct rng rng;
+};
+
+bool res_fits(const struct sched_res *need, const struct sched_res *room);
+void res_add(struct sched_res *, const struct sched_res *);
+void res_sub(struct sched_res *, const struct sched_res *);
+
+void alloc_init(struct alloc *, TALLOC_CTX *, uint64_t seed);
+void alloc_finish(struct alloc *);
+/* Index of a new worker; strings and lists are copied below owner. */
+uint32_t alloc_worker_add(struct alloc *, TALLOC_CTX *owner,
+    const struct sched_worker *, uint32_t rack, uint32_t domain);
+void alloc_worker_del(struct alloc *, uint32_t w);
+uint32_t alloc_worker_find(const struct alloc *, uint64_t epoch);
+struct sched_res alloc_free(const struct alloc_worker *);
+/* Takes a worker out of the candidates or back. */
+void alloc_worker_close(struct alloc *, uint32_t w, bool closed);
+/* Sets what requests hold; clamped so that the bound holds. */
+void alloc_worker_svc(struct alloc *, uint32_t w, struct sched_res);
+/* True when some worker of the fleet could hold need when empty. */
+bool alloc_ever_fits(
+    const struct alloc *, const struct sched_res *need, bool *accel);
+/* Up to max distinct workers with room for need; returns their number. */
+unsigned alloc_candidates(
+    struct alloc *, const struct sched_res *need, uint32_t *out, unsigned max);
+
+/* Holds resources for a task; false when they do not fit. */
+bool alloc_task_hold(struct alloc *, uint32_t w, uint64_t id, uint32_t job,
+    uint32_t cls, bool urgent, struct sched_res, uint32_t *task);
+void alloc_task_release(struct alloc *, uint32_t task);
+/* Changes a reservation, up to the room there is; false: less than asked. */
+bool alloc_task_resize(struct alloc *, uint32_t task, struct sched_res);
+uint32_t alloc_task_find(const struct alloc *, uint64_t id);
+
+__END_DECLS
+
+#endif
--- a/src/placement/sched.h
+++ b/src/placement/sched.h
@@ -3,6 +3,10 @@
  * event and the time in, actions out. All state is soft; a new leader feeds
  * workers, classes, teams, jobs and running tasks again.
  *
+ * A new object starts nothing before its first TICK, so that a rebuild can feed
+ * all that runs first; workers and jobs come before the ASSIGNED of their
+ * tasks.
+ *
  * START is a proposal. It takes effect when ASSIGNED confirms it, and is
  * dropped by ASSIGN_FAILED; resources are held from START on.
  */
@@ -191,9 +195,15 @@
 	bool at_risk;
 	uint32_t waiting, running;
 };
-/* Fills at most n classes, returns how many there are. */
+/*
+ * Fills at most n classes, returns how many there are. In C++ the function
+ * hides the constructor of the struct of the same name, which is never used.
+ */
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
 size_t sched_attainment(
     const struct sched *, struct sched_attainment *, size_t n);
+#pragma GCC diagnostic pop
 /* Explains a job on one screen, one fact a line, in memory of ctx. */
 char *sched_why(const struct sched *, TALLOC_CTX *ctx, uint64_t job);
 /* What is held on a worker; for invariants. */
--- /dev/null
+++ b/src/placement/sched_place.c
@@ -0,0 +1,305 @@
+#include "placement/sched_impl.h"
+
+#include <stdlib.h>
+
+#define PLACE_WINDOW   16 /* jobs looked at per class and pass */
+#define PLACE_QUANTUM  64 /* starts of a class before the next one's turn */
+#define PLACE_NOFIT    16 /* needs remembered as not fitting in a pass */
+#define PLACE_GANG_MS  100
+#define PLACE_GANG_MAX 5000
+
+/* Needs that found no room in this pass; larger ones are not tried. */
+struct place_pass {
+	struct sched_res nofit[PLACE_NOFIT];
+	unsigned n, starts;
+};
+
+/* Parks a job that no worker of the fleet could run, with a typed reason. */
+void
+sched_check_fits(struct sched *s, uint32_t ji)
+{
+	struct jobq_job *j = &s->q.j[ji];
+	struct sched_res need = sched_need(s, j);
+	bool accel;
+
+	if (s->a.alive == 0 || alloc_ever_fits(&s->a, &need, &accel))
+		return;
+	jobq_park_need(&s->q, ji, &need);
+	sched_job_wait(
+	    s, ji, accel ? SCHED_WAIT_TOO_LARGE : SCHED_WAIT_NO_ACCELERATOR);
+}
+
+/* Wakes parked needs that fit now. Queued jobs are checked when tried. */
+void
+sched_fleet_changed(struct sched *s)
+{
+	uint32_t k;
+	bool accel;
+
+	for (k = 0; k < s->q.np; k++) {
+		struct jobq_list *l = &s->q.park[k].jobs;
+
+		if (l->head == JOBQ_NONE ||
+		    !alloc_ever_fits(&s->a, &s->q.park[k].need, &accel))
+			continue;
+		while (l->head != JOBQ_NONE) {
+			uint32_t ji = l->head;
+
+			jobq_queue(&s->q, ji);
+			sched_job_wait(s, ji, SCHED_WAIT_QUEUED);
+		}
+	}
+	s->dirty = true;
+}
+
+/* Lower is better. */
+static double
+place_score(const struct sched *s, const struct jobq_job *j, uint32_t wi,
+    const struct sched_res *need)
+{
+	const struct alloc_worker *w = &s->a.w[wi];
+
+	(void)s;
+	(void)j;
+	(void)need;
+	return (double)w->epoch;
+}
+
+/* The best of a bounded number of candidates, ALLOC_NONE: no room. */
+static uint32_t
+place_pick(
+    struct sched *s, const struct jobq_job *j, const struct sched_res *need)
+{
+	uint32_t cand[SCHED_CANDIDATES], best = ALLOC_NONE;
+	unsigned n, i;
+	double score, low = 0;
+
+	n = alloc_candidates(&s->a, need, cand, s->conf.candidates);
+	for (i = 0; i < n; i++) {
+		score = place_score(s, j, cand[i], need);
+		if (best == ALLOC_NONE || score < low) {
+			best = cand[i];
+			low = score;
+		}
+	}
+	return best;
+}
+
+static bool
+place_known_nofit(const struct place_pass *p, const struct sched_res *need)
+{
+	unsigned i;
+
+	for (i = 0; i < p->n; i++)
+		if (res_fits(&p->nofit[i], need))
+			return true;
+	return false;
+}
+
+/* Tries one task. Returns NONE when it was started. */
+static enum sched_wait
+place_task(struct sched *s, struct place_pass *p, uint32_t ji, uint32_t *task)
+{
+	struct jobq_job *j = &s->q.j[ji];
+	struct sched_res need = sched_need(s, j);
+	uint32_t number = jobq_peek(j), wi;
+
+	if (!jobq_quota_allows(&s->q.t[s->q.c[j->cls].team], &need))
+		return SCHED_WAIT_OVER_QUOTA;
+	if (place_known_nofit(p, &need))
+		return SCHED_WAIT_NO_ROOM;
+	wi = place_pick(s, j, &need);
+	if (wi == ALLOC_NONE || !sched_hold(s, ji, number, wi, need, task)) {
+		if (p->n < PLACE_NOFIT)
+			p->nofit[p->n++] = need;
+		ctr_add(&s->ctr, SCHED_CTR_NO_ROOM, 1);
+		return SCHED_WAIT_NO_ROOM;
+	}
+	return SCHED_WAIT_NONE;
+}
+
+static void
+place_start(struct sched *s, struct place_pass *p, uint32_t ti)
+{
+	sched_order(s, SCHED_ACT_START, ti);
+	ctr_add(&s->ctr, SCHED_CTR_STARTS, 1);
+	p->starts++;
+}
+
+/*
+ * Starts all waiting tasks of a gang, or none. Members that were lost are
+ * replaced in the same way; when they cannot be, the rest is stopped.
+ */
+static enum sched_wait
+place_gang(struct sched *s, struct place_pass *p, uint32_t ji)
+{
+	struct jobq_job *j = &s->q.j[ji];
+	enum sched_wait why = SCHED_WAIT_NONE;
+	uint32_t ti, n = 0, want = jobq_waiting(j);
+	bool dirty = s->dirty;
+
+	if (s->now_ms < j->retry_ms)
+		return SCHED_WAIT_GANG;
+	for (ti = j->head; ti != ALLOC_NONE; ti = s->a.t[ti].jnext)
+		if (s->a.t[ti].state != ALLOC_RUNNING)
+			return SCHED_WAIT_GANG;
+	while (n < want && why == SCHED_WAIT_NONE) {
+		why = place_task(s, p, ji, &ti);
+		if (why == SCHED_WAIT_NONE)
+			n++;
+	}
+	/* New tasks are at the head of the list of the job. */
+	ti = j->head;
+	if (why == SCHED_WAIT_NONE) {
+		j->retry_gap_ms = 0;
+		for (; n > 0; n--, ti = s->a.t[ti].jnext)
+			place_start(s, p, ti);
+		return why;
+	}
+	if (n > 0 && why == SCHED_WAIT_NO_ROOM)
+		why = SCHED_WAIT_GANG;
+	for (; n > 0; n--)
+		sched_drop(s, j->head, false);
+	s->dirty = dirty;
+	ctr_add(&s->ctr, SCHED_CTR_GANG_ROLLBACK, 1);
+	/* The rest of a gang that lost members does not hold resources. */
+	for (ti = j->head; ti != ALLOC_NONE; ti = s->a.t[ti].jnext) {
+		s->a.t[ti].state = ALLOC_STOPPING;
+		sched_order(s, SCHED_ACT_CHECKPOINT, ti);
+		ctr_add(&s->ctr, SCHED_CTR_GANG_STOP, 1);
+	}
+	j->retry_gap_ms = j->retry_gap_ms == 0	   ? PLACE_GANG_MS
+	    : j->retry_gap_ms * 2 < PLACE_GANG_MAX ? j->retry_gap_ms * 2
+						   : PLACE_GANG_MAX;
+	j->retry_ms = s->now_ms + j->retry_gap_ms;
+	if (j->retry_ms < s->retry_ms)
+		s->retry_ms = j->retry_ms;
+	return why;
+}
+
+/* Starts up to limit tasks of a job; the reason the next one waits. */
+static enum sched_wait
+place_job(struct sched *s, struct place_pass *p, uint32_t ji, unsigned limit)
+{
+	enum sched_wait why = SCHED_WAIT_NONE;
+	unsigned n = 0;
+	uint32_t ti;
+
+	if (s->q.j[ji].gang)
+		return place_gang(s, p, ji);
+	while (n < limit && jobq_peek(&s->q.j[ji]) != JOBQ_NONE) {
+		why = place_task(s, p, ji, &ti);
+		if (why != SCHED_WAIT_NONE)
+			return why;
+		place_start(s, p, ti);
+		n++;
+	}
+	return jobq_peek(&s->q.j[ji]) == JOBQ_NONE ? SCHED_WAIT_NONE
+						   : SCHED_WAIT_QUEUED;
+}
+
+/*
+ * One turn of a class. Returns true when it used its turn up and may have
+ * more to start.
+ */
+static bool
+place_class(struct sched *s, struct place_pass *p, uint32_t ci)
+{
+	unsigned seen = 0, start = p->starts;
+	uint32_t ji = s->q.c[ci].q.head, next;
+	enum sched_wait why;
+
+	for (; ji != JOBQ_NONE && seen < PLACE_WINDOW; ji = next, seen++) {
+		next = s->q.j[ji].next;
+		if (!s->q.c[ci].present) {
+			sched_job_wait(s, ji, SCHED_WAIT_NO_CLASS);
+			continue;
+		}
+		why = place_job(s, p, ji, PLACE_QUANTUM);
+		sched_job_wait(s, ji, why);
+		if (why == SCHED_WAIT_NONE)
+			jobq_remove(&s->q, ji);
+		else if (why == SCHED_WAIT_OVER_QUOTA)
+			jobq_park_team(&s->q, ji);
+		else if (why == SCHED_WAIT_NO_ROOM)
+			sched_check_fits(s, ji);
+		if (p->starts - start >= PLACE_QUANTUM)
+			return true;
+	}
+	return false;
+}
+
+static int
+place_cmp(const void *a, const void *b, void *arg)
+{
+	const struct sched *s = arg;
+	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+
+	if (s->q.c[x].urgent != s->q.c[y].urgent)
+		return s->q.c[x].urgent ? -1 : 1;
+	return x < y ? -1 : x > y;
+}
+
+static void
+place_order(struct sched *s)
+{
+	uint32_t i;
+
+	if (s->corder < s->q.nc) {
+		s->corder = s->q.nc;
+		s->order = talloc_realloc(s, s->order, uint32_t, s->corder);
+	}
+	s->norder = 0;
+	for (i = 0; i < s->q.nc; i++)
+		if (s->q.c[i].njobs > 0)
+			s->order[s->norder++] = i;
+	if (s->norder > 1)
+		qsort_r(s->order, s->norder, sizeof(*s->order), place_cmp, s);
+}
+
+/* Wakes jobs of teams that have room below their quota again. */
+static void
+place_wake_teams(struct sched *s)
+{
+	uint32_t i, ji;
+	struct sched_res need;
+
+	for (i = 0; i < s->q.nt; i++) {
+		ji = s->q.t[i].parked.head;
+		if (ji == JOBQ_NONE)
+			continue;
+		need = sched_need(s, &s->q.j[ji]);
+		if (!jobq_quota_allows(&s->q.t[i], &need))
+			continue;
+		jobq_queue(&s->q, ji);
+	}
+}
+
+/*
+ * One placement pass. Urgent classes come first; batch classes take turns.
+ * When the limit of starts is reached, the next pass follows after
+ * SCHED_PASS_MS.
+ */
+void
+sched_place(struct sched *s)
+{
+	struct place_pass p = { .n = 0 };
+	uint32_t i, k;
+
+	s->dirty = false;
+	s->retry_ms = INT64_MAX;
+	s->pass_ms = s->now_ms + SCHED_PASS_MS;
+	ctr_add(&s->ctr, SCHED_CTR_PASSES, 1);
+	place_wake_teams(s);
+	place_order(s);
+	while (s->norder > 0 && p.starts < SCHED_PASS_MAX) {
+		for (i = k = 0; i < s->norder; i++) {
+			if (p.starts >= SCHED_PASS_MAX ||
+			    place_class(s, &p, s->order[i]))
+				s->order[k++] = s->order[i];
+		}
+		s->norder = k;
+	}
+	if (s->norder > 0)
+		s->dirty = true;
+}
