--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -2089,7 +2089,7 @@
   (ProtobufCMessageInit) control__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__raft_msg__field_descriptors[15] =
+static const ProtobufCFieldDescriptor control__raft_msg__field_descriptors[16] =
 {
   {
     "kind",
@@ -2271,6 +2271,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instance",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Control__RaftMsg, has_instance),
+    offsetof(Control__RaftMsg, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__raft_msg__field_indices_by_name[] = {
   11,   /* field[11] = chunk */
@@ -2279,6 +2291,7 @@
   2,   /* field[2] = from */
   8,   /* field[8] = hint */
   4,   /* field[4] = index */
+  15,   /* field[15] = instance */
   0,   /* field[0] = kind */
   13,   /* field[13] = last */
   5,   /* field[5] = log_term */
@@ -2292,7 +2305,7 @@
 static const ProtobufCIntRange control__raft_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor control__raft_msg__descriptor =
 {
@@ -2302,7 +2315,7 @@
   "Control__RaftMsg",
   "control",
   sizeof(Control__RaftMsg),
-  15,
+  16,
   control__raft_msg__field_descriptors,
   control__raft_msg__field_indices_by_name,
   1,  control__raft_msg__number_ranges,
@@ -5363,7 +5376,7 @@
   (ProtobufCMessageInit) control__assignment__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__command__field_descriptors[15] =
+static const ProtobufCFieldDescriptor control__command__field_descriptors[16] =
 {
   {
     "now_ms",
@@ -5545,6 +5558,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_cutoff_ms",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Control__Command, has_key_cutoff_ms),
+    offsetof(Control__Command, key_cutoff_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__command__field_indices_by_name[] = {
   7,   /* field[7] = assign */
@@ -5555,6 +5580,7 @@
   6,   /* field[6] = job_cancel */
   5,   /* field[5] = job_submit */
   10,   /* field[10] = key_claim */
+  15,   /* field[15] = key_cutoff_ms */
   11,   /* field[11] = key_done */
   12,   /* field[12] = key_expire */
   0,   /* field[0] = now_ms */
@@ -5566,7 +5592,7 @@
 static const ProtobufCIntRange control__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor control__command__descriptor =
 {
@@ -5576,7 +5602,7 @@
   "Control__Command",
   "control",
   sizeof(Control__Command),
-  15,
+  16,
   control__command__field_descriptors,
   control__command__field_indices_by_name,
   1,  control__command__number_ranges,
@@ -5840,7 +5866,7 @@
   (ProtobufCMessageInit) control__latency__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor control__beat__field_descriptors[13] =
 {
   {
     "instance",
@@ -5986,6 +6012,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Control__Beat, has_term),
+    offsetof(Control__Beat, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__beat__field_indices_by_name[] = {
   3,   /* field[3] = config_version */
@@ -5999,12 +6037,13 @@
   11,   /* field[11] = replica_index */
   2,   /* field[2] = seq */
   5,   /* field[5] = slots */
+  12,   /* field[12] = term */
   4,   /* field[4] = worker_version */
 };
 static const ProtobufCIntRange control__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor control__beat__descriptor =
 {
@@ -6014,7 +6053,7 @@
   "Control__Beat",
   "control",
   sizeof(Control__Beat),
-  12,
+  13,
   control__beat__field_descriptors,
   control__beat__field_indices_by_name,
   1,  control__beat__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -262,10 +262,15 @@
    */
   protobuf_c_boolean has_transfer;
   protobuf_c_boolean transfer;
+  /*
+   * of the sender; a joining replica
+   */
+  protobuf_c_boolean has_instance;
+  uint32_t instance;
 };
 #define CONTROL__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__raft_msg__descriptor) \
-    , CONTROL__RAFT_KIND__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0 }
+    , CONTROL__RAFT_KIND__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Control__Class
@@ -935,10 +940,15 @@
    */
   size_t n_fail_tasks;
   uint64_t *fail_tasks;
+  /*
+   * with key_expire: last change
+   */
+  protobuf_c_boolean has_key_cutoff_ms;
+  uint64_t key_cutoff_ms;
 };
 #define CONTROL__COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__command__descriptor) \
-    , 0, 0, NULL, NULL, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0, 0, NULL, NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, NULL, 0, 0, NULL, NULL, NULL, 0,NULL, 0,NULL, 0, 0, NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Control__SlotUse
@@ -1032,10 +1042,15 @@
    */
   protobuf_c_boolean has_replica_index;
   uint64_t replica_index;
+  /*
+   * newest term a reply was taken from;
+   */
+  protobuf_c_boolean has_term;
+  uint64_t term;
 };
 #define CONTROL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Control__Grant
