--- a/src/node/api.c
+++ b/src/node/api.c
@@ -134,9 +134,8 @@
 		amp = memchr(rest.p, '&', rest.len);
 		item = str_mem(
 		    rest.p, amp == NULL ? rest.len : (size_t)(amp - rest.p));
-		rest = amp == NULL
-		    ? str_from("")
-		    : str_mem(amp + 1, rest.len - item.len - 1);
+		rest = amp == NULL ? str_from("")
+				   : str_mem(amp + 1, rest.len - item.len - 1);
 		if (query_field(item, "after", &found, &v, e) != STATUS_OK)
 			return STATUS_INVALID;
 		if (found) {
@@ -264,20 +263,18 @@
 				return st;
 		}
 	}
-	json_object_object_add(
-	    in->json, "version", json_object_new_uint64(0));
+	json_object_object_add(in->json, "version", json_object_new_uint64(0));
 	st = pjson_fill(in->ctx, &set->config->base, in->json, e);
 	if (st != STATUS_OK)
 		return st;
 	for (i = 0; i < set->config->n_classes; i++) {
-		st = name_check(
-		    "Class: name", set->config->classes[i]->name, e);
+		st =
+		    name_check("Class: name", set->config->classes[i]->name, e);
 		if (st != STATUS_OK)
 			return st;
 	}
 	for (i = 0; i < set->config->n_teams; i++) {
-		st =
-		    name_check("Team: name", set->config->teams[i]->name, e);
+		st = name_check("Team: name", set->config->teams[i]->name, e);
 		if (st != STATUS_OK)
 			return st;
 	}
@@ -297,8 +294,7 @@
 	if (json_object_object_get_ex(in->json, "name", NULL))
 		return err_set(e, STATUS_INVALID,
 		    "field \"name\": the name is in the path");
-	json_object_object_add(
-	    in->json, "name", json_object_new_string(name));
+	json_object_object_add(in->json, "name", json_object_new_string(name));
 	return pjson_fill(in->ctx, m, in->json, e);
 }
 
@@ -349,12 +345,11 @@
 	enum status st;
 
 	sub = new_message(in->ctx, &control__job_submit__descriptor);
-	sub->spec = new_message(in->ctx, &control__job_spec__descriptor);
 	in->op->job_submit = sub;
-	st = take_change_id(in, &sub->change_id, e);
+	st = pjson_fill(in->ctx, &sub->base, in->json, e);
 	if (st != STATUS_OK)
 		return st;
-	st = pjson_fill(in->ctx, &sub->spec->base, in->json, e);
+	st = name_check("change_id", sub->change_id, e);
 	if (st != STATUS_OK)
 		return st;
 	st = name_check("class_name", sub->spec->class_name, e);
@@ -391,12 +386,12 @@
 	in->op->member_remove =
 	    new_message(in->ctx, &control__member_remove__descriptor);
 	if (!isdigit((unsigned char)text[0]))
-		return err_set(
-		    e, STATUS_INVALID, "path: expected the number of a replica");
+		return err_set(e, STATUS_INVALID,
+		    "path: expected the number of a replica");
 	in->op->member_remove->replica = strtoull(text, &end, 10);
 	if (*end != '\0')
-		return err_set(
-		    e, STATUS_INVALID, "path: expected the number of a replica");
+		return err_set(e, STATUS_INVALID,
+		    "path: expected the number of a replica");
 	return STATUS_OK;
 }
 
@@ -504,8 +499,8 @@
 }
 
 static enum status
-route_parse(const struct route *r, struct input *in, struct str body,
-    struct err *e)
+route_parse(
+    const struct route *r, struct input *in, struct str body, struct err *e)
 {
 	enum status st;
 
@@ -530,8 +525,8 @@
  * STATUS_PROTOCOL for a body that is not JSON, STATUS_INVALID for a field.
  */
 enum status
-api_parse(TALLOC_CTX *ctx, struct str method, struct str path,
-    struct str query, struct str body, struct api_req *out, struct err *e)
+api_parse(TALLOC_CTX *ctx, struct str method, struct str path, struct str query,
+    struct str body, struct api_req *out, struct err *e)
 {
 	struct input in = { .ctx = ctx, .query = query, .out = out };
 	bool known = false;
@@ -599,8 +594,8 @@
 	const char *text;
 	struct str s;
 
-	text = json_object_to_json_string_length(o,
-	    JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &len);
+	text = json_object_to_json_string_length(
+	    o, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &len);
 	s = str_dup(ctx, str_mem(text, len));
 	json_object_put(o);
 	return s;
@@ -673,15 +668,14 @@
 
 /* Renders a failure that was found on this instance. */
 struct str
-api_render_error(TALLOC_CTX *ctx, enum status st, const char *message,
-    int *http_status)
+api_render_error(
+    TALLOC_CTX *ctx, enum status st, const char *message, int *http_status)
 {
 	struct json_object *o = json_object_new_object();
 
 	*http_status = http_of(st);
 	json_object_object_add(
 	    o, "status", json_object_new_string(status_name(st)));
-	json_object_object_add(
-	    o, "message", json_object_new_string(message));
+	json_object_object_add(o, "message", json_object_new_string(message));
 	return json_text(ctx, o);
 }
--- a/src/node/api.h
+++ b/src/node/api.h
@@ -14,8 +14,8 @@
 #define API_NAME_MAX 128
 
 enum api_kind {
-	API_OP,	      /* op is for the leader */
-	API_SERVICE,  /* /svc/CLASS/...: class_name is set */
+	API_OP,	     /* op is for the leader */
+	API_SERVICE, /* /svc/CLASS/...: class_name is set */
 	API_HEALTH,
 	API_READY,
 	API_COUNTERS,
@@ -46,8 +46,8 @@
 enum status api_parse(TALLOC_CTX *, struct str method, struct str path,
     struct str query, struct str body, struct api_req *, struct err *);
 /* JSON text of an outcome and its HTTP status. */
-struct str api_render(TALLOC_CTX *, enum api_route,
-    const Control__OpResult *, int *http_status);
+struct str api_render(
+    TALLOC_CTX *, enum api_route, const Control__OpResult *, int *http_status);
 struct str api_render_error(
     TALLOC_CTX *, enum status, const char *message, int *http_status);
 /* Names of classes, workers, racks and the like. */
--- a/src/node/back.c
+++ b/src/node/back.c
@@ -125,8 +125,8 @@
  * an answer; that second send is refused, since the first may have run.
  */
 static int
-on_prereq(void *arg, char *remote_ip, char *local_ip, int remote_port,
-    int local_port)
+on_prereq(
+    void *arg, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
 	struct back_call *c = arg;
 
@@ -189,8 +189,8 @@
 	const char *colon;
 	int64_t v;
 
-	while (line.len > 0 && (line.p[line.len - 1] == '\n' ||
-		line.p[line.len - 1] == '\r'))
+	while (line.len > 0 &&
+	    (line.p[line.len - 1] == '\n' || line.p[line.len - 1] == '\r'))
 		line.len--;
 	if (line.len == 0) {
 		call_head_end(c);
@@ -259,8 +259,8 @@
 
 	ctr_add(b->conf.ctr, which, 1);
 	call_detach(c);
-	talloc_free(c);
 	b->conf.failed(b->conf.arg, user, kind, sent);
+	talloc_free(c);
 }
 
 /* Decides what the end of a transfer means. */
@@ -339,8 +339,8 @@
 }
 
 static void
-on_sock(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+on_sock(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct sock *s = arg;
 	int mask = 0;
@@ -421,7 +421,6 @@
 	struct host *h;
 	char *key = str_cstr(b, addr);
 
-
 	h = g_hash_table_lookup(b->hosts, key);
 	if (h == NULL) {
 		h = talloc_zero(b, struct host);
@@ -432,8 +431,7 @@
 		h->multi = curl_multi_init();
 		if (h->multi == NULL)
 			abort();
-		curl_multi_setopt(
-		    h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+		curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 		curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
 		curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, on_timer);
 		curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
@@ -448,8 +446,8 @@
 		connections = BACK_CONNECTIONS;
 	if (h->connections != connections) {
 		h->connections = connections;
-		curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS,
-		    (long)connections);
+		curl_multi_setopt(
+		    h->multi, CURLMOPT_MAXCONNECTS, (long)connections);
 		curl_multi_setopt(h->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
 		    (long)connections);
 	}
@@ -528,10 +526,8 @@
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
 	curl_easy_setopt(e, CURLOPT_HTTP09_ALLOWED, 0L);
-	curl_easy_setopt(
-	    e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(
-	    e, CURLOPT_CONNECTTIMEOUT_MS, (long)BACK_CONNECT_MS);
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)BACK_CONNECT_MS);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)BACK_IDLE_S);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
@@ -544,8 +540,8 @@
 	    str_eq_c(r->method, "PUT") || str_eq_c(r->method, "PATCH")) {
 		c->body = str_dup(c, r->body);
 		curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body.p);
-		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
-		    (curl_off_t)c->body.len);
+		curl_easy_setopt(
+		    e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)c->body.len);
 	}
 	if (str_eq_c(r->method, "HEAD")) {
 		c->bodyless = true;
@@ -604,8 +600,8 @@
 
 /* Closes the connections to workers that have not been used for a while. */
 static void
-on_sweep(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+on_sweep(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+    void *arg)
 {
 	struct back *b = arg;
 	struct timespec t = clk_now(&b->clk);
@@ -622,8 +618,8 @@
 		g_hash_table_iter_remove(&it);
 		talloc_free(h);
 	}
-	b->sweep = tevent_add_timer(b->ev, b,
-	    tevent_timeval_current_ofs(BACK_IDLE_S, 0), on_sweep, b);
+	b->sweep = tevent_add_timer(
+	    b->ev, b, tevent_timeval_current_ofs(BACK_IDLE_S, 0), on_sweep, b);
 }
 
 static int
@@ -643,8 +639,8 @@
 
 /* Creates the outbound side of a thread; no call may be left at its end. */
 struct back *
-back_new(TALLOC_CTX *ctx, struct tevent_context *ev,
-    const struct back_conf *conf)
+back_new(
+    TALLOC_CTX *ctx, struct tevent_context *ev, const struct back_conf *conf)
 {
 	struct back *b;
 
@@ -655,8 +651,8 @@
 	b->ev = ev;
 	b->clk = clk_system();
 	b->hosts = g_hash_table_new(g_str_hash, g_str_equal);
-	b->sweep = tevent_add_timer(ev, b,
-	    tevent_timeval_current_ofs(BACK_IDLE_S, 0), on_sweep, b);
+	b->sweep = tevent_add_timer(
+	    ev, b, tevent_timeval_current_ofs(BACK_IDLE_S, 0), on_sweep, b);
 	talloc_set_destructor(b, back_destroy);
 	return b;
 }
--- /dev/null
+++ b/src/node/disk.c
@@ -0,0 +1,234 @@
+#include "node/disk.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/log.h"
+#include "control/wal.h"
+
+#define VERSION_FILE "config-version"
+
+struct disk {
+	char *dir;
+	struct wal *wal;
+	uint64_t config_version;
+	bool saved; /* a snapshot whose event is due */
+	uint64_t saved_index;
+};
+
+static char *
+version_path(struct disk *d, const char *suffix)
+{
+	char *p = talloc_asprintf(d, "%s/" VERSION_FILE "%s", d->dir, suffix);
+
+	if (p == NULL)
+		abort();
+	return p;
+}
+
+static enum status
+version_read(struct disk *d, struct err *e)
+{
+	char *path = version_path(d, ""), buf[32];
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+	enum status st = STATUS_OK;
+	int64_t v = 0;
+	ssize_t n;
+
+	if (fd < 0) {
+		if (errno != ENOENT)
+			st = err_errno(e, STATUS_IO, "open %s", path);
+		talloc_free(path);
+		return st;
+	}
+	n = read(fd, buf, sizeof(buf));
+	close(fd);
+	if (n < 1 || buf[n - 1] != '\n' ||
+	    !str_to_i64(str_mem(buf, (size_t)n - 1), &v) || v < 0)
+		st = err_set(e, STATUS_CORRUPT, "%s is not a number", path);
+	d->config_version = (uint64_t)v;
+	talloc_free(path);
+	return st;
+}
+
+static bool
+sync_path(const char *path, int flags)
+{
+	int fd = open(path, flags | O_CLOEXEC);
+	bool ok;
+
+	if (fd < 0)
+		return false;
+	ok = fsync(fd) == 0;
+	close(fd);
+	return ok;
+}
+
+static bool
+version_write(struct disk *d, uint64_t version)
+{
+	char *path = version_path(d, ""), *tmp = version_path(d, ".tmp");
+	FILE *f = fopen(tmp, "we");
+	bool ok = f != NULL;
+
+	if (f != NULL) {
+		ok = fprintf(f, "%" PRIu64 "\n", version) > 0;
+		ok &= fclose(f) == 0;
+	}
+	ok = ok && sync_path(tmp, O_RDONLY) && rename(tmp, path) == 0 &&
+	    sync_path(d->dir, O_RDONLY | O_DIRECTORY);
+	talloc_free(path);
+	talloc_free(tmp);
+	return ok;
+}
+
+/* Creates a group: a directory whose replica is its only member. */
+enum status
+disk_init(struct str dir, uint32_t instance, struct str domain, struct err *e)
+{
+	const struct wal_init init = { .instance = instance, .domain = domain };
+	char *path = str_cstr(NULL, dir);
+	enum status st = wal_init_dir(path, &init, e);
+
+	talloc_free(path);
+	return st;
+}
+
+/*
+ * Opens a data directory. One that doesn't exist yet or is empty gets a new
+ * identity and waits to be added by the leader.
+ */
+struct disk *
+disk_open(TALLOC_CTX *ctx, struct str dir, struct cell_conf *cc, struct err *e)
+{
+	const struct wal_init join = { .join = true };
+	struct wal_snapshot snap;
+	struct disk *d = talloc_zero(ctx, struct disk);
+
+	if (d == NULL)
+		abort();
+	d->dir = str_cstr(d, dir);
+	d->wal = wal_open(d, d->dir, NULL, e);
+	if (d->wal == NULL && e->status == STATUS_NOT_FOUND) {
+		err_clear(e);
+		if (wal_init_dir(d->dir, &join, e) == STATUS_OK)
+			d->wal = wal_open(d, d->dir, NULL, e);
+	}
+	if (d->wal == NULL || version_read(d, e) != STATUS_OK) {
+		talloc_free(d);
+		return NULL;
+	}
+	wal_state(d->wal, &cc->raft);
+	if (cc->raft.snap_index > 0) {
+		if (wal_snapshot_load(d->wal, d, &snap, e) != STATUS_OK) {
+			talloc_free(d);
+			return NULL;
+		}
+		cc->snapshot = snap.data;
+	}
+	return d;
+}
+
+/* Releases what disk_open has read. */
+void
+disk_loaded(struct disk *d)
+{
+	wal_forget(d->wal);
+}
+
+/* Returns the id of the replica. */
+uint64_t
+disk_replica(const struct disk *d)
+{
+	return wal_replica(d->wal);
+}
+
+/* Returns the number of starts of the data directory. */
+uint64_t
+disk_generation(const struct disk *d)
+{
+	return wal_generation(d->wal);
+}
+
+/* Writes entries and hard state without waiting for the disk. */
+enum status
+disk_persist(struct disk *d, const struct raft_act *a, struct err *e)
+{
+	return wal_persist(d->wal, a, e);
+}
+
+/* Makes everything written durable. */
+enum status
+disk_sync(struct disk *d, struct err *e)
+{
+	return wal_sync(d->wal, e);
+}
+
+/* Saves a snapshot; the log it covers is dropped. */
+enum status
+disk_snapshot(struct disk *d, const struct cell_act *a, struct err *e)
+{
+	struct wal_snapshot s = { a->u.snapshot.index, a->u.snapshot.term,
+		a->u.snapshot.members, a->u.snapshot.nmembers,
+		a->u.snapshot.data };
+	enum status st;
+
+	st = wal_snapshot_save(d->wal, &s, a->u.snapshot.received, e);
+	if (st == STATUS_OK) {
+		d->saved = true;
+		d->saved_index = a->u.snapshot.index;
+	}
+	return st;
+}
+
+/* Takes the index of a saved snapshot whose event is due. */
+bool
+disk_take_saved(struct disk *d, uint64_t *index)
+{
+	if (!d->saved)
+		return false;
+	d->saved = false;
+	*index = d->saved_index;
+	return true;
+}
+
+/* Checks a replica's HELLO against the generations seen before. */
+bool
+disk_peer_ok(
+    struct disk *d, uint64_t replica, uint64_t generation, uint64_t incarnation)
+{
+	struct err e;
+
+	err_clear(&e);
+	if (wal_peer_check(d->wal, replica, generation, incarnation, &e) !=
+	    STATUS_STALE)
+		return true;
+	log_event(LOG_ERR, "disk", "event=old_copy error=\"%s\"", e.msg);
+	return false;
+}
+
+/* Returns the newest configuration version seen before this start. */
+uint64_t
+disk_config_version(const struct disk *d)
+{
+	return d->config_version;
+}
+
+/* Remembers a newer configuration version. */
+void
+disk_config_seen(struct disk *d, uint64_t version)
+{
+	if (version <= d->config_version)
+		return;
+	if (!version_write(d, version)) {
+		log_event(LOG_ERR, "disk",
+		    "event=config_version_not_kept version=%" PRIu64, version);
+		return;
+	}
+	d->config_version = version;
+}
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -34,8 +34,8 @@
 	struct timespec start;
 	bool started; /* the headers have been looked at */
 	bool too_large;
-	bool handed;	/* the handler has it, or had it */
-	bool answered;	/* response is set */
+	bool handed;   /* the handler has it, or had it */
+	bool answered; /* response is set */
 	bool suspended;
 	bool client_gone;
 	uint8_t *body;
@@ -50,15 +50,15 @@
 static void front_run(struct front *);
 
 static void
-on_fd(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+on_fd(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	front_run(arg);
 }
 
 static void
-on_timer(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+on_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+    void *arg)
 {
 	struct front *f = arg;
 
@@ -67,8 +67,7 @@
 }
 
 static void
-on_immediate(
-    struct tevent_context *ev, struct tevent_immediate *im, void *arg)
+on_immediate(struct tevent_context *ev, struct tevent_immediate *im, void *arg)
 {
 	front_run(arg);
 }
@@ -96,8 +95,8 @@
 		tevent_schedule_immediate(f->im, f->ev, on_immediate, f);
 	} else if (MHD_get_timeout(f->mhd, &ms) == MHD_YES) {
 		f->timer = tevent_add_timer(f->ev, f,
-		    tevent_timeval_current_ofs((uint32_t)(ms / 1000),
-			(uint32_t)(ms % 1000) * 1000),
+		    tevent_timeval_current_ofs(
+			(uint32_t)(ms / 1000), (uint32_t)(ms % 1000) * 1000),
 		    on_timer, f);
 	}
 }
@@ -151,8 +150,8 @@
 }
 
 static enum MHD_Result
-on_header(void *arg, enum MHD_ValueKind kind, const char *name,
-    size_t name_len, const char *value, size_t value_len)
+on_header(void *arg, enum MHD_ValueKind kind, const char *name, size_t name_len,
+    const char *value, size_t value_len)
 {
 	struct conn *c = arg;
 
@@ -169,8 +168,7 @@
 
 /* Looks a header up without regard to case. */
 struct str
-front_header_get(
-    const struct front_req *req, const char *name, size_t *nfound)
+front_header_get(const struct front_req *req, const char *name, size_t *nfound)
 {
 	struct str found = str_from("");
 	size_t i, n = 0, len = strlen(name);
@@ -228,14 +226,14 @@
 {
 	struct front_header type = { str_from("Content-Type"),
 		str_from("application/json") };
-	struct front_reply r = { .status = status,
-		.headers = &type,
-		.nheaders = 1 };
+	struct front_reply r = {
+		.status = status, .headers = &type, .nheaders = 1
+	};
 	char *body;
 
 	ctr_add(c->req.front->conf.ctr, which, 1);
-	body = talloc_asprintf(c,
-	    "{\"status\":\"%s\",\"message\":\"%s\"}\n", name, message);
+	body = talloc_asprintf(
+	    c, "{\"status\":\"%s\",\"message\":\"%s\"}\n", name, message);
 	if (body == NULL)
 		abort();
 	r.body = str_from(body);
@@ -246,8 +244,8 @@
 
 /* The client closed its connection while its request was being handled. */
 static void
-on_watch(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-    void *arg)
+on_watch(
+    struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct conn *c = arg;
 	ssize_t n;
@@ -306,8 +304,7 @@
 	ctr_add(f->conf.ctr, NCTR_HTTP_REQUESTS, 1);
 	c->req.method = str_dup(c, str_from(method));
 	c->req.headers = c->headers;
-	MHD_get_connection_values_n(
-	    c->mhd, MHD_HEADER_KIND, on_header, c);
+	MHD_get_connection_values_n(c->mhd, MHD_HEADER_KIND, on_header, c);
 	if (c->req.nheaders > HEADERS_MAX) {
 		c->req.nheaders = 0;
 		return conn_refuse(c, 431, "limit", "too many header fields",
@@ -344,11 +341,10 @@
 		return conn_queue(c);
 	MHD_suspend_connection(c->mhd);
 	c->suspended = true;
-	info = MHD_get_connection_info(
-	    c->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+	info =
+	    MHD_get_connection_info(c->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 	c->fd = info->connect_fd;
-	c->watch =
-	    tevent_add_fd(f->ev, c, c->fd, TEVENT_FD_READ, on_watch, c);
+	c->watch = tevent_add_fd(f->ev, c, c->fd, TEVENT_FD_READ, on_watch, c);
 	return MHD_YES;
 }
 
@@ -486,8 +482,8 @@
 	f->im = tevent_create_immediate(f);
 	f->mhd = MHD_start_daemon(
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
-	    NULL, NULL, on_access, f, MHD_OPTION_EXTERNAL_LOGGER, on_mhd_log,
-	    f, MHD_OPTION_LISTEN_SOCKET, conf->listen_fd,
+	    NULL, NULL, on_access, f, MHD_OPTION_EXTERNAL_LOGGER, on_mhd_log, f,
+	    MHD_OPTION_LISTEN_SOCKET, conf->listen_fd,
 	    MHD_OPTION_CONNECTION_LIMIT, conf->connections_max,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)FRONT_IDLE_S,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)FRONT_HEAD_MAX,
@@ -507,8 +503,7 @@
 		talloc_free(f);
 		return NULL;
 	}
-	f->fde = tevent_add_fd(
-	    ev, f, info->epoll_fd, TEVENT_FD_READ, on_fd, f);
+	f->fde = tevent_add_fd(ev, f, info->epoll_fd, TEVENT_FD_READ, on_fd, f);
 	front_run(f);
 	return f;
 }
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -14,10 +14,10 @@
 
 __BEGIN_DECLS
 
-#define FRONT_IDLE_S	    60	  /* without progress, then closed */
-#define FRONT_HEAD_MAX	    32768 /* memory of a connection's headers */
-#define FRONT_BODY_SLOW_MS  30000 /* for the whole body to arrive */
-#define FRONT_TARGET_MAX    4096
+#define FRONT_IDLE_S	   60	 /* without progress, then closed */
+#define FRONT_HEAD_MAX	   32768 /* memory of a connection's headers */
+#define FRONT_BODY_SLOW_MS 30000 /* for the whole body to arrive */
+#define FRONT_TARGET_MAX   4096
 
 struct front;
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -49,6 +49,9 @@
 /* Runs until SIGTERM and a finished graceful shutdown: 0, else 1. */
 int node_run(const struct node_conf *, struct err *);
 
+/* Creates the first replica of a group in data_dir; once per group. */
+enum status node_init_group(const struct node_conf *, struct err *);
+
 __END_DECLS
 
 #endif
--- a/src/node/pjson.c
+++ b/src/node/pjson.c
@@ -34,8 +34,7 @@
 		err_set(e, STATUS_INVALID, "JSON ends too early");
 	else if (je != json_tokener_success)
 		err_set(e, STATUS_INVALID, "JSON: %s at byte %zu",
-		    json_tokener_error_desc(je),
-		    json_tokener_get_parse_end(t));
+		    json_tokener_error_desc(je), json_tokener_get_parse_end(t));
 	else if (json_tokener_get_parse_end(t) != s.len)
 		err_set(e, STATUS_INVALID, "text behind the JSON object");
 	else if (!json_object_is_type(o, json_type_object))
@@ -118,8 +117,8 @@
 }
 
 static enum status
-bad(const ProtobufCMessage *m, const ProtobufCFieldDescriptor *f,
-    struct err *e, const char *expected)
+bad(const ProtobufCMessage *m, const ProtobufCFieldDescriptor *f, struct err *e,
+    const char *expected)
 {
 	return err_set(e, STATUS_INVALID, "%s: field \"%s\": expected %s",
 	    bare_name(m->descriptor->name), f->name, expected);
@@ -140,16 +139,16 @@
 
 static enum status
 fill_text(TALLOC_CTX *ctx, const ProtobufCMessage *m,
-    const ProtobufCFieldDescriptor *f, struct json_object *v,
-    struct str *out, struct err *e)
+    const ProtobufCFieldDescriptor *f, struct json_object *v, struct str *out,
+    struct err *e)
 {
 	size_t len, max;
 
 	if (!json_object_is_type(v, json_type_string))
 		return bad(m, f, e, "a string");
 	len = (size_t)json_object_get_string_len(v);
-	max = f->type == PROTOBUF_C_TYPE_BYTES ||
-		strcmp(f->name, "payload") == 0
+	max =
+	    f->type == PROTOBUF_C_TYPE_BYTES || strcmp(f->name, "payload") == 0
 	    ? PJSON_BYTES_MAX
 	    : PJSON_TEXT_MAX;
 	if (len > max)
@@ -255,8 +254,8 @@
 
 /* Fills a message from an object and checks that nothing is missing. */
 enum status
-pjson_fill(TALLOC_CTX *ctx, ProtobufCMessage *m, struct json_object *o,
-    struct err *e)
+pjson_fill(
+    TALLOC_CTX *ctx, ProtobufCMessage *m, struct json_object *o, struct err *e)
 {
 	const ProtobufCMessageDescriptor *d = m->descriptor;
 	const ProtobufCFieldDescriptor *f;
@@ -274,8 +273,7 @@
 		if (f->label == PROTOBUF_C_LABEL_REPEATED)
 			st = fill_list(ctx, m, f, value, e);
 		else
-			st = fill_value(
-			    ctx, m, f, value, base + f->offset, e);
+			st = fill_value(ctx, m, f, value, base + f->offset, e);
 		if (st != STATUS_OK)
 			return st;
 		if (f->label == PROTOBUF_C_LABEL_OPTIONAL &&
@@ -289,8 +287,8 @@
 		if (f->label == PROTOBUF_C_LABEL_REQUIRED &&
 		    !json_object_object_get_ex(o, f->name, NULL))
 			return err_set(e, STATUS_INVALID,
-			    "%s: field \"%s\" is missing",
-			    bare_name(d->name), f->name);
+			    "%s: field \"%s\" is missing", bare_name(d->name),
+			    f->name);
 	}
 	return STATUS_OK;
 }
@@ -346,8 +344,7 @@
 		return true;
 	if (f->type == PROTOBUF_C_TYPE_STRING ||
 	    f->type == PROTOBUF_C_TYPE_MESSAGE)
-		return *(void *const *)(const void *)(base + f->offset) !=
-		    NULL;
+		return *(void *const *)(const void *)(base + f->offset) != NULL;
 	return *(const protobuf_c_boolean *)(const void *)(base +
 		   f->quantifier_offset) != 0;
 }
@@ -374,8 +371,8 @@
 				    render_value(f, base + f->offset));
 			continue;
 		}
-		n = *(const size_t *)(const void *)(base +
-		    f->quantifier_offset);
+		n = *(
+		    const size_t *)(const void *)(base + f->quantifier_offset);
 		items = *(const char *const *)(const void *)(base + f->offset);
 		list = json_object_new_array();
 		for (k = 0; k < n; k++)
--- a/src/node/sock.c
+++ b/src/node/sock.c
@@ -9,8 +9,8 @@
 
 /* Parses IPv4:port or [IPv6]:port. No name is ever resolved. */
 enum status
-sock_addr(struct str s, struct sockaddr_storage *ss, socklen_t *len,
-    struct err *e)
+sock_addr(
+    struct str s, struct sockaddr_storage *ss, socklen_t *len, struct err *e)
 {
 	struct sockaddr_in *in = (struct sockaddr_in *)ss;
 	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)ss;
@@ -65,8 +65,8 @@
 
 	if (sock_addr(addr, &ss, &len, e) != STATUS_OK)
 		return -1;
-	fd = socket(
-	    ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	fd =
+	    socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0) {
 		err_errno(e, STATUS_IO, "socket");
 		return -1;
@@ -93,8 +93,8 @@
 
 	if (sock_addr(addr, &ss, &len, e) != STATUS_OK)
 		return -1;
-	fd = socket(
-	    ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	fd =
+	    socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0) {
 		err_errno(e, STATUS_IO, "socket");
 		return -1;
