--- a/src/node/back.c
+++ b/src/node/back.c
@@ -42,7 +42,7 @@
 	bool sent;	/* a byte may have left */
 	bool told_sent; /* the owner knows */
 	bool has_length, chunked, bodyless, not_started;
-	bool too_large, echo, wrong;
+	bool too_large, echo, wrong, reuse, all_headers;
 	uint8_t *answer;
 	size_t answer_len, answer_cap;
 	struct str content_type;
@@ -176,7 +176,7 @@
 	c->bodyless |= status == 204 || status == 304;
 	/* Without the echo nothing proves that late bytes of an earlier
 	 * answer are not taken for the next one on this connection. */
-	if (!c->echo)
+	if (!c->echo && !c->reuse)
 		curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
@@ -219,7 +219,7 @@
 		c->echo = str_to_i64(value, &v) && (uint64_t)v == c->request;
 		c->wrong |= !c->echo;
 	}
-	if (is_hop(name) || c->nheaders == HEADERS_MAX)
+	if ((is_hop(name) && !c->all_headers) || c->nheaders == HEADERS_MAX)
 		return size * n;
 	c->headers[c->nheaders].name = str_dup(c, name);
 	c->headers[c->nheaders].value = str_dup(c, value);
@@ -569,6 +569,8 @@
 	c->user = r->user;
 	c->request = r->request;
 	c->probe = r->probe;
+	c->reuse = r->reuse;
+	c->all_headers = r->all_headers;
 	c->easy = b->nspare > 0 ? b->spare[--b->nspare] : curl_easy_init();
 	if (c->easy == NULL)
 		abort();
--- a/src/node/back.h
+++ b/src/node/back.h
@@ -52,6 +52,8 @@
 	int64_t timeout_ms;
 	unsigned connections; /* most that may be open to the worker */
 	bool probe;	      /* on a new connection, closed afterwards */
+	bool reuse;	      /* the connection, also without the echo */
+	bool all_headers;     /* of the answer, Cicadabay-* included */
 	void *user;
 };
 
