--- /dev/null
+++ b/src/control/agent_op.c
@@ -0,0 +1,233 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/agent_impl.h"
+#include "control/pb.h"
+
+/*
+ * Operations that a second copy cannot change the effect of: they carry a
+ * change id, a claim, an incarnation or a job id that is never used again. A
+ * drain names a worker whose next start must not be drained by a late copy.
+ */
+static bool
+op_repeatable(const Control__Op *op)
+{
+	return op->config_set != NULL || op->worker_up != NULL ||
+	    op->worker_poll != NULL || op->worker_leave != NULL ||
+	    op->job_submit != NULL || op->job_cancel != NULL ||
+	    op->key_claim != NULL || op->key_done != NULL || op->query != NULL;
+}
+
+static void
+op_reply(struct agent *a, uint64_t id, const Control__OpResult *r)
+{
+	struct agent_act *act = agent_act(a, AGENT_ACT_REPLY);
+
+	act->u.reply.id = id;
+	act->u.reply.result = r;
+}
+
+static void
+op_reply_status(
+    struct agent *a, uint64_t id, enum status status, const char *message)
+{
+	Control__OpResult *r = talloc(a->step, Control__OpResult);
+
+	if (r == NULL)
+		abort();
+	control__op_result__init(r);
+	r->status = status;
+	r->message = str_cstr(a->step, str_from(message));
+	op_reply(a, id, r);
+}
+
+static void
+op_remove(struct agent *a, struct agent_op *o)
+{
+	struct agent_op **at = &a->op_first;
+
+	while (*at != o)
+		at = &(*at)->next;
+	*at = o->next;
+	if (o->next == NULL)
+		a->op_end = at;
+	a->nops--;
+	/* Messages of this step may point into the operation. */
+	talloc_steal(a->step, o);
+}
+
+static void
+op_send(struct agent *a, struct agent_op *o)
+{
+	Control__Forward *f = talloc(a->step, Control__Forward);
+
+	if (f == NULL)
+		abort();
+	control__forward__init(f);
+	f->id = o->fid;
+	f->op = o->op;
+	if (o->try_ms != 0)
+		ctr_add(&a->ctr, AGENT_C_RESENDS, 1);
+	/* Longer after each send, so that a slow leader is not flooded. */
+	o->try_ms = o->try_ms == 0 ? AGENT_TRY_MS : 2 * o->try_ms;
+	o->try_until = clk_add_ms(a->now, o->try_ms);
+	o->at = a->target;
+	if (o->ntried < AGENT_TRIES_MAX)
+		o->tried[o->ntried++] = o->at;
+	else
+		o->lost = true;
+	agent_msg(a, o->at)->forward = f;
+}
+
+/* Starts an operation; it ends in exactly one REPLY. */
+void
+agent_op_start(struct agent *a, uint64_t id, const Control__Op *op)
+{
+	struct agent_op *o;
+
+	ctr_add(&a->ctr, AGENT_C_OPS, 1);
+	if (a->nops >= AGENT_OPS_MAX) {
+		ctr_add(&a->ctr, AGENT_C_FULL, 1);
+		op_reply_status(a, id, STATUS_FULL, "too many operations wait");
+		return;
+	}
+	o = talloc_zero(a, struct agent_op);
+	if (o == NULL)
+		abort();
+	o->id = id;
+	o->fid = ++a->fid;
+	o->op = pb_dup(o, op);
+	o->repeatable = op_repeatable(op);
+	o->deadline = clk_add_ms(a->now, a->conf.op_timeout_ms);
+	*a->op_end = o;
+	a->op_end = &o->next;
+	a->nops++;
+}
+
+static bool
+op_answered(struct agent_op *o, uint32_t instance)
+{
+	unsigned i;
+
+	for (i = 0; i < o->ntried; i++) {
+		if (o->tried[i] == instance) {
+			o->tried[i] = o->tried[--o->ntried];
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Ends an operation whose outcome cannot be known. */
+static void
+op_unknown(struct agent *a, struct agent_op *o)
+{
+	ctr_add(&a->ctr, AGENT_C_UNKNOWN, 1);
+	op_reply_status(a, o->id,
+	    o->op->query != NULL ? STATUS_TIMEOUT : STATUS_UNKNOWN,
+	    "sent, but no answer came");
+	op_remove(a, o);
+}
+
+/*
+ * Takes a result. NOT_LEADER says that nothing was done, so any operation may
+ * be sent elsewhere; UNKNOWN allows it only for one that can be repeated.
+ */
+void
+agent_op_reply(struct agent *a, uint32_t from, const Control__ForwardReply *f)
+{
+	const Control__OpResult *r = f->result;
+	struct agent_op *o = a->op_first;
+
+	while (o != NULL && o->fid != f->id)
+		o = o->next;
+	if (o == NULL) {
+		ctr_add(&a->ctr, AGENT_C_LATE, 1);
+		return;
+	}
+	if (r->status != STATUS_NOT_LEADER && r->status != STATUS_UNKNOWN) {
+		agent_led(a, from);
+		op_reply(a, o->id, r);
+		op_remove(a, o);
+		return;
+	}
+	op_answered(o, from);
+	if (r->status == STATUS_UNKNOWN) {
+		o->lost = true;
+		if (!o->repeatable) {
+			agent_failed(a, from, r->leader, r->term);
+			op_unknown(a, o);
+			return;
+		}
+	}
+	agent_failed(a, from, r->leader, r->term);
+	if (o->at != from)
+		return;
+	o->at = 0;
+	o->try_ms = 0;
+}
+
+/* Deals with operations that were sent to an instance that is unreachable. */
+void
+agent_op_down(struct agent *a, uint32_t instance)
+{
+	struct agent_op *o, *next;
+
+	for (o = a->op_first; o != NULL; o = next) {
+		next = o->next;
+		if (o->at != instance)
+			continue;
+		o->lost = true;
+		o->at = 0;
+		if (!o->repeatable)
+			op_unknown(a, o);
+	}
+}
+
+/* Ends and sends operations as far as their time has come. */
+void
+agent_op_tick(struct agent *a)
+{
+	struct agent_op *o, *next;
+
+	for (o = a->op_first; o != NULL; o = next) {
+		next = o->next;
+		if (!clk_before(a->now, o->deadline)) {
+			if (o->lost || o->ntried > 0) {
+				op_unknown(a, o);
+				continue;
+			}
+			ctr_add(&a->ctr, AGENT_C_UNAVAILABLE, 1);
+			op_reply_status(a, o->id, STATUS_UNAVAILABLE,
+			    "no leader was found");
+			op_remove(a, o);
+			continue;
+		}
+		if (o->at != 0 && o->repeatable &&
+		    !clk_before(a->now, o->try_until)) {
+			if (clk_diff_ms(a->now, a->heard) >= AGENT_TRY_MS)
+				agent_failed(a, o->at, 0, 0);
+			o->at = 0;
+		}
+		if (o->at == 0 && !clk_before(a->now, a->pause))
+			op_send(a, o);
+	}
+}
+
+/* Returns when an operation is next due; far in the future without one. */
+struct timespec
+agent_op_deadline(const struct agent *a)
+{
+	struct timespec t = clk_from_ns(INT64_MAX);
+	const struct agent_op *o;
+
+	for (o = a->op_first; o != NULL; o = o->next) {
+		if (clk_before(o->deadline, t))
+			t = o->deadline;
+		if (o->at == 0)
+			return a->now;
+		if (o->repeatable && clk_before(o->try_until, t))
+			t = o->try_until;
+	}
+	return t;
+}
--- /dev/null
+++ b/src/control/cell.c
@@ -0,0 +1,577 @@
+#include "control/cell.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/cell_impl.h"
+#include "control/pb.h"
+
+static const struct ctr_desc cell_ctr_desc[CELL_C_COUNT] = {
+	[CELL_C_OPS] = { "cell_ops", "Operations received." },
+	[CELL_C_NOT_LEADER] = { "cell_not_leader",
+	    "Operations refused because another instance leads." },
+	[CELL_C_UNKNOWN] = { "cell_unknown",
+	    "Operations whose outcome was lost with the leadership." },
+	[CELL_C_REFUSED] = { "cell_refused",
+	    "Operations refused by the replicated state." },
+	[CELL_C_FULL] = { "cell_full",
+	    "Operations refused because too many wait; check the disks." },
+	[CELL_C_BEATS] = { "cell_beats", "Heartbeats of instances." },
+	[CELL_C_BEATS_OLD] = { "cell_beats_old",
+	    "Heartbeats dropped because a newer one came before." },
+	[CELL_C_POLLS] = { "cell_polls", "Polls of workers." },
+	[CELL_C_POLLS_STALE] = { "cell_polls_stale",
+	    "Polls refused because the worker's epoch has ended." },
+	[CELL_C_CONFIRMS] = { "cell_confirms",
+	    "Proofs of leadership asked for." },
+	[CELL_C_WORKERS_LOST] = { "cell_workers_lost",
+	    "Workers whose lease ended without a poll." },
+	[CELL_C_ASSIGNED] = { "cell_assigned", "Tasks given to workers." },
+	[CELL_C_ASSIGN_REFUSED] = { "cell_assign_refused",
+	    "Proposed assignments that the replicated state refused." },
+	[CELL_C_EVENTS_DROPPED] = { "cell_events_dropped",
+	    "Task events of an attempt or epoch that is not current." },
+	[CELL_C_KEYS_DROPPED] = { "cell_keys_dropped",
+	    "Idempotency records dropped after their retention." },
+	[CELL_C_SNAPSHOTS] = { "cell_snapshots", "Snapshots taken." },
+	[CELL_C_MEMBERS_ADDED] = { "cell_members_added",
+	    "Replicas added because the group had too few." },
+	[CELL_C_ELECTED] = { "cell_elected",
+	    "Times that this replica began to lead." },
+};
+
+/* Appends an action to the output of this step. */
+struct cell_act *
+cell_act(struct cell *c, enum cell_act_kind kind)
+{
+	struct cell_acts *out = c->acts;
+	struct cell_act *a;
+
+	if (out->n == out->cap) {
+		out->cap = out->cap == 0 ? 16 : 2 * out->cap;
+		out->v =
+		    talloc_realloc(NULL, out->v, struct cell_act, out->cap);
+		if (out->v == NULL)
+			abort();
+	}
+	a = &out->v[out->n++];
+	memset(a, 0, sizeof(*a));
+	a->kind = kind;
+	return a;
+}
+
+/* Adds a SEND with an empty message, which lives until the next step. */
+Control__PeerMsg *
+cell_msg(struct cell *c, uint32_t instance)
+{
+	struct cell_act *a = cell_act(c, CELL_ACT_SEND);
+	Control__PeerMsg *m = talloc(c->step, Control__PeerMsg);
+
+	if (m == NULL)
+		abort();
+	control__peer_msg__init(m);
+	m->group = c->conf.group;
+	m->from = c->conf.instance;
+	a->u.send.instance = instance;
+	a->u.send.msg = m;
+	return m;
+}
+
+static struct raft_entry *
+entries_copy(TALLOC_CTX *ctx, const struct raft_entry *v, size_t n)
+{
+	struct raft_entry *copy = talloc_array(ctx, struct raft_entry, n);
+	size_t i;
+
+	if (copy == NULL)
+		abort();
+	for (i = 0; i < n; i++) {
+		copy[i] = v[i];
+		copy[i].data = str_dup(ctx, v[i].data);
+	}
+	return copy;
+}
+
+static struct raft_member *
+members_copy(TALLOC_CTX *ctx, const struct raft_member *v, size_t n)
+{
+	struct raft_member *copy = talloc_array(ctx, struct raft_member, n);
+	size_t i;
+
+	if (copy == NULL)
+		abort();
+	for (i = 0; i < n; i++) {
+		copy[i] = v[i];
+		copy[i].domain = str_dup(copy, v[i].domain);
+	}
+	return copy;
+}
+
+static void
+members_set(struct cell *c, const struct raft_member *v, size_t n)
+{
+	struct raft_member *copy = members_copy(c, v, n);
+
+	talloc_free(c->members);
+	c->members = copy;
+	c->nmembers = n;
+}
+
+static void
+members_apply(struct cell *c, struct str data)
+{
+	Control__Members *m =
+	    pb_unpack(c->step, &control__members__descriptor, data);
+	struct raft_member *v;
+	size_t i;
+
+	if (m == NULL)
+		return;
+	v = talloc_zero_array(c->step, struct raft_member, m->n_members);
+	if (v == NULL)
+		abort();
+	for (i = 0; i < m->n_members; i++) {
+		v[i].replica = m->members[i]->replica;
+		v[i].instance = m->members[i]->instance;
+		v[i].voter = m->members[i]->voter;
+		v[i].domain = str_from(m->members[i]->domain);
+	}
+	members_set(c, v, m->n_members);
+}
+
+static int
+lead_destroy(struct cell **lead)
+{
+	struct cell *c = *lead;
+
+	lease_finish(&c->lease);
+	idx_finish(&c->workers);
+	idx_finish(&c->starts);
+	idx_finish(&c->jobs);
+	c->insts = NULL;
+	c->ninsts = 0;
+	c->grant = NULL;
+	c->sched = NULL;
+	c->lead = NULL;
+	return 0;
+}
+
+/*
+ * Begins to serve: all that earlier leaders committed is applied. Leases and
+ * grants that they gave may still be held, so leases start anew and grants
+ * are learnt from heartbeats.
+ */
+static void
+cell_serve(struct cell *c, uint64_t index)
+{
+	const struct lease_conf lc = { c->conf.lease_ms, c->conf.flight_ms,
+		c->conf.clock_ppm };
+	const struct grant_conf gc = { CELL_GRANT_TTL_MS, c->conf.clock_ppm,
+		1 };
+	const struct sched_conf sc = { c->conf.raft.seed ^ c->term, true, true,
+		true, 8 };
+	struct cell **lead = talloc(c, struct cell *);
+	size_t i;
+
+	if (lead == NULL)
+		abort();
+	*lead = c;
+	c->lead = lead;
+	talloc_set_destructor(lead, lead_destroy);
+	lease_init(&c->lease, &lc);
+	idx_init(&c->workers);
+	idx_init(&c->starts);
+	idx_init(&c->jobs);
+	c->grant = grant_new(c->lead, &gc, c->now);
+	grant_lead(c->grant, c->term, index);
+	c->sched = sched_new(c->lead, &sc, c->now);
+	c->order_count = 0;
+	c->housekeeping = c->now;
+	c->serving = true;
+	ctr_add(&c->ctr, CELL_C_ELECTED, 1);
+	for (i = 0; i < st_nworkers(c->st); i++)
+		cell_worker_up(c, st_worker_at(c->st, i)->epoch);
+	cell_sched_rebuild(c);
+	cell_held_run(c);
+}
+
+/* Drops all that a leader holds; everything that waits gets its result. */
+static void
+cell_step_down(struct cell *c)
+{
+	struct cell_pend *p;
+
+	c->leading = c->serving = false;
+	while ((p = c->batch_first) != NULL) {
+		c->batch_first = p->next;
+		cell_pend_fail(c, p, STATUS_NOT_LEADER);
+	}
+	c->batch_end = &c->batch_first;
+	c->nbatch = 0;
+	while ((p = c->pend_first) != NULL) {
+		c->pend_first = p->next;
+		cell_pend_fail(c, p, STATUS_UNKNOWN);
+	}
+	c->pend_end = &c->pend_first;
+	TALLOC_FREE(c->assign);
+	if (c->member_op.active)
+		cell_reply_not_leader(c, c->member_op.from, STATUS_UNKNOWN);
+	c->member_op.active = false;
+	cell_held_fail(c);
+	cell_wait_fail(c);
+	c->confirm_open = false;
+	TALLOC_FREE(c->lead);
+}
+
+static void
+cell_role(struct cell *c, const struct raft_act *ra)
+{
+	struct cell_act *a;
+
+	if (c->leading &&
+	    (ra->u.role.role != RAFT_LEADER || ra->u.role.term != c->term))
+		cell_step_down(c);
+	c->term = ra->u.role.term;
+	if (ra->u.role.role == RAFT_LEADER)
+		c->leading = true;
+	a = cell_act(c, CELL_ACT_ROLE);
+	a->u.role.role = ra->u.role.role;
+	a->u.role.term = ra->u.role.term;
+	a->u.role.leader_instance = ra->u.role.leader_instance;
+}
+
+static void
+cell_apply(struct cell *c, const struct raft_entry *e)
+{
+	bool own = c->leading && e->term == c->term;
+	const struct st_result *res;
+	struct cell_pend *p = NULL;
+	size_t i;
+
+	switch (e->kind) {
+	case CONTROL__ENTRY_KIND__ENTRY_DATA:
+		res = st_apply(c->st, e->index, e->data);
+		/* All records of this term were proposed here, in order. */
+		if (own && c->pend_first != NULL) {
+			p = c->pend_first;
+			c->pend_first = p->next;
+			if (c->pend_first == NULL)
+				c->pend_end = &c->pend_first;
+		}
+		for (i = 0; c->serving && i < res->nnotes; i++)
+			cell_note(c, &res->notes[i]);
+		ctr_add(&c->ctr, CELL_C_KEYS_DROPPED, res->dropped);
+		if (p != NULL)
+			cell_applied(c, p, res);
+		break;
+	case CONTROL__ENTRY_KIND__ENTRY_MEMBERS:
+		st_skip(c->st, e->index);
+		members_apply(c, e->data);
+		if (own)
+			cell_member_applied(c);
+		break;
+	default:
+		st_skip(c->st, e->index);
+		break;
+	}
+	c->applied_term = e->term;
+	if (own && !c->serving)
+		cell_serve(c, e->index);
+}
+
+static struct cell_act *
+cell_save(struct cell *c, uint64_t index, uint64_t term, struct str data,
+    const struct raft_member *members, size_t nmembers)
+{
+	struct cell_act *a = cell_act(c, CELL_ACT_SAVE_SNAPSHOT);
+
+	talloc_free((void *)(uintptr_t)c->save_data.p);
+	c->save_data = data;
+	c->save_index = index;
+	c->save_term = term;
+	a->u.snapshot.index = index;
+	a->u.snapshot.term = term;
+	a->u.snapshot.members = members_copy(c->step, members, nmembers);
+	a->u.snapshot.nmembers = nmembers;
+	a->u.snapshot.data = data;
+	return a;
+}
+
+static enum status
+cell_load(struct cell *c, const struct raft_act *ra)
+{
+	struct cell_act *a;
+	struct err err;
+
+	if (st_restore(c->st, ra->u.snapshot.data, &err) != STATUS_OK)
+		return err.status;
+	members_set(c, ra->u.snapshot.members, ra->u.snapshot.nmembers);
+	c->applied_term = ra->u.snapshot.term;
+	c->saving = false;
+	c->loading = true;
+	a = cell_save(c, ra->u.snapshot.index, ra->u.snapshot.term,
+	    str_dup(c, ra->u.snapshot.data), ra->u.snapshot.members,
+	    ra->u.snapshot.nmembers);
+	a->u.snapshot.received = true;
+	return STATUS_OK;
+}
+
+static enum status
+cell_raft_act(struct cell *c, const struct raft_act *ra)
+{
+	struct cell_act *a;
+	size_t i;
+
+	switch (ra->kind) {
+	case RAFT_ACT_SEND:
+		cell_msg(c, ra->u.send.instance)->raft =
+		    pb_dup(c->step, ra->u.send.msg);
+		return STATUS_OK;
+	case RAFT_ACT_PERSIST:
+		a = cell_act(c, CELL_ACT_PERSIST);
+		a->u.persist = *ra;
+		a->u.persist.u.persist.entries = entries_copy(
+		    c->step, ra->u.persist.entries, ra->u.persist.n);
+		return STATUS_OK;
+	case RAFT_ACT_COMMIT:
+		for (i = 0; i < ra->u.commit.n; i++)
+			cell_apply(c, &ra->u.commit.entries[i]);
+		return STATUS_OK;
+	case RAFT_ACT_ROLE:
+		cell_role(c, ra);
+		return STATUS_OK;
+	case RAFT_ACT_CONFIRMED:
+		c->confirm_open = false;
+		if (ra->u.confirmed.ok)
+			c->confirm_done = ra->u.confirmed.id;
+		return STATUS_OK;
+	case RAFT_ACT_LOAD_SNAPSHOT:
+		return cell_load(c, ra);
+	}
+	return STATUS_INVALID;
+}
+
+/* Steps the log and carries out what it asks for. */
+void
+cell_raft(struct cell *c, const struct raft_ev *ev, enum status *status)
+{
+	size_t i;
+
+	c->racts.n = 0;
+	*status = raft_step(c->raft, c->now, ev, &c->racts);
+	for (i = 0; i < c->racts.n; i++) {
+		enum status s = cell_raft_act(c, &c->racts.v[i]);
+
+		if (s != STATUS_OK)
+			*status = s;
+	}
+}
+
+static void
+cell_snapshot_check(struct cell *c)
+{
+	uint64_t entries = raft_log_entries(c->raft);
+	size_t bytes = raft_log_bytes(c->raft);
+
+	if (c->saving || c->loading || st_index(c->st) <= c->save_index ||
+	    (entries < c->conf.snapshot_entries &&
+		bytes < c->conf.snapshot_bytes))
+		return;
+	c->saving = true;
+	ctr_add(&c->ctr, CELL_C_SNAPSHOTS, 1);
+	cell_save(c, st_index(c->st), c->applied_term, st_snapshot(c->st, c),
+	    c->members, c->nmembers);
+}
+
+static void
+cell_saved(struct cell *c, uint64_t index, enum status *status)
+{
+	struct raft_ev ev = { .kind = RAFT_EV_SNAPSHOT_TAKEN };
+
+	if (index != c->save_index || (!c->saving && !c->loading))
+		return;
+	if (c->loading)
+		ev.kind = RAFT_EV_SNAPSHOT_LOADED;
+	c->saving = c->loading = false;
+	ev.u.snapshot.index = index;
+	ev.u.snapshot.term = c->save_term;
+	ev.u.snapshot.data = c->save_data;
+	cell_raft(c, &ev, status);
+	talloc_free((void *)(uintptr_t)c->save_data.p);
+	c->save_data = str_mem(NULL, 0);
+}
+
+static enum status
+cell_peer(struct cell *c, const Control__PeerMsg *m)
+{
+	enum status status = STATUS_OK;
+
+	if (m->group != c->conf.group)
+		return STATUS_PROTOCOL;
+	if (m->raft != NULL) {
+		const struct raft_ev ev = { .kind = RAFT_EV_MSG,
+			.u.msg = m->raft };
+
+		cell_raft(c, &ev, &status);
+		/* A message of an older term is no fault of this step. */
+		return status == STATUS_CORRUPT ? status : STATUS_OK;
+	}
+	if (m->beat != NULL)
+		cell_beat(c, m->from, m->beat);
+	else if (m->forward != NULL)
+		cell_op(c, (struct cell_from){ m->from, m->forward->id },
+		    m->forward->op);
+	else
+		status = STATUS_PROTOCOL;
+	return status;
+}
+
+static void
+cell_tick(struct cell *c, enum status *status)
+{
+	const struct raft_ev ev = { .kind = RAFT_EV_TICK };
+
+	if (!clk_before(c->now, raft_deadline(c->raft)))
+		cell_raft(c, &ev, status);
+}
+
+/* Does what became due and hands new records and proofs to the log. */
+static void
+cell_drain(struct cell *c)
+{
+	if (c->serving) {
+		cell_lease_check(c);
+		cell_housekeeping(c);
+	}
+	for (;;) {
+		if (c->serving) {
+			cell_sched_tick(c);
+			cell_wait_answer(c);
+		}
+		if (c->nbatch > 0 || c->assign != NULL) {
+			cell_flush(c);
+			continue;
+		}
+		if (!cell_wait_confirm(c))
+			break;
+	}
+	cell_snapshot_check(c);
+}
+
+/*
+ * Makes a replica from the state on disk. STATUS_CORRUPT in err and NULL when
+ * the snapshot cannot be read.
+ */
+struct cell *
+cell_new(TALLOC_CTX *ctx, const struct cell_conf *conf, struct timespec now,
+    struct err *err)
+{
+	struct cell *c = talloc_zero(ctx, struct cell);
+	struct raft_conf rc = conf->raft;
+
+	if (c == NULL)
+		abort();
+	c->conf = *conf;
+	c->now = now;
+	c->step = talloc_new(c);
+	c->st = st_new(c);
+	ctr_init(&c->ctr, c, cell_ctr_desc, CELL_C_COUNT);
+	c->pend_end = &c->pend_first;
+	c->batch_end = &c->batch_first;
+	c->wait_end = &c->wait_first;
+	c->held_end = &c->held_first;
+	if (conf->snapshot.len > 0 &&
+	    st_restore(c->st, conf->snapshot, err) != STATUS_OK) {
+		talloc_free(c);
+		return NULL;
+	}
+	if (st_index(c->st) > rc.snap_index) {
+		err_set(err, STATUS_CORRUPT,
+		    "snapshot is newer than its index on disk");
+		talloc_free(c);
+		return NULL;
+	}
+	st_skip(c->st, rc.snap_index);
+	c->applied_term = rc.snap_term;
+	c->save_index = rc.snap_index;
+	members_set(c, rc.members, rc.nmembers);
+	rc.snap_data = conf->snapshot;
+	c->raft = raft_new(c, &rc, now);
+	/* What the caller's memory held is copied by now. */
+	c->conf.snapshot = str_mem(NULL, 0);
+	c->conf.raft.members = NULL;
+	c->conf.raft.entries = NULL;
+	return c;
+}
+
+/*
+ * Handles one event at time now and appends the resulting actions, which are
+ * valid until the next step. STATUS_PROTOCOL for a message that is not for a
+ * cell of this group; STATUS_CORRUPT when a received snapshot cannot be read,
+ * after which the replica must stop.
+ */
+enum status
+cell_step(struct cell *c, struct timespec now, const struct cell_ev *ev,
+    struct cell_acts *acts)
+{
+	enum status status = STATUS_OK;
+	struct raft_ev re;
+
+	talloc_free_children(c->step);
+	c->acts = acts;
+	c->now = now;
+	c->wall_ms = ev->wall_ms;
+	switch (ev->kind) {
+	case CELL_EV_TICK:
+		cell_tick(c, &status);
+		break;
+	case CELL_EV_PEER:
+		status = cell_peer(c, ev->u.peer);
+		break;
+	case CELL_EV_OP:
+		cell_op(c, (struct cell_from){ c->conf.instance, ev->u.op.id },
+		    ev->u.op.op);
+		break;
+	case CELL_EV_SYNCED:
+		re = (struct raft_ev){ .kind = RAFT_EV_SYNCED };
+		re.u.synced = ev->u.synced;
+		cell_raft(c, &re, &status);
+		break;
+	case CELL_EV_SNAPSHOT_SAVED:
+		cell_saved(c, ev->u.saved_index, &status);
+		break;
+	case CELL_EV_TRANSFER:
+		re = (struct raft_ev){ .kind = RAFT_EV_TRANSFER };
+		cell_raft(c, &re, &status);
+		break;
+	}
+	cell_drain(c);
+	c->acts = NULL;
+	return status;
+}
+
+static struct timespec
+earlier(struct timespec a, struct timespec b)
+{
+	return clk_before(b, a) ? b : a;
+}
+
+/* Returns when a TICK has something to do next. */
+struct timespec
+cell_deadline(const struct cell *c)
+{
+	struct timespec t = raft_deadline(c->raft);
+
+	if (!c->serving)
+		return t;
+	t = earlier(t, lease_deadline(&c->lease));
+	t = earlier(t, sched_deadline(c->sched));
+	return earlier(t, c->housekeeping);
+}
+
+/* Returns the counters of this replica. */
+const struct ctr_set *
+cell_counters(const struct cell *c)
+{
+	return &c->ctr;
+}
--- /dev/null
+++ b/src/control/cell_sched.c
@@ -0,0 +1,481 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/cell_impl.h"
+#include "control/pb.h"
+
+static bool
+start_is(const void *object, const void *key)
+{
+	return ((const struct cell_start *)object)->task ==
+	    *(const uint64_t *)key;
+}
+
+static bool
+job_is(const void *object, const void *key)
+{
+	return ((const struct cell_job *)object)->id == *(const uint64_t *)key;
+}
+
+/* Returns what the scheduler last said of a job, or NULL. */
+struct cell_job *
+cell_job(struct cell *c, uint64_t id)
+{
+	return idx_find(&c->jobs, idx_hash_u64(id), job_is, &id);
+}
+
+static void
+job_wait(struct cell *c, uint64_t id, enum sched_wait wait)
+{
+	struct cell_job *j = cell_job(c, id);
+
+	if (j == NULL) {
+		j = talloc(c->lead, struct cell_job);
+		if (j == NULL)
+			abort();
+		j->id = id;
+		idx_add(&c->jobs, idx_hash_u64(id), j);
+	}
+	j->wait = wait;
+}
+
+static void
+job_forget(struct cell *c, uint64_t id)
+{
+	const struct st_job *sj = st_job(c->st, id);
+	struct cell_job *j = cell_job(c, id);
+
+	if (j == NULL || (sj != NULL && sj->tasks != NULL))
+		return;
+	idx_remove(&c->jobs, idx_hash_u64(id), j);
+	talloc_free(j);
+}
+
+/* Adds a START to the record of this step; false if it cannot stand. */
+static bool
+start_add(struct cell *c, const struct sched_act *a)
+{
+	uint64_t task = a->u.task.task;
+	const struct st_task *t = st_task(c->st, task);
+	Control__Assignment *m;
+	struct cell_start *s;
+
+	if (t == NULL || t->state != ST_TASK_PENDING ||
+	    st_worker(c->st, a->u.task.epoch) == NULL)
+		return false;
+	if (c->assign == NULL) {
+		c->assign = talloc(c, Control__Command);
+		if (c->assign == NULL)
+			abort();
+		control__command__init(c->assign);
+		c->assign->assign = talloc_array(
+		    c->assign, Control__Assignment *, CELL_ASSIGN_MAX);
+		if (c->assign->assign == NULL)
+			abort();
+	}
+	m = talloc(c->assign, Control__Assignment);
+	if (m == NULL)
+		abort();
+	control__assignment__init(m);
+	m->task = task;
+	m->attempt = t->attempt;
+	m->epoch = a->u.task.epoch;
+	c->assign->assign[c->assign->n_assign++] = m;
+	if (c->assign->n_assign == CELL_ASSIGN_MAX)
+		cell_assign_end(c);
+	s = idx_find(&c->starts, idx_hash_u64(task), start_is, &task);
+	if (s == NULL) {
+		s = talloc(c->lead, struct cell_start);
+		if (s == NULL)
+			abort();
+		s->task = task;
+		idx_add(&c->starts, idx_hash_u64(task), s);
+	}
+	s->epoch = a->u.task.epoch;
+	s->limit = a->u.task.limit;
+	return true;
+}
+
+static void
+order_act(struct cell *c, const struct sched_act *a, Control__OrderKind kind)
+{
+	const struct st_task *t = st_task(c->st, a->u.task.task);
+	struct cell_order o = { .kind = kind, .task = a->u.task.task };
+
+	if (t == NULL || t->epoch != a->u.task.epoch)
+		return;
+	o.attempt = t->attempt;
+	o.percent = a->u.task.percent;
+	o.limit = a->u.task.limit;
+	cell_order_add(c, a->u.task.epoch, &o);
+}
+
+static void
+sched_act(struct cell *c, const struct sched_act *a)
+{
+	Control__Command *cmd;
+	struct cell_worker *w;
+
+	switch (a->kind) {
+	case SCHED_ACT_START:
+		break; /* handled by the caller */
+	case SCHED_ACT_THROTTLE:
+		order_act(c, a, CONTROL__ORDER_KIND__ORDER_THROTTLE);
+		break;
+	case SCHED_ACT_CHECKPOINT:
+		order_act(c, a, CONTROL__ORDER_KIND__ORDER_CHECKPOINT);
+		break;
+	case SCHED_ACT_STOP:
+		order_act(c, a, CONTROL__ORDER_KIND__ORDER_STOP);
+		break;
+	case SCHED_ACT_JOB_STATE:
+		job_wait(c, a->u.job.id, a->u.job.wait);
+		break;
+	case SCHED_ACT_JOB_FAILED:
+		cmd = cell_command(c);
+		cmd->fail_tasks = talloc(c->step, uint64_t);
+		if (cmd->fail_tasks == NULL)
+			abort();
+		cmd->fail_tasks[0] = a->u.job.id << ST_TASK_BITS;
+		cmd->n_fail_tasks = 1;
+		cell_propose(c, CELL_PEND_INTERNAL, cmd);
+		break;
+	case SCHED_ACT_QUARANTINE:
+		w = cell_worker(c, a->u.quarantine.epoch);
+		if (w != NULL)
+			w->quarantined = a->u.quarantine.on;
+		break;
+	}
+}
+
+/* Steps the scheduler and carries out or proposes what it decides. */
+void
+cell_sched(struct cell *c, const struct sched_ev *ev)
+{
+	uint64_t *refused = NULL;
+	size_t i, nrefused = 0;
+
+	c->sacts.n = 0;
+	sched_step(c->sched, c->now, ev, &c->sacts);
+	for (i = 0; i < c->sacts.n; i++) {
+		const struct sched_act *a = &c->sacts.v[i];
+
+		if (a->kind != SCHED_ACT_START) {
+			sched_act(c, a);
+			continue;
+		}
+		if (start_add(c, a))
+			continue;
+		if (refused == NULL)
+			refused = talloc_array(c->step, uint64_t, c->sacts.n);
+		if (refused == NULL)
+			abort();
+		refused[nrefused++] = a->u.task.task;
+	}
+	for (i = 0; i < nrefused; i++)
+		cell_assign_refused(c, refused[i]);
+}
+
+/* Lets the scheduler work when its time has come. */
+void
+cell_sched_tick(struct cell *c)
+{
+	const struct sched_ev ev = { .kind = SCHED_EV_TICK };
+
+	if (!clk_before(c->now, sched_deadline(c->sched)))
+		cell_sched(c, &ev);
+}
+
+/* Tells the scheduler that a START did not take effect. */
+void
+cell_assign_refused(struct cell *c, uint64_t task)
+{
+	struct cell_start *s =
+	    idx_find(&c->starts, idx_hash_u64(task), start_is, &task);
+	struct sched_ev ev = { .kind = SCHED_EV_ASSIGN_FAILED };
+
+	ctr_add(&c->ctr, CELL_C_ASSIGN_REFUSED, 1);
+	ev.u.task.task = task;
+	if (s != NULL) {
+		ev.u.task.epoch = s->epoch;
+		idx_remove(&c->starts, idx_hash_u64(task), s);
+		talloc_free(s);
+	}
+	cell_sched(c, &ev);
+}
+
+static void
+assigned(struct cell *c, const struct st_note *n)
+{
+	struct cell_start *s =
+	    idx_find(&c->starts, idx_hash_u64(n->id), start_is, &n->id);
+	struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_START,
+		.task = n->id,
+		.attempt = n->attempt };
+	struct sched_ev ev = { .kind = SCHED_EV_ASSIGNED };
+
+	ctr_add(&c->ctr, CELL_C_ASSIGNED, 1);
+	if (s != NULL) {
+		o.limit = s->limit;
+		idx_remove(&c->starts, idx_hash_u64(n->id), s);
+		talloc_free(s);
+	}
+	cell_order_add(c, n->epoch, &o);
+	ev.u.task.task = n->id;
+	ev.u.task.attempt = n->attempt;
+	ev.u.task.epoch = n->epoch;
+	ev.u.task.progress = (int64_t)n->progress;
+	cell_sched(c, &ev);
+}
+
+static void
+running_remove(struct cell *c, uint64_t epoch, uint64_t task)
+{
+	struct cell_worker *w = cell_worker(c, epoch);
+	size_t i;
+
+	for (i = 0; w != NULL && i < w->nrunning; i++) {
+		if (w->running[i] != task)
+			continue;
+		w->running[i] = w->running[--w->nrunning];
+		return;
+	}
+}
+
+static void
+task_event(struct cell *c, const struct st_note *n)
+{
+	struct sched_ev ev = { .kind = SCHED_EV_TASK_CHECKPOINT };
+
+	ev.u.task.task = n->id;
+	ev.u.task.attempt = n->attempt;
+	ev.u.task.epoch = n->epoch;
+	ev.u.task.progress = (int64_t)n->progress;
+	switch (n->event) {
+	case CONTROL__TASK_EVENT_KIND__TASK_DONE:
+		ev.kind = SCHED_EV_TASK_DONE;
+		break;
+	case CONTROL__TASK_EVENT_KIND__TASK_FAILED:
+		ev.kind = SCHED_EV_TASK_FAILED;
+		break;
+	case CONTROL__TASK_EVENT_KIND__TASK_STOPPED:
+		ev.kind = SCHED_EV_TASK_STOPPED;
+		break;
+	case CONTROL__TASK_EVENT_KIND__TASK_RUNNING:
+		return;
+	default:
+		break;
+	}
+	if (ev.kind != SCHED_EV_TASK_CHECKPOINT)
+		running_remove(c, n->epoch, n->id);
+	cell_sched(c, &ev);
+	job_forget(c, n->id >> ST_TASK_BITS);
+}
+
+static bool
+class_gone(const Control__Config *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_classes; i++) {
+		if (strcmp(c->classes[i]->name, name) == 0)
+			return false;
+	}
+	return true;
+}
+
+static bool
+team_gone(const Control__Config *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < c->n_teams; i++) {
+		if (strcmp(c->teams[i]->name, name) == 0)
+			return false;
+	}
+	return true;
+}
+
+static void
+feed_team(struct cell *c, const Control__Team *t, bool gone)
+{
+	struct sched_ev ev = { .kind = SCHED_EV_TEAM_SET };
+
+	ev.u.team.name = str_from(t->name);
+	ev.u.team.quota.cpu_milli =
+	    t->has_cpu_milli && !gone ? (int64_t)t->cpu_milli : -1;
+	ev.u.team.quota.mem_mb =
+	    t->has_mem_mb && !gone ? (int64_t)t->mem_mb : -1;
+	ev.u.team.quota.accel = t->has_accel && !gone ? (int64_t)t->accel : -1;
+	cell_sched(c, &ev);
+}
+
+/* Feeds the configuration in force; a team that is gone has no limit. */
+void
+cell_sched_config(struct cell *c)
+{
+	const Control__Config *now = st_config(c->st);
+	struct sched_ev ev;
+	size_t i;
+
+	for (i = 0; c->fed != NULL && i < c->fed->n_classes; i++) {
+		if (!class_gone(now, c->fed->classes[i]->name))
+			continue;
+		ev = (struct sched_ev){ .kind = SCHED_EV_CLASS_GONE };
+		ev.u.name = str_from(c->fed->classes[i]->name);
+		cell_sched(c, &ev);
+	}
+	for (i = 0; c->fed != NULL && i < c->fed->n_teams; i++) {
+		if (team_gone(now, c->fed->teams[i]->name))
+			feed_team(c, c->fed->teams[i], true);
+	}
+	for (i = 0; i < now->n_teams; i++)
+		feed_team(c, now->teams[i], false);
+	for (i = 0; i < now->n_classes; i++) {
+		const Control__Class *k = now->classes[i];
+
+		ev = (struct sched_ev){ .kind = SCHED_EV_CLASS_SET };
+		ev.u.cls.name = str_from(k->name);
+		ev.u.cls.urgent = k->urgent;
+		ev.u.cls.percentile_x10 = (int)k->percentile_x10;
+		ev.u.cls.bound_ms = k->bound_ms;
+		ev.u.cls.finish_per_hour = k->finish_per_hour;
+		ev.u.cls.team = str_from(k->team);
+		cell_sched(c, &ev);
+	}
+	talloc_free(c->fed);
+	c->fed = pb_dup(c->lead, now);
+}
+
+/* Feeds a job with the tasks that have ended already. */
+void
+cell_sched_job(struct cell *c, const struct st_job *j)
+{
+	struct sched_ev ev = { .kind = SCHED_EV_JOB_SUBMIT };
+	Control__JobSpec *spec;
+	uint8_t *done = NULL;
+	uint32_t i;
+
+	if (j == NULL || j->tasks == NULL)
+		return;
+	spec = st_job_spec(j, c->step);
+	if (j->done + j->failed + j->cancelled > 0) {
+		done = talloc_zero_array(c->step, uint8_t, j->n / 8 + 1);
+		if (done == NULL)
+			abort();
+		for (i = 0; i < j->n; i++) {
+			if (j->tasks[i].state >= ST_TASK_DONE)
+				done[i / 8] |= (uint8_t)(1U << (i % 8));
+		}
+	}
+	ev.u.job.id = j->id;
+	ev.u.job.class_name = str_from(spec->class_name);
+	ev.u.job.tasks = j->n;
+	ev.u.job.declared.cpu_milli = (int64_t)spec->cpu_milli;
+	ev.u.job.declared.mem_mb = (int64_t)spec->mem_mb;
+	ev.u.job.declared.accel = spec->accel;
+	ev.u.job.gang = spec->gang;
+	ev.u.job.run_ms = (int64_t)spec->run_ms;
+	ev.u.job.done = done;
+	cell_sched(c, &ev);
+	talloc_free(done);
+	talloc_free(spec);
+}
+
+static void
+rebuild_tasks(struct cell *c, const struct st_job *j)
+{
+	struct sched_ev ev;
+	uint32_t i;
+
+	for (i = 0; j->tasks != NULL && i < j->n; i++) {
+		const struct st_task *t = &j->tasks[i];
+
+		if (t->state != ST_TASK_ASSIGNED && t->state != ST_TASK_ENDING)
+			continue;
+		ev = (struct sched_ev){ .kind = SCHED_EV_ASSIGNED };
+		ev.u.task.task = j->id << ST_TASK_BITS | i;
+		ev.u.task.attempt = t->attempt;
+		ev.u.task.epoch = t->epoch;
+		cell_sched(c, &ev);
+		if (t->progress == 0)
+			continue;
+		ev.kind = SCHED_EV_TASK_CHECKPOINT;
+		ev.u.task.progress = (int64_t)t->progress;
+		cell_sched(c, &ev);
+	}
+}
+
+/* Feeds a new scheduler all that the state holds; workers come before. */
+void
+cell_sched_rebuild(struct cell *c)
+{
+	struct sched_ev ev = { .kind = SCHED_EV_JOB_CANCEL };
+	size_t i;
+
+	c->fed = NULL;
+	cell_sched_config(c);
+	for (i = 0; i < st_njobs(c->st); i++)
+		cell_sched_job(c, st_job_at(c->st, i));
+	for (i = 0; i < st_njobs(c->st); i++)
+		rebuild_tasks(c, st_job_at(c->st, i));
+	for (i = 0; i < st_njobs(c->st); i++) {
+		const struct st_job *j = st_job_at(c->st, i);
+
+		if (j->tasks == NULL || j->state < CONTROL__JOB_STATE__JOB_DONE)
+			continue;
+		ev.u.job_id = j->id;
+		cell_sched(c, &ev);
+	}
+}
+
+/* Carries a change of the replicated state over into the soft state. */
+void
+cell_note(struct cell *c, const struct st_note *n)
+{
+	const struct st_worker *sw;
+	struct sched_ev ev;
+
+	switch (n->kind) {
+	case ST_NOTE_CONFIG:
+		cell_sched_config(c);
+		break;
+	case ST_NOTE_WORKER_UP:
+		cell_worker_up(c, n->id);
+		break;
+	case ST_NOTE_WORKER_GONE:
+		cell_worker_gone(c, n->id);
+		break;
+	case ST_NOTE_WORKER_DRAIN:
+		sw = st_worker(c->st, n->id);
+		if (sw != NULL) {
+			Control__WorkerUp *up = st_worker_up(sw, c->step);
+
+			grant_worker(c->grant, c->now, n->id, up->slots,
+			    up->has_connections ? up->connections : up->slots,
+			    true);
+		}
+		ev = (struct sched_ev){ .kind = SCHED_EV_WORKER_DRAIN };
+		ev.u.epoch = n->id;
+		cell_sched(c, &ev);
+		break;
+	case ST_NOTE_JOB_SUBMIT:
+		cell_sched_job(c, st_job(c->st, n->id));
+		break;
+	case ST_NOTE_JOB_CANCEL:
+		ev = (struct sched_ev){ .kind = SCHED_EV_JOB_CANCEL };
+		ev.u.job_id = n->id;
+		cell_sched(c, &ev);
+		job_forget(c, n->id);
+		break;
+	case ST_NOTE_ASSIGNED:
+		assigned(c, n);
+		break;
+	case ST_NOTE_ASSIGN_REFUSED:
+		cell_assign_refused(c, n->id);
+		break;
+	case ST_NOTE_TASK_EVENT:
+		task_event(c, n);
+		break;
+	}
+}
--- a/src/control/st.h
+++ b/src/control/st.h
@@ -21,6 +21,8 @@
 #define ST_BODY_MAX	16384 /* of a recorded answer */
 #define ST_NAME_MAX	128   /* of names, keys and change ids */
 #define ST_SPEC_MAX	65536 /* of a packed JobSpec */
+/* Grants outlive the longest request; see CELL_GRANT_TTL_MS. */
+#define ST_TIMEOUT_MAX_MS 30000
 
 enum st_task_state {
 	ST_TASK_PENDING,
--- a/src/control/st_config.c
+++ b/src/control/st_config.c
@@ -148,6 +148,8 @@
 			return "class name is empty or too long";
 		if (i > 0 && class_cmp(&c->classes[i - 1], &c->classes[i]) == 0)
 			return "class name occurs twice";
+		if (c->classes[i]->timeout_ms > ST_TIMEOUT_MAX_MS)
+			return "class timeout is above the limit";
 	}
 	for (i = 0; i < c->n_teams; i++) {
 		if (!name_ok(c->teams[i]->name))
