Add the on-disk storage of the replicated log

Change: log segments with length and salted CRC-32C per record, documents replaced by rename, a random replica id, a generation raised at each start, a torn tail cut, damage in the middle refused, a failed write or sync final; wal_peer_check remembers the generation and incarnation of other replicas. Conclusion: the shell can persist raft's actions through wal_persist.

--- /dev/null
+++ b/src/base/crc.h
@@ -0,0 +1,16 @@
+/* CRC-32C (Castagnoli), as used by frames and log records. */
+#ifndef BASE_CRC_H
+#define BASE_CRC_H
+
+#include <sys/cdefs.h>
+#include <stddef.h>
+#include <stdint.h>
+
+__BEGIN_DECLS
+
+/* Continues a checksum; the first call passes 0. */
+uint32_t crc32c(uint32_t crc, const void *p, size_t len);
+
+__END_DECLS
+
+#endif
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -446,8 +446,8 @@
 	}
 	if (r->role == RAFT_LEADER)
 		finish_leader(r);
-	raft_deliver(r);
 	flush_persist(r);
+	raft_deliver(r);
 	if (r->vote_seq == RAFT_SEQ_THIS_STEP)
 		r->vote_seq = r->persist_seq;
 	release_deferred(r);
--- /dev/null
+++ b/src/control/wal.h
@@ -0,0 +1,81 @@
+/*
+ * The files of one replica below its data directory: log segments, hard
+ * state, snapshot, identity. Calls block; they run in the control thread's
+ * shell. After a failed write or sync every later call fails: what reached
+ * the disk cannot be known, so the process has to stop.
+ *
+ * How a shell carries out raft's actions:
+ *   RAFT_ACT_PERSIST        wal_persist at once; wal_sync at the end of the
+ *                           round of events, then one SYNCED with the last
+ *                           seq (this is the group commit)
+ *   RAFT_ACT_LOAD_SNAPSHOT  wal_snapshot_save with received set
+ */
+#ifndef CONTROL_WAL_H
+#define CONTROL_WAL_H
+
+#include "base/err.h"
+#include "control/raft.h"
+
+__BEGIN_DECLS
+
+#define WAL_SEGMENT_BYTES (4 * 1024 * 1024)
+
+/* System calls that tests replace to inject failures. */
+struct wal_io {
+	ssize_t (*write)(void *arg, int fd, const void *, size_t);
+	int (*sync)(void *arg, int fd);
+	void *arg;
+};
+
+struct wal_init {
+	bool join;	   /* no members; another replica adds this one */
+	uint32_t instance; /* of the only member, without join */
+	struct str domain;
+};
+
+struct wal_snapshot {
+	uint64_t index, term;
+	const struct raft_member *members;
+	size_t nmembers;
+	struct str data;
+};
+
+struct wal;
+
+/* Fills an empty or missing directory. */
+enum status wal_init_dir(
+    const char *dir, const struct wal_init *, struct err *);
+/* Opens a directory, repairs a torn tail, raises the generation. io may be
+ * NULL. STATUS_NOT_FOUND: not initialised; STATUS_EXISTS: in use. */
+struct wal *wal_open(
+    TALLOC_CTX *, const char *dir, const struct wal_io *, struct err *);
+uint64_t wal_replica(const struct wal *);
+uint64_t wal_generation(const struct wal *);
+uint64_t wal_syncs(const struct wal *); /* of the log since wal_open */
+/* Fills all fields but seed; they point into the wal until wal_forget. */
+void wal_state(const struct wal *, struct raft_conf *);
+/* Releases the entries and snapshot read by wal_open. */
+void wal_forget(struct wal *);
+enum status wal_append(
+    struct wal *, const struct raft_entry *, size_t n, struct err *);
+enum status wal_hard_state(
+    struct wal *, uint64_t term, uint64_t voted_for, struct err *);
+/* Drops all entries from an index on. */
+enum status wal_truncate(struct wal *, uint64_t from, struct err *);
+enum status wal_sync(struct wal *, struct err *);
+/* Writes all of a RAFT_ACT_PERSIST; wal_sync makes it durable. */
+enum status wal_persist(struct wal *, const struct raft_act *, struct err *);
+/* Durable on return; drops the log it covers. received: all of the log. */
+enum status wal_snapshot_save(
+    struct wal *, const struct wal_snapshot *, bool received, struct err *);
+/* The snapshot on disk; memory is owned by ctx. */
+enum status wal_snapshot_load(
+    struct wal *, TALLOC_CTX *ctx, struct wal_snapshot *, struct err *);
+/* To be called with each HELLO of a replica: STATUS_STALE if it runs on an
+ * older copy of its directory. Remembers the newest generation on disk. */
+enum status wal_peer_check(struct wal *, uint64_t replica, uint64_t generation,
+    uint64_t incarnation, struct err *);
+
+__END_DECLS
+
+#endif
--- /dev/null
+++ b/src/control/wal_rec.c
@@ -0,0 +1,114 @@
+#include <string.h>
+
+#include "base/crc.h"
+#include "control/wal_priv.h"
+
+/* Stores a number in little-endian order. */
+void
+wal_put32(uint8_t *p, uint32_t v)
+{
+	int i;
+
+	for (i = 0; i < 4; i++)
+		p[i] = (uint8_t)(v >> (8 * i));
+}
+
+/* Stores a number in little-endian order. */
+void
+wal_put64(uint8_t *p, uint64_t v)
+{
+	wal_put32(p, (uint32_t)v);
+	wal_put32(p + 4, (uint32_t)(v >> 32));
+}
+
+/* Reads a number in little-endian order. */
+uint32_t
+wal_get32(const uint8_t *p)
+{
+	return (uint32_t)p[0] | (uint32_t)p[1] << 8 | (uint32_t)p[2] << 16 |
+	    (uint32_t)p[3] << 24;
+}
+
+/* Reads a number in little-endian order. */
+uint64_t
+wal_get64(const uint8_t *p)
+{
+	return wal_get32(p) | (uint64_t)wal_get32(p + 4) << 32;
+}
+
+/*
+ * Fills the header of a record whose payload is the concatenation of parts.
+ * Returns the length of the payload.
+ */
+size_t
+wal_rec_head(uint8_t *head, enum wal_rec_type type, uint32_t salt,
+    const struct str *parts, size_t nparts)
+{
+	size_t i, len = 0;
+	uint32_t crc;
+
+	for (i = 0; i < nparts; i++)
+		len += parts[i].len;
+	head[0] = WAL_REC_MAGIC & 0xff;
+	head[1] = WAL_REC_MAGIC >> 8;
+	head[2] = (uint8_t)type;
+	head[3] = 0;
+	wal_put32(head + 4, (uint32_t)len);
+	crc = crc32c(salt, head, 8);
+	for (i = 0; i < nparts; i++)
+		crc = crc32c(crc, parts[i].p, parts[i].len);
+	wal_put32(head + 8, crc);
+	return len;
+}
+
+static size_t
+payload_min(enum wal_rec_type type)
+{
+	switch (type) {
+	case WAL_REC_SEGMENT:
+		return 28;
+	case WAL_REC_ENTRY:
+		return 17;
+	case WAL_REC_HARD:
+		return 16;
+	case WAL_REC_CUT:
+		return 8;
+	default:
+		return SIZE_MAX;
+	}
+}
+
+/* Decodes the record at p; false if there is no complete and valid one. */
+bool
+wal_rec_parse(const uint8_t *p, size_t len, uint32_t salt, struct wal_rec *r)
+{
+	uint32_t crc;
+
+	if (len < WAL_REC_HEAD || p[0] != (WAL_REC_MAGIC & 0xff) ||
+	    p[1] != WAL_REC_MAGIC >> 8 || p[2] < WAL_REC_SEGMENT ||
+	    p[2] >= WAL_REC_END || p[3] != 0)
+		return false;
+	r->type = (enum wal_rec_type)p[2];
+	r->len = wal_get32(p + 4);
+	if (r->len > WAL_REC_MAX || r->len > len - WAL_REC_HEAD ||
+	    r->len < payload_min(r->type))
+		return false;
+	r->p = p + WAL_REC_HEAD;
+	r->size = r->len + WAL_REC_HEAD;
+	crc = crc32c(salt, p, 8);
+	return crc32c(crc, r->p, r->len) == wal_get32(p + 8);
+}
+
+/* Tells whether a valid record starts anywhere in the bytes. */
+bool
+wal_rec_any(const uint8_t *p, size_t len, uint32_t salt)
+{
+	struct wal_rec r;
+	size_t i;
+
+	for (i = 0; i + WAL_REC_HEAD <= len; i++) {
+		if (wal_rec_parse(p + i, len - i, salt, &r))
+			return true;
+	}
+	return false;
+}
