--- /dev/null
+++ b/src/cli/cmd.c
@@ -0,0 +1,604 @@
+#include "cli/cmd.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "base/log.h"
+#include "cli/cls.h"
+#include "cli/set.h"
+
+#define NELEM(a)	 (sizeof(a) / sizeof((a)[0]))
+#define CHANGE_ID_BYTES	 16
+#define MAX_COLUMNS	 16
+#define MIB_SUFFIX_BYTES (1024 * 1024)
+#define TASKS_MAX	 1000000
+
+static int
+fail(int code, const struct err *e)
+{
+	fprintf(stderr, "cicadabay: %s: %s\n", status_name(e->status), e->msg);
+	return code;
+}
+
+static int
+exit_code(enum status st)
+{
+	switch (st) {
+	case STATUS_OK:
+		return EXIT_DONE;
+	case STATUS_UNKNOWN:
+	case STATUS_TIMEOUT:
+		return EXIT_UNKNOWN;
+	case STATUS_UNAVAILABLE:
+		return EXIT_UNREACHABLE;
+	default:
+		return EXIT_REFUSED;
+	}
+}
+
+static const char *
+member_text(struct json_object *o, const char *key, const char *def)
+{
+	struct json_object *v;
+
+	if (o == NULL || !json_object_object_get_ex(o, key, &v))
+		return def;
+	return json_object_get_string(v);
+}
+
+static enum status
+reply_status(const struct http_reply *r)
+{
+	const char *name = member_text(r->body, "status", NULL);
+	int i;
+
+	for (i = 0; name != NULL && i < STATUS_COUNT; i++) {
+		if (strcmp(status_name((enum status)i), name) == 0)
+			return (enum status)i;
+	}
+	return r->code >= 200 && r->code < 300 ? STATUS_OK : STATUS_REFUSED;
+}
+
+/* Sends a request and prints a refusal; the exit code of the command. */
+static int
+call(const struct cmd_options *opt, TALLOC_CTX *ctx, const char *method,
+    const char *path, const char *body, bool resend, struct http_reply *r)
+{
+	struct http_client c = { opt->instances, opt->timeout_ms };
+	struct err e;
+	enum status st;
+
+	err_clear(&e);
+	st = http_call(&c, ctx, method, path, body, resend, r, &e);
+	if (st != STATUS_OK)
+		return fail(exit_code(st), &e);
+	st = reply_status(r);
+	if (st != STATUS_OK) {
+		if (opt->json)
+			printf("%s\n", r->text);
+		err_set(&e, st, "%s", member_text(r->body, "message", r->text));
+		return fail(exit_code(st), &e);
+	}
+	return EXIT_DONE;
+}
+
+static char *
+new_change_id(TALLOC_CTX *ctx, const struct cmd_options *opt)
+{
+	unsigned char raw[CHANGE_ID_BYTES];
+	char *id;
+	size_t i;
+
+	if (opt->change_id != NULL)
+		return talloc_strdup(ctx, opt->change_id);
+	if (getrandom(raw, sizeof(raw), 0) != (ssize_t)sizeof(raw))
+		abort();
+	id = talloc_strdup(ctx, "");
+	for (i = 0; i < sizeof(raw); i++)
+		id = talloc_asprintf_append(id, "%02x", raw[i]);
+	return id;
+}
+
+/* Names the change id, with which the same change can be sent again. */
+static int
+explain_unknown(int code, const char *change_id)
+{
+	if (code == EXIT_UNKNOWN || code == EXIT_UNREACHABLE)
+		fprintf(stderr,
+		    "cicadabay: send it again with --change-id %s "
+		    "to learn the outcome without a second change\n",
+		    change_id);
+	return code;
+}
+
+static void
+print_cell(struct json_object *v, int width)
+{
+	const char *text = v == NULL ? "-" : json_object_get_string(v);
+
+	printf("%-*s  ", width, text);
+}
+
+static int
+column_width(struct json_object *rows, const char *column)
+{
+	size_t i, n = json_object_array_length(rows);
+	int width = (int)strlen(column);
+
+	for (i = 0; i < n; i++) {
+		const char *t = member_text(
+		    json_object_array_get_idx(rows, i), column, "-");
+
+		if ((int)strlen(t) > width)
+			width = (int)strlen(t);
+	}
+	return width;
+}
+
+static void
+show_rows(struct json_object *rows, const char *const *columns)
+{
+	int width[MAX_COLUMNS];
+	size_t i, c, n = json_object_array_length(rows);
+
+	for (c = 0; columns[c] != NULL; c++) {
+		width[c] = column_width(rows, columns[c]);
+		printf("%-*s  ", width[c], columns[c]);
+	}
+	printf("\n");
+	for (i = 0; i < n; i++) {
+		struct json_object *row = json_object_array_get_idx(rows, i);
+
+		for (c = 0; columns[c] != NULL; c++) {
+			struct json_object *v = NULL;
+
+			json_object_object_get_ex(row, columns[c], &v);
+			print_cell(v, width[c]);
+		}
+		printf("\n");
+	}
+}
+
+static void
+show_members(struct json_object *o)
+{
+	json_object_object_foreach(o, key, val)
+	{
+		if (!json_object_is_type(val, json_type_array) &&
+		    !json_object_is_type(val, json_type_object))
+			printf("%-32s %s\n", key, json_object_get_string(val));
+	}
+}
+
+/*
+ * Prints the rows of a command's list as columns after the plain members of
+ * the body, or the whole body as JSON.
+ */
+void
+cmd_show(const struct cmd *cmd, struct json_object *body, bool json)
+{
+	struct json_object *rows;
+
+	if (json || body == NULL) {
+		printf("%s\n", json_object_to_json_string(body));
+		return;
+	}
+	if (cmd->list == NULL) {
+		show_members(body);
+		return;
+	}
+	if (cmd->columns == NULL) {
+		printf("%s\n", member_text(body, cmd->list, ""));
+		return;
+	}
+	show_members(body);
+	if (json_object_object_get_ex(body, cmd->list, &rows) &&
+	    json_object_is_type(rows, json_type_array))
+		show_rows(rows, cmd->columns);
+}
+
+/*
+ * Commands that are one read or deletion. Both have the same effect when sent
+ * twice, and so are sent to the next instance after a lost answer.
+ */
+static int
+run_request(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct http_reply r;
+	char *path;
+	int code;
+
+	if (args[0] == NULL)
+		path = talloc_strdup(ctx, cmd->path);
+	else
+		path = talloc_asprintf(
+		    ctx, "%s%s%s", cmd->prefix, args[0], cmd->suffix);
+	code = call(opt, ctx, cmd->method, path, NULL, true, &r);
+	if (code == EXIT_DONE)
+		cmd_show(cmd, r.body, opt->json);
+	http_reply_finish(&r);
+	talloc_free(ctx);
+	return code;
+}
+
+static int
+current_version(const struct cmd_options *opt, TALLOC_CTX *ctx, int64_t *v)
+{
+	struct http_reply r;
+	int code = call(opt, ctx, "GET", "/v1/classes", NULL, true, &r);
+
+	if (code == EXIT_DONE)
+		*v = strtoll(member_text(r.body, "version", "0"), NULL, 10);
+	http_reply_finish(&r);
+	return code;
+}
+
+static int
+run_apply(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	char *id = new_change_id(ctx, opt);
+	int64_t version = opt->version;
+	struct http_reply r = { 0 };
+	struct cls_file *file;
+	int code = EXIT_DONE;
+	struct err e;
+
+	err_clear(&e);
+	file = cls_load(ctx, args[0], &e);
+	if (file == NULL) {
+		code = fail(EXIT_REFUSED, &e);
+		goto out;
+	}
+	if (version < 0)
+		code = current_version(opt, ctx, &version);
+	if (code != EXIT_DONE)
+		goto out;
+	code = explain_unknown(
+	    call(opt, ctx, "PUT", "/v1/classes",
+		cls_to_json(ctx, file, id, (uint64_t)version), true, &r),
+	    id);
+	if (code == EXIT_DONE)
+		cmd_show(cmd, r.body, opt->json);
+out:
+	http_reply_finish(&r);
+	talloc_free(ctx);
+	return code;
+}
+
+static enum status
+parse_scaled(
+    const struct ini_field *f, const char *text, int64_t *out, struct err *e)
+{
+	const struct ini_group group = { "option", f, 1, NULL, 0 };
+	char *file = talloc_asprintf(NULL, "[option]\n%s = %s\n", f->key, text);
+	struct ini *ini =
+	    ini_parse(file, "command line", str_from(file), &group, 1, e);
+	enum status st =
+	    ini == NULL ? e->status : ini_decode(ini, file, &group, 0, out, e);
+
+	talloc_free(file);
+	return st;
+}
+
+static enum status
+submit_body(const struct cmd_options *opt, const char *id, char **out,
+    TALLOC_CTX *ctx, struct err *e)
+{
+	static const struct ini_field memory = { "memory", INI_SIZE, 0, NULL, 0,
+		INT64_MAX, "a size" };
+	static const struct ini_field run_time = { "run-time", INI_DURATION, 0,
+		NULL, 0, INT64_MAX, "a duration" };
+	struct json_object *o, *spec;
+	int64_t bytes = 0, run_ms = 0;
+
+	if (opt->class_name == NULL || opt->cpu <= 0 || opt->tasks < 1 ||
+	    opt->tasks > TASKS_MAX || opt->memory == NULL)
+		return err_set(e, STATUS_INVALID,
+		    "submit needs --class, --cpu above 0, --memory, and "
+		    "--tasks from 1 to %d",
+		    TASKS_MAX);
+	if (parse_scaled(&memory, opt->memory, &bytes, e) != STATUS_OK)
+		return e->status;
+	if (opt->run_time != NULL &&
+	    parse_scaled(&run_time, opt->run_time, &run_ms, e) != STATUS_OK)
+		return e->status;
+	o = json_object_new_object();
+	spec = json_object_new_object();
+	json_object_object_add(o, "change_id", json_object_new_string(id));
+	json_object_object_add(o, "spec", spec);
+	json_object_object_add(
+	    spec, "class_name", json_object_new_string(opt->class_name));
+	json_object_object_add(spec, "tasks", json_object_new_int(opt->tasks));
+	json_object_object_add(spec, "cpu_milli",
+	    json_object_new_int64((int64_t)(opt->cpu * 1000 + 0.5)));
+	json_object_object_add(spec, "mem_mb",
+	    json_object_new_int64(
+		(bytes + MIB_SUFFIX_BYTES - 1) / MIB_SUFFIX_BYTES));
+	json_object_object_add(
+	    spec, "accel", json_object_new_int(opt->accelerators));
+	json_object_object_add(
+	    spec, "gang", json_object_new_boolean(opt->gang));
+	if (run_ms > 0)
+		json_object_object_add(
+		    spec, "run_ms", json_object_new_int64(run_ms));
+	if (opt->payload != NULL)
+		json_object_object_add(
+		    spec, "payload", json_object_new_string(opt->payload));
+	*out = talloc_strdup(ctx, json_object_to_json_string(o));
+	json_object_put(o);
+	return STATUS_OK;
+}
+
+static int
+run_submit(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	char *id = new_change_id(ctx, opt), *body = NULL;
+	struct http_reply r = { 0 };
+	struct err e;
+	int code;
+
+	(void)args;
+	err_clear(&e);
+	if (submit_body(opt, id, &body, ctx, &e) != STATUS_OK) {
+		code = fail(EXIT_USAGE, &e);
+	} else {
+		code = explain_unknown(
+		    call(opt, ctx, "POST", "/v1/jobs", body, true, &r), id);
+		if (code == EXIT_DONE)
+			cmd_show(cmd, r.body, opt->json);
+	}
+	http_reply_finish(&r);
+	talloc_free(ctx);
+	return code;
+}
+
+/* Drains a worker, which may be sent twice, or the first instance only. */
+static int
+run_drain(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct json_object *body = json_object_new_object();
+	struct http_reply r;
+	int code;
+
+	if (args[0] != NULL)
+		json_object_object_add(
+		    body, "worker", json_object_new_string(args[0]));
+	code = call(opt, ctx, "POST", "/v1/drain",
+	    json_object_to_json_string(body), args[0] != NULL, &r);
+	if (code == EXIT_DONE)
+		cmd_show(cmd, r.body, opt->json);
+	json_object_put(body);
+	http_reply_finish(&r);
+	talloc_free(ctx);
+	return code;
+}
+
+static int
+with_settings(
+    const struct cmd_options *opt, char **args, struct set *s, TALLOC_CTX *ctx)
+{
+	const char *file = opt->config != NULL ? opt->config : args[0];
+	struct err e;
+
+	err_clear(&e);
+	if (file == NULL) {
+		err_set(&e, STATUS_INVALID, "expected a settings file");
+		return fail(EXIT_USAGE, &e);
+	}
+	if (set_load(ctx, file, s, &e) != STATUS_OK)
+		return fail(EXIT_REFUSED, &e);
+	log_set_level(s->log_level);
+	return EXIT_DONE;
+}
+
+static int
+run_serve(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct set s;
+	struct err e;
+	int code = with_settings(opt, args, &s, ctx);
+
+	(void)cmd;
+	err_clear(&e);
+	if (code == EXIT_DONE && node_run(&s.node, &e) != 0)
+		code = fail(EXIT_REFUSED, &e);
+	talloc_free(ctx);
+	return code;
+}
+
+static int
+run_init(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct set s;
+	struct err e;
+	int code = with_settings(opt, args, &s, ctx);
+
+	(void)cmd;
+	err_clear(&e);
+	if (code == EXIT_DONE && node_init_group(&s.node, &e) != STATUS_OK)
+		code = fail(EXIT_REFUSED, &e);
+	talloc_free(ctx);
+	return code;
+}
+
+static int
+run_check(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct set s;
+	int code = with_settings(opt, args, &s, ctx);
+
+	(void)cmd;
+	if (code == EXIT_DONE)
+		printf("settings are valid\n");
+	talloc_free(ctx);
+	return code;
+}
+
+static int
+run_settings(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	char *t = set_table(NULL);
+
+	(void)cmd;
+	(void)opt;
+	(void)args;
+	fputs(t, stdout);
+	talloc_free(t);
+	return EXIT_DONE;
+}
+
+static const char *const class_columns[] = { "name", "urgent", "percentile_x10",
+	"bound_ms", "timeout_ms", "finish_per_hour", "team", NULL };
+static const char *const instance_columns[] = { "instance", "domain", "replica",
+	"config_version", "beat_age_ms", "draining", NULL };
+static const char *const worker_columns[] = { "name", "epoch", "addr", "slots",
+	"cpu_milli", "mem_mb", "accel", "rack", "domain", "tasks", "draining",
+	"quarantined", NULL };
+static const char *const job_columns[] = { "id", "state", "pending", "running",
+	"done", "failed", "evictions", "reason", NULL };
+static const char *const status_columns[] = { "name", "attained_x1000_1m",
+	"attained_x1000_10m", "requests", "late", "batch_done", "at_risk",
+	"reason", NULL };
+static const char *const member_columns[] = { "replica", "instance", "voter",
+	"domain", NULL };
+
+const struct cmd cmds[] = {
+	{ .name = "serve",
+	    .args = "-c FILE.ini",
+	    .run = run_serve,
+	    .help = "run an entry instance until SIGTERM" },
+	{ .name = "init",
+	    .args = "-c FILE.ini",
+	    .run = run_init,
+	    .help = "create the group's first replica; once per group" },
+	{ .name = "check",
+	    .args = "FILE.ini",
+	    .max_args = 1,
+	    .run = run_check,
+	    .help = "check a settings file" },
+	{ .name = "settings",
+	    .args = "",
+	    .run = run_settings,
+	    .help = "list all settings with default and meaning" },
+	{ .name = "apply",
+	    .args = "CLASSES.ini",
+	    .min_args = 1,
+	    .max_args = 1,
+	    .run = run_apply,
+	    .help = "replace all classes and teams" },
+	{ .name = "classes",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/classes",
+	    .list = "classes",
+	    .columns = class_columns,
+	    .help = "show classes and their targets" },
+	{ .name = "instances",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/instances",
+	    .list = "instances",
+	    .columns = instance_columns,
+	    .help = "show entry instances" },
+	{ .name = "workers",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/workers",
+	    .list = "workers",
+	    .columns = worker_columns,
+	    .help = "show workers" },
+	{ .name = "jobs",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/jobs",
+	    .list = "jobs",
+	    .columns = job_columns,
+	    .help = "show jobs" },
+	{ .name = "submit",
+	    .run = run_submit,
+	    .args = "--class NAME --cpu N --memory SIZE [--tasks N]",
+	    .help = "submit a job" },
+	{ .name = "cancel",
+	    .args = "JOB",
+	    .min_args = 1,
+	    .max_args = 1,
+	    .run = run_request,
+	    .method = "DELETE",
+	    .prefix = "/v1/jobs/",
+	    .suffix = "",
+	    .help = "cancel a job" },
+	{ .name = "why",
+	    .args = "JOB",
+	    .min_args = 1,
+	    .max_args = 1,
+	    .run = run_request,
+	    .method = "GET",
+	    .prefix = "/v1/jobs/",
+	    .suffix = "/why",
+	    .list = "text",
+	    .help = "tell why a job waits or where it runs" },
+	{ .name = "status",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/status",
+	    .list = "classes",
+	    .columns = status_columns,
+	    .help = "show the leader and how classes meet their targets" },
+	{ .name = "drain",
+	    .args = "[WORKER]",
+	    .max_args = 1,
+	    .run = run_drain,
+	    .help = "drain a worker, or stop the first instance gracefully" },
+	{ .name = "counters",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/counters",
+	    .help = "show an instance's counters" },
+	{ .name = "members",
+	    .args = "",
+	    .run = run_request,
+	    .method = "GET",
+	    .path = "/v1/members",
+	    .list = "members",
+	    .columns = member_columns,
+	    .help = "show the group's replicas" },
+	{ .name = "remove-member",
+	    .args = "REPLICA",
+	    .min_args = 1,
+	    .max_args = 1,
+	    .run = run_request,
+	    .method = "DELETE",
+	    .prefix = "/v1/members/",
+	    .suffix = "",
+	    .help = "remove a lost replica from the group" },
+};
+const size_t ncmds = NELEM(cmds);
+
+/* Finds a command by its name; NULL if there is none. */
+const struct cmd *
+cmd_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < ncmds; i++) {
+		if (strcmp(cmds[i].name, name) == 0)
+			return &cmds[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/cli/cmd.h
@@ -0,0 +1,60 @@
+/* Commands of the binary, one descriptor each. */
+#ifndef CLI_CMD_H
+#define CLI_CMD_H
+
+#include "cli/http.h"
+
+__BEGIN_DECLS
+
+/* Exit codes. */
+enum {
+	EXIT_DONE = 0,
+	EXIT_REFUSED = 1, /* a typed reason was printed */
+	EXIT_USAGE = 2,
+	EXIT_UNREACHABLE = 3, /* no instance answered */
+	EXIT_UNKNOWN = 4      /* the outcome of a change is unknown */
+};
+
+struct cmd_options {
+	char **instances;
+	char *config; /* -c */
+	char *change_id;
+	char *class_name; /* submit */
+	char *memory;
+	char *run_time;
+	char *payload;
+	double cpu;
+	int tasks;
+	int accelerators;
+	int gang;
+	int json;
+	int64_t version; /* apply; -1: the current one */
+	int timeout_ms;
+};
+
+struct cmd {
+	const char *name;
+	const char *args; /* as shown in the usage line */
+	const char *help;
+	int min_args, max_args;
+	int (*run)(const struct cmd *, const struct cmd_options *, char **args);
+	/* Of commands that are one HTTP request. */
+	const char *method;
+	const char *path;	    /* without an argument */
+	const char *prefix;	    /* before the argument, */
+	const char *suffix;	    /* and behind it */
+	const char *list;	    /* member that holds the rows, or NULL */
+	const char *const *columns; /* NULL at the end */
+};
+
+extern const struct cmd cmds[];
+extern const size_t ncmds;
+
+const struct cmd *cmd_find(const char *name);
+
+/* Prints body as columns, or as JSON. */
+void cmd_show(const struct cmd *, struct json_object *body, bool json);
+
+__END_DECLS
+
+#endif
