Print nested counters by group

Change: members of an object are printed behind its name. Measured: counters of a running instance are listed as node.http_requests and so on.

--- a/src/cli/cmd.c
+++ b/src/cli/cmd.c
@@ -162,14 +162,20 @@
 	}
 }
 
+/* Prints plain members, and those of an object behind the object's name. */
 static void
-show_members(struct json_object *o)
+show_members(struct json_object *o, const char *group)
 {
 	json_object_object_foreach(o, key, val)
 	{
-		if (!json_object_is_type(val, json_type_array) &&
-		    !json_object_is_type(val, json_type_object))
-			printf("%-32s %s\n", key, json_object_get_string(val));
+		if (json_object_is_type(val, json_type_array))
+			continue;
+		if (json_object_is_type(val, json_type_object))
+			show_members(val, key);
+		else
+			printf("%s%s%-32s %s\n", group,
+			    *group == '\0' ? "" : ".", key,
+			    json_object_get_string(val));
 	}
 }
 
@@ -187,14 +193,14 @@
 		return;
 	}
 	if (cmd->list == NULL) {
-		show_members(body);
+		show_members(body, "");
 		return;
 	}
 	if (cmd->columns == NULL) {
 		printf("%s\n", member_text(body, cmd->list, ""));
 		return;
 	}
-	show_members(body);
+	show_members(body, "");
 	if (json_object_object_get_ex(body, cmd->list, &rows) &&
 	    json_object_is_type(rows, json_type_array))
 		show_rows(rows, cmd->columns);
