--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -66,6 +66,7 @@
 step cppcheck make -s cppcheck
 unit build/rel
 unit build/asan
+step docs scripts/docs.sh --check
 [ -x scripts/model.sh ] && step model scripts/model.sh small
 for t in tests/*.sh; do
 	[ -e "$t" ] || continue
--- /dev/null
+++ b/scripts/docs.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Writes the tables that the binary prints into the pages that show them;
+# with --check it only tells whether a page differs.
+set -eu
+cd "$(dirname "$0")/.."
+binary=build/rel/cicadabay
+
+# block FILE NAME COMMAND...: what stands between <!-- NAME --> and
+# <!-- /NAME --> is the output of the command.
+block() {
+	local file=$1 name=$2
+	shift 2
+	"$binary" "$@" >build/docs.block
+	awk -v open="<!-- $name -->" -v close_="<!-- /$name -->" \
+	    -v block=build/docs.block '
+		$0 == close_ { skip = 0 }
+		!skip { print }
+		$0 == open { skip = 1
+			print ""
+			while ((getline line < block) > 0) print line
+			print "" }' "$file" >build/docs.new
+	if ! cmp -s "$file" build/docs.new; then
+		[ "$mode" = write ] || { echo "$file: the table of $name differs; run scripts/docs.sh"; exit 1; }
+		cp build/docs.new "$file"
+	fi
+}
+
+mode=write
+[ "${1-}" = --check ] && mode=check
+block docs/operations.md settings settings
+block docs/operations.md counters explain
--- a/src/cli/cmd.c
+++ b/src/cli/cmd.c
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "cli/cls.h"
+#include "cli/explain.h"
 #include "cli/set.h"
 
 #define NELEM(a)	 (sizeof(a) / sizeof((a)[0]))
@@ -463,6 +464,19 @@
 	return EXIT_DONE;
 }
 
+static int
+run_explain(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	char *t = explain_counters(NULL);
+
+	(void)cmd;
+	(void)opt;
+	(void)args;
+	fputs(t, stdout);
+	talloc_free(t);
+	return EXIT_DONE;
+}
+
 static const char *const class_columns[] = { "name", "urgent", "percentile_x10",
 	"bound_ms", "timeout_ms", "finish_per_hour", "team", NULL };
 static const char *const instance_columns[] = { "instance", "domain", "replica",
@@ -576,6 +590,10 @@
 	    .method = "GET",
 	    .path = "/v1/counters",
 	    .help = "show an instance's counters" },
+	{ .name = "explain",
+	    .args = "",
+	    .run = run_explain,
+	    .help = "list all counters with their meaning" },
 	{ .name = "members",
 	    .args = "",
 	    .run = run_request,
