--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -192,7 +192,6 @@
 	for (i = 0; i < st_nworkers(c->st); i++)
 		cell_worker_up(c, st_worker_at(c->st, i)->epoch);
 	cell_sched_rebuild(c);
-	cell_held_run(c);
 }
 
 /* Drops all that a leader holds; everything that waits gets its result. */
@@ -440,6 +439,7 @@
 cell_drain(struct cell *c)
 {
 	if (c->serving) {
+		cell_held_run(c);
 		cell_lease_check(c);
 		cell_housekeeping(c);
 	}
@@ -475,6 +475,12 @@
 	c->now = now;
 	c->step = talloc_new(c);
 	c->st = st_new(c);
+	/* Grown by their users, which keep the parent of the array. */
+	c->racts.cap = c->sacts.cap = CELL_ACTS_FIRST;
+	c->racts.v = talloc_array(c, struct raft_act, c->racts.cap);
+	c->sacts.v = talloc_array(c, struct sched_act, c->sacts.cap);
+	if (c->racts.v == NULL || c->sacts.v == NULL)
+		abort();
 	ctr_init(&c->ctr, c, cell_ctr_desc, CELL_C_COUNT);
 	c->pend_end = &c->pend_first;
 	c->batch_end = &c->batch_first;
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -20,6 +20,7 @@
 /* Ops that wait for the leader's first commit or for proof of leadership. */
 #define CELL_WAITING_MAX 8192
 #define CELL_ORDERS_MAX	 256 /* in one poll reply */
+#define CELL_ACTS_FIRST	 16
 #define CELL_QUERY_MAX	 1000
 #define CELL_ASSIGN_MAX	 8192 /* tasks in one record, far below its limit */
 
