--- a/src/control/cell_query.c
+++ b/src/control/cell_query.c
@@ -232,7 +232,7 @@
 static void
 query_why(struct cell *c, uint64_t id, Control__OpResult *r)
 {
-	const struct st_job *j = st_job(c->st, id);
+	const struct st_job *j = st_job_get(c->st, id);
 	char *text;
 
 	if (j == NULL) {
@@ -281,7 +281,7 @@
 		query_jobs(c, q, r);
 		break;
 	case CONTROL__QUERY_KIND__QUERY_JOB:
-		j = st_job(c->st, q->id);
+		j = st_job_get(c->st, q->id);
 		if (j == NULL) {
 			r->status = STATUS_NOT_FOUND;
 			r->message =
--- a/src/control/cell_sched.c
+++ b/src/control/cell_sched.c
@@ -42,7 +42,7 @@
 static void
 job_forget(struct cell *c, uint64_t id)
 {
-	const struct st_job *sj = st_job(c->st, id);
+	const struct st_job *sj = st_job_get(c->st, id);
 	struct cell_job *j = cell_job(c, id);
 
 	if (j == NULL || (sj != NULL && sj->tasks != NULL))
@@ -56,12 +56,12 @@
 start_add(struct cell *c, const struct sched_act *a)
 {
 	uint64_t task = a->u.task.task;
-	const struct st_task *t = st_task(c->st, task);
+	const struct st_task *t = st_task_get(c->st, task);
 	Control__Assignment *m;
 	struct cell_start *s;
 
 	if (t == NULL || t->state != ST_TASK_PENDING ||
-	    st_worker(c->st, a->u.task.epoch) == NULL)
+	    st_worker_get(c->st, a->u.task.epoch) == NULL)
 		return false;
 	if (c->assign == NULL) {
 		c->assign = talloc(c, Control__Command);
@@ -99,7 +99,7 @@
 static void
 order_act(struct cell *c, const struct sched_act *a, Control__OrderKind kind)
 {
-	const struct st_task *t = st_task(c->st, a->u.task.task);
+	const struct st_task *t = st_task_get(c->st, a->u.task.task);
 	struct cell_order o = { .kind = kind, .task = a->u.task.task };
 
 	if (t == NULL || t->epoch != a->u.task.epoch)
@@ -447,7 +447,7 @@
 		cell_worker_gone(c, n->id);
 		break;
 	case ST_NOTE_WORKER_DRAIN:
-		sw = st_worker(c->st, n->id);
+		sw = st_worker_get(c->st, n->id);
 		if (sw != NULL) {
 			Control__WorkerUp *up = st_worker_up(sw, c->step);
 
@@ -460,7 +460,7 @@
 		cell_sched(c, &ev);
 		break;
 	case ST_NOTE_JOB_SUBMIT:
-		cell_sched_job(c, st_job(c->st, n->id));
+		cell_sched_job(c, st_job_get(c->st, n->id));
 		break;
 	case ST_NOTE_JOB_CANCEL:
 		ev = (struct sched_ev){ .kind = SCHED_EV_JOB_CANCEL };
--- a/src/control/cell_worker.c
+++ b/src/control/cell_worker.c
@@ -22,7 +22,7 @@
 void
 cell_worker_up(struct cell *c, uint64_t epoch)
 {
-	const struct st_worker *sw = st_worker(c->st, epoch);
+	const struct st_worker *sw = st_worker_get(c->st, epoch);
 	struct cell_worker *w;
 	struct sched_ev ev = { .kind = SCHED_EV_WORKER_UP };
 	Control__WorkerUp *up;
@@ -162,7 +162,7 @@
 static void
 feed_running(struct cell *c, uint64_t epoch, uint64_t task)
 {
-	const struct st_task *t = st_task(c->st, task);
+	const struct st_task *t = st_task_get(c->st, task);
 	struct cell_worker *w = cell_worker(c, epoch);
 	struct sched_ev ev = { .kind = SCHED_EV_TASK_RUNNING };
 	size_t i;
@@ -273,7 +273,7 @@
 cell_poll(
     struct cell *c, struct cell_from from, const Control__WorkerPoll *poll)
 {
-	const struct st_worker *sw = st_worker(c->st, poll->epoch);
+	const struct st_worker *sw = st_worker_get(c->st, poll->epoch);
 	struct cell_worker *cw = cell_worker(c, poll->epoch);
 	struct cell_wait *w = cell_wait(c, CELL_WAIT_POLL, from);
 	size_t i;
@@ -319,7 +319,7 @@
 	uint32_t i;
 
 	for (i = 0; i < sw->ntasks; i++) {
-		const struct st_task *t = st_task(c->st, sw->tasks[i]);
+		const struct st_task *t = st_task_get(c->st, sw->tasks[i]);
 		struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_STOP,
 			.task = sw->tasks[i] };
 
@@ -344,7 +344,7 @@
 	size_t i;
 
 	for (i = 0; i < poll->n_running; i++) {
-		const struct st_task *t = st_task(c->st, poll->running[i]);
+		const struct st_task *t = st_task_get(c->st, poll->running[i]);
 		struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_STOP,
 			.task = poll->running[i] };
 
@@ -358,8 +358,8 @@
 order_fill(struct cell *c, uint64_t epoch, const struct cell_order *o)
 {
 	Control__Order *m = talloc(c->step, Control__Order);
-	const struct st_job *j = st_job(c->st, o->task >> ST_TASK_BITS);
-	const struct st_task *t = st_task(c->st, o->task);
+	const struct st_job *j = st_job_get(c->st, o->task >> ST_TASK_BITS);
+	const struct st_task *t = st_task_get(c->st, o->task);
 	Control__JobSpec *spec;
 
 	if (m == NULL)
@@ -401,7 +401,7 @@
 cell_poll_answer(struct cell *c, struct cell_wait *w)
 {
 	const Control__WorkerPoll *poll = w->poll->msg;
-	const struct st_worker *sw = st_worker(c->st, poll->epoch);
+	const struct st_worker *sw = st_worker_get(c->st, poll->epoch);
 	struct cell_worker *cw = cell_worker(c, poll->epoch);
 	Control__OpResult *r = talloc(c->step, Control__OpResult);
 	size_t i;
--- a/src/control/st.h
+++ b/src/control/st.h
@@ -137,12 +137,12 @@
 const Control__Config *st_config(const struct st *);
 size_t st_njobs(const struct st *);
 const struct st_job *st_job_at(const struct st *, size_t i); /* by id */
-const struct st_job *st_job(const struct st *, uint64_t id);
-const struct st_task *st_task(const struct st *, uint64_t task);
+const struct st_job *st_job_get(const struct st *, uint64_t id);
+const struct st_task *st_task_get(const struct st *, uint64_t task);
 Control__JobSpec *st_job_spec(const struct st_job *, TALLOC_CTX *);
 size_t st_nworkers(const struct st *);
 const struct st_worker *st_worker_at(const struct st *, size_t i); /* epoch */
-const struct st_worker *st_worker(const struct st *, uint64_t epoch);
+const struct st_worker *st_worker_get(const struct st *, uint64_t epoch);
 const struct st_worker *st_worker_named(const struct st *, struct str name);
 Control__WorkerUp *st_worker_up(const struct st_worker *, TALLOC_CTX *);
 /* Index of the last change of the table of workers. */
@@ -152,7 +152,7 @@
     uint64_t **epochs, size_t *n);
 size_t st_nkeys(const struct st *);
 const struct st_key *st_key_first(const struct st *); /* least recent */
-const struct st_key *st_key(
+const struct st_key *st_key_get(
     const struct st *, struct str class_name, struct str key);
 struct str st_key_type(const struct st_key *);
 struct str st_key_body(const struct st_key *);
--- a/src/control/st_job.c
+++ b/src/control/st_job.c
@@ -514,14 +514,14 @@
 
 /* Returns a job, or NULL. */
 const struct st_job *
-st_job(const struct st *st, uint64_t id)
+st_job_get(const struct st *st, uint64_t id)
 {
 	return job_mut(st, id);
 }
 
 /* Returns a task of a job that has not ended, or NULL. */
 const struct st_task *
-st_task(const struct st *st, uint64_t task)
+st_task_get(const struct st *st, uint64_t task)
 {
 	struct st_job *j;
 
--- a/src/control/st_key.c
+++ b/src/control/st_key.c
@@ -333,7 +333,7 @@
 
 /* Returns the record of a key, or NULL. */
 const struct st_key *
-st_key(const struct st *st, struct str class_name, struct str key)
+st_key_get(const struct st *st, struct str class_name, struct str key)
 {
 	struct key_name n = { class_name, key };
 
--- a/src/control/st_worker.c
+++ b/src/control/st_worker.c
@@ -320,7 +320,7 @@
 
 /* Returns the worker with a current epoch, or NULL. */
 const struct st_worker *
-st_worker(const struct st *st, uint64_t epoch)
+st_worker_get(const struct st *st, uint64_t epoch)
 {
 	size_t i = worker_pos(st, epoch);
 
