--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -31,6 +31,8 @@
 	    "Proposed assignments that the replicated state refused." },
 	[CELL_C_EVENTS_DROPPED] = { "cell_events_dropped",
 	    "Task events of an attempt or epoch that is not current." },
+	[CELL_C_TASKS_VANISHED] = { "cell_tasks_vanished",
+	    "Tasks that a worker lost without a report; check the worker." },
 	[CELL_C_KEYS_DROPPED] = { "cell_keys_dropped",
 	    "Idempotency records dropped after their retention." },
 	[CELL_C_SNAPSHOTS] = { "cell_snapshots", "Snapshots taken." },
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -39,6 +39,7 @@
 	CELL_C_ASSIGNED,
 	CELL_C_ASSIGN_REFUSED,
 	CELL_C_EVENTS_DROPPED,
+	CELL_C_TASKS_VANISHED,
 	CELL_C_KEYS_DROPPED,
 	CELL_C_SNAPSHOTS,
 	CELL_C_MEMBERS_ADDED,
@@ -57,6 +58,7 @@
 	Control__WorkerPoll *msg;
 	uint64_t event_ack;
 	bool confirmed, applied;
+	bool complete; /* its events are applied, no one was refused */
 };
 
 enum cell_wait_kind {
@@ -115,6 +117,13 @@
 	struct sched_res limit;
 };
 
+/* An order that was carried out: the task runs, or has ended there. */
+struct cell_had {
+	uint64_t task;
+	uint64_t seq;
+	uint32_t attempt;
+};
+
 /* The leader's view of a worker. */
 struct cell_worker {
 	uint64_t epoch;
@@ -122,6 +131,8 @@
 	bool quarantined;
 	struct cell_order *orders; /* not yet carried out, by seq */
 	size_t norders, caporders;
+	struct cell_had *had;
+	size_t nhad, caphad;
 	uint64_t *running; /* tasks reported as running */
 	size_t nrunning, caprunning;
 };
@@ -245,6 +256,8 @@
 void cell_worker_up(struct cell *, uint64_t epoch);
 void cell_worker_gone(struct cell *, uint64_t epoch);
 void cell_order_add(struct cell *, uint64_t epoch, const struct cell_order *);
+/* The task is no longer on the worker. */
+void cell_worker_task_gone(struct cell *, uint64_t epoch, uint64_t task);
 void cell_poll(struct cell *, struct cell_from, const Control__WorkerPoll *);
 void cell_poll_answer(struct cell *, struct cell_wait *);
 void cell_lease_check(struct cell *);
--- a/src/control/cell_op.c
+++ b/src/control/cell_op.c
@@ -181,6 +181,7 @@
 	case CELL_PEND_EVENTS:
 		/* The worker sends its events again. */
 		p->poll->poll->event_ack = 0;
+		p->poll->poll->complete = false;
 		p->poll->poll->applied = true;
 		break;
 	case CELL_PEND_LOST:
--- a/src/control/cell_sched.c
+++ b/src/control/cell_sched.c
@@ -228,20 +228,6 @@
 	cell_sched(c, &ev);
 }
 
-static void
-running_remove(struct cell *c, uint64_t epoch, uint64_t task)
-{
-	struct cell_worker *w = cell_worker(c, epoch);
-	size_t i;
-
-	for (i = 0; w != NULL && i < w->nrunning; i++) {
-		if (w->running[i] != task)
-			continue;
-		w->running[i] = w->running[--w->nrunning];
-		return;
-	}
-}
-
 static void
 task_event(struct cell *c, const struct st_note *n)
 {
@@ -267,7 +253,7 @@
 		break;
 	}
 	if (ev.kind != SCHED_EV_TASK_CHECKPOINT)
-		running_remove(c, n->epoch, n->id);
+		cell_worker_task_gone(c, n->epoch, n->id);
 	cell_sched(c, &ev);
 	job_forget(c, n->id >> ST_TASK_BITS);
 }
--- a/src/control/cell_worker.c
+++ b/src/control/cell_worker.c
@@ -130,19 +130,62 @@
 	return false;
 }
 
+static void
+had_add(struct cell_worker *w, const struct cell_order *o)
+{
+	size_t i;
+
+	if (o->kind == CONTROL__ORDER_KIND__ORDER_THROTTLE)
+		return;
+	for (i = 0; i < w->nhad && w->had[i].task != o->task; i++)
+		;
+	if (i == w->caphad) {
+		w->caphad = w->caphad == 0 ? 4 : 2 * w->caphad;
+		w->had = talloc_realloc(w, w->had, struct cell_had, w->caphad);
+		if (w->had == NULL)
+			abort();
+	}
+	if (i == w->nhad)
+		w->nhad++;
+	w->had[i] = (struct cell_had){ o->task, o->seq, o->attempt };
+}
+
 static void
 orders_done(struct cell_worker *w, uint64_t seq)
 {
 	size_t n = 0;
 
 	while (n < w->norders && w->orders[n].seq <= seq)
-		n++;
+		had_add(w, &w->orders[n++]);
 	if (n == 0)
 		return;
 	w->norders -= n;
 	memmove(w->orders, w->orders + n, w->norders * sizeof(*w->orders));
 }
 
+/* Forgets what is known of a task that has left the worker. */
+void
+cell_worker_task_gone(struct cell *c, uint64_t epoch, uint64_t task)
+{
+	struct cell_worker *w = cell_worker(c, epoch);
+	size_t i;
+
+	if (w == NULL)
+		return;
+	for (i = 0; i < w->nrunning; i++) {
+		if (w->running[i] == task) {
+			w->running[i] = w->running[--w->nrunning];
+			break;
+		}
+	}
+	for (i = 0; i < w->nhad; i++) {
+		if (w->had[i].task == task) {
+			w->had[i] = w->had[--w->nhad];
+			break;
+		}
+	}
+}
+
 /* Declares workers lost whose leases ended, all in one append. */
 void
 cell_lease_check(struct cell *c)
@@ -289,6 +332,7 @@
 		return;
 	if (poll->has_order_seq)
 		orders_done(cw, poll->order_seq);
+	w->poll->complete = true;
 	poll_events(c, w, sw);
 	for (i = 0; i < poll->n_running; i++)
 		feed_running(c, poll->epoch, poll->running[i]);
@@ -354,6 +398,48 @@
 	}
 }
 
+/*
+ * Ends tasks that a worker no longer has and says nothing about. A poll sent
+ * after an order was carried out lists the task, or holds its event, or that
+ * event is applied by now; else the worker has lost the task.
+ */
+static void
+tasks_vanished(
+    struct cell *c, struct cell_worker *w, const Control__WorkerPoll *poll)
+{
+	Control__Command *cmd = NULL;
+	size_t i;
+
+	for (i = 0; poll->has_order_seq && i < w->nhad; i++) {
+		const struct cell_had *h = &w->had[i];
+		const struct st_task *t = st_task_get(c->st, h->task);
+		Control__TaskEvent *e;
+
+		if (h->seq > poll->order_seq || t == NULL ||
+		    t->epoch != w->epoch || t->attempt != h->attempt ||
+		    poll_runs(poll, h->task))
+			continue;
+		if (cmd == NULL) {
+			cmd = cell_command(c);
+			cmd->has_events_epoch = cmd->has_event_seq = 1;
+			cmd->events_epoch = w->epoch;
+			cmd->task_events = talloc_array(
+			    c->step, Control__TaskEvent *, w->nhad);
+		}
+		e = talloc(c->step, Control__TaskEvent);
+		if (e == NULL || cmd->task_events == NULL)
+			abort();
+		control__task_event__init(e);
+		e->task = h->task;
+		e->attempt = h->attempt;
+		e->kind = CONTROL__TASK_EVENT_KIND__TASK_STOPPED;
+		cmd->task_events[cmd->n_task_events++] = e;
+		ctr_add(&c->ctr, CELL_C_TASKS_VANISHED, 1);
+	}
+	if (cmd != NULL)
+		cell_propose(c, CELL_PEND_INTERNAL, cmd);
+}
+
 static Control__Order *
 order_fill(struct cell *c, uint64_t epoch, const struct cell_order *o)
 {
@@ -420,6 +506,8 @@
 		orders_recover(c, cw, sw, poll);
 	cw->polled = true;
 	orders_strangers(c, cw, poll);
+	if (w->poll->complete)
+		tasks_vanished(c, cw, poll);
 	r->has_epoch = r->has_lease_ms = r->has_poll_ms = 1;
 	r->epoch = poll->epoch;
 	r->lease_ms = (uint64_t)c->conf.lease_ms;
