--- a/src/control/tests/cell_test.cc
+++ b/src/control/tests/cell_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "control/lease.h"
 #include "control/tests/cell_sim.h"
 
 namespace {
@@ -158,6 +159,61 @@
 	}
 };
 
+/* Three voters of five instances, settled. */
+struct Five : Group {
+	explicit Five(uint64_t seed, struct sim_conf c = sim_defaults(0, 5, 3))
+	    : Group(with_seed(c, seed))
+	{
+		sim_run(s, 8000 * SIM_MS);
+	}
+	static struct sim_conf with_seed(struct sim_conf c, uint64_t seed)
+	{
+		c.seed = seed;
+		return c;
+	}
+	/* Ends the leader and waits until another one serves. */
+	uint32_t change_leader()
+	{
+		uint32_t old = sim_leader(s);
+
+		sim_stop(s, old);
+		sim_run(s, 5000 * SIM_MS);
+		sim_start(s, old);
+		sim_run(s, 1000 * SIM_MS);
+		return old;
+	}
+	/* The instance of a task's events sends them until acknowledged. */
+	Reply event(uint32_t inst, uint64_t epoch, uint64_t task,
+	    uint32_t attempt, int kind, uint64_t seq, uint64_t progress)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__WorkerPoll p = CONTROL__WORKER_POLL__INIT;
+		Control__TaskEvent e = CONTROL__TASK_EVENT__INIT;
+		Control__TaskEvent *v[1] = { &e };
+
+		e.task = task;
+		e.attempt = attempt;
+		e.kind = (Control__TaskEventKind)kind;
+		e.has_progress = 1;
+		e.progress = progress;
+		p.name = (char *)"w1";
+		p.incarnation = 7;
+		p.epoch = epoch;
+		p.events = v;
+		p.n_events = 1;
+		p.has_event_seq = 1;
+		p.event_seq = seq;
+		o.worker_poll = &p;
+		return op(inst, &o);
+	}
+};
+
+bool
+ready(struct sim *s, uint32_t inst)
+{
+	return agent_ready(s->inst[inst].agent, sim_local(s, &s->inst[inst]));
+}
+
 } /* namespace */
 
 /* Guards against a service that a group of one does not give. */
@@ -187,15 +243,219 @@
 /* Guards against replicas that do not join by themselves. */
 TEST(Cell, GrowsToThreeVoters)
 {
-	Group g(sim_defaults(2, 5, 3));
-	Control__Op o = CONTROL__OP__INIT;
-	Control__Query q = CONTROL__QUERY__INIT;
+	Five g(2);
 
-	sim_run(g.s, 10000 * SIM_MS);
-	q.kind = CONTROL__QUERY_KIND__QUERY_STATUS;
-	o.query = &q;
-	EXPECT_EQ(STATUS_OK, g.op(5, &o).status);
+	EXPECT_EQ(STATUS_OK, g.config(5, "c1", 0).status);
 	sim_stop(g.s, 1);
+	EXPECT_EQ(STATUS_OK, g.config(4, "c2", 1).status);
+	EXPECT_NE(1u, sim_leader(g.s));
+}
+
+/*
+ * Guards against a resent change that is applied again, or gets another
+ * answer, after the leader changed, a replica restarted from a snapshot, or
+ * both.
+ */
+TEST(Cell, GivesTheFirstAnswerToResentChanges)
+{
+	struct sim_conf c = sim_defaults(0, 5, 3);
+
+	c.snapshot_entries = 20;
+	Five g(3, c);
+	EXPECT_EQ(STATUS_OK, g.config(4, "first", 0, 50).status);
+	EXPECT_EQ(STATUS_CONFLICT, g.config(5, "second", 0, 60).status);
+	for (unsigned i = 1; i < 40; i++)
+		ASSERT_EQ(STATUS_OK,
+		    g.config(5, ("c" + std::to_string(i)).c_str(), i).status);
+	for (unsigned i = 0; i < 3; i++) {
+		Reply r = g.config(4, "first", 0, 50);
+		EXPECT_EQ(STATUS_OK, r.status);
+		EXPECT_EQ(1u, r.version);
+		r = g.config(4, "second", 0, 60);
+		EXPECT_EQ(STATUS_CONFLICT, r.status);
+		EXPECT_EQ(1u, r.version);
+		/* An id used for other content is no resend. */
+		EXPECT_EQ(STATUS_INVALID, g.config(4, "first", 0, 99).status);
+		g.change_leader();
+	}
+	EXPECT_GT(g.s->inst[sim_leader(g.s)].disk.snap_index, 0u);
+	EXPECT_EQ(STATUS_CONFLICT, g.config(4, "late", 39).status);
+}
+
+/*
+ * Guards against a partitioned instance that goes on under an old version,
+ * and against one that shows an older version after it restarted.
+ */
+TEST(Cell, StaleInstanceStopsAndNeverGoesBack)
+{
+	Five g(4);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	sim_run(g.s, 1000 * SIM_MS);
+	ASSERT_TRUE(ready(g.s, 5));
+	EXPECT_EQ(1u, g.s->inst[5].view->config_version);
+	sim_isolate(g.s, 5, true);
+	ASSERT_EQ(STATUS_OK, g.config(1, "c2", 1).status);
+	int64_t accepted = g.s->now_ns;
+	while (ready(g.s, 5) && g.s->now_ns < accepted + 10000 * SIM_MS)
+		sim_run(g.s, SIM_MS);
+	EXPECT_LE(g.s->now_ns - accepted, 3000 * SIM_MS);
+	sim_isolate(g.s, 5, false);
+	sim_run(g.s, 1500 * SIM_MS);
+	EXPECT_TRUE(ready(g.s, 5));
+	EXPECT_EQ(2u, g.s->inst[5].view->config_version);
+	/* A group restored from an old copy has nothing for this instance. */
+	sim_stop(g.s, 5);
+	g.s->inst[5].config_floor = 9;
+	sim_start(g.s, 5);
 	sim_run(g.s, 5000 * SIM_MS);
-	EXPECT_EQ(STATUS_OK, g.config(4, "c1", 0).status);
+	EXPECT_FALSE(ready(g.s, 5));
+	EXPECT_EQ(nullptr, g.s->inst[5].view);
+}
+
+/*
+ * Guards against work that counts under an old epoch, and against a lost
+ * worker's task that resumes twice or without its checkpoint.
+ */
+TEST(Cell, LostWorkerIsFencedAndItsTaskResumesOnce)
+{
+	Five g(5);
+	uint64_t task = 1ULL << 20;
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	uint64_t epoch = g.worker_up(2, "w1", 7).epoch;
+	EXPECT_EQ(epoch, g.worker_up(3, "w1", 7).epoch);
+	ASSERT_EQ(STATUS_OK, g.submit(2, "j1", 1).status);
+	sim_run(g.s, 1000 * SIM_MS);
+	Reply r = g.poll(2, "w1", 7, epoch);
+	ASSERT_EQ(1u, r.orders.size());
+	ASSERT_EQ(task, r.orders[0].second);
+	/* Until it is acknowledged, the order comes again. */
+	EXPECT_EQ(1u, g.poll(3, "w1", 7, epoch).orders.size());
+	r = g.event(2, epoch, task, 1,
+	    CONTROL__TASK_EVENT_KIND__TASK_CHECKPOINTED, 1, 40);
+	EXPECT_EQ(1u, r.event_ack);
+	int64_t silent = g.s->now_ns;
+	uint64_t other = g.worker_up(4, "w2", 9).epoch;
+	r = Reply();
+	while (r.orders.empty() && g.s->now_ns < silent + 20000 * SIM_MS) {
+		sim_run(g.s, 500 * SIM_MS);
+		r = g.poll(4, "w2", 9, other);
+	}
+	ASSERT_EQ(1u, r.orders.size());
+	EXPECT_EQ(2u, r.attempt);
+	/* 6 s, 1 % for the clocks and 500 ms for messages on their way. */
+	EXPECT_GE(g.s->now_ns - silent, 6560 * SIM_MS);
+	EXPECT_EQ(STATUS_STALE,
+	    g.event(
+		 2, epoch, task, 1, CONTROL__TASK_EVENT_KIND__TASK_DONE, 2, 0)
+		.status);
+	uint64_t again = g.worker_up(2, "w1", 7).epoch;
+	EXPECT_GT(again, other);
+	EXPECT_TRUE(g.poll(2, "w1", 7, again).orders.empty());
+	g.change_leader();
+	EXPECT_TRUE(g.poll(2, "w1", 7, again).orders.empty());
+}
+
+/* Guards against a new leader that reassigns before old leases have ended. */
+TEST(Cell, NewLeaderWaitsAWholeLease)
+{
+	Five g(6);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	uint64_t epoch = g.worker_up(4, "w1", 7).epoch;
+	sim_run(g.s, 5500 * SIM_MS);
+	g.change_leader();
+	/* The lease would have ended under the old leader by now. */
+	EXPECT_EQ(STATUS_OK, g.poll(4, "w1", 7, epoch).status);
+	sim_run(g.s, 6000 * SIM_MS);
+	EXPECT_EQ(STATUS_OK, g.poll(4, "w1", 7, epoch).status);
+	sim_run(g.s, 6700 * SIM_MS);
+	EXPECT_EQ(STATUS_STALE, g.poll(4, "w1", 7, epoch).status);
+}
+
+/* Guards against two claimants of a key, also across a change of leader. */
+TEST(Cell, OneOfTwoInstancesClaimsAKey)
+{
+	Five g(7);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(2, "k", 2, 1).key_state);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_RUNNING,
+	    g.claim(3, "k", 3, 1).key_state);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_MISMATCH,
+	    g.claim(3, "k", 3, 2, 99).key_state);
+	g.change_leader();
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_RUNNING,
+	    g.claim(3, "k", 3, 1).key_state);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(2, "k", 2, 1).key_state);
+	sim_run(g.s, 40000 * SIM_MS);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_UNKNOWN,
+	    g.claim(3, "k", 3, 1).key_state);
+	sim_run(g.s, 910000 * SIM_MS);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(3, "k", 3, 1).key_state);
+}
+
+/*
+ * Guards against an operation that cannot be repeated being sent twice, and
+ * against the claim that nothing was done when that is not known.
+ */
+TEST(Cell, TellsUnknownFromUnavailable)
+{
+	Five g(8);
+	Control__Op o = CONTROL__OP__INIT;
+	Control__WorkerDrain d = CONTROL__WORKER_DRAIN__INIT;
+
+	d.name = (char *)"w1";
+	o.worker_drain = &d;
+	uint32_t leader = sim_leader(g.s);
+	uint32_t inst = leader == 5 ? 4 : 5;
+	/* The request arrives, its answer does not. */
+	for (uint32_t i = 1; i <= 5; i++)
+		g.s->cut[i][inst] = true;
+	EXPECT_EQ(STATUS_UNKNOWN, g.op(inst, &o).status);
+	/* A change is repeated until its answer is known. */
+	uint64_t id = g.s->op_id + 1;
+	sim_call(
+	    g.s, g.s->now_ns + 1500 * SIM_MS,
+	    [](void *arg) {
+		    sim_isolate((struct sim *)arg, 5, false);
+		    sim_isolate((struct sim *)arg, 4, false);
+	    },
+	    g.s);
+	EXPECT_EQ(STATUS_OK, g.config(inst, "c1", 0).status);
+	EXPECT_EQ(1u, g.replies[id].n);
+}
+
+/* Guards against a lease that ends while its worker still relies on it. */
+TEST(Lease, OutlivesTheWorkersOwnClock)
+{
+	struct lease_conf c = { 6000, 500, 10000 };
+	struct lease l;
+	struct rng r;
+
+	rng_init(&r, 1);
+	lease_init(&l, &c);
+	for (int i = 0; i < 1000; i++) {
+		/* Rates may differ by 1 %. */
+		double rate = 1 - 0.0099 * rng_unit(&r);
+		int64_t sent = (int64_t)rng_below(&r, 1000 * SIM_MS);
+		int64_t poll = sent + (int64_t)rng_below(&r, 400 * SIM_MS);
+		/* The worker counts from when it sent the poll. */
+		int64_t ends = sent + (int64_t)(6000 * SIM_MS / rate);
+
+		lease_add(&l, clk_from_ns(sent), 5);
+		ASSERT_TRUE(lease_renew(&l, clk_from_ns(poll), 5));
+		ASSERT_EQ(0u, lease_expired(&l, clk_from_ns(ends)));
+		int64_t at = clk_ns(lease_deadline(&l));
+		ASSERT_EQ(0u, lease_expired(&l, clk_from_ns(at - 1)));
+		ASSERT_EQ(5u, lease_expired(&l, clk_from_ns(at)));
+		ASSERT_EQ(0u, lease_expired(&l, clk_from_ns(at)));
+		ASSERT_FALSE(lease_renew(&l, clk_from_ns(at), 5));
+		lease_remove(&l, 5);
+	}
+	lease_finish(&l);
 }
