--- a/src/control/cell_worker.c
+++ b/src/control/cell_worker.c
@@ -22,7 +22,7 @@
 void
 cell_worker_up(struct cell *c, uint64_t epoch)
 {
-	const struct st_worker *sw = st_worker(c->st, epoch);
+	const struct st_worker *sw = st_worker_get(c->st, epoch);
 	struct cell_worker *w;
 	struct sched_ev ev = { .kind = SCHED_EV_WORKER_UP };
 	Control__WorkerUp *up;
@@ -130,19 +130,62 @@
 	return false;
 }
 
+static void
+had_add(struct cell_worker *w, const struct cell_order *o)
+{
+	size_t i;
+
+	if (o->kind == CONTROL__ORDER_KIND__ORDER_THROTTLE)
+		return;
+	for (i = 0; i < w->nhad && w->had[i].task != o->task; i++)
+		;
+	if (i == w->caphad) {
+		w->caphad = w->caphad == 0 ? 4 : 2 * w->caphad;
+		w->had = talloc_realloc(w, w->had, struct cell_had, w->caphad);
+		if (w->had == NULL)
+			abort();
+	}
+	if (i == w->nhad)
+		w->nhad++;
+	w->had[i] = (struct cell_had){ o->task, o->seq, o->attempt };
+}
+
 static void
 orders_done(struct cell_worker *w, uint64_t seq)
 {
 	size_t n = 0;
 
 	while (n < w->norders && w->orders[n].seq <= seq)
-		n++;
+		had_add(w, &w->orders[n++]);
 	if (n == 0)
 		return;
 	w->norders -= n;
 	memmove(w->orders, w->orders + n, w->norders * sizeof(*w->orders));
 }
 
+/* Forgets what is known of a task that has left the worker. */
+void
+cell_worker_task_gone(struct cell *c, uint64_t epoch, uint64_t task)
+{
+	struct cell_worker *w = cell_worker(c, epoch);
+	size_t i;
+
+	if (w == NULL)
+		return;
+	for (i = 0; i < w->nrunning; i++) {
+		if (w->running[i] == task) {
+			w->running[i] = w->running[--w->nrunning];
+			break;
+		}
+	}
+	for (i = 0; i < w->nhad; i++) {
+		if (w->had[i].task == task) {
+			w->had[i] = w->had[--w->nhad];
+			break;
+		}
+	}
+}
+
 /* Declares workers lost whose leases ended, all in one append. */
 void
 cell_lease_check(struct cell *c)
@@ -162,7 +205,7 @@
 static void
 feed_running(struct cell *c, uint64_t epoch, uint64_t task)
 {
-	const struct st_task *t = st_task(c->st, task);
+	const struct st_task *t = st_task_get(c->st, task);
 	struct cell_worker *w = cell_worker(c, epoch);
 	struct sched_ev ev = { .kind = SCHED_EV_TASK_RUNNING };
 	size_t i;
@@ -273,7 +316,7 @@
 cell_poll(
     struct cell *c, struct cell_from from, const Control__WorkerPoll *poll)
 {
-	const struct st_worker *sw = st_worker(c->st, poll->epoch);
+	const struct st_worker *sw = st_worker_get(c->st, poll->epoch);
 	struct cell_worker *cw = cell_worker(c, poll->epoch);
 	struct cell_wait *w = cell_wait(c, CELL_WAIT_POLL, from);
 	size_t i;
@@ -289,6 +332,7 @@
 		return;
 	if (poll->has_order_seq)
 		orders_done(cw, poll->order_seq);
+	w->poll->complete = true;
 	poll_events(c, w, sw);
 	for (i = 0; i < poll->n_running; i++)
 		feed_running(c, poll->epoch, poll->running[i]);
@@ -319,7 +363,7 @@
 	uint32_t i;
 
 	for (i = 0; i < sw->ntasks; i++) {
-		const struct st_task *t = st_task(c->st, sw->tasks[i]);
+		const struct st_task *t = st_task_get(c->st, sw->tasks[i]);
 		struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_STOP,
 			.task = sw->tasks[i] };
 
@@ -344,7 +388,7 @@
 	size_t i;
 
 	for (i = 0; i < poll->n_running; i++) {
-		const struct st_task *t = st_task(c->st, poll->running[i]);
+		const struct st_task *t = st_task_get(c->st, poll->running[i]);
 		struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_STOP,
 			.task = poll->running[i] };
 
@@ -354,12 +398,54 @@
 	}
 }
 
+/*
+ * Ends tasks that a worker no longer has and says nothing about. A poll sent
+ * after an order was carried out lists the task, or holds its event, or that
+ * event is applied by now; else the worker has lost the task.
+ */
+static void
+tasks_vanished(
+    struct cell *c, struct cell_worker *w, const Control__WorkerPoll *poll)
+{
+	Control__Command *cmd = NULL;
+	size_t i;
+
+	for (i = 0; poll->has_order_seq && i < w->nhad; i++) {
+		const struct cell_had *h = &w->had[i];
+		const struct st_task *t = st_task_get(c->st, h->task);
+		Control__TaskEvent *e;
+
+		if (h->seq > poll->order_seq || t == NULL ||
+		    t->epoch != w->epoch || t->attempt != h->attempt ||
+		    poll_runs(poll, h->task))
+			continue;
+		if (cmd == NULL) {
+			cmd = cell_command(c);
+			cmd->has_events_epoch = cmd->has_event_seq = 1;
+			cmd->events_epoch = w->epoch;
+			cmd->task_events = talloc_array(
+			    c->step, Control__TaskEvent *, w->nhad);
+		}
+		e = talloc(c->step, Control__TaskEvent);
+		if (e == NULL || cmd->task_events == NULL)
+			abort();
+		control__task_event__init(e);
+		e->task = h->task;
+		e->attempt = h->attempt;
+		e->kind = CONTROL__TASK_EVENT_KIND__TASK_STOPPED;
+		cmd->task_events[cmd->n_task_events++] = e;
+		ctr_add(&c->ctr, CELL_C_TASKS_VANISHED, 1);
+	}
+	if (cmd != NULL)
+		cell_propose(c, CELL_PEND_INTERNAL, cmd);
+}
+
 static Control__Order *
 order_fill(struct cell *c, uint64_t epoch, const struct cell_order *o)
 {
 	Control__Order *m = talloc(c->step, Control__Order);
-	const struct st_job *j = st_job(c->st, o->task >> ST_TASK_BITS);
-	const struct st_task *t = st_task(c->st, o->task);
+	const struct st_job *j = st_job_get(c->st, o->task >> ST_TASK_BITS);
+	const struct st_task *t = st_task_get(c->st, o->task);
 	Control__JobSpec *spec;
 
 	if (m == NULL)
@@ -401,7 +487,7 @@
 cell_poll_answer(struct cell *c, struct cell_wait *w)
 {
 	const Control__WorkerPoll *poll = w->poll->msg;
-	const struct st_worker *sw = st_worker(c->st, poll->epoch);
+	const struct st_worker *sw = st_worker_get(c->st, poll->epoch);
 	struct cell_worker *cw = cell_worker(c, poll->epoch);
 	Control__OpResult *r = talloc(c->step, Control__OpResult);
 	size_t i;
@@ -420,6 +506,8 @@
 		orders_recover(c, cw, sw, poll);
 	cw->polled = true;
 	orders_strangers(c, cw, poll);
+	if (w->poll->complete)
+		tasks_vanished(c, cw, poll);
 	r->has_epoch = r->has_lease_ms = r->has_poll_ms = 1;
 	r->epoch = poll->epoch;
 	r->lease_ms = (uint64_t)c->conf.lease_ms;
--- /dev/null
+++ b/src/control/tests/cell_test.cc
@@ -0,0 +1,461 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "control/lease.h"
+#include "control/tests/cell_sim.h"
+
+namespace {
+
+struct Reply {
+	unsigned n = 0;
+	enum status status = STATUS_OK;
+	uint64_t version = 0, id = 0, epoch = 0, event_ack = 0;
+	int key_state = -1;
+	std::string body, text;
+	std::vector<std::pair<int, uint64_t>> orders; /* kind, task */
+	uint64_t order_seq = 0;
+	uint32_t attempt = 0;
+	size_t workers = 0;
+};
+
+/* One simulated group with operations that are waited for. */
+struct Group {
+	struct sim *s;
+	std::map<uint64_t, Reply> replies;
+
+	explicit Group(const struct sim_conf &c) : s(sim_new(&c))
+	{
+		s->arg = this;
+		s->on_reply = [](void *arg, uint32_t, uint64_t id,
+				  const Control__OpResult *r) {
+			((Group *)arg)->take(id, r);
+		};
+	}
+	~Group()
+	{
+		sim_free(s);
+	}
+	void take(uint64_t id, const Control__OpResult *r)
+	{
+		Reply &p = replies[id];
+
+		p.n++;
+		p.status = (enum status)r->status;
+		p.version = r->version;
+		p.id = r->id;
+		p.epoch = r->epoch;
+		p.event_ack = r->event_ack;
+		if (r->has_key_state)
+			p.key_state = r->key_state;
+		if (r->has_body)
+			p.body.assign((char *)r->body.data, r->body.len);
+		if (r->text != nullptr)
+			p.text = r->text;
+		for (size_t i = 0; i < r->n_orders; i++) {
+			p.orders.push_back(
+			    { r->orders[i]->kind, r->orders[i]->task });
+			p.order_seq = r->orders[i]->seq;
+			p.attempt = r->orders[i]->attempt;
+		}
+		p.workers = r->n_workers;
+	}
+	/* Runs until the operation has its result. */
+	Reply op(uint32_t inst, const Control__Op *op)
+	{
+		uint64_t id = sim_op(s, inst, op);
+		int64_t limit = s->now_ns + 20000 * SIM_MS;
+
+		while (replies[id].n == 0 && sim_step(s, limit))
+			;
+		return replies[id];
+	}
+	Reply worker_up(uint32_t inst, const char *name, uint64_t incarnation)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__WorkerUp u = CONTROL__WORKER_UP__INIT;
+		char *serves[1] = { (char *)"web" };
+
+		u.name = (char *)name;
+		u.incarnation = incarnation;
+		u.addr = (char *)"127.0.0.1:1";
+		u.cpu_milli = 64000;
+		u.mem_mb = 250000;
+		u.slots = 8;
+		u.serves = serves;
+		u.n_serves = 1;
+		o.worker_up = &u;
+		return op(inst, &o);
+	}
+	Reply poll(uint32_t inst, const char *name, uint64_t incarnation,
+	    uint64_t epoch, uint64_t order_seq = 0)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__WorkerPoll p = CONTROL__WORKER_POLL__INIT;
+
+		p.name = (char *)name;
+		p.incarnation = incarnation;
+		p.epoch = epoch;
+		p.has_order_seq = order_seq != 0;
+		p.order_seq = order_seq;
+		o.worker_poll = &p;
+		return op(inst, &o);
+	}
+	Reply config(uint32_t inst, const char *change, uint64_t expected,
+	    unsigned bound = 100)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__ConfigSet set = CONTROL__CONFIG_SET__INIT;
+		Control__Config c = CONTROL__CONFIG__INIT;
+		Control__Class web = CONTROL__CLASS__INIT;
+		Control__Class batch = CONTROL__CLASS__INIT;
+		Control__Class *v[2] = { &web, &batch };
+
+		web.name = (char *)"web";
+		web.urgent = 1;
+		web.has_bound_ms = 1;
+		web.bound_ms = bound;
+		batch.name = (char *)"batch";
+		c.classes = v;
+		c.n_classes = 2;
+		set.change_id = (char *)change;
+		set.expected_version = expected;
+		set.config = &c;
+		o.config_set = &set;
+		return op(inst, &o);
+	}
+	Reply submit(uint32_t inst, const char *change, unsigned tasks)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__JobSubmit j = CONTROL__JOB_SUBMIT__INIT;
+		Control__JobSpec spec = CONTROL__JOB_SPEC__INIT;
+
+		spec.class_name = (char *)"batch";
+		spec.tasks = tasks;
+		spec.cpu_milli = 1000;
+		spec.mem_mb = 1000;
+		j.change_id = (char *)change;
+		j.spec = &spec;
+		o.job_submit = &j;
+		return op(inst, &o);
+	}
+	Reply claim(uint32_t inst, const char *key, uint64_t incarnation,
+	    uint64_t request, uint64_t digest = 1)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__KeyClaim k = CONTROL__KEY_CLAIM__INIT;
+
+		k.key = (char *)key;
+		k.class_name = (char *)"web";
+		k.digest = digest;
+		k.instance = inst;
+		k.incarnation = incarnation;
+		k.request = request;
+		k.has_deadline_ms = 1;
+		k.deadline_ms = SIM_WALL_MS + s->now_ns / SIM_MS + 30000;
+		o.key_claim = &k;
+		return op(inst, &o);
+	}
+};
+
+/* Three voters of five instances, settled. */
+struct Five : Group {
+	explicit Five(uint64_t seed, struct sim_conf c = sim_defaults(0, 5, 3))
+	    : Group(with_seed(c, seed))
+	{
+		sim_run(s, 8000 * SIM_MS);
+	}
+	static struct sim_conf with_seed(struct sim_conf c, uint64_t seed)
+	{
+		c.seed = seed;
+		return c;
+	}
+	/* Ends the leader and waits until another one serves. */
+	uint32_t change_leader()
+	{
+		uint32_t old = sim_leader(s);
+
+		sim_stop(s, old);
+		sim_run(s, 5000 * SIM_MS);
+		sim_start(s, old);
+		sim_run(s, 1000 * SIM_MS);
+		return old;
+	}
+	/* The instance of a task's events sends them until acknowledged. */
+	Reply event(uint32_t inst, uint64_t epoch, uint64_t task,
+	    uint32_t attempt, int kind, uint64_t seq, uint64_t progress)
+	{
+		Control__Op o = CONTROL__OP__INIT;
+		Control__WorkerPoll p = CONTROL__WORKER_POLL__INIT;
+		Control__TaskEvent e = CONTROL__TASK_EVENT__INIT;
+		Control__TaskEvent *v[1] = { &e };
+
+		e.task = task;
+		e.attempt = attempt;
+		e.kind = (Control__TaskEventKind)kind;
+		e.has_progress = 1;
+		e.progress = progress;
+		p.name = (char *)"w1";
+		p.incarnation = 7;
+		p.epoch = epoch;
+		p.events = v;
+		p.n_events = 1;
+		p.has_event_seq = 1;
+		p.event_seq = seq;
+		o.worker_poll = &p;
+		return op(inst, &o);
+	}
+};
+
+bool
+ready(struct sim *s, uint32_t inst)
+{
+	return agent_ready(s->inst[inst].agent, sim_local(s, &s->inst[inst]));
+}
+
+} /* namespace */
+
+/* Guards against a service that a group of one does not give. */
+TEST(Cell, ServesAGroupOfOne)
+{
+	Group g(sim_defaults(1, 1, 1));
+	Reply r;
+
+	EXPECT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	r = g.worker_up(1, "w1", 7);
+	EXPECT_EQ(STATUS_OK, r.status);
+	EXPECT_EQ(STATUS_OK, g.poll(1, "w1", 7, r.epoch).status);
+	EXPECT_EQ(STATUS_OK, g.submit(1, "j1", 3).status);
+	sim_run(g.s, 1500 * SIM_MS);
+	r = g.poll(1, "w1", 7, r.epoch);
+	EXPECT_EQ(3u, r.orders.size());
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(1, "k", 1, 1).key_state);
+	ASSERT_NE(nullptr, g.s->inst[1].view);
+	EXPECT_EQ(1u, g.s->inst[1].view->config_version);
+	ASSERT_EQ(1u, g.s->inst[1].view->nworkers);
+	EXPECT_EQ(8u, g.s->inst[1].view->workers[0].slots);
+	EXPECT_TRUE(
+	    agent_ready(g.s->inst[1].agent, sim_local(g.s, &g.s->inst[1])));
+}
+
+/* Guards against replicas that do not join by themselves. */
+TEST(Cell, GrowsToThreeVoters)
+{
+	Five g(2);
+
+	EXPECT_EQ(STATUS_OK, g.config(5, "c1", 0).status);
+	sim_stop(g.s, 1);
+	EXPECT_EQ(STATUS_OK, g.config(4, "c2", 1).status);
+	EXPECT_NE(1u, sim_leader(g.s));
+}
+
+/*
+ * Guards against a resent change that is applied again, or gets another
+ * answer, after the leader changed, a replica restarted from a snapshot, or
+ * both.
+ */
+TEST(Cell, GivesTheFirstAnswerToResentChanges)
+{
+	struct sim_conf c = sim_defaults(0, 5, 3);
+
+	c.snapshot_entries = 20;
+	Five g(3, c);
+	EXPECT_EQ(STATUS_OK, g.config(4, "first", 0, 50).status);
+	EXPECT_EQ(STATUS_CONFLICT, g.config(5, "second", 0, 60).status);
+	for (unsigned i = 1; i < 40; i++)
+		ASSERT_EQ(STATUS_OK,
+		    g.config(5, ("c" + std::to_string(i)).c_str(), i).status);
+	for (unsigned i = 0; i < 3; i++) {
+		Reply r = g.config(4, "first", 0, 50);
+		EXPECT_EQ(STATUS_OK, r.status);
+		EXPECT_EQ(1u, r.version);
+		r = g.config(4, "second", 0, 60);
+		EXPECT_EQ(STATUS_CONFLICT, r.status);
+		EXPECT_EQ(1u, r.version);
+		/* An id used for other content is no resend. */
+		EXPECT_EQ(STATUS_INVALID, g.config(4, "first", 0, 99).status);
+		g.change_leader();
+	}
+	EXPECT_GT(g.s->inst[sim_leader(g.s)].disk.snap_index, 0u);
+	EXPECT_EQ(STATUS_CONFLICT, g.config(4, "late", 39).status);
+}
+
+/*
+ * Guards against a partitioned instance that goes on under an old version,
+ * and against one that shows an older version after it restarted.
+ */
+TEST(Cell, StaleInstanceStopsAndNeverGoesBack)
+{
+	Five g(4);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	sim_run(g.s, 1000 * SIM_MS);
+	ASSERT_TRUE(ready(g.s, 5));
+	EXPECT_EQ(1u, g.s->inst[5].view->config_version);
+	sim_isolate(g.s, 5, true);
+	ASSERT_EQ(STATUS_OK, g.config(1, "c2", 1).status);
+	int64_t accepted = g.s->now_ns;
+	while (ready(g.s, 5) && g.s->now_ns < accepted + 10000 * SIM_MS)
+		sim_run(g.s, SIM_MS);
+	EXPECT_LE(g.s->now_ns - accepted, 3000 * SIM_MS);
+	sim_isolate(g.s, 5, false);
+	sim_run(g.s, 1500 * SIM_MS);
+	EXPECT_TRUE(ready(g.s, 5));
+	EXPECT_EQ(2u, g.s->inst[5].view->config_version);
+	/* A group restored from an old copy has nothing for this instance. */
+	sim_stop(g.s, 5);
+	g.s->inst[5].config_floor = 9;
+	sim_start(g.s, 5);
+	sim_run(g.s, 5000 * SIM_MS);
+	EXPECT_FALSE(ready(g.s, 5));
+	EXPECT_EQ(nullptr, g.s->inst[5].view);
+}
+
+/*
+ * Guards against work that counts under an old epoch, and against a lost
+ * worker's task that resumes twice or without its checkpoint.
+ */
+TEST(Cell, LostWorkerIsFencedAndItsTaskResumesOnce)
+{
+	Five g(5);
+	uint64_t task = 1ULL << 20;
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	uint64_t epoch = g.worker_up(2, "w1", 7).epoch;
+	EXPECT_EQ(epoch, g.worker_up(3, "w1", 7).epoch);
+	ASSERT_EQ(STATUS_OK, g.submit(2, "j1", 1).status);
+	sim_run(g.s, 1000 * SIM_MS);
+	Reply r = g.poll(2, "w1", 7, epoch);
+	ASSERT_EQ(1u, r.orders.size());
+	ASSERT_EQ(task, r.orders[0].second);
+	/* Until it is acknowledged, the order comes again. */
+	EXPECT_EQ(1u, g.poll(3, "w1", 7, epoch).orders.size());
+	r = g.event(2, epoch, task, 1,
+	    CONTROL__TASK_EVENT_KIND__TASK_CHECKPOINTED, 1, 40);
+	EXPECT_EQ(1u, r.event_ack);
+	int64_t silent = g.s->now_ns;
+	uint64_t other = g.worker_up(4, "w2", 9).epoch;
+	r = Reply();
+	while (r.orders.empty() && g.s->now_ns < silent + 20000 * SIM_MS) {
+		sim_run(g.s, 500 * SIM_MS);
+		r = g.poll(4, "w2", 9, other);
+	}
+	ASSERT_EQ(1u, r.orders.size());
+	EXPECT_EQ(2u, r.attempt);
+	/* 6 s, 1 % for the clocks and 500 ms for messages on their way. */
+	EXPECT_GE(g.s->now_ns - silent, 6560 * SIM_MS);
+	EXPECT_EQ(STATUS_STALE,
+	    g.event(
+		 2, epoch, task, 1, CONTROL__TASK_EVENT_KIND__TASK_DONE, 2, 0)
+		.status);
+	uint64_t again = g.worker_up(2, "w1", 7).epoch;
+	EXPECT_GT(again, other);
+	EXPECT_TRUE(g.poll(2, "w1", 7, again).orders.empty());
+	g.change_leader();
+	EXPECT_TRUE(g.poll(2, "w1", 7, again).orders.empty());
+}
+
+/* Guards against a new leader that reassigns before old leases have ended. */
+TEST(Cell, NewLeaderWaitsAWholeLease)
+{
+	Five g(6);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	uint64_t epoch = g.worker_up(4, "w1", 7).epoch;
+	sim_run(g.s, 5500 * SIM_MS);
+	g.change_leader();
+	/* The lease would have ended under the old leader by now. */
+	EXPECT_EQ(STATUS_OK, g.poll(4, "w1", 7, epoch).status);
+	sim_run(g.s, 6000 * SIM_MS);
+	EXPECT_EQ(STATUS_OK, g.poll(4, "w1", 7, epoch).status);
+	sim_run(g.s, 6700 * SIM_MS);
+	EXPECT_EQ(STATUS_STALE, g.poll(4, "w1", 7, epoch).status);
+}
+
+/* Guards against two claimants of a key, also across a change of leader. */
+TEST(Cell, OneOfTwoInstancesClaimsAKey)
+{
+	Five g(7);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(2, "k", 2, 1).key_state);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_RUNNING,
+	    g.claim(3, "k", 3, 1).key_state);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_MISMATCH,
+	    g.claim(3, "k", 3, 2, 99).key_state);
+	g.change_leader();
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_RUNNING,
+	    g.claim(3, "k", 3, 1).key_state);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(2, "k", 2, 1).key_state);
+	sim_run(g.s, 40000 * SIM_MS);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_UNKNOWN,
+	    g.claim(3, "k", 3, 1).key_state);
+	sim_run(g.s, 910000 * SIM_MS);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
+	    g.claim(3, "k", 3, 1).key_state);
+}
+
+/*
+ * Guards against an operation that cannot be repeated being sent twice, and
+ * against the claim that nothing was done when that is not known.
+ */
+TEST(Cell, TellsUnknownFromUnavailable)
+{
+	Five g(8);
+	Control__Op o = CONTROL__OP__INIT;
+	Control__WorkerDrain d = CONTROL__WORKER_DRAIN__INIT;
+
+	d.name = (char *)"w1";
+	o.worker_drain = &d;
+	uint32_t leader = sim_leader(g.s);
+	uint32_t inst = leader == 5 ? 4 : 5;
+	/* The request arrives, its answer does not. */
+	for (uint32_t i = 1; i <= 5; i++)
+		g.s->cut[i][inst] = true;
+	EXPECT_EQ(STATUS_UNKNOWN, g.op(inst, &o).status);
+	/* A change is repeated until its answer is known. */
+	uint64_t id = g.s->op_id + 1;
+	sim_call(
+	    g.s, g.s->now_ns + 1500 * SIM_MS,
+	    [](void *arg) {
+		    sim_isolate((struct sim *)arg, 5, false);
+		    sim_isolate((struct sim *)arg, 4, false);
+	    },
+	    g.s);
+	EXPECT_EQ(STATUS_OK, g.config(inst, "c1", 0).status);
+	EXPECT_EQ(1u, g.replies[id].n);
+}
+
+/* Guards against a lease that ends while its worker still relies on it. */
+TEST(Lease, OutlivesTheWorkersOwnClock)
+{
+	struct lease_conf c = { 6000, 500, 10000 };
+	struct lease l;
+	struct rng r;
+
+	rng_init(&r, 1);
+	lease_init(&l, &c);
+	for (int i = 0; i < 1000; i++) {
+		/* Rates may differ by 1 %. */
+		double rate = 1 - 0.0099 * rng_unit(&r);
+		int64_t sent = (int64_t)rng_below(&r, 1000 * SIM_MS);
+		int64_t poll = sent + (int64_t)rng_below(&r, 400 * SIM_MS);
+		/* The worker counts from when it sent the poll. */
+		int64_t ends = sent + (int64_t)(6000 * SIM_MS / rate);
+
+		lease_add(&l, clk_from_ns(sent), 5);
+		ASSERT_TRUE(lease_renew(&l, clk_from_ns(poll), 5));
+		ASSERT_EQ(0u, lease_expired(&l, clk_from_ns(ends)));
+		int64_t at = clk_ns(lease_deadline(&l));
+		ASSERT_EQ(0u, lease_expired(&l, clk_from_ns(at - 1)));
+		ASSERT_EQ(5u, lease_expired(&l, clk_from_ns(at)));
+		ASSERT_EQ(0u, lease_expired(&l, clk_from_ns(at)));
+		ASSERT_FALSE(lease_renew(&l, clk_from_ns(at), 5));
+		lease_remove(&l, 5);
+	}
+	lease_finish(&l);
+}
