Test slot grants over lossy networks and changes of leader

Cause: the bound on slots was not tested, and slots were not taken back when a worker came to offer fewer. Change: seeded schedules of four instances (skewed clocks, partitions, restarts) and successive leaders over a network that loses, delays, doubles and reorders; separate code sums the true use after each event. Idle slots are taken back when more is granted than there is.

--- a/src/request/grant.c
+++ b/src/request/grant.c
@@ -305,23 +305,28 @@
 	}
 }
 
-/* True if another holder has less of worker i than its target. */
+/*
+ * True if idle slots of worker i should be taken back from holder self:
+ * another holder has less than its target, or more is granted than there is.
+ */
 static bool
 grant_wanted(const struct grant *g, int64_t now, size_t i, const double *cum,
     size_t self)
 {
+	const struct grant_worker *w = &g->workers[i];
+	unsigned sum = w->overdue;
+
 	for (size_t h = 0; h < g->nholders; h++) {
 		const struct grant_holder *p = g->holders[h];
 		unsigned has = 0;
 
-		if (h == self)
-			continue;
 		if (i < p->nhold && p->hold[i].expiry > now)
 			has = p->hold[i].offer;
-		if (has < grant_target(&g->workers[i], cum, h))
+		sum += has;
+		if (h != self && has < grant_target(w, cum, h))
 			return true;
 	}
-	return false;
+	return sum > w->slots;
 }
 
 /* Decides the newest offer to holder number h of worker i. */
@@ -343,8 +348,7 @@
 		free += d->bound - offer;
 		offer += target - offer < free ? target - offer : free;
 	} else if (target < offer &&
-	    (w->draining || p->draining || w->overdue > 0 ||
-		grant_wanted(g, now, i, cum, h))) {
+	    (w->draining || p->draining || grant_wanted(g, now, i, cum, h))) {
 		unsigned keep = d->used < offer ? d->used : offer;
 
 		offer = target > keep ? target : keep;
@@ -364,6 +368,8 @@
  * grants into the reply, with their lifetime from when the beat was sent. A
  * beat that is not newer than all before, and within ttl_ms of a change of
  * leader one that does not prove to be newer than the change, is given none.
+ * The caller sends the reply only if it has confirmed its leadership after the
+ * beat arrived.
  */
 void
 grant_beat(struct grant *g, struct timespec at, const Control__Beat *b,
@@ -421,7 +427,9 @@
 		gr->slots = d->offer;
 		gr->seq = d->seq;
 		gr->has_connections = 1;
-		gr->connections = d->offer * (w->connections / w->slots);
+		if (w->slots > 0)
+			gr->connections =
+			    d->offer * (w->connections / w->slots);
 		r->grants[r->n_grants++] = gr;
 	}
 	talloc_free(cum);
--- /dev/null
+++ b/src/request/tests/grant_test.cc
@@ -0,0 +1,429 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/rng.h"
+#include "request/grant.h"
+
+namespace {
+
+const int64_t MS = 1000000;
+const int64_t TTL_MS = 4000;
+const unsigned SLOTS = 8, CONNS = 60;
+
+struct Use {
+	uint32_t slots;
+	uint64_t seq;
+};
+
+struct Held {
+	unsigned slots = 0, conns = 0;
+	uint64_t seq = 0;
+	int64_t expiry = 0;	   /* by the clock of the instance */
+	std::vector<int64_t> ends; /* of running requests, true time */
+};
+
+/* An instance: adopts replies and uses what it was granted. */
+struct Inst {
+	uint32_t id;
+	uint64_t incarnation;
+	double rate; /* of its clock */
+	bool alive = true;
+	int64_t cut = 0; /* no message comes or goes until then */
+	uint64_t term = 0, beat = 0;
+	double demand = 0;
+	std::map<uint64_t, int64_t> sent; /* beat -> own time */
+	std::map<uint64_t, Held> held;	  /* by worker */
+	int64_t own(int64_t t) const
+	{
+		return (int64_t)((double)t * rate);
+	}
+};
+
+/* A beat or a reply that is under way. */
+struct Msg {
+	int64_t at;
+	bool reply;
+	size_t inst;   /* index */
+	unsigned node; /* of a beat: where it goes */
+	uint64_t beat, term;
+	unsigned demand;
+	std::map<uint64_t, Use> use; /* of a beat: held; seq of the grant */
+	std::map<uint64_t, unsigned> used;
+	std::map<uint64_t, Use> grants;
+	std::map<uint64_t, unsigned> conns;
+};
+
+/* Several instances, one leader after the other, a network that loses. */
+struct World {
+	struct rng r;
+	uint64_t seed;
+	int64_t now = 1000 * MS;
+	std::vector<Inst> insts;
+	std::vector<uint64_t> epochs;
+	std::vector<Msg> net;
+	struct grant *leader = NULL;
+	unsigned node = 0;
+	uint64_t term = 0, index = 100;
+	double leader_rate = 1;
+	double loss, dup;
+	double slow; /* share of messages that are late by seconds */
+	bool broken = false;
+	unsigned long leaders = 0, moved = 0, checks = 0;
+
+	explicit World(uint64_t s) : seed(s)
+	{
+		rng_init(&r, s);
+		loss = rng_unit(&r) * 0.4;
+		dup = rng_unit(&r) * 0.3;
+		slow = rng_unit(&r) * 0.3;
+		for (uint32_t i = 0; i < 4; i++)
+			join(i + 1);
+		elect();
+		for (int i = 0; i < 3; i++)
+			worker();
+	}
+	~World()
+	{
+		talloc_free(leader);
+	}
+	double skew()
+	{
+		return 1 + (rng_unit(&r) - 0.5) * 0.0098;
+	}
+	struct timespec leader_now()
+	{
+		return clk_from_ns((int64_t)((double)now * leader_rate));
+	}
+	void join(uint32_t id)
+	{
+		Inst i;
+
+		i.id = id;
+		i.incarnation = rng_next(&r);
+		i.rate = skew();
+		insts.push_back(i);
+	}
+	void worker()
+	{
+		epochs.push_back(++index);
+		grant_worker(leader, leader_now(), index, SLOTS, CONNS, false);
+	}
+	void elect()
+	{
+		struct grant_conf conf = { TTL_MS, 10000, 1 };
+
+		talloc_free(leader);
+		leader_rate = skew();
+		leader = grant_new(NULL, &conf, leader_now());
+		node = (unsigned)rng_below(&r, 3);
+		term++;
+		leaders++;
+		grant_lead(leader, term, ++index);
+		for (uint64_t e : epochs)
+			grant_worker(
+			    leader, leader_now(), e, SLOTS, CONNS, false);
+	}
+	void send(Msg m)
+	{
+		int copies = rng_chance(&r, loss) ? 0 : 1;
+
+		copies += rng_chance(&r, dup) ? 1 : 0;
+		for (; copies > 0; copies--) {
+			m.at = now + (int64_t)rng_below(&r, 5 * MS);
+			if (rng_chance(&r, slow))
+				m.at += (int64_t)rng_below(&r, 3000 * MS);
+			net.push_back(m);
+		}
+	}
+	void end_requests()
+	{
+		for (Inst &i : insts)
+			for (auto &h : i.held) {
+				auto &v = h.second.ends;
+
+				v.erase(
+				    std::remove_if(v.begin(), v.end(),
+					[&](int64_t t) { return t <= now; }),
+				    v.end());
+			}
+	}
+	unsigned granted(const Inst &i, const Held &h)
+	{
+		return i.alive && h.expiry > i.own(now) ? h.slots : 0;
+	}
+	void beat(size_t n)
+	{
+		Inst &i = insts[n];
+		Msg m = {};
+
+		m.inst = n;
+		m.node =
+		    rng_chance(&r, 0.8) ? node : (unsigned)rng_below(&r, 3);
+		m.beat = ++i.beat;
+		m.term = i.term;
+		m.demand = (unsigned)i.demand;
+		i.sent[m.beat] = i.own(now);
+		if (i.cut > now)
+			return;
+		for (auto &h : i.held) {
+			unsigned used = (unsigned)h.second.ends.size();
+
+			m.use[h.first] = { std::max(granted(i, h.second), used),
+				h.second.seq };
+			m.used[h.first] = used;
+		}
+		send(m);
+	}
+	void take_beat(const Msg &m)
+	{
+		TALLOC_CTX *ctx = talloc_new(NULL);
+		Control__Beat b = CONTROL__BEAT__INIT;
+		Control__BeatReply rep = CONTROL__BEAT_REPLY__INIT;
+		Control__ClassDemand d = CONTROL__CLASS_DEMAND__INIT, *dp = &d;
+		std::vector<Control__SlotUse> use(m.use.size());
+		std::vector<Control__SlotUse *> ptr;
+		size_t k = 0;
+		Msg out = {};
+
+		if (m.node == node) {
+			b.instance = insts[m.inst].id;
+			b.incarnation = insts[m.inst].incarnation;
+			b.seq = m.beat;
+			b.has_term = 1;
+			b.term = m.term;
+			d.running = m.demand;
+			b.n_demand = 1;
+			b.demand = &dp;
+			for (auto &u : m.use) {
+				control__slot_use__init(&use[k]);
+				use[k].epoch = u.first;
+				use[k].held = u.second.slots;
+				use[k].used = m.used.at(u.first);
+				use[k].has_grant_seq = 1;
+				use[k].grant_seq = u.second.seq;
+				ptr.push_back(&use[k++]);
+			}
+			b.n_slots = ptr.size();
+			b.slots = ptr.data();
+			grant_beat(leader, leader_now(), &b, ctx, &rep);
+			out.reply = true;
+			out.inst = m.inst;
+			out.beat = m.beat;
+			out.term = term;
+			for (size_t g = 0; g < rep.n_grants; g++) {
+				const Control__Grant *x = rep.grants[g];
+
+				out.grants[x->epoch] = { x->slots, x->seq };
+				out.conns[x->epoch] = x->connections;
+			}
+			send(out);
+		}
+		talloc_free(ctx);
+	}
+	void take_reply(const Msg &m)
+	{
+		Inst &i = insts[m.inst];
+
+		if (!i.alive || i.cut > now || m.term < i.term)
+			return;
+		i.term = m.term;
+		for (auto &g : m.grants) {
+			Held &h = i.held[g.first];
+			int64_t expiry = i.sent[m.beat] + TTL_MS * MS;
+
+			if (g.second.seq < h.seq || expiry <= i.own(now))
+				continue;
+			moved += g.second.slots > h.slots;
+			h.expiry = g.second.seq == h.seq
+			    ? std::max(h.expiry, expiry)
+			    : expiry;
+			h.seq = g.second.seq;
+			h.slots = g.second.slots;
+			h.conns = m.conns.at(g.first);
+		}
+	}
+	/* Starts requests that end before the grant does. */
+	void work(Inst &i)
+	{
+		for (auto &x : i.held) {
+			Held &h = x.second;
+			int64_t left = h.expiry - i.own(now);
+
+			left -= left / 100;
+			while (h.ends.size() < granted(i, h) && left > 2 * MS &&
+			    rng_chance(&r, 0.7))
+				h.ends.push_back(now +
+				    (int64_t)rng_below(&r, (uint64_t)left));
+		}
+	}
+	/* Separate from the code under test: true use, summed. */
+	bool holds()
+	{
+		end_requests();
+		for (uint64_t e : epochs) {
+			unsigned sum = 0, conns = 0;
+
+			for (Inst &i : insts) {
+				Held &h = i.held[e];
+
+				sum += std::max(
+				    granted(i, h), (unsigned)h.ends.size());
+				if (granted(i, h) > 0)
+					conns += h.conns;
+			}
+			checks++;
+			if (sum > SLOTS || conns > CONNS) {
+				printf("seed %lu worker %lu slots %u "
+				       "connections %u\n",
+				    (unsigned long)seed, (unsigned long)e, sum,
+				    conns);
+				return false;
+			}
+		}
+		return true;
+	}
+	void event()
+	{
+		size_t n = (size_t)rng_below(&r, insts.size());
+		double p = rng_unit(&r);
+
+		while (!insts[n].alive)
+			n = (size_t)rng_below(&r, insts.size());
+		now += (int64_t)rng_below(&r, 40) * MS;
+		if (p < 0.40) {
+			insts[n].demand = (double)rng_below(&r, 30);
+			work(insts[n]);
+		} else if (p < 0.80) {
+			beat(n);
+		} else if (p < 0.804) {
+			insts[n].alive = false;
+			join(insts[n].id);
+		} else if (p < 0.808) {
+			insts[n].cut = now + 5000 * MS;
+		} else if (p < 0.812) {
+			elect();
+		} else if (p < 0.815) {
+			worker();
+		}
+		deliver();
+	}
+	void deliver()
+	{
+		for (size_t k = 0; k < net.size();) {
+			Msg m = net[k];
+
+			if (m.at > now) {
+				k++;
+				continue;
+			}
+			net.erase(net.begin() + (long)k);
+			m.reply ? take_reply(m) : take_beat(m);
+			broken = broken || !holds();
+		}
+	}
+	/* Every live instance beats and hears the answer. */
+	void settle(int rounds)
+	{
+		loss = dup = slow = 0;
+		for (int k = 0; k < rounds; k++) {
+			for (size_t n = 0; n < insts.size(); n++)
+				if (insts[n].alive)
+					beat(n);
+			now += 250 * MS;
+			for (Msg &m : net)
+				m.node = node;
+			deliver();
+			now += 250 * MS;
+			deliver();
+		}
+	}
+};
+
+} // namespace
+
+/* Guards against granting slots that someone may still use: after lost, late,
+ * doubled and reordered beats and replies, restarts and changes of leader. */
+TEST(Grant, NeverGrantsWhatMayBeInUse)
+{
+	unsigned long rounds = 0, checks = 0, moved = 0, leaders = 0;
+
+	for (uint64_t seed = 1; seed <= 400; seed++, rounds++) {
+		World w(seed);
+
+		for (int i = 0; i < 1200 && !w.broken; i++) {
+			w.event();
+			w.broken = w.broken || !w.holds();
+		}
+		ASSERT_FALSE(w.broken) << "seed " << seed;
+		checks += w.checks;
+		moved += w.moved;
+		leaders += w.leaders;
+	}
+	printf("rounds %lu\n", rounds);
+	printf("figure grant_checks %lu slots_moved %lu leaders %lu\n", checks,
+	    moved, leaders);
+	EXPECT_GT(moved, rounds * 10);
+}
+
+/* Guards against slots that stay idle while an instance wants them, and
+ * against an instance that loses all its slots. */
+TEST(Grant, MovesSlotsToWhereDemandIs)
+{
+	World w(7);
+	unsigned busy = 0;
+
+	while (w.insts.size() > 4)
+		w.insts.pop_back();
+	w.insts[2].demand = 100;
+	w.settle(20);
+	for (uint64_t e : w.epochs) {
+		unsigned sum = 0;
+
+		for (Inst &i : w.insts)
+			sum += w.granted(i, i.held[e]);
+		busy += w.granted(w.insts[2], w.insts[2].held[e]);
+		EXPECT_EQ(SLOTS, sum);
+	}
+	EXPECT_GE(busy, 22u); /* of 24 */
+	w.insts[2].demand = 0;
+	w.insts[0].demand = 100;
+	w.settle(60);
+	busy = 0;
+	for (uint64_t e : w.epochs)
+		busy += w.granted(w.insts[0], w.insts[0].held[e]);
+	EXPECT_GE(busy, 20u);
+}
+
+/* Guards against granting slots of a draining worker, slots that overdue
+ * requests occupy, or connections that the worker does not have. */
+TEST(Grant, RespectsDrainOverdueAndConnections)
+{
+	World w(9);
+	uint64_t drain = w.epochs[0], over = w.epochs[1], few = w.epochs[2];
+
+	w.settle(10);
+	grant_worker(w.leader, w.leader_now(), drain, SLOTS, CONNS, true);
+	grant_overdue(w.leader, over, 3);
+	grant_worker(w.leader, w.leader_now(), few, SLOTS, 5, false);
+	w.settle(10);
+	for (uint64_t e : { drain, over, few }) {
+		unsigned sum = 0, conns = 0;
+
+		for (Inst &i : w.insts) {
+			sum += w.granted(i, i.held[e]);
+			conns += i.held[e].conns;
+		}
+		EXPECT_LE(sum, e == drain ? 0u : 5u);
+		EXPECT_TRUE(e != few || conns <= 5) << conns;
+	}
+	EXPECT_EQ(SLOTS, grant_free(w.leader, w.leader_now(), drain));
+	EXPECT_EQ(0u, grant_free(w.leader, w.leader_now(), over));
+	grant_worker_gone(w.leader, over);
+	EXPECT_EQ(0u, grant_free(w.leader, w.leader_now(), over));
+}
