--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -547,8 +547,9 @@
 
 /*
  * Handles one event at now. Actions are appended to acts, whose array is
- * talloc'd on NULL and belongs to the caller. Timers that are due are handled
- * first. Returns STATUS_EXISTS for an ARRIVE with the id of a request that
+ * talloc'd on NULL and belongs to the caller. SENT is passed in before a byte
+ * can leave; if the actions of that step abort the attempt, none may leave.
+ * Returns STATUS_EXISTS for an ARRIVE with the id of a request that
  * has not ended; it gets no ANSWER of its own. Events of attempts or requests
  * that have ended are counted and otherwise ignored.
  */
@@ -562,9 +563,12 @@
 
 	e->acts = acts;
 	e->now = now;
-	/* An answer that comes at its deadline counts. Before a new view is
-	 * taken over nothing may be sent: indexes are those of the new one. */
-	late = ev->kind == ENG_EV_DONE || ev->kind == ENG_EV_VIEW;
+	/* What comes at a deadline still counts, SENT above all: the byte
+	 * leaves after this step. Before a new view is taken over nothing
+	 * may be dispatched, since indexes are those of the new one. */
+	late = ev->kind == ENG_EV_SENT || ev->kind == ENG_EV_DONE ||
+	    ev->kind == ENG_EV_FAILED || ev->kind == ENG_EV_CLAIMED ||
+	    ev->kind == ENG_EV_VIEW;
 	if (!late)
 		eng_timers(e, now);
 	switch (ev->kind) {
--- a/src/request/eng_run.c
+++ b/src/request/eng_run.c
@@ -44,10 +44,10 @@
  * slots in use, on the worker and in its rack.
  */
 static unsigned
-eng_score(const struct eng *e, const struct eng_worker *w)
+eng_score(const struct eng *e, const struct eng_worker *w, int64_t now)
 {
 	const struct eng_rack *k = &e->racks[w->rack];
-	unsigned score = out_failures(&w->out) * 64 + w->out.timeouts * 512U;
+	unsigned score = out_penalty(&w->out, now) * 64;
 
 	score += w->slot.used * 256 / w->slot.granted;
 	if (k->granted > 0)
@@ -79,7 +79,7 @@
 			break;
 		if (!eng_fits(e, r, w, now, deadline))
 			continue;
-		score = eng_score(e, w);
+		score = eng_score(e, w, now);
 		if (best == NULL || score < best_score) {
 			best = w;
 			best_score = score;
--- a/src/request/eng_worker.c
+++ b/src/request/eng_worker.c
@@ -96,7 +96,7 @@
 eng_worker_result(
     struct eng *e, struct eng_worker *w, int64_t now, bool ok, bool timed_out)
 {
-	bool failing = out_result(&w->out, ok);
+	bool failing = out_result(&w->out, ok, now);
 
 	if (timed_out && out_timeout(&w->out))
 		eng_remove_worker(e, w, OUT_SUSPECT, now);
--- a/src/request/out.c
+++ b/src/request/out.c
@@ -27,14 +27,31 @@
 
 /* Remembers one result; any answer ends a row of timeouts. */
 bool
-out_result(struct out *o, bool ok)
+out_result(struct out *o, bool ok, int64_t now)
 {
 	o->failed = (o->failed << 1 | !ok) & ((1U << OUT_WINDOW) - 1);
 	if (ok)
 		o->timeouts = 0;
+	else
+		o->failed_at = now;
 	return o->state == OUT_OK && out_failures(o) >= OUT_FAILURES;
 }
 
+/*
+ * Returns the failures among the last results, timeouts counting more, for as
+ * many seconds after the newest one as there are failures. Without an end a
+ * lightly loaded worker would never get the work that shows it is sound.
+ */
+unsigned
+out_penalty(const struct out *o, int64_t now)
+{
+	unsigned n = out_failures(o);
+
+	if (now - o->failed_at >= n * CLK_NS_PER_S)
+		return 0;
+	return n + 8U * o->timeouts;
+}
+
 /* Counts a timeout. The result itself is reported with out_result. */
 bool
 out_timeout(struct out *o)
--- a/src/request/out.h
+++ b/src/request/out.h
@@ -23,17 +23,20 @@
 	uint8_t timeouts;
 	uint8_t state;
 	bool probing;
-	int64_t delay;	 /* ns until the next probe */
-	int64_t back_at; /* ns, when a probe last passed */
-	int64_t since;	 /* ns, when it was taken out of use */
+	int64_t delay;	   /* ns until the next probe */
+	int64_t back_at;   /* ns, when a probe last passed */
+	int64_t failed_at; /* ns, of the newest failure */
+	int64_t since;	   /* ns, when it was taken out of use */
 };
 
 void out_init(struct out *);
 /* A result of work; returns true if the worker should be ejected. */
-bool out_result(struct out *, bool ok);
+bool out_result(struct out *, bool ok, int64_t now);
 /* A timeout that the worker is answerable for; true: it is now suspect. */
 bool out_timeout(struct out *);
 unsigned out_failures(const struct out *);
+/* Disadvantage of a worker that is in use, 0 when it has none. */
+unsigned out_penalty(const struct out *, int64_t now);
 /* Takes the worker out of use; returns when to probe. */
 int64_t out_remove(struct out *, enum out_state, int64_t now);
 /* A probe failed; returns when to probe again. */
--- a/src/request/tests/eng_test.cc
+++ b/src/request/tests/eng_test.cc
@@ -177,3 +177,183 @@
 	b.event(ENG_EV_DONE, batch, 3);
 	EXPECT_TRUE(eng_idle(b.e));
 }
+
+/* Guards against a claim's answer that ends in a dispatch or in an outcome
+ * that it does not prove, and against a lost claim that is never released. */
+TEST(Eng, ClaimDecidesTheOutcome)
+{
+	static const struct {
+		enum eng_claim claim;
+		enum eng_outcome outcome;
+		enum eng_reason reason;
+		size_t actions;
+	} T[] = {
+		{ ENG_CLAIM_RUNNING, ENG_UNKNOWN, ENG_R_KEY_RUNNING, 1 },
+		{ ENG_CLAIM_RECORDED, ENG_ANSWERED, ENG_R_NONE, 1 },
+		{ ENG_CLAIM_UNKNOWN, ENG_UNKNOWN, ENG_R_KEY_UNKNOWN, 1 },
+		{ ENG_CLAIM_MISMATCH, ENG_NOT_RUN, ENG_R_KEY_MISMATCH, 1 },
+		{ ENG_CLAIM_REFUSED, ENG_NOT_RUN, ENG_R_CLAIM_FAILED, 1 },
+		{ ENG_CLAIM_LOST, ENG_UNKNOWN, ENG_R_CLAIM_UNKNOWN, 2 },
+	};
+	Bench b;
+	uint64_t req;
+
+	b.worker(5, 8);
+	b.publish();
+	for (auto &t : T) {
+		req = b.arrive("svc", true, "k");
+		ASSERT_EQ(1u, b.acts.n);
+		EXPECT_EQ(ENG_ACT_CLAIM, b.acts.v[0].kind);
+		b.claimed(req, t.claim);
+		EXPECT_EQ(t.actions, b.acts.n);
+		b.expect_answer(t.outcome, t.reason);
+		EXPECT_EQ(t.claim == ENG_CLAIM_RECORDED,
+		    b.find(ENG_ACT_ANSWER)->u.answer.recorded);
+		if (t.claim == ENG_CLAIM_LOST) {
+			EXPECT_EQ(ENG_NOT_RUN,
+			    b.find(ENG_ACT_RECORD)->u.record.outcome);
+		}
+	}
+	req = b.arrive("svc", true, "k");
+	b.claimed(req, ENG_CLAIM_GRANTED);
+	ASSERT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+	b.event(ENG_EV_SENT, req, 1);
+	b.failed(req, 1, ENG_FAIL_NOT_STARTED, true);
+	ASSERT_NE(nullptr, b.find(ENG_ACT_DISPATCH)); /* did not run */
+	b.event(ENG_EV_SENT, req, 2);
+	b.failed(req, 2, ENG_FAIL_RESET, true);
+	b.expect_answer(ENG_UNKNOWN, ENG_R_RESET);
+	EXPECT_EQ(ENG_UNKNOWN, b.find(ENG_ACT_RECORD)->u.record.outcome);
+}
+
+/* Guards against a granted claim that outlives a request which ended before
+ * the answer to the claim came. */
+TEST(Eng, LateClaimIsReleased)
+{
+	Bench b;
+	uint64_t timed_out, cancelled;
+
+	b.worker(5, 8);
+	b.publish();
+	timed_out = b.arrive("svc", true, "a");
+	cancelled = b.arrive("svc", true, "b");
+	b.event(ENG_EV_CANCEL, cancelled, 0);
+	b.expect_answer(ENG_UNKNOWN, ENG_R_CANCELLED);
+	b.tick(1000);
+	b.expect_answer(ENG_UNKNOWN, ENG_R_CLAIM_UNKNOWN);
+	EXPECT_TRUE(eng_idle(b.e));
+	for (uint64_t req : { timed_out, cancelled }) {
+		b.claimed(req, ENG_CLAIM_GRANTED);
+		ASSERT_EQ(1u, b.acts.n);
+		EXPECT_EQ(
+		    ENG_NOT_RUN, b.find(ENG_ACT_RECORD)->u.record.outcome);
+	}
+}
+
+/* Guards against a cancelled request that keeps its place in the queue, and
+ * against cutting off one that may be running. */
+TEST(Eng, CancelFreesThePlaceAndLetsWorkFinish)
+{
+	Bench b;
+	uint64_t run, wait, last;
+
+	b.worker(5, 1);
+	b.publish();
+	run = b.arrive("svc", false);
+	wait = b.arrive("svc");
+	last = b.arrive("svc");
+	b.event(ENG_EV_SENT, run, 1);
+	b.event(ENG_EV_CANCEL, run, 0);
+	EXPECT_EQ(0u, b.acts.n);
+	b.event(ENG_EV_CANCEL, wait, 0);
+	b.expect_answer(ENG_NOT_RUN, ENG_R_CANCELLED);
+	b.event(ENG_EV_DONE, run, 1);
+	b.expect_answer(ENG_ANSWERED, ENG_R_NONE);
+	ASSERT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+	EXPECT_EQ(last, b.find(ENG_ACT_DISPATCH)->req);
+	b.event(ENG_EV_CANCEL, last, 0); /* no byte has left */
+	EXPECT_NE(nullptr, b.find(ENG_ACT_ABORT));
+	b.expect_answer(ENG_NOT_RUN, ENG_R_CANCELLED);
+}
+
+/* Guards against sending a request that could outlive its grant, and against
+ * reusing the slot of a timed-out request while the worker may run it. */
+TEST(Eng, SlotOfATimedOutRequestStaysInUse)
+{
+	Bench b;
+	struct eng_stats st;
+	uint64_t req;
+
+	b.worker(5, 1);
+	b.publish();
+	req = b.arrive("svc", false, "", 400);
+	b.event(ENG_EV_SENT, req, 1);
+	b.tick(400);
+	b.expect_answer(ENG_UNKNOWN, ENG_R_TIMEOUT);
+	EXPECT_NE(nullptr, b.find(ENG_ACT_ABORT));
+	eng_stats(b.e, b.e, &st);
+	ASSERT_EQ(1u, st.nslots);
+	EXPECT_EQ(1u, st.slots[0].used);
+	b.publish();
+	b.arrive("svc");
+	EXPECT_EQ(nullptr, b.find(ENG_ACT_DISPATCH));
+	b.tick(50);
+	b.publish();
+	EXPECT_EQ(nullptr, b.find(ENG_ACT_DISPATCH));
+	b.tick(600);
+	b.publish();
+	b.arrive("svc");
+	EXPECT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+
+	Bench c;
+	c.worker(5, 1);
+	c.publish();
+	c.workers[0].grant_expiry = clk_from_ns(c.now + 1500 * 1000000LL);
+	struct eng_ev ev = {};
+	ev.kind = ENG_EV_VIEW;
+	ev.u.view = &c.view;
+	c.step(ev);
+	c.arrive("svc", true, "", 1000); /* ends at 1515 ms at the latest */
+	EXPECT_EQ(nullptr, c.find(ENG_ACT_DISPATCH));
+	c.arrive("svc", true, "", 900);
+}
+
+/* Guards against an answer to a stopped instance's clients being cut off and
+ * against new work after DRAIN. */
+TEST(Eng, DrainFinishesWhatRuns)
+{
+	Bench b;
+	uint64_t run;
+	struct eng_ev ev = {};
+
+	b.worker(5, 1);
+	b.publish();
+	run = b.arrive("svc");
+	ev.kind = ENG_EV_DRAIN;
+	b.step(ev);
+	b.arrive("svc");
+	b.expect_answer(ENG_NOT_RUN, ENG_R_DRAINING);
+	EXPECT_FALSE(eng_idle(b.e));
+	b.event(ENG_EV_DONE, run, 1);
+	b.expect_answer(ENG_ANSWERED, ENG_R_NONE);
+	EXPECT_TRUE(eng_idle(b.e));
+}
+
+/* Guards against one class starving another without a trace. */
+TEST(Eng, CountsRefusalsWhileOtherClassesHoldSlots)
+{
+	Bench b;
+	const struct ctr_set *c = eng_counters(b.e);
+	uint64_t seen = 0;
+
+	b.worker(5, 1);
+	b.publish();
+	b.arrive("batch");
+	b.arrive("svc");
+	b.tick(200);
+	b.expect_answer(ENG_NOT_RUN, ENG_R_QUEUE_TIMEOUT);
+	for (size_t i = 0; i < c->n; i++)
+		if (str_eq_c(str_from("crowded_urgent"), c->desc[i].name))
+			seen = ctr_get(c, i);
+	EXPECT_EQ(1u, seen);
+}
