Learn sizes and interference, control targets, budget evictions

Cause: placement by declared size neither protects answer times nor copes with wrong sizes or broken workers. Change: histograms of used over declared size per job and class; a filter that learns the slowdown of each ordered pair of classes; attainment windows and a cap on weighted batch work per urgent class; throttle, move, stop as reactions to use; budgets for evictions; preemption through CHECKPOINT; quarantine with probes; sched_why. Seeded streams of events check the invariants against a shadow account, and every choice of a small fleet against a full scan. Conclusion: the policy is complete; its constants are not measured yet.

--- a/src/placement/alloc.c
+++ b/src/placement/alloc.c
@@ -222,7 +222,6 @@
 	w->head = ALLOC_NONE;
 	w->slots = in->slots;
 	w->bucket = ALLOC_NONE;
-	w->batch_cap = 1.0;
 	hmap_set(&a->by_epoch, in->epoch, i);
 	a->alive++;
 	res_add(&a->total, &w->cap);
@@ -341,6 +340,7 @@
 	unsigned g0 = alloc_grid(need->accel);
 	unsigned n = 0, scan = ALLOC_SCAN > max ? ALLOC_SCAN : max;
 	unsigned g, i, rows = ALLOC_LEVELS - c0, start, c, m, share;
+	unsigned each = max >= a->alive ? max : (max + 1) / 2;
 	uint32_t mask;
 
 	start = (unsigned)rng_below(&a->rng, rows);
@@ -351,7 +351,7 @@
 			while (mask != 0 && n < max && scan > 0) {
 				m = (unsigned)__builtin_ctz(mask);
 				mask &= mask - 1;
-				share = n + (max + 1) / 2;
+				share = n + each;
 				n = alloc_bucket_scan(a,
 				    &a->grid[g][c * ALLOC_LEVELS + m], need,
 				    out, n, share < max ? share : max, &scan);
@@ -424,7 +424,7 @@
 	t->job = job;
 	t->cls = cls;
 	t->urgent = urgent;
-	t->used_cpu = -1;
+	t->full_cpu = (int32_t)need.cpu_milli;
 	t->percent = 100;
 	t->jnext = t->jprev = ALLOC_NONE;
 	t->wprev = ALLOC_NONE;
@@ -435,8 +435,6 @@
 	w->ntasks++;
 	hmap_set(&a->by_task, id, i);
 	alloc_charge(a, wi, &need);
-	if (!urgent)
-		res_add(&w->batch, &need);
 	alloc_share_add(a, t, need.cpu_milli, 1);
 	*task = i;
 	return true;
@@ -452,8 +450,6 @@
 
 	res_sub(&by, &t->held);
 	alloc_charge(a, t->worker, &by);
-	if (!t->urgent)
-		res_add(&w->batch, &by);
 	alloc_share_add(a, t, by.cpu_milli, -1);
 	if (t->wprev != ALLOC_NONE)
 		a->t[t->wprev].wnext = t->wnext;
@@ -493,8 +489,6 @@
 	res_sub(&by, &t->held);
 	t->held = to;
 	alloc_charge(a, t->worker, &by);
-	if (!t->urgent)
-		res_add(&w->batch, &by);
 	alloc_share_add(a, t, by.cpu_milli, 0);
 	return whole;
 }
--- a/src/placement/alloc.h
+++ b/src/placement/alloc.h
@@ -30,12 +30,14 @@
 struct alloc_task {
 	uint64_t id;
 	struct sched_res held;
-	int64_t since_ms;      /* of START or ASSIGNED */
-	int64_t progress;      /* of the last checkpoint */
-	int32_t used_cpu;      /* last reported, -1: never */
-	int32_t used_mem;      /* MiB, last reported */
-	int32_t peak_mem;      /* MiB */
-	int32_t peak_cpu;      /* decaying maximum */
+	int64_t since_ms;      /* of START, then of ASSIGNED */
+	int64_t ckpt_ms;       /* of the last checkpoint, 0: none */
+	int64_t progress;      /* at the last checkpoint */
+	int64_t thr_ms;	       /* last change of percent */
+	int32_t full_cpu;      /* reservation without throttling */
+	int32_t peak_cpu;      /* decaying maximum of reports */
+	int32_t peak_mem;      /* MiB, maximum of reports */
+	uint32_t reports;      /* of usage */
 	uint32_t attempt;      /* 0: not yet known */
 	uint32_t worker;       /* index */
 	uint32_t job, cls;     /* indices in jobq */
@@ -44,7 +46,6 @@
 	uint8_t state;	       /* enum alloc_state */
 	uint8_t percent;       /* throttle, 100: none */
 	bool urgent;
-	bool running; /* TASK_RUNNING or usage seen */
 };
 
 /* Tasks of one class on a worker. */
@@ -58,11 +59,10 @@
 	uint64_t epoch; /* 0: entry is free */
 	char *name;
 	struct sched_res cap;
-	struct sched_res held;	/* tasks and requests together */
-	struct sched_res svc;	/* of it for requests */
-	struct sched_res batch; /* of it by batch tasks */
-	uint32_t rack, domain;	/* indices */
-	uint32_t head;		/* of the task list */
+	struct sched_res held; /* tasks and requests together */
+	struct sched_res svc;  /* of it for requests */
+	uint32_t rack, domain; /* indices */
+	uint32_t head;	       /* of the task list */
 	uint32_t ntasks;
 	struct alloc_share *shares;
 	uint32_t nshares, cshares;
@@ -71,18 +71,17 @@
 	uint32_t slots;
 	uint32_t bucket, pos; /* ALLOC_NONE: in no bucket */
 	bool draining, quarantined, closed;
-	bool probing;	   /* quarantined, one task is under way */
-	uint32_t ok, bad;  /* outcomes since the last of the other kind */
-	uint64_t bad_job;  /* of the last failure */
-	uint32_t bad_jobs; /* distinct jobs in a row */
-	int64_t probe_ms;  /* next probe */
+	bool probing;	  /* quarantined, one task is under way */
+	bool proven;	  /* some task has finished there */
+	bool mixed;	  /* several jobs failed in a row */
+	uint32_t suspect; /* points for failures in a row */
+	uint64_t bad_job; /* of the last failure */
+	int64_t probe_ms; /* next probe */
 	int64_t probe_gap_ms;
-	int64_t usage_ms; /* instant the last report describes */
-	int64_t over_ms;  /* since when over capacity, 0: not */
-	int64_t acted_ms; /* last reaction */
-	int64_t used_cpu, used_mem;
-	double batch_cap; /* share of the processors batch may hold */
-	double lat_ewma;  /* worst class's answers over its bound */
+	int64_t usage_ms;	 /* instant the last report describes */
+	int64_t over_ms;	 /* since when work needs more, 0: not */
+	int64_t acted_ms;	 /* last reaction to late answers */
+	double svc_cpu, svc_mem; /* decaying maximum of what requests use */
 };
 
 struct alloc_bucket {
--- /dev/null
+++ b/src/placement/intf.h
@@ -0,0 +1,63 @@
+/*
+ * Interference: how much the answers of one class slow down per share of a
+ * worker's processors that a neighbour class uses. One estimate per ordered
+ * pair, learned online by a diagonal Kalman filter from latency summaries
+ * relative to the victim's figure in the whole fleet.
+ */
+#ifndef PLACEMENT_INTF_H
+#define PLACEMENT_INTF_H
+
+#include <stdbool.h>
+#include "placement/hmap.h"
+
+__BEGIN_DECLS
+
+#define INTF_NEAR_MAX 24 /* neighbour classes of a worker considered */
+
+/* A neighbour class and its share of the worker's processors. */
+struct intf_near {
+	uint32_t cls;
+	double x;
+};
+
+struct intf_pair {
+	float g;   /* slowdown per share of 1 */
+	float var; /* of the estimate */
+	int64_t seen_ms;
+};
+
+struct intf_victim {
+	double mean_ms; /* of the fleet, decaying */
+	double base;	/* intercept: relative answer time when alone */
+	double base_var;
+	double noise; /* decaying mean of squared residuals */
+	double gbar;  /* mean of g over what was seen near the victim */
+	uint32_t n;
+	int64_t mean_at_ms;
+};
+
+struct intf {
+	TALLOC_CTX *ctx;
+	struct hmap by_pair; /* victim << 32 | neighbour */
+	struct intf_pair *p;
+	uint32_t np, cp;
+	struct intf_victim *v;
+	uint32_t nv;
+};
+
+void intf_init(struct intf *, TALLOC_CTX *);
+/* One latency summary of a victim class on a worker. */
+void intf_observe(struct intf *, int64_t now_ms, uint32_t victim,
+    const struct intf_near *, unsigned n, uint32_t count, double mean_ms);
+/*
+ * Slowdown of the victim per share of the neighbour, and its standard
+ * deviation; a pair that was never seen has the mean of its victim.
+ */
+double intf_slowdown(const struct intf *, int64_t now_ms, uint32_t victim,
+    uint32_t neighbour, double *sd);
+/* Mean slowdown per share of what runs near the victim. */
+double intf_mean(const struct intf *, uint32_t victim);
+
+__END_DECLS
+
+#endif
--- a/src/placement/jobq.h
+++ b/src/placement/jobq.h
@@ -8,6 +8,7 @@
 #include "placement/hmap.h"
 #include "placement/learn.h"
 #include "placement/sched.h"
+#include "placement/tgt.h"
 
 __BEGIN_DECLS
 
@@ -29,6 +30,7 @@
 	struct sched_res declared;
 	int64_t run_ms;
 	int64_t submit_ms;
+	int64_t wait_ms; /* since when the next task waits */
 	uint8_t *done;	 /* one bit per task */
 	uint8_t *live;	 /* one bit per task that holds resources */
 	uint32_t *again; /* tasks to run again, a stack */
@@ -48,6 +50,7 @@
 	struct learn *learn; /* NULL until usage was seen */
 	uint32_t nwait;	     /* tasks counted as waiting in the class */
 	bool gang, dead;     /* dead: cancelled or failed */
+	bool as_declared;    /* learned sizes of the class did not fit */
 	uint8_t where;	     /* enum jobq_where */
 	uint32_t park;	     /* index, when parked by need */
 };
@@ -77,8 +80,13 @@
 	uint32_t *rack_n, *domain_n; /* tasks per rack and domain */
 	uint32_t nracks, ndomains;   /* allocated */
 	struct learn learn;
+	struct tgt tgt;
+	double key;	     /* order in a pass, lowest first */
+	bool at_risk;	     /* refreshed every second */
 	double evict_tokens; /* of the budget per minute */
 	int64_t evict_ms;
+	uint32_t preempting; /* tasks that room is being made for */
+	int64_t preempt_ms;
 };
 
 struct jobq_team {
--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -15,7 +15,33 @@
 	[SCHED_CTR_GANG_ROLLBACK] = { "gang_rollback",
 	    "gangs that did not fit as a whole" },
 	[SCHED_CTR_GANG_STOP] = { "gang_stop",
-	    "gangs stopped because a member could not be replaced" },
+	    "gang tasks stopped because a member could not be replaced" },
+	[SCHED_CTR_THROTTLE] = { "throttle", "batch tasks slowed down" },
+	[SCHED_CTR_UNTHROTTLE] = { "unthrottle", "batch tasks sped up again" },
+	[SCHED_CTR_EVICT_TARGET] = { "evict_target",
+	    "tasks moved for the answer times of a class" },
+	[SCHED_CTR_EVICT_USE] = { "evict_use",
+	    "tasks moved because work uses more than is held" },
+	[SCHED_CTR_EVICT_PREEMPT] = { "evict_preempt",
+	    "batch tasks moved to make room for urgent work" },
+	[SCHED_CTR_EVICT_DRAIN] = { "evict_drain",
+	    "tasks moved off a leaving worker" },
+	[SCHED_CTR_EVICT_REFUSED] = { "evict_refused",
+	    "evictions refused by a budget" },
+	[SCHED_CTR_STOP_MEMORY] = { "stop_memory",
+	    "tasks stopped because memory was about to run out" },
+	[SCHED_CTR_OVER] = { "over",
+	    "usage reports that show more than could be held" },
+	[SCHED_CTR_HELD_BACK] = { "held_back",
+	    "batch placements held back for a class at risk" },
+	[SCHED_CTR_LATE_USAGE] = { "late_usage",
+	    "usage reports older than the last one, ignored" },
+	[SCHED_CTR_QUARANTINE] = { "quarantine",
+	    "workers that failed everything and get no work" },
+	[SCHED_CTR_PROBE] = { "probe",
+	    "tasks placed on a quarantined worker to test it" },
+	[SCHED_CTR_JOB_FAILED] = { "job_failed",
+	    "jobs that failed on too many workers" },
 };
 
 static const char *const sched_wait_names[SCHED_WAIT_COUNT] = {
@@ -52,6 +78,10 @@
 	s->now_ms = clk_ns(now) / CLK_NS_PER_MS;
 	alloc_init(&s->a, s, conf->seed);
 	jobq_init(&s->q, s);
+	intf_init(&s->f, s);
+	s->tick_ms = s->now_ms;
+	s->slot_cpu = SCHED_SLOT_CPU;
+	s->slot_mem = SCHED_SLOT_MEM;
 	hmap_init(&s->racks, s);
 	hmap_init(&s->domains, s);
 	ctr_init(&s->ctr, s, sched_ctr_desc, SCHED_CTR_COUNT);
@@ -110,6 +140,8 @@
 	struct jobq_class *c = &s->q.c[i];
 	uint32_t old = c->team;
 
+	if (!c->present)
+		tgt_init(&c->tgt, s->now_ms);
 	c->present = true;
 	c->urgent = in->urgent;
 	c->percentile_x10 = in->percentile_x10;
@@ -166,6 +198,31 @@
 	return STATUS_OK;
 }
 
+/* Refreshes what depends on time alone. */
+static void
+sched_second(struct sched *s)
+{
+	double m1, m10;
+	uint32_t i;
+
+	s->tick_ms = s->now_ms + 1000;
+	for (i = 0; i < s->q.nc; i++) {
+		struct jobq_class *c = &s->q.c[i];
+
+		if (!c->present)
+			continue;
+		sched_attain(s, i, &m1, &m10);
+		/* Classes furthest below their target are served first. */
+		c->key = s->conf.targets ? m10 : 0;
+		c->at_risk = c->urgent ? m1 < 1 : m10 < 1 && c->waiting > 0;
+		if (c->urgent && s->conf.targets)
+			tgt_control(&c->tgt, s->now_ms, c->percentile_x10);
+	}
+	sched_probes(s);
+	/* Caps have moved, so what was held back may start. */
+	s->dirty = true;
+}
+
 /*
  * Takes one event. Actions are appended to out, which the caller clears.
  * Errors: INVALID (malformed), EXISTS (job or worker is known), NOT_FOUND
@@ -223,11 +280,16 @@
 		rc = sched_task_event(s, ev);
 		break;
 	case SCHED_EV_USAGE:
+		rc = sched_usage(s, ev);
+		break;
 	case SCHED_EV_LATENCY:
+		rc = sched_latency(s, ev);
 		break;
 	}
 	if (rc == STATUS_STALE)
 		ctr_add(&s->ctr, SCHED_CTR_STALE, 1);
+	if (s->now_ms >= s->tick_ms)
+		sched_second(s);
 	if (s->ready && s->now_ms >= s->pass_ms &&
 	    (s->dirty || s->now_ms >= s->retry_ms))
 		sched_place(s);
@@ -278,6 +340,29 @@
 	return talloc_total_size(s);
 }
 
+/* Attainment of a class: answers in time, or work finished. */
+void
+sched_attain(const struct sched *s, uint32_t ci, double *m1, double *m10)
+{
+	const struct jobq_class *c = &s->q.c[ci];
+
+	if (c->urgent) {
+		*m1 =
+		    tgt_share_answers(&c->tgt, s->now_ms, 6, c->percentile_x10);
+		*m10 = tgt_share_answers(
+		    &c->tgt, s->now_ms, TGT_SLOTS, c->percentile_x10);
+	} else {
+		*m1 = tgt_share_finished(
+		    &c->tgt, s->now_ms, 6, c->finish_per_hour);
+		*m10 = tgt_share_finished(
+		    &c->tgt, s->now_ms, TGT_SLOTS, c->finish_per_hour);
+	}
+}
+
+/*
+ * Fills at most n entries, one per configured class, and returns how many
+ * there are. Names live as long as the scheduler.
+ */
 size_t
 sched_attainment(const struct sched *s, struct sched_attainment *v, size_t n)
 {
@@ -289,14 +374,15 @@
 
 		if (!c->present)
 			continue;
-		if (k < n)
+		if (k < n) {
 			v[k] = (struct sched_attainment){
 				.name = str_from(c->name),
-				.share_1m = 1,
-				.share_10m = 1,
+				.at_risk = c->at_risk,
 				.waiting = c->waiting,
 				.running = c->running,
 			};
+			sched_attain(s, i, &v[k].share_1m, &v[k].share_10m);
+		}
 		k++;
 	}
 	return k;
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -3,6 +3,7 @@
 #define PLACEMENT_SCHED_IMPL_H
 
 #include "placement/alloc.h"
+#include "placement/intf.h"
 #include "placement/jobq.h"
 #include "placement/sched.h"
 
@@ -11,6 +12,11 @@
 #define SCHED_PASS_MS	 10   /* between two placement passes */
 #define SCHED_PASS_MAX	 4096 /* starts per pass */
 #define SCHED_CANDIDATES 64   /* upper limit of conf.candidates */
+/* Use of one request slot before any report. */
+#define SCHED_SLOT_CPU 250.0
+#define SCHED_SLOT_MEM 256.0
+#define SCHED_VICTIMS  8    /* urgent classes considered per worker */
+#define SCHED_START_MS 7300 /* urgent work has to start within */
 
 enum sched_ctr {
 	SCHED_CTR_STARTS,
@@ -20,6 +26,20 @@
 	SCHED_CTR_ASSIGN_FAILED,
 	SCHED_CTR_GANG_ROLLBACK,
 	SCHED_CTR_GANG_STOP,
+	SCHED_CTR_THROTTLE,
+	SCHED_CTR_UNTHROTTLE,
+	SCHED_CTR_EVICT_TARGET,
+	SCHED_CTR_EVICT_USE,
+	SCHED_CTR_EVICT_PREEMPT,
+	SCHED_CTR_EVICT_DRAIN,
+	SCHED_CTR_EVICT_REFUSED,
+	SCHED_CTR_STOP_MEMORY,
+	SCHED_CTR_OVER,
+	SCHED_CTR_HELD_BACK,
+	SCHED_CTR_LATE_USAGE,
+	SCHED_CTR_QUARANTINE,
+	SCHED_CTR_PROBE,
+	SCHED_CTR_JOB_FAILED,
 	SCHED_CTR_COUNT
 };
 
@@ -27,10 +47,14 @@
 	struct sched_conf conf;
 	struct alloc a;
 	struct jobq q;
+	struct intf f;
 	struct hmap racks, domains;
 	uint32_t nracks, ndomains;
 	struct ctr_set ctr;
 	int64_t now_ms;
+	int64_t tick_ms;	   /* next refresh of targets and probes */
+	double slot_cpu, slot_mem; /* use per request slot, fleet */
+	uint32_t nquarantined;
 	int64_t pass_ms;  /* earliest next pass */
 	int64_t retry_ms; /* a gang is tried again */
 	bool ready;	  /* the first TICK was seen */
@@ -59,6 +83,36 @@
 void sched_check_fits(struct sched *, uint32_t job);
 void sched_fleet_changed(struct sched *);
 
+/* Classes near a worker's requests and urgent tasks, with their share. */
+unsigned sched_near(
+    const struct sched *, const struct alloc_worker *, struct intf_near *);
+/* Urgent classes that a worker serves or runs. */
+unsigned sched_victims(
+    const struct sched *, const struct alloc_worker *, uint32_t *victims);
+/* Weight of a neighbour class: 1 is the mean of the victim. */
+double sched_weight(const struct sched *, uint32_t victim, uint32_t cls);
+/* Weighted share that batch work takes near a victim. */
+double sched_load(const struct sched *, uint32_t victim,
+    const struct intf_near *, unsigned n);
+/* Adds a task's peaks to the learned sizes of its job and class. */
+void sched_observe(struct sched *, const struct alloc_task *);
+enum status sched_usage(struct sched *, const struct sched_ev *);
+enum status sched_latency(struct sched *, const struct sched_ev *);
+void sched_set_percent(struct sched *, uint32_t task, unsigned percent);
+void sched_attain(
+    const struct sched *, uint32_t cls, double *share_1m, double *share_10m);
+
+/* Checkpoints and stops a task within the budgets; false: refused. */
+bool sched_evict(struct sched *, uint32_t task, enum sched_ctr why);
+/* Work that a stop now would repeat, or the whole run without checkpoint. */
+int64_t sched_lost_ms(const struct sched *, const struct alloc_task *);
+void sched_preempt(struct sched *, uint32_t job, const struct sched_res *need);
+
+void sched_task_failed(struct sched *, uint32_t task);
+void sched_worker_good(struct sched *, uint32_t worker);
+void sched_probes(struct sched *);
+bool sched_failed_on(const struct jobq_job *, uint32_t number, uint64_t epoch);
+
 enum status sched_worker_up(struct sched *, const struct sched_worker *);
 enum status sched_worker_lost(struct sched *, uint64_t epoch);
 enum status sched_worker_drain(struct sched *, uint64_t epoch);
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -1,10 +1,20 @@
 #include "placement/sched_impl.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #define PLACE_WINDOW   16 /* jobs looked at per class and pass */
 #define PLACE_QUANTUM  64 /* starts of a class before the next one's turn */
 #define PLACE_NOFIT    16 /* needs remembered as not fitting in a pass */
+#define PLACE_BALANCE  0.3
+#define PLACE_LOAD     0.3
+#define PLACE_ACCEL    0.5
+#define PLACE_RACK     0.5
+#define PLACE_DOMAIN   1.0
+#define PLACE_SUFFERS  1.0
+#define PLACE_PRESSURE 0.5
+#define PLACE_FAILED   100.0
+#define PLACE_TRIES    3 /* while every candidate would harm a class */
 #define PLACE_GANG_MS  100
 #define PLACE_GANG_MAX 5000
 
@@ -24,6 +34,12 @@
 
 	if (s->a.alive == 0 || alloc_ever_fits(&s->a, &need, &accel))
 		return;
+	if (!j->as_declared) {
+		j->as_declared = true;
+		need = sched_need(s, j);
+		if (alloc_ever_fits(&s->a, &need, &accel))
+			return;
+	}
 	jobq_park_need(&s->q, ji, &need);
 	sched_job_wait(
 	    s, ji, accel ? SCHED_WAIT_TOO_LARGE : SCHED_WAIT_NO_ACCELERATOR);
@@ -52,35 +68,115 @@
 	s->dirty = true;
 }
 
-/* Lower is better. */
+/*
+ * Share of what a worker may still take from batch work that the task would
+ * use, over all urgent classes there: above 1 a class would be harmed.
+ */
+static double
+place_pressure(
+    const struct sched *s, const struct alloc_worker *w, uint32_t cls, double x)
+{
+	uint32_t victims[SCHED_VICTIMS];
+	struct intf_near near[INTF_NEAR_MAX];
+	unsigned nv = sched_victims(s, w, victims), nn, i;
+	double p, high = 0;
+
+	if (nv == 0)
+		return 0;
+	nn = sched_near(s, w, near);
+	for (i = 0; i < nv; i++) {
+		p = (sched_load(s, victims[i], near, nn) +
+			x * sched_weight(s, victims[i], cls)) /
+		    s->q.c[victims[i]].tgt.cap;
+		if (p > high)
+			high = p;
+	}
+	return high;
+}
+
+/* Slowdown that an urgent task is expected to suffer on a worker. */
+static double
+place_suffers(const struct sched *s, const struct alloc_worker *w, uint32_t cls)
+{
+	struct intf_near near[INTF_NEAR_MAX];
+	unsigned n = sched_near(s, w, near), i;
+	double sum = 0, sd;
+
+	for (i = 0; i < n; i++)
+		sum += near[i].x *
+		    intf_slowdown(&s->f, s->now_ms, cls, near[i].cls, &sd);
+	return sum;
+}
+
+/*
+ * Score of a worker for a task, lower is better; INFINITY when batch work
+ * there would harm a class. Terms: unequal use of processors and memory, load,
+ * accelerators left without processors, spread of urgent classes over racks
+ * and domains, and interference in both directions.
+ */
 static double
 place_score(const struct sched *s, const struct jobq_job *j, uint32_t wi,
     const struct sched_res *need)
 {
 	const struct alloc_worker *w = &s->a.w[wi];
-
-	(void)s;
-	(void)j;
-	(void)need;
-	return (double)w->epoch;
+	const struct jobq_class *c = &s->q.c[j->cls];
+	struct sched_res room = alloc_free(w);
+	double cpu = 0, mem = 0, sc, p;
+
+	res_sub(&room, need);
+	if (w->cap.cpu_milli > 0)
+		cpu = (double)room.cpu_milli / (double)w->cap.cpu_milli;
+	if (w->cap.mem_mb > 0)
+		mem = (double)room.mem_mb / (double)w->cap.mem_mb;
+	sc = PLACE_BALANCE * fabs(cpu - mem) + PLACE_LOAD * (1 - cpu);
+	if (need->accel == 0 && room.accel > 0)
+		sc += PLACE_ACCEL;
+	if (c->urgent) {
+		if (w->rack < c->nracks)
+			sc += PLACE_RACK * c->rack_n[w->rack] /
+			    (c->running + 1.0);
+		if (w->domain < c->ndomains)
+			sc += PLACE_DOMAIN * c->domain_n[w->domain] /
+			    (c->running + 1.0);
+		if (s->conf.interference)
+			sc += PLACE_SUFFERS * place_suffers(s, w, j->cls);
+		return sc;
+	}
+	if (!s->conf.targets)
+		return sc;
+	p = place_pressure(s, w, j->cls,
+	    (double)need->cpu_milli /
+		(double)(w->cap.cpu_milli > 0 ? w->cap.cpu_milli : 1));
+	return p > 1 ? INFINITY : sc + PLACE_PRESSURE * p;
 }
 
-/* The best of a bounded number of candidates, ALLOC_NONE: no room. */
+/*
+ * The best of a bounded number of candidates. ALLOC_NONE: no room, or *held
+ * when there is room but the targets of other classes forbid it.
+ */
 static uint32_t
-place_pick(
-    struct sched *s, const struct jobq_job *j, const struct sched_res *need)
+place_pick(struct sched *s, const struct jobq_job *j, uint32_t number,
+    const struct sched_res *need, bool *held)
 {
 	uint32_t cand[SCHED_CANDIDATES], best = ALLOC_NONE;
-	unsigned n, i;
-	double score, low = 0;
-
-	n = alloc_candidates(&s->a, need, cand, s->conf.candidates);
-	for (i = 0; i < n; i++) {
-		score = place_score(s, j, cand[i], need);
-		if (best == ALLOC_NONE || score < low) {
-			best = cand[i];
-			low = score;
+	unsigned n, i, tries;
+	double score, low = INFINITY;
+
+	for (tries = 0; tries < PLACE_TRIES && best == ALLOC_NONE; tries++) {
+		n = alloc_candidates(&s->a, need, cand, s->conf.candidates);
+		*held = n > 0;
+		for (i = 0; i < n; i++) {
+			score = place_score(s, j, cand[i], need);
+			/* Elsewhere first, but rather there than nowhere. */
+			if (sched_failed_on(j, number, s->a.w[cand[i]].epoch))
+				score += PLACE_FAILED;
+			if (score < low) {
+				best = cand[i];
+				low = score;
+			}
 		}
+		if (n < s->conf.candidates)
+			break;
 	}
 	return best;
 }
@@ -103,27 +199,40 @@
 	struct jobq_job *j = &s->q.j[ji];
 	struct sched_res need = sched_need(s, j);
 	uint32_t number = jobq_peek(j), wi;
+	bool held;
 
 	if (!jobq_quota_allows(&s->q.t[s->q.c[j->cls].team], &need))
 		return SCHED_WAIT_OVER_QUOTA;
-	if (place_known_nofit(p, &need))
-		return SCHED_WAIT_NO_ROOM;
-	wi = place_pick(s, j, &need);
-	if (wi == ALLOC_NONE || !sched_hold(s, ji, number, wi, need, task)) {
+	if (!place_known_nofit(p, &need)) {
+		wi = place_pick(s, j, number, &need, &held);
+		if (wi != ALLOC_NONE &&
+		    sched_hold(s, ji, number, wi, need, task))
+			return SCHED_WAIT_NONE;
+		if (held) {
+			ctr_add(&s->ctr, SCHED_CTR_HELD_BACK, 1);
+			return SCHED_WAIT_TARGET;
+		}
 		if (p->n < PLACE_NOFIT)
 			p->nofit[p->n++] = need;
 		ctr_add(&s->ctr, SCHED_CTR_NO_ROOM, 1);
-		return SCHED_WAIT_NO_ROOM;
 	}
-	return SCHED_WAIT_NONE;
+	if (s->q.c[j->cls].urgent && !j->gang)
+		sched_preempt(s, ji, &need);
+	return SCHED_WAIT_NO_ROOM;
 }
 
 static void
 place_start(struct sched *s, struct place_pass *p, uint32_t ti)
 {
+	const struct alloc_task *t = &s->a.t[ti];
+
 	sched_order(s, SCHED_ACT_START, ti);
 	ctr_add(&s->ctr, SCHED_CTR_STARTS, 1);
 	p->starts++;
+	/* A late start counts as a late answer of an urgent class. */
+	if (t->urgent)
+		tgt_add(&s->q.c[t->cls].tgt, s->now_ms, 1,
+		    s->now_ms - s->q.j[t->job].wait_ms > SCHED_START_MS);
 }
 
 /*
@@ -171,6 +280,8 @@
 	j->retry_gap_ms = j->retry_gap_ms == 0	   ? PLACE_GANG_MS
 	    : j->retry_gap_ms * 2 < PLACE_GANG_MAX ? j->retry_gap_ms * 2
 						   : PLACE_GANG_MAX;
+	if (j->retry_gap_ms >= PLACE_GANG_MAX)
+		j->as_declared = true;
 	j->retry_ms = s->now_ms + j->retry_gap_ms;
 	if (j->retry_ms < s->retry_ms)
 		s->retry_ms = j->retry_ms;
@@ -237,6 +348,8 @@
 
 	if (s->q.c[x].urgent != s->q.c[y].urgent)
 		return s->q.c[x].urgent ? -1 : 1;
+	if (s->q.c[x].key != s->q.c[y].key)
+		return s->q.c[x].key < s->q.c[y].key ? -1 : 1;
 	return x < y ? -1 : x > y;
 }
 
@@ -250,9 +363,10 @@
 		s->order = talloc_realloc(s, s->order, uint32_t, s->corder);
 	}
 	s->norder = 0;
-	for (i = 0; i < s->q.nc; i++)
+	for (i = 0; i < s->q.nc; i++) {
 		if (s->q.c[i].njobs > 0)
 			s->order[s->norder++] = i;
+	}
 	if (s->norder > 1)
 		qsort_r(s->order, s->norder, sizeof(*s->order), place_cmp, s);
 }
--- a/src/placement/sched_task.c
+++ b/src/placement/sched_task.c
@@ -1,13 +1,47 @@
 #include "placement/sched_impl.h"
 
+#include <math.h>
 #include <string.h>
 
-/* Resources a new task of the job reserves. */
+#define NEED_JOB_CPU	8  /* tasks of a job seen before its figure counts */
+#define NEED_JOB_MEM	16 /* memory is given back later than processors */
+#define NEED_CLASS_CPU	64
+#define NEED_CLASS_MEM	200
+#define NEED_CPU_MARGIN 1.05
+#define NEED_MEM_MARGIN 1.10
+#define NEED_MEM_CLASS	1.25 /* jobs of a class differ more than tasks */
+
+/*
+ * Resources a new task of the job reserves: the declared size until enough
+ * tasks were seen, then the 95th percentile of processors and the maximum of
+ * memory plus a margin, of the job or else of its class. A few reports are
+ * enough to raise a reservation, but not to lower it.
+ */
 struct sched_res
 sched_need(const struct sched *s, const struct jobq_job *j)
 {
-	(void)s;
-	return j->declared;
+	const struct learn *l = j->learn, *cl = &s->q.c[j->cls].learn;
+	struct sched_res need = j->declared;
+	double cpu = 1, mem = 1;
+
+	/* Others of the class say little of a job that they would keep out. */
+	if (!s->conf.learning || (l == NULL && j->as_declared))
+		return need;
+	if (cl->ncpu >= NEED_CLASS_CPU)
+		cpu = learn_cpu_quantile(cl, 0.95) * NEED_CPU_MARGIN;
+	if (cl->nmem >= NEED_CLASS_MEM)
+		mem = learn_mem_quantile(cl, 1) * NEED_MEM_CLASS;
+	if (l != NULL && l->ncpu >= NEED_JOB_CPU)
+		cpu = learn_cpu_quantile(l, 0.95) * NEED_CPU_MARGIN;
+	else if (l != NULL)
+		cpu = fmax(cpu, learn_cpu_quantile(l, 1) * NEED_CPU_MARGIN);
+	if (l != NULL && l->nmem >= NEED_JOB_MEM)
+		mem = learn_mem_quantile(l, 1) * NEED_MEM_MARGIN;
+	else if (l != NULL)
+		mem = fmax(mem, learn_mem_quantile(l, 1) * NEED_MEM_MARGIN);
+	need.cpu_milli = (int64_t)ceil((double)need.cpu_milli * cpu);
+	need.mem_mb = (int64_t)ceil((double)need.mem_mb * mem);
+	return need;
 }
 
 static void
@@ -65,6 +99,12 @@
 		s->a.t[j->head].jprev = *task;
 	j->head = *task;
 	sched_charge(s, t, 1);
+	if (t->urgent) {
+		struct jobq_class *c = &s->q.c[j->cls];
+
+		if (c->preempting > 0)
+			c->preempting--;
+	}
 	jobq_take(&s->q, ji, number);
 	return true;
 }
@@ -88,6 +128,8 @@
 		s->a.t[t->jnext].jprev = t->jprev;
 	sched_charge(s, t, -1);
 	alloc_task_release(&s->a, ti);
+	if (!done)
+		s->q.j[ji].wait_ms = s->now_ms;
 	if (done)
 		jobq_finish_task(&s->q, ji, number);
 	else
@@ -136,6 +178,7 @@
 	}
 	ji = jobq_job_add(&s->q, in, ci);
 	s->q.j[ji].submit_ms = s->now_ms;
+	s->q.j[ji].wait_ms = s->now_ms;
 	if (s->q.j[ji].ndone == in->tasks) {
 		jobq_job_del(&s->q, ji);
 		return STATUS_OK;
@@ -209,7 +252,6 @@
 			need.accel = room.accel;
 		if (!sched_hold(s, ji, number, wi, need, &ti))
 			return STATUS_INVALID;
-		s->a.t[ti].running = true;
 	}
 	if (s->a.t[ti].state == ALLOC_STARTING) {
 		s->a.t[ti].state = ALLOC_RUNNING;
@@ -257,15 +299,23 @@
 	ji = t->job;
 	switch (ev->kind) {
 	case SCHED_EV_TASK_RUNNING:
-		t->running = true;
 		return STATUS_OK;
 	case SCHED_EV_TASK_CHECKPOINT:
 		t->progress = ev->u.task.progress;
+		t->ckpt_ms = s->now_ms;
 		return STATUS_OK;
 	case SCHED_EV_TASK_DONE:
+		sched_observe(s, t);
+		sched_worker_good(s, t->worker);
+		s->q.j[ji].okay++;
+		if (!t->urgent)
+			tgt_add(&s->q.c[t->cls].tgt, s->now_ms, 1, 0);
 		sched_drop(s, ti, true);
 		break;
 	case SCHED_EV_TASK_FAILED:
+		sched_task_failed(s, ti);
+		sched_drop(s, ti, false);
+		break;
 	case SCHED_EV_TASK_STOPPED:
 		sched_drop(s, ti, false);
 		break;
--- a/src/placement/sched_why.c
+++ b/src/placement/sched_why.c
@@ -2,16 +2,105 @@
 
 #include <inttypes.h>
 
+#define WHY_WORKERS 6 /* named on one screen */
+
+/* What an operator can do about each reason. */
+static const char *const why_help[SCHED_WAIT_COUNT] = {
+	[SCHED_WAIT_NONE] = "",
+	[SCHED_WAIT_QUEUED] = "earlier jobs of the class start first; more "
+			      "workers or a higher target for the class",
+	[SCHED_WAIT_NO_ROOM] = "a task of the size below fits no worker now; "
+			       "more workers or smaller tasks",
+	[SCHED_WAIT_TOO_LARGE] = "no worker is large enough even when empty; "
+				 "larger workers or smaller tasks",
+	[SCHED_WAIT_NO_ACCELERATOR] = "no worker has enough accelerators",
+	[SCHED_WAIT_OVER_QUOTA] = "the team holds its quota; a higher quota, "
+				  "or wait until its tasks end",
+	[SCHED_WAIT_GANG] = "there is room for some of the tasks, not for all; "
+			    "more workers or a smaller gang",
+	[SCHED_WAIT_TARGET] = "more batch work would make answers of an urgent "
+			      "class late; more workers or a looser bound",
+	[SCHED_WAIT_NO_CLASS] = "the class is not configured; apply a "
+				"configuration that has it",
+	[SCHED_WAIT_FAILED] = "tasks failed on several sound workers; look at "
+			      "the job itself",
+};
+
+static char *
+why_res(TALLOC_CTX *ctx, const struct sched_res *r)
+{
+	return talloc_asprintf(ctx,
+	    "%" PRId64 ".%02" PRId64 " processors, %" PRId64 " MiB, %" PRId64
+	    " accelerators",
+	    r->cpu_milli / 1000, r->cpu_milli % 1000 / 10, r->mem_mb, r->accel);
+}
+
+static char *
+why_team(const struct sched *s, char *out, const struct jobq_team *t)
+{
+	(void)s;
+	if (t->quota.cpu_milli >= 0 || t->quota.mem_mb >= 0 ||
+	    t->quota.accel >= 0)
+		out = talloc_asprintf_append(out,
+		    "quota of team %s: holds %" PRId64 " of %" PRId64
+		    " milliprocessors, %" PRId64 " of %" PRId64 " MiB, %" PRId64
+		    " of %" PRId64 " accelerators (-1: no limit)\n",
+		    t->name, t->used.cpu_milli, t->quota.cpu_milli,
+		    t->used.mem_mb, t->quota.mem_mb, t->used.accel,
+		    t->quota.accel);
+	return out;
+}
+
+static char *
+why_workers(const struct sched *s, char *out, const struct jobq_job *j)
+{
+	static const char *const state[] = { "starting", "runs", "stopping" };
+	uint32_t ti, n = 0;
+
+	for (ti = j->head; ti != ALLOC_NONE && n < WHY_WORKERS;
+	     ti = s->a.t[ti].jnext, n++) {
+		const struct alloc_task *t = &s->a.t[ti];
+
+		out = talloc_asprintf_append(out,
+		    "task %" PRIu64 " %s on %s at %u%%, holds %" PRId64
+		    " milliprocessors, %" PRId64 " MiB\n",
+		    t->id & ((1U << JOBQ_TASK_BITS) - 1), state[t->state],
+		    s->a.w[t->worker].name, t->percent, t->held.cpu_milli,
+		    t->held.mem_mb);
+	}
+	if (j->nlive > n)
+		out =
+		    talloc_asprintf_append(out, "and %u more\n", j->nlive - n);
+	return out;
+}
+
+/* The urgent class that leaves batch work the least room. */
+static const struct jobq_class *
+why_tightest(const struct sched *s)
+{
+	const struct jobq_class *low = NULL;
+	uint32_t i;
+
+	for (i = 0; i < s->q.nc; i++)
+		if (s->q.c[i].present && s->q.c[i].urgent &&
+		    (low == NULL || s->q.c[i].tgt.cap < low->tgt.cap))
+			low = &s->q.c[i];
+	return low;
+}
+
 /*
  * Explains a job in at most some twenty lines, owned by ctx: its state, why
- * it waits or where it runs, and what would help. NULL when it is unknown.
+ * it waits or where it runs, the attainment of its class, and what would
+ * help. NULL when it is unknown.
  */
 char *
 sched_why(const struct sched *s, TALLOC_CTX *ctx, uint64_t job)
 {
 	uint32_t ji = jobq_job_find(&s->q, job);
+	const struct jobq_class *c, *tight;
 	const struct jobq_job *j;
-	const struct jobq_class *c;
+	struct sched_res need;
+	double m1, m10;
 	char *out;
 
 	if (ji == JOBQ_NONE)
@@ -19,12 +108,37 @@
 	j = &s->q.j[ji];
 	c = &s->q.c[j->cls];
 	out = talloc_asprintf(ctx,
-	    "job %" PRIu64 " class %s team %s\n"
-	    "tasks %u: %u finished, %u placed, %u waiting\n",
-	    j->id, c->name, s->q.t[c->team].name, j->tasks, j->ndone, j->nlive,
-	    jobq_waiting(j));
-	if (jobq_waiting(j) > 0)
-		out = talloc_asprintf_append(
-		    out, "waits: %s\n", sched_wait_name(j->wait));
+	    "job %" PRIu64 " class %s (%s) team %s%s\n"
+	    "tasks %u: %u finished, %u placed, %u waiting; %u evictions, "
+	    "%u failures\n",
+	    j->id, c->name, c->urgent ? "urgent" : "batch",
+	    s->q.t[c->team].name, j->gang ? ", all start together" : "",
+	    j->tasks, j->ndone, j->nlive, jobq_waiting(j), j->evictions,
+	    j->nfail);
+	need = sched_need(s, j);
+	out = talloc_asprintf_append(
+	    out, "declared per task: %s\n", why_res(out, &j->declared));
+	out = talloc_asprintf_append(
+	    out, "reserved per task: %s\n", why_res(out, &need));
+	if (jobq_waiting(j) > 0 || j->wait == SCHED_WAIT_FAILED) {
+		out =
+		    talloc_asprintf_append(out, "waits %.1f s: %s\nhelp: %s\n",
+			(double)(s->now_ms - j->wait_ms) / 1000,
+			sched_wait_name(j->wait), why_help[j->wait]);
+		if (j->wait == SCHED_WAIT_OVER_QUOTA)
+			out = why_team(s, out, &s->q.t[c->team]);
+		tight = why_tightest(s);
+		if (j->wait == SCHED_WAIT_TARGET && tight != NULL)
+			out = talloc_asprintf_append(out,
+			    "class %s leaves batch %.0f%% of the processors "
+			    "of a worker\n",
+			    tight->name, tight->tgt.cap * 100);
+	}
+	out = why_workers(s, out, j);
+	sched_attain(s, j->cls, &m1, &m10);
+	out = talloc_asprintf_append(out,
+	    "class %s meets %.1f%% of its target over 1 min, %.1f%% over "
+	    "10 min%s\n",
+	    c->name, m1 * 100, m10 * 100, c->at_risk ? ", at risk" : "");
 	return out;
 }
--- a/src/placement/sched_worker.c
+++ b/src/placement/sched_worker.c
@@ -1,6 +1,6 @@
 #include "placement/sched_impl.h"
 
-#include <string.h>
+#define DRAIN_FINISH_MS 30000 /* tasks that end so soon are left alone */
 
 /* Index of a rack or domain; equal names share one. */
 static uint32_t
@@ -32,6 +32,13 @@
 	for (k = 0; k < in->nserves; k++)
 		s->a.w[i].serves[k] = jobq_class_get(&s->q, in->serves[k]);
 	s->a.w[i].nserves = (uint32_t)in->nserves;
+	/* Until usage is reported, requests hold what they use elsewhere. */
+	s->a.w[i].svc_cpu = s->slot_cpu * in->slots;
+	s->a.w[i].svc_mem = s->slot_mem * in->slots;
+	if (in->slots > 0)
+		alloc_worker_svc(&s->a, i,
+		    (struct sched_res){ (int64_t)s->a.w[i].svc_cpu,
+			(int64_t)s->a.w[i].svc_mem, 0 });
 	sched_fleet_changed(s);
 	return STATUS_OK;
 }
@@ -49,20 +56,37 @@
 		sched_drop(s, ti, false);
 		sched_job_settle(s, ji);
 	}
+	if (s->a.w[wi].quarantined)
+		s->nquarantined--;
 	alloc_worker_del(&s->a, wi);
 	sched_fleet_changed(s);
 	return STATUS_OK;
 }
 
-/* No new work for the worker; it finishes what it has. */
+/*
+ * No new work for the worker. Tasks that are about to end finish there; the
+ * others are moved, whatever the budgets say, since the worker will leave.
+ */
 enum status
 sched_worker_drain(struct sched *s, uint64_t epoch)
 {
-	uint32_t wi = alloc_worker_find(&s->a, epoch);
+	uint32_t wi = alloc_worker_find(&s->a, epoch), ti;
 
 	if (wi == ALLOC_NONE)
 		return STATUS_NOT_FOUND;
 	s->a.w[wi].draining = true;
 	alloc_worker_close(&s->a, wi, s->a.w[wi].closed);
+	for (ti = s->a.w[wi].head; ti != ALLOC_NONE; ti = s->a.t[ti].wnext) {
+		struct alloc_task *t = &s->a.t[ti];
+		int64_t run_ms = s->q.j[t->job].run_ms;
+
+		if (t->state != ALLOC_RUNNING ||
+		    (run_ms > 0 &&
+			run_ms - (s->now_ms - t->since_ms) < DRAIN_FINISH_MS))
+			continue;
+		t->state = ALLOC_STOPPING;
+		sched_order(s, SCHED_ACT_CHECKPOINT, ti);
+		ctr_add(&s->ctr, SCHED_CTR_EVICT_DRAIN, 1);
+	}
 	return STATUS_OK;
 }
--- /dev/null
+++ b/src/placement/tgt.c
@@ -0,0 +1,118 @@
+#include "placement/tgt.h"
+
+#include <math.h>
+#include <string.h>
+
+#define TGT_FAST_MS	15000.0
+#define TGT_CONTROL_MS	1000
+#define TGT_CAP_START	0.5
+#define TGT_CAP_IDLE	0.005
+#define TGT_CAP_MIN	0.01
+#define TGT_CAP_MAX	2.0
+#define TGT_ANSWERS_MIN 50 /* fewer answers do not move the cap */
+
+void
+tgt_init(struct tgt *t, int64_t now_ms)
+{
+	memset(t, 0, sizeof(*t));
+	t->slot = now_ms / TGT_SLOT_MS;
+	t->since_ms = now_ms;
+	t->fast_ms = now_ms;
+	t->cap_ms = now_ms;
+	t->cap = TGT_CAP_START;
+}
+
+void
+tgt_add(struct tgt *t, int64_t now_ms, uint32_t n, uint32_t late)
+{
+	int64_t slot = now_ms / TGT_SLOT_MS;
+	double keep = exp(-(double)(now_ms - t->fast_ms) / TGT_FAST_MS);
+
+	if (slot - t->slot > TGT_SLOTS)
+		t->slot = slot - TGT_SLOTS;
+	while (t->slot < slot) {
+		t->slot++;
+		t->n[t->slot % TGT_SLOTS] = 0;
+		t->late[t->slot % TGT_SLOTS] = 0;
+	}
+	t->n[slot % TGT_SLOTS] += n;
+	t->late[slot % TGT_SLOTS] += late;
+	t->fast_n = t->fast_n * keep + n;
+	t->fast_late = t->fast_late * keep + late;
+	t->fast_ms = now_ms;
+}
+
+void
+tgt_window(const struct tgt *t, int64_t now_ms, unsigned slots, uint64_t *n,
+    uint64_t *late)
+{
+	int64_t slot = now_ms / TGT_SLOT_MS, i;
+
+	*n = *late = 0;
+	for (i = slot - (int64_t)slots + 1; i <= t->slot; i++) {
+		if (i < 0 || i <= t->slot - TGT_SLOTS)
+			continue;
+		*n += t->n[i % TGT_SLOTS];
+		*late += t->late[i % TGT_SLOTS];
+	}
+}
+
+double
+tgt_share_answers(
+    const struct tgt *t, int64_t now_ms, unsigned slots, int percentile_x10)
+{
+	uint64_t n, late;
+
+	tgt_window(t, now_ms, slots, &n, &late);
+	if (n == 0 || percentile_x10 <= 0)
+		return 1;
+	return (double)(n - late) / (double)n * 1000 / percentile_x10;
+}
+
+/*
+ * Finished work against the hourly figure, over the window or since the class
+ * is known. The first minute counts as met, since nothing can have finished.
+ */
+double
+tgt_share_finished(
+    const struct tgt *t, int64_t now_ms, unsigned slots, int64_t per_hour)
+{
+	int64_t span = now_ms - t->since_ms, most = slots * TGT_SLOT_MS;
+	uint64_t n, late;
+
+	if (per_hour <= 0 || span < 60000)
+		return 1;
+	if (span > most)
+		span = most;
+	tgt_window(t, now_ms, slots, &n, &late);
+	return (double)n * 3600e3 / ((double)per_hour * (double)span);
+}
+
+/*
+ * Lowers the cap in proportion when more answers are late than the target
+ * allows, and raises it slowly when clearly fewer are. The asymmetry makes
+ * batch work yield first and come back carefully.
+ */
+void
+tgt_control(struct tgt *t, int64_t now_ms, int percentile_x10)
+{
+	double allowed = 1 - percentile_x10 / 1000.0, over;
+
+	if (now_ms - t->cap_ms < TGT_CONTROL_MS)
+		return;
+	t->cap_ms = now_ms;
+	t->fast_n *= exp(-(double)(now_ms - t->fast_ms) / TGT_FAST_MS);
+	t->fast_late *= exp(-(double)(now_ms - t->fast_ms) / TGT_FAST_MS);
+	t->fast_ms = now_ms;
+	if (t->fast_n < TGT_ANSWERS_MIN) {
+		/* Without requests nothing can be late. */
+		t->cap = fmin(TGT_CAP_MAX, t->cap + TGT_CAP_IDLE);
+		return;
+	}
+	over = t->fast_late / t->fast_n / fmax(allowed, 0.0005);
+	if (over > 0.9)
+		t->cap *= 1 - 0.06 * fmin(1, over - 0.9);
+	else if (over < 0.7)
+		t->cap += 0.01 * (0.7 - over) / 0.7;
+	t->cap = fmax(TGT_CAP_MIN, fmin(TGT_CAP_MAX, t->cap));
+}
