--- a/bench/placement.c
+++ b/bench/placement.c
@@ -1001,8 +1001,8 @@
 
 		w->domain = i / 8 % 3;
 		w->victim = i % 10 < 5 ? 0 : i % 10 < 8 ? 1 : 2;
-		w->batch_only =
-		    policy == SPLIT && (i / 2) % SIM_SPLIT_OF >= SIM_SPLIT_REQ;
+		w->batch_only = policy == SPLIT &&
+		    (i / 10 + i) % SIM_SPLIT_OF >= SIM_SPLIT_REQ;
 		w->requests = !w->batch_only;
 		w->broken = world == BROKEN && i % 10 == 4;
 		sim_worker_up(m, i);
--- a/src/placement/intf.c
+++ b/src/placement/intf.c
@@ -69,6 +69,14 @@
 	return fmax(f->v[victim].gbar, INTF_GBAR_MIN);
 }
 
+struct intf_pair *
+intf_find(const struct intf *f, uint32_t victim, uint32_t neighbour)
+{
+	uint32_t i = hmap_get(&f->by_pair, intf_key(victim, neighbour));
+
+	return i == HMAP_NONE ? NULL : &f->p[i];
+}
+
 /*
  * The estimate for a pair. What was not seen for long moves back towards the
  * mean of the victim, and its deviation grows, so that it is tried again.
--- a/src/placement/intf.h
+++ b/src/placement/intf.h
@@ -24,6 +24,8 @@
 	float g;   /* slowdown per share of 1 */
 	float var; /* of the estimate */
 	int64_t seen_ms;
+	float weight; /* cached by the scheduler */
+	uint32_t weight_at;
 };
 
 struct intf_victim {
@@ -55,6 +57,9 @@
  */
 double intf_slowdown(const struct intf *, int64_t now_ms, uint32_t victim,
     uint32_t neighbour, double *sd);
+/* The record of a pair, NULL when it was never seen. */
+struct intf_pair *intf_find(
+    const struct intf *, uint32_t victim, uint32_t neighbour);
 /* Mean slowdown per share of what runs near the victim. */
 double intf_mean(const struct intf *, uint32_t victim);
 
--- a/src/placement/jobq.h
+++ b/src/placement/jobq.h
@@ -82,6 +82,7 @@
 	struct learn learn;
 	struct tgt tgt;
 	double key;	     /* order in a pass, lowest first */
+	int64_t held_ms;     /* not tried before; held back for a target */
 	bool at_risk;	     /* refreshed every second */
 	double evict_tokens; /* of the budget per minute */
 	int64_t evict_ms;
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -14,7 +14,8 @@
 #define PLACE_SUFFERS  1.0
 #define PLACE_PRESSURE 0.5
 #define PLACE_FAILED   100.0
-#define PLACE_TRIES    3 /* while every candidate would harm a class */
+#define PLACE_TRIES    3   /* while every candidate would harm a class */
+#define PLACE_HELD_MS  200 /* until a class held back is tried again */
 #define PLACE_GANG_MS  100
 #define PLACE_GANG_MAX 5000
 
@@ -320,6 +321,8 @@
 	uint32_t ji = s->q.c[ci].q.head, next;
 	enum sched_wait why;
 
+	if (s->now_ms < s->q.c[ci].held_ms)
+		return false;
 	for (; ji != JOBQ_NONE && seen < PLACE_WINDOW; ji = next, seen++) {
 		next = s->q.j[ji].next;
 		if (!s->q.c[ci].present) {
@@ -334,6 +337,14 @@
 			jobq_park_team(&s->q, ji);
 		else if (why == SCHED_WAIT_NO_ROOM)
 			sched_check_fits(s, ji);
+		if (why == SCHED_WAIT_TARGET) {
+			/* Caps move once a second; trying on is waste. */
+			s->q.c[ci].held_ms = s->now_ms + PLACE_HELD_MS;
+			s->retry_ms = s->retry_ms < s->q.c[ci].held_ms
+			    ? s->retry_ms
+			    : s->q.c[ci].held_ms;
+			return false;
+		}
 		if (p->starts - start >= PLACE_QUANTUM)
 			return true;
 	}
