Compute the weight of a pair of classes once a second

Cause: each scored candidate computed square roots and exponentials for every pair of classes on the worker. Change: the weight is kept in the record of the pair for one second.

--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -206,6 +206,7 @@
 	uint32_t i;
 
 	s->tick_ms = s->now_ms + 1000;
+	s->ticks++;
 	for (i = 0; i < s->q.nc; i++) {
 		struct jobq_class *c = &s->q.c[i];
 
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -52,6 +52,7 @@
 	uint32_t nracks, ndomains;
 	struct ctr_set ctr;
 	int64_t now_ms;
+	uint32_t ticks;		   /* seconds seen, from 1 */
 	int64_t tick_ms;	   /* next refresh of targets and probes */
 	double slot_cpu, slot_mem; /* use per request slot, fleet */
 	uint32_t nquarantined;
--- a/src/placement/sched_latency.c
+++ b/src/placement/sched_latency.c
@@ -60,13 +60,23 @@
 sched_weight(const struct sched *s, uint32_t victim, uint32_t cls)
 {
 	double sd, g;
+	struct intf_pair *p;
 
 	if (!s->conf.interference)
 		return 1;
+	/* Computed once a second; it is read for every candidate. */
+	p = intf_find(&s->f, victim, cls);
+	if (p != NULL && p->weight_at == s->ticks)
+		return p->weight;
 	g = intf_slowdown(&s->f, s->now_ms, victim, cls, &sd);
 	g += s->q.c[victim].at_risk ? LATENCY_RISK_SD * sd
 				    : -LATENCY_TRY_SD * sd;
-	return fmax(0, fmin(LATENCY_WEIGHT_MAX, g / intf_mean(&s->f, victim)));
+	g = fmax(0, fmin(LATENCY_WEIGHT_MAX, g / intf_mean(&s->f, victim)));
+	if (p != NULL) {
+		p->weight = (float)g;
+		p->weight_at = s->ticks;
+	}
+	return g;
 }
 
 double
