Leave headroom for urgent starts on every worker

Change: batch work leaves free what urgent tasks held at their recent peak (half-life of some 7 min) beyond what they hold now, as a share of each worker.

--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -3,6 +3,9 @@
 #include <string.h>
 #include "placement/sched_impl.h"
 
+#define HEADROOM_DECAY_S 600
+#define HEADROOM_MAX	 0.25
+
 static const struct ctr_desc sched_ctr_desc[SCHED_CTR_COUNT] = {
 	[SCHED_CTR_STARTS] = { "starts", "tasks proposed to a worker" },
 	[SCHED_CTR_PASSES] = { "passes", "placement passes" },
@@ -198,6 +201,28 @@
 	return STATUS_OK;
 }
 
+static int64_t
+sched_peak(int64_t peak, int64_t now)
+{
+	return now > peak ? now : peak - (peak - now) / HEADROOM_DECAY_S;
+}
+
+/*
+ * What urgent tasks held at their recent peak beyond what they hold now, as a
+ * share of the fleet. Batch work leaves it free on every worker, so that a
+ * burst of urgent work starts at once instead of waiting for checkpoints.
+ */
+double
+sched_headroom(const struct sched *s, bool memory)
+{
+	int64_t all = memory ? s->a.total.mem_mb : s->a.total.cpu_milli;
+	int64_t more = memory ? s->urgent_peak.mem_mb - s->urgent.mem_mb
+			      : s->urgent_peak.cpu_milli - s->urgent.cpu_milli;
+	double share = all > 0 ? (double)more / (double)all : 0;
+
+	return share < 0 ? 0 : share < HEADROOM_MAX ? share : HEADROOM_MAX;
+}
+
 /* Refreshes what depends on time alone. */
 static void
 sched_second(struct sched *s)
@@ -219,6 +244,10 @@
 		if (c->urgent && s->conf.targets)
 			tgt_control(&c->tgt, s->now_ms, c->percentile_x10);
 	}
+	s->urgent_peak.cpu_milli =
+	    sched_peak(s->urgent_peak.cpu_milli, s->urgent.cpu_milli);
+	s->urgent_peak.mem_mb =
+	    sched_peak(s->urgent_peak.mem_mb, s->urgent.mem_mb);
 	sched_probes(s);
 	/* Caps have moved, so what was held back may start. */
 	s->dirty = true;
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -55,6 +55,7 @@
 	uint32_t ticks;		   /* seconds seen, from 1 */
 	int64_t tick_ms;	   /* next refresh of targets and probes */
 	double slot_cpu, slot_mem; /* use per request slot, fleet */
+	struct sched_res urgent, urgent_peak; /* held by urgent tasks */
 	uint32_t nquarantined;
 	int64_t pass_ms;  /* earliest next pass */
 	int64_t retry_ms; /* a gang is tried again */
@@ -80,6 +81,8 @@
 bool sched_hold(struct sched *, uint32_t job, uint32_t number, uint32_t worker,
     struct sched_res need, uint32_t *task);
 
+/* Share of each worker that batch work leaves for urgent starts. */
+double sched_headroom(const struct sched *, bool memory);
 void sched_place(struct sched *);
 void sched_check_fits(struct sched *, uint32_t job);
 void sched_fleet_changed(struct sched *);
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -145,6 +145,8 @@
 	}
 	if (!s->conf.targets)
 		return sc;
+	if (cpu < sched_headroom(s, false) || mem < sched_headroom(s, true))
+		return INFINITY;
 	p = place_pressure(s, w, j->cls,
 	    (double)need->cpu_milli /
 		(double)(w->cap.cpu_milli > 0 ? w->cap.cpu_milli : 1));
--- a/src/placement/sched_task.c
+++ b/src/placement/sched_task.c
@@ -78,6 +78,10 @@
 		res_add(&team->used, &t->held);
 	else
 		res_sub(&team->used, &t->held);
+	if (t->urgent && sign > 0)
+		res_add(&s->urgent, &t->held);
+	else if (t->urgent)
+		res_sub(&s->urgent, &t->held);
 	sched_spread(s, t, sign);
 }
 
