Make room for all waiting urgent tasks at once

Cause: one preemption was planned per pass, after a patience of 3 s, and room takes some 4 s to appear; 97.3% and 94.2% of urgent tasks started in time. Change: preemptions are planned for all waiting tasks of the job; budgets give way after 1 s; room being made is expected for 6 s. Conclusion: kept; the start of urgent work is a target, throughput is not.

--- a/src/placement/sched_evict.c
+++ b/src/placement/sched_evict.c
@@ -7,8 +7,8 @@
 #define EVICT_YOUNG_MS	  15000 /* a task runs at least so long */
 #define EVICT_SAMPLE	  16	/* workers looked at for one preemption */
 #define EVICT_TASKS	  16	/* tasks stopped for one preemption */
-#define EVICT_PATIENCE_MS 3000	/* preemption ignores budgets after this */
-#define EVICT_ROOM_MS	  3000	/* until room that was made has shown up */
+#define EVICT_PATIENCE_MS 1000	/* preemption ignores budgets after this */
+#define EVICT_ROOM_MS	  6000	/* until room that was made has shown up */
 
 /* Time a task has run since it began or since its last checkpoint. */
 int64_t
@@ -121,7 +121,7 @@
  * number of workers. Budgets hold until the work has waited for some seconds;
  * after that the start of urgent work comes first.
  */
-void
+bool
 sched_preempt(struct sched *s, uint32_t ji, const struct sched_res *need)
 {
 	struct jobq_class *c = &s->q.c[s->q.j[ji].cls], *vc;
@@ -133,7 +133,7 @@
 	if (s->now_ms - c->preempt_ms >= EVICT_ROOM_MS)
 		c->preempting = 0;
 	if (c->preempting >= c->waiting || s->a.nw == 0)
-		return;
+		return false;
 	for (k = 0; k < EVICT_SAMPLE; k++) {
 		wi = s->a.nw <= EVICT_SAMPLE
 		    ? k
@@ -156,14 +156,15 @@
 		evict_refill(s, vc);
 		if (vc->evict_tokens < 1) {
 			ctr_add(&s->ctr, SCHED_CTR_EVICT_REFUSED, 1);
-			return;
+			return false;
 		}
 		vc->evict_tokens -= 1;
 	}
 	for (i = 0; i < nbest; i++)
 		evict_now(s, best[i], SCHED_CTR_EVICT_PREEMPT);
-	if (nbest > 0) {
-		c->preempting++;
-		c->preempt_ms = s->now_ms;
-	}
+	if (nbest == 0)
+		return false;
+	c->preempting++;
+	c->preempt_ms = s->now_ms;
+	return true;
 }
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -110,7 +110,8 @@
 bool sched_evict(struct sched *, uint32_t task, enum sched_ctr why);
 /* Work that a stop now would repeat, or the whole run without checkpoint. */
 int64_t sched_lost_ms(const struct sched *, const struct alloc_task *);
-void sched_preempt(struct sched *, uint32_t job, const struct sched_res *need);
+/* False: no room can be made now. */
+bool sched_preempt(struct sched *, uint32_t job, const struct sched_res *need);
 
 void sched_task_failed(struct sched *, uint32_t task);
 void sched_worker_good(struct sched *, uint32_t worker);
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -202,6 +202,7 @@
 	struct jobq_job *j = &s->q.j[ji];
 	struct sched_res need = sched_need(s, j);
 	uint32_t number = jobq_peek(j), wi;
+	uint32_t n;
 	bool held;
 
 	if (!jobq_quota_allows(&s->q.t[s->q.c[j->cls].team], &need))
@@ -219,8 +220,11 @@
 			p->nofit[p->n++] = need;
 		ctr_add(&s->ctr, SCHED_CTR_NO_ROOM, 1);
 	}
+	/* Room for all that wait, not for one task a pass. */
 	if (s->q.c[j->cls].urgent && !j->gang)
-		sched_preempt(s, ji, &need);
+		for (n = jobq_waiting(j); n > 0; n--)
+			if (!sched_preempt(s, ji, &need))
+				break;
 	return SCHED_WAIT_NO_ROOM;
 }
 
