Give a suspect worker at most one batch task at a time

Cause: with more broken workers than the quarantine may hold (7 of 65 at a cap of 10%), the one left outside failed 5,178 tasks in 40 minutes, since it always has the most room. Change: a worker with enough failures in a row gets one batch task at a time and no urgent ones, and no room is made there.

--- a/src/placement/sched_evict.c
+++ b/src/placement/sched_evict.c
@@ -141,7 +141,7 @@
 		if (wi >= s->a.nw)
 			break;
 		if (s->a.w[wi].epoch == 0 || s->a.w[wi].closed ||
-		    s->a.w[wi].draining)
+		    s->a.w[wi].suspect >= SCHED_SUSPECT || s->a.w[wi].draining)
 			continue;
 		n = evict_plan(s, wi, need, budgets, plan, &lost);
 		if (n == 0 || (nbest > 0 && lost >= low))
--- a/src/placement/sched_fail.c
+++ b/src/placement/sched_fail.c
@@ -1,6 +1,5 @@
 #include "placement/sched_impl.h"
 
-#define FAIL_POINTS	  6  /* of suspicion that quarantine a worker */
 #define FAIL_WORKERS	  3  /* a job that failed on so many is failed */
 #define FAIL_UNPROVEN	  12 /* failures after which unproven workers count */
 #define FAIL_SHARE	  10 /* one in so many workers in quarantine at most */
@@ -110,7 +109,7 @@
 		    ? w->probe_gap_ms * 2
 		    : FAIL_PROBE_MAX_MS;
 		w->probe_ms = s->now_ms + w->probe_gap_ms;
-	} else if (w->suspect >= FAIL_POINTS &&
+	} else if (w->suspect >= SCHED_SUSPECT &&
 	    (s->nquarantined + 1) * FAIL_SHARE <= s->a.alive) {
 		fail_quarantine(s, t->worker, true);
 	}
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -15,6 +15,7 @@
 /* Use of one request slot before any report. */
 #define SCHED_SLOT_CPU 250.0
 #define SCHED_SLOT_MEM 256.0
+#define SCHED_SUSPECT  6    /* points that make a worker suspect */
 #define SCHED_VICTIMS  8    /* urgent classes considered per worker */
 #define SCHED_START_MS 7300 /* urgent work has to start within */
 
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -124,6 +124,9 @@
 	struct sched_res room = alloc_free(w);
 	double cpu = 0, mem = 0, sc, p;
 
+	/* One that the quarantine has no place for is tried carefully. */
+	if (w->suspect >= SCHED_SUSPECT && (w->ntasks > 0 || c->urgent))
+		return INFINITY;
 	res_sub(&room, need);
 	if (w->cap.cpu_milli > 0)
 		cpu = (double)room.cpu_milli / (double)w->cap.cpu_milli;
@@ -167,7 +170,7 @@
 
 	for (tries = 0; tries < PLACE_TRIES && best == ALLOC_NONE; tries++) {
 		n = alloc_candidates(&s->a, need, cand, s->conf.candidates);
-		*held = n > 0;
+		*held = n > 0 && !s->q.c[j->cls].urgent;
 		for (i = 0; i < n; i++) {
 			score = place_score(s, j, cand[i], need);
 			/* Elsewhere first, but rather there than nowhere. */
