Assign the headroom for urgent starts in whole tasks

Cause: an equal share of every worker was smaller than one urgent task, so room had still to be made by preemption. Change: room for the urgent tasks of the recent peak is assigned to workers in whole tasks of the largest recent size.

--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -1,10 +1,11 @@
 #include "placement/sched.h"
 
+#include <math.h>
 #include <string.h>
 #include "placement/sched_impl.h"
 
 #define HEADROOM_DECAY_S 600
-#define HEADROOM_MAX	 0.25
+#define HEADROOM_SIZE_S	 3600
 
 static const struct ctr_desc sched_ctr_desc[SCHED_CTR_COUNT] = {
 	[SCHED_CTR_STARTS] = { "starts", "tasks proposed to a worker" },
@@ -201,26 +202,25 @@
 	return STATUS_OK;
 }
 
-static int64_t
-sched_peak(int64_t peak, int64_t now)
-{
-	return now > peak ? now : peak - (peak - now) / HEADROOM_DECAY_S;
-}
-
 /*
- * What urgent tasks held at their recent peak beyond what they hold now, as a
- * share of the fleet. Batch work leaves it free on every worker, so that a
- * burst of urgent work starts at once instead of waiting for checkpoints.
+ * Room for as many urgent tasks as ran at the recent peak beyond those that
+ * run now, each as large as the largest. Whole tasks are assigned to workers,
+ * by a fixed sequence over their indices: an equal share of every worker would
+ * be too small for a task.
  */
-double
-sched_headroom(const struct sched *s, bool memory)
+struct sched_res
+sched_headroom(const struct sched *s, uint32_t wi)
 {
-	int64_t all = memory ? s->a.total.mem_mb : s->a.total.cpu_milli;
-	int64_t more = memory ? s->urgent_peak.mem_mb - s->urgent.mem_mb
-			      : s->urgent_peak.cpu_milli - s->urgent.cpu_milli;
-	double share = all > 0 ? (double)more / (double)all : 0;
-
-	return share < 0 ? 0 : share < HEADROOM_MAX ? share : HEADROOM_MAX;
+	double each =
+	    s->a.alive == 0 ? 0 : (s->urgent_peak - s->urgent_n) / s->a.alive;
+	double turn = wi * 0.6180339887, n;
+
+	if (each <= 0)
+		return (struct sched_res){ 0 };
+	n = floor(each + turn - floor(turn));
+	return (
+	    struct sched_res){ (int64_t)(n * (double)s->urgent_need.cpu_milli),
+		(int64_t)(n * (double)s->urgent_need.mem_mb), 0 };
 }
 
 /* Refreshes what depends on time alone. */
@@ -244,10 +244,11 @@
 		if (c->urgent && s->conf.targets)
 			tgt_control(&c->tgt, s->now_ms, c->percentile_x10);
 	}
-	s->urgent_peak.cpu_milli =
-	    sched_peak(s->urgent_peak.cpu_milli, s->urgent.cpu_milli);
-	s->urgent_peak.mem_mb =
-	    sched_peak(s->urgent_peak.mem_mb, s->urgent.mem_mb);
+	s->urgent_peak -= (s->urgent_peak - s->urgent_n) / HEADROOM_DECAY_S;
+	if (s->urgent_peak < s->urgent_n)
+		s->urgent_peak = s->urgent_n;
+	s->urgent_need.cpu_milli -= s->urgent_need.cpu_milli / HEADROOM_SIZE_S;
+	s->urgent_need.mem_mb -= s->urgent_need.mem_mb / HEADROOM_SIZE_S;
 	sched_probes(s);
 	/* Caps have moved, so what was held back may start. */
 	s->dirty = true;
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -53,10 +53,12 @@
 	uint32_t nracks, ndomains;
 	struct ctr_set ctr;
 	int64_t now_ms;
-	uint32_t ticks;		   /* seconds seen, from 1 */
-	int64_t tick_ms;	   /* next refresh of targets and probes */
-	double slot_cpu, slot_mem; /* use per request slot, fleet */
-	struct sched_res urgent, urgent_peak; /* held by urgent tasks */
+	uint32_t ticks;		      /* seconds seen, from 1 */
+	int64_t tick_ms;	      /* next refresh of targets and probes */
+	double slot_cpu, slot_mem;    /* use per request slot, fleet */
+	uint32_t urgent_n;	      /* urgent tasks placed */
+	double urgent_peak;	      /* of them, decaying */
+	struct sched_res urgent_need; /* of the largest, decaying */
 	uint32_t nquarantined;
 	int64_t pass_ms;  /* earliest next pass */
 	int64_t retry_ms; /* a gang is tried again */
@@ -82,8 +84,8 @@
 bool sched_hold(struct sched *, uint32_t job, uint32_t number, uint32_t worker,
     struct sched_res need, uint32_t *task);
 
-/* Share of each worker that batch work leaves for urgent starts. */
-double sched_headroom(const struct sched *, bool memory);
+/* What batch work leaves free on a worker for urgent starts. */
+struct sched_res sched_headroom(const struct sched *, uint32_t worker);
 void sched_place(struct sched *);
 void sched_check_fits(struct sched *, uint32_t job);
 void sched_fleet_changed(struct sched *);
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -121,7 +121,7 @@
 {
 	const struct alloc_worker *w = &s->a.w[wi];
 	const struct jobq_class *c = &s->q.c[j->cls];
-	struct sched_res room = alloc_free(w);
+	struct sched_res room = alloc_free(w), keep;
 	double cpu = 0, mem = 0, sc, p;
 
 	/* One that the quarantine has no place for is tried carefully. */
@@ -148,7 +148,8 @@
 	}
 	if (!s->conf.targets)
 		return sc;
-	if (cpu < sched_headroom(s, false) || mem < sched_headroom(s, true))
+	keep = sched_headroom(s, wi);
+	if (!res_fits(&keep, &room))
 		return INFINITY;
 	p = place_pressure(s, w, j->cls,
 	    (double)need->cpu_milli /
--- a/src/placement/sched_task.c
+++ b/src/placement/sched_task.c
@@ -78,10 +78,13 @@
 		res_add(&team->used, &t->held);
 	else
 		res_sub(&team->used, &t->held);
-	if (t->urgent && sign > 0)
-		res_add(&s->urgent, &t->held);
-	else if (t->urgent)
-		res_sub(&s->urgent, &t->held);
+	if (t->urgent) {
+		s->urgent_n += (uint32_t)sign;
+		if (t->held.cpu_milli > s->urgent_need.cpu_milli)
+			s->urgent_need.cpu_milli = t->held.cpu_milli;
+		if (t->held.mem_mb > s->urgent_need.mem_mb)
+			s->urgent_need.mem_mb = t->held.mem_mb;
+	}
 	sched_spread(s, t, sign);
 }
 
--- a/src/placement/sched_usage.c
+++ b/src/placement/sched_usage.c
@@ -50,12 +50,8 @@
 	bool whole;
 
 	res_sub(&team->used, &t->held);
-	if (t->urgent)
-		res_sub(&s->urgent, &t->held);
 	whole = alloc_task_resize(&s->a, ti, to);
 	res_add(&team->used, &t->held);
-	if (t->urgent)
-		res_add(&s->urgent, &t->held);
 	if (t->held.cpu_milli + t->held.mem_mb < before)
 		s->dirty = true;
 	return whole;
