Learn processors in steps of an eighth of an octave, without a margin

Cause: reservations were about a quarter above use: the upper edge of a step of 19% plus 5%. Change: steps of 9%, rounded up, and no margin on top; processors can be throttled, so the edge is margin enough. Memory keeps its margins.

--- a/src/placement/learn.c
+++ b/src/placement/learn.c
@@ -14,7 +14,7 @@
 static unsigned
 learn_step(double ratio)
 {
-	double x = ratio > 0 ? (log2(ratio) + 6) * 4 : 0;
+	double x = ratio > 0 ? (log2(ratio) + 6) * 8 : 0;
 
 	if (!(x > 0))
 		return 0;
@@ -51,7 +51,7 @@
 		if (seen > above)
 			break;
 	}
-	return exp2((i + 1) / 4.0 - 6);
+	return exp2((i + 1) / 8.0 - 6);
 }
 
 void
--- a/src/placement/learn.h
+++ b/src/placement/learn.h
@@ -11,7 +11,7 @@
 
 __BEGIN_DECLS
 
-#define LEARN_STEPS 48 /* a quarter of an octave each, from 1/64 to 64 */
+#define LEARN_STEPS 96 /* an eighth of an octave each, from 1/64 to 64 */
 
 struct learn {
 	uint16_t cpu[LEARN_STEPS];
--- a/src/placement/sched_task.c
+++ b/src/placement/sched_task.c
@@ -7,7 +7,6 @@
 #define NEED_JOB_MEM	16 /* memory is given back later than processors */
 #define NEED_CLASS_CPU	64
 #define NEED_CLASS_MEM	200
-#define NEED_CPU_MARGIN 1.05
 #define NEED_MEM_MARGIN 1.10
 #define NEED_MEM_CLASS	1.25 /* jobs of a class differ more than tasks */
 
@@ -28,13 +27,13 @@
 	if (!s->conf.learning || (l == NULL && j->as_declared))
 		return need;
 	if (cl->ncpu >= NEED_CLASS_CPU)
-		cpu = learn_cpu_quantile(cl, 0.95) * NEED_CPU_MARGIN;
+		cpu = learn_cpu_quantile(cl, 0.95);
 	if (cl->nmem >= NEED_CLASS_MEM)
 		mem = learn_mem_quantile(cl, 1) * NEED_MEM_CLASS;
 	if (l != NULL && l->ncpu >= NEED_JOB_CPU)
-		cpu = learn_cpu_quantile(l, 0.95) * NEED_CPU_MARGIN;
+		cpu = learn_cpu_quantile(l, 0.95);
 	else if (l != NULL)
-		cpu = fmax(cpu, learn_cpu_quantile(l, 1) * NEED_CPU_MARGIN);
+		cpu = fmax(cpu, learn_cpu_quantile(l, 1));
 	if (l != NULL && l->nmem >= NEED_JOB_MEM)
 		mem = learn_mem_quantile(l, 1) * NEED_MEM_MARGIN;
 	else if (l != NULL)
