--- a/src/node/front.c
+++ b/src/node/front.c
@@ -307,21 +307,21 @@
 	MHD_get_connection_values_n(c->mhd, MHD_HEADER_KIND, on_header, c);
 	if (c->req.nheaders > HEADERS_MAX) {
 		c->req.nheaders = 0;
-		return conn_refuse(c, 431, "limit", "too many header fields",
+		return conn_refuse(c, 431, "LIMIT", "too many header fields",
 		    NCTR_HTTP_BAD_HEADER);
 	}
 	if (!target_valid(c->req.target))
-		return conn_refuse(c, 400, "invalid",
+		return conn_refuse(c, 400, "INVALID",
 		    "target is too long or holds invalid bytes",
 		    NCTR_HTTP_BAD_TARGET);
 	length = front_header_get(&c->req, "Content-Length", &n);
 	if (n > 1 || (n == 1 && (!str_to_i64(length, &len) || len < 0)) ||
 	    (n == 1 &&
 		front_header_get(&c->req, "Transfer-Encoding", NULL).len > 0))
-		return conn_refuse(c, 400, "invalid",
+		return conn_refuse(c, 400, "INVALID",
 		    "length of the body is ambiguous", NCTR_HTTP_BAD_HEADER);
 	if (n == 1 && (uint64_t)len > f->conf.body_max)
-		return conn_refuse(c, 413, "limit",
+		return conn_refuse(c, 413, "LIMIT",
 		    "request body is over the limit", NCTR_HTTP_BODY_LIMIT);
 	*done = false;
 	return MHD_YES;
@@ -389,7 +389,7 @@
 	if (c->handed)
 		return MHD_YES;
 	if (c->too_large)
-		return conn_refuse(c, 413, "limit",
+		return conn_refuse(c, 413, "LIMIT",
 		    "request body is over the limit", NCTR_HTTP_BODY_LIMIT);
 	return conn_hand(c);
 }
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -816,7 +816,7 @@
 		reply_error(t, http, STATUS_UNAVAILABLE,
 		    "no recent contact with the leader", 0);
 	else
-		reply_text(t, http, 200, str_from("{\"status\":\"ok\"}\n"));
+		reply_text(t, http, 200, str_from("{\"status\":\"OK\"}\n"));
 }
 
 static void
@@ -825,7 +825,7 @@
 	struct mbox_msg *m = mbox_msg_new(MBOX_DRAIN, 0);
 
 	mbox_post(&t->conf.shared->control, m);
-	reply_text(t, http, 202, str_from("{\"status\":\"ok\"}\n"));
+	reply_text(t, http, 202, str_from("{\"status\":\"OK\"}\n"));
 }
 
 static void
@@ -835,7 +835,7 @@
 
 	switch (q->kind) {
 	case API_HEALTH:
-		reply_text(t, http, 200, str_from("{\"status\":\"ok\"}\n"));
+		reply_text(t, http, 200, str_from("{\"status\":\"OK\"}\n"));
 		return;
 	case API_READY:
 		reply_ready(t, http);
