Let a leaving worker finish what it has

A leave ended the worker's epoch at once: its tasks would have been resumed elsewhere while it finished them, and its next poll was refused as stale, so a fake worker announced itself again and got 121 requests later than 3 s after its leave. A leave now drains the worker, and a second one with done set ends the epoch. The drain record can carry the incarnation, so that a late resend doesn't drain the worker's successor.

--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -33,6 +33,7 @@
 #define RETRY_MS       200
 #define WORKERS_MAX    2000
 #define MIN_STEP_MS    10
+#define LEAVE_MS       3000 /* new requests may come for so long */
 
 struct opts {
 	char *instances, *name, *serves, *rack, *domain, *ledger, *listen;
@@ -67,9 +68,9 @@
 struct worker {
 	char name[96], addr[64];
 	uint64_t incarnation, epoch, order_seq, event_seq;
-	bool announced, calling, leaving, left, silent;
+	bool announced, calling, leaving, done, left, silent;
 	unsigned target; /* index of the instance asked next */
-	struct timespec asked, lease_until;
+	struct timespec asked, lease_until, left_at;
 	int64_t lease_ms, poll_ms;
 	struct front *front;
 	struct task *tasks;
@@ -439,11 +440,19 @@
 worker_restart(struct worker *w)
 {
 	tasks_drop(w, "dropped");
-	w->announced = false;
+	w->announced = w->leaving = w->done = false;
 	w->order_seq = w->event_seq = 0;
 	w->incarnation = rng_next(&rng) >> 1;
 }
 
+/* A leaving worker holds nothing, has reported all and gets nothing new. */
+static bool
+worker_empty(const struct worker *w)
+{
+	return clk_diff_ms(clk_now(&the_clock), w->left_at) >= LEAVE_MS &&
+	    w->running == 0 && w->tasks == NULL && w->events->len == 0;
+}
+
 /* Announces, polls or leaves, whichever is next. */
 static void
 worker_call(struct worker *w)
@@ -455,17 +464,31 @@
 	if (w->announced && w->tasks != NULL &&
 	    clk_before(w->lease_until, clk_now(&the_clock)))
 		tasks_drop(w, "expired");
+	if (!w->announced && stopping) {
+		w->left = true;
+		return;
+	}
 	if (!w->announced) {
 		call_send(w, "", announce_body(w));
 		return;
 	}
 	if (stopping && !w->leaving) {
 		w->leaving = true;
+		w->left_at = clk_now(&the_clock);
 		o = json_object_new_object();
 		put(o, "incarnation", w->incarnation);
 		call_send(w, "/leave", o);
 		return;
 	}
+	if (w->leaving && !w->done && worker_empty(w)) {
+		w->done = true;
+		o = json_object_new_object();
+		put(o, "incarnation", w->incarnation);
+		json_object_object_add(
+		    o, "done", json_object_new_boolean(true));
+		call_send(w, "/leave", o);
+		return;
+	}
 	call_send(w, "/poll", poll_body(w));
 }
 
@@ -529,7 +552,9 @@
 	w->calling = false;
 	o = json_tokener_parse(body);
 	talloc_free(body);
-	if (a->status == 200 && o != NULL) {
+	if (a->status == 200 && w->done) {
+		w->left = true;
+	} else if (a->status == 200 && o != NULL) {
 		reply_ok(w, o);
 		worker_later(w, w->announced ? w->poll_ms : RETRY_MS);
 	} else if ((a->status == 409 || a->status == 404) && w->announced) {
@@ -537,6 +562,7 @@
 		worker_restart(w);
 		worker_later(w, RETRY_MS);
 	} else {
+		w->done = false;
 		w->target++;
 		worker_later(w, RETRY_MS);
 	}
@@ -548,7 +574,7 @@
 {
 	struct worker *w = user;
 
-	w->calling = false;
+	w->calling = w->done = false;
 	w->target++;
 	worker_later(w, RETRY_MS);
 }
@@ -718,7 +744,6 @@
 	on_silent(ev, NULL, tevent_timeval_zero(), NULL);
 }
 
-/* A leaving worker ends when it holds nothing and has reported all. */
 static bool
 all_left(void)
 {
@@ -726,9 +751,7 @@
 	int i;
 
 	for (i = 0; i < opt.count && all; i++)
-		all = workers[i].leaving && !workers[i].calling &&
-		    workers[i].running == 0 && workers[i].tasks == NULL &&
-		    workers[i].events->len == 0;
+		all = workers[i].left;
 	return all;
 }
 
--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -3210,7 +3210,7 @@
   (ProtobufCMessageInit) control__worker_leave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__worker_drain__field_descriptors[1] =
+static const ProtobufCFieldDescriptor control__worker_drain__field_descriptors[2] =
 {
   {
     "name",
@@ -3224,14 +3224,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Control__WorkerDrain, has_incarnation),
+    offsetof(Control__WorkerDrain, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__worker_drain__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange control__worker_drain__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor control__worker_drain__descriptor =
 {
@@ -3241,7 +3254,7 @@
   "Control__WorkerDrain",
   "control",
   sizeof(Control__WorkerDrain),
-  1,
+  2,
   control__worker_drain__field_descriptors,
   control__worker_drain__field_indices_by_name,
   1,  control__worker_drain__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -483,10 +483,15 @@
 {
   ProtobufCMessage base;
   char *name;
+  /*
+   * absent: whichever is current
+   */
+  protobuf_c_boolean has_incarnation;
+  uint64_t incarnation;
 };
 #define CONTROL__WORKER_DRAIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__worker_drain__descriptor) \
-    , NULL }
+    , NULL, 0, 0 }
 
 
 struct  Control__JobSpec
--- a/src/control/st_worker.c
+++ b/src/control/st_worker.c
@@ -194,6 +194,10 @@
 		st_fail(st, STATUS_NOT_FOUND, "no worker of this name");
 		return;
 	}
+	if (drain->has_incarnation && drain->incarnation != w->incarnation) {
+		st_fail(st, STATUS_STALE, "worker incarnation has ended");
+		return;
+	}
 	st->res.epoch = w->epoch;
 	if (w->draining)
 		return;
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -330,12 +330,35 @@
 	return worker_body(in, &in->op->worker_poll->base, e);
 }
 
+/*
+ * A worker that leaves takes no new work but goes on with what it has, as a
+ * drained one does. With "done" it holds nothing any more and its epoch ends.
+ */
 static enum status
 post_leave(struct input *in, struct err *e)
 {
-	in->op->worker_leave =
-	    new_message(in->ctx, &control__worker_leave__descriptor);
-	return worker_body(in, &in->op->worker_leave->base, e);
+	Control__WorkerDrain *drain;
+	struct json_object *v;
+	bool done = false;
+
+	if (json_object_object_get_ex(in->json, "done", &v)) {
+		if (!json_object_is_type(v, json_type_boolean))
+			return err_set(e, STATUS_INVALID,
+			    "field \"done\": expected true or false");
+		done = json_object_get_boolean(v);
+		json_object_object_del(in->json, "done");
+	}
+	if (!json_object_object_get_ex(in->json, "incarnation", NULL))
+		return err_set(
+		    e, STATUS_INVALID, "field \"incarnation\" is missing");
+	if (done) {
+		in->op->worker_leave =
+		    new_message(in->ctx, &control__worker_leave__descriptor);
+		return worker_body(in, &in->op->worker_leave->base, e);
+	}
+	drain = new_message(in->ctx, &control__worker_drain__descriptor);
+	in->op->worker_drain = drain;
+	return worker_body(in, &drain->base, e);
 }
 
 static enum status
