--- a/src/control/agent.c
+++ b/src/control/agent.c
@@ -67,56 +67,148 @@
 	return m;
 }
 
+static struct agent_peer *
+peer_find(struct agent *a, uint32_t instance)
+{
+	size_t i;
+
+	for (i = 0; i < a->conf.npeers; i++) {
+		if (a->peers[i].instance == instance)
+			return &a->peers[i];
+	}
+	return NULL;
+}
+
 static void
 target_set(struct agent *a, uint32_t instance)
 {
-	size_t i;
+	const struct agent_peer *p = peer_find(a, instance);
 
 	a->target = instance;
 	a->heard = a->now;
-	for (i = 0; i < a->conf.npeers; i++) {
-		if (a->conf.peers[i] == instance)
-			a->cursor = i;
+	if (p != NULL)
+		a->cursor = (size_t)(p - a->peers);
+}
+
+static bool
+peer_candidate(const struct agent *a, const struct agent_peer *p)
+{
+	return !p->no_replica && !clk_before(a->now, p->silent);
+}
+
+/*
+ * Turns to the next candidate: an instance that has a replica, as far as is
+ * known, and did not fail to answer lately. A pause follows when all have
+ * been asked.
+ */
+static void
+target_next(struct agent *a)
+{
+	size_t i, n = a->conf.npeers, next = (a->cursor + 1) % n;
+	unsigned candidates = 0;
+
+	for (i = 0; i < n; i++)
+		candidates += peer_candidate(a, &a->peers[i]);
+	for (i = 0; candidates > 0 && i < n; i++) {
+		if (peer_candidate(a, &a->peers[(next + i) % n]))
+			break;
 	}
+	target_set(a, a->peers[(next + i) % n].instance);
+	if (++a->failed < candidates)
+		return;
+	a->failed = 0;
+	a->pause = clk_add_ms(a->now,
+	    AGENT_PAUSE_MS / 2 + (int64_t)rng_below(&a->rng, AGENT_PAUSE_MS));
+	/* Replicas may have moved; silence may have been the own network's. */
+	if (candidates > 0 && ++a->rounds % AGENT_ROUNDS_ALL != 0)
+		return;
+	for (i = 0; i < n; i++) {
+		a->peers[i].no_replica = false;
+		a->peers[i].silent = a->now;
+	}
+}
+
+static void
+beat_again(struct agent *a)
+{
+	a->beat_open = false;
+	a->beat_at = a->now;
 }
 
 /*
- * Turns away from an instance that does not lead or does not answer. A leader
- * that it named is tried next if its term is newer than any seen, so that two
- * instances with old knowledge cannot send a caller back and forth; otherwise
- * all instances are tried in turn, with a pause after each round.
+ * Turns away from an instance that does not lead. A leader that it named is
+ * tried next if its term is newer than any seen, so that two instances with
+ * old knowledge cannot send a caller back and forth.
  */
 void
-agent_failed(struct agent *a, uint32_t instance, uint32_t leader, uint64_t term)
+agent_refused(
+    struct agent *a, uint32_t instance, uint32_t leader, uint64_t term)
 {
+	struct agent_peer *p = peer_find(a, instance);
+
+	if (p != NULL) {
+		p->no_replica = term == 0;
+		p->silent_ms = 0;
+	}
 	if (instance != a->target)
 		return;
-	a->failed++;
-	if (a->conf.leader_hints && leader != 0 && term > a->hint_term) {
+	a->seeking = true;
+	if (a->conf.leader_hints && leader != 0 && leader != instance &&
+	    term > a->hint_term) {
 		a->hint_term = term;
 		ctr_add(&a->ctr, AGENT_C_HINTS, 1);
 		target_set(a, leader);
+		a->pause = a->now;
 	} else {
-		size_t next = (a->cursor + 1) % a->conf.npeers;
+		target_next(a);
+	}
+	beat_again(a);
+}
+
+/* Returns how long an answer of the target is waited for. */
+int64_t
+agent_patience_ms(const struct agent *a)
+{
+	return a->seeking ? AGENT_SEEK_MS : AGENT_TRY_MS;
+}
 
-		target_set(a, a->conf.peers[next]);
+/* Turns away from an instance that does not answer. */
+void
+agent_silent(struct agent *a, uint32_t instance)
+{
+	struct agent_peer *p = peer_find(a, instance);
+
+	if (p != NULL) {
+		p->silent_ms =
+		    p->silent_ms == 0 ? AGENT_SILENT_MS : 2 * p->silent_ms;
+		if (p->silent_ms > AGENT_SILENT_MAX_MS)
+			p->silent_ms = AGENT_SILENT_MAX_MS;
+		p->silent = clk_add_ms(a->now, p->silent_ms);
 	}
-	if (a->failed % a->conf.npeers == 0)
-		a->pause = clk_add_ms(a->now,
-		    AGENT_PAUSE_MS / 2 +
-			(int64_t)rng_below(&a->rng, AGENT_PAUSE_MS));
-	a->beat_open = false;
-	a->beat_at = a->now;
+	if (instance != a->target)
+		return;
+	a->seeking = true;
+	target_next(a);
+	beat_again(a);
 }
 
 /* An instance has answered as the leader. */
 void
 agent_led(struct agent *a, uint32_t instance)
 {
+	struct agent_peer *p = peer_find(a, instance);
+
+	if (p != NULL) {
+		p->no_replica = false;
+		p->silent = a->now;
+		p->silent_ms = 0;
+	}
+	a->seeking = false;
 	if (a->target != instance)
 		target_set(a, instance);
 	a->heard = a->now;
-	a->failed = 0;
+	a->pause = a->now;
+	a->failed = a->rounds = 0;
 }
 
 static void
@@ -167,7 +259,7 @@
 	if (r->has_not_leader && r->not_leader) {
 		ctr_add(&a->ctr, AGENT_C_BEAT_REFUSED, 1);
 		if (r->seq == a->beat_seq)
-			agent_failed(a, from, r->leader, r->term);
+			agent_refused(a, from, r->leader, r->term);
 		return;
 	}
 	if (s->seq != r->seq || r->seq <= a->reply_seq || r->term < a->term) {
@@ -189,7 +281,7 @@
 stats_take(struct agent *a, const struct agent_stats *s)
 {
 	Control__Beat b = CONTROL__BEAT__INIT;
-	size_t i;
+	size_t i, n = 0;
 
 	b.slots = talloc_array(a->step, Control__SlotUse *, s->nslots);
 	b.demand = talloc_array(a->step, Control__ClassDemand *, s->ndemand);
@@ -197,11 +289,16 @@
 	    a, a->latency, Control__Latency *, a->nlatency + s->nlatency + 1);
 	if (b.slots == NULL || b.demand == NULL || a->latency == NULL)
 		abort();
-	for (i = 0; i < s->nslots; i++)
-		b.slots[i] = (Control__SlotUse *)(uintptr_t)&s->slots[i];
+	/* A worker that nothing was ever granted of needs no mention. */
+	for (i = 0; i < s->nslots; i++) {
+		const Control__SlotUse *u = &s->slots[i];
+
+		if (u->held != 0 || u->used != 0 || u->grant_seq != 0)
+			b.slots[n++] = (Control__SlotUse *)(uintptr_t)u;
+	}
 	for (i = 0; i < s->ndemand; i++)
 		b.demand[i] = (Control__ClassDemand *)(uintptr_t)&s->demand[i];
-	b.n_slots = s->nslots;
+	b.n_slots = n;
 	b.n_demand = s->ndemand;
 	talloc_free(a->stats);
 	a->stats = pb_dup(a, &b);
@@ -217,15 +314,19 @@
 agent_new(TALLOC_CTX *ctx, const struct agent_conf *conf, struct timespec now)
 {
 	struct agent *a = talloc_zero(ctx, struct agent);
+	size_t i;
 
 	if (a == NULL)
 		abort();
 	a->conf = *conf;
 	a->conf.domain = str_dup(a, conf->domain);
-	a->conf.peers =
-	    talloc_memdup(a, conf->peers, conf->npeers * sizeof(uint32_t));
-	if (a->conf.peers == NULL)
+	a->conf.peers = NULL;
+	a->peers = talloc_array(a, struct agent_peer, conf->npeers);
+	if (a->peers == NULL)
 		abort();
+	for (i = 0; i < conf->npeers; i++)
+		a->peers[i] =
+		    (struct agent_peer){ conf->peers[i], false, now, 0 };
 	rng_init(&a->rng, conf->seed);
 	ctr_init(&a->ctr, a, agent_ctr_desc, AGENT_C_COUNT);
 	a->step = talloc_new(a);
@@ -242,11 +343,12 @@
 static void
 agent_tick(struct agent *a)
 {
-	if (a->beat_open && clk_diff_ms(a->now, a->heard) >= AGENT_TRY_MS &&
+	if (a->beat_open &&
+	    clk_diff_ms(a->now, a->heard) >= agent_patience_ms(a) &&
 	    clk_diff_ms(a->now, a->sent[a->beat_seq % AGENT_SENT_KEPT].at) >=
-		AGENT_TRY_MS) {
+		agent_patience_ms(a)) {
 		ctr_add(&a->ctr, AGENT_C_BEAT_TIMEOUTS, 1);
-		agent_failed(a, a->target, 0, 0);
+		agent_silent(a, a->target);
 	}
 	if (!clk_before(a->now, a->beat_at) && !clk_before(a->now, a->pause))
 		beat_send(a);
@@ -283,7 +385,7 @@
 			status = STATUS_PROTOCOL;
 		break;
 	case AGENT_EV_PEER_DOWN:
-		agent_failed(a, ev->u.down, 0, 0);
+		agent_silent(a, ev->u.down);
 		agent_op_down(a, ev->u.down);
 		break;
 	case AGENT_EV_OP:
@@ -313,7 +415,7 @@
 		d = a->sent[a->beat_seq % AGENT_SENT_KEPT].at;
 		if (clk_before(d, a->heard))
 			d = a->heard;
-		d = clk_add_ms(d, AGENT_TRY_MS);
+		d = clk_add_ms(d, agent_patience_ms(a));
 		if (clk_before(d, t))
 			t = d;
 	}
--- a/src/control/agent_impl.h
+++ b/src/control/agent_impl.h
@@ -10,11 +10,18 @@
 /* An instance that has not answered for this long is not waited for: above
  * the round trip and two disk syncs, below the shortest election. */
 #define AGENT_TRY_MS 500
-/* Between rounds over all instances while none leads. */
-#define AGENT_PAUSE_MS	100
-#define AGENT_SENT_KEPT 16 /* beats whose sending time is remembered */
-#define AGENT_OPS_MAX	65536
-#define AGENT_TRIES_MAX 8 /* sends of one operation without an answer */
+/* Between rounds over the candidates while none leads. */
+#define AGENT_PAUSE_MS 60
+/* While a leader is looked for: a refusal takes one round trip only. */
+#define AGENT_SEEK_MS 150
+/* An instance that did not answer is passed over, longer each time. */
+#define AGENT_SILENT_MS	    300
+#define AGENT_SILENT_MAX_MS 1200
+/* Rounds without success after which every instance is asked again. */
+#define AGENT_ROUNDS_ALL 16
+#define AGENT_SENT_KEPT	 16 /* beats whose sending time is remembered */
+#define AGENT_OPS_MAX	 65536
+#define AGENT_TRIES_MAX	 8 /* sends of one operation without an answer */
 /* Requests time out after at most this, whatever a class says. */
 #define AGENT_TIMEOUT_MS 30000
 
@@ -34,6 +41,14 @@
 	AGENT_C_COUNT
 };
 
+/* What is known of an instance as a possible leader. */
+struct agent_peer {
+	uint32_t instance;
+	bool no_replica;	/* it refused without naming a term */
+	struct timespec silent; /* passed over until then */
+	int64_t silent_ms;	/* the last time, 0 after an answer */
+};
+
 struct agent_op {
 	struct agent_op *next;
 	uint64_t id;  /* of the caller */
@@ -71,8 +86,11 @@
 
 	/* Leader discovery. */
 	uint32_t target;
-	size_t cursor;	       /* of target in peers, for turns */
-	unsigned failed;       /* since the last success */
+	size_t cursor; /* of target in peers, for turns */
+	struct agent_peer *peers;
+	unsigned failed;       /* in this round */
+	unsigned rounds;       /* since the last success */
+	bool seeking;	       /* no leader is known */
 	uint64_t hint_term;    /* newest term of a known leader */
 	struct timespec pause; /* nothing is sent before */
 	struct timespec heard; /* last answer of the target */
@@ -108,9 +126,13 @@
 /* agent.c */
 struct agent_act *agent_act(struct agent *, enum agent_act_kind);
 Control__PeerMsg *agent_msg(struct agent *, uint32_t instance);
-/* The instance did not help; leader and term are what it named, or 0. */
-void agent_failed(
+/* The instance does not lead; leader and term are what it named, or 0. */
+void agent_refused(
     struct agent *, uint32_t instance, uint32_t leader, uint64_t term);
+/* How long the target is waited for. */
+int64_t agent_patience_ms(const struct agent *);
+/* The instance does not answer. */
+void agent_silent(struct agent *, uint32_t instance);
 void agent_led(struct agent *, uint32_t instance);
 
 /* agent_op.c */
--- a/src/control/agent_op.c
+++ b/src/control/agent_op.c
@@ -69,7 +69,7 @@
 	if (o->try_ms != 0)
 		ctr_add(&a->ctr, AGENT_C_RESENDS, 1);
 	/* Longer after each send, so that a slow leader is not flooded. */
-	o->try_ms = o->try_ms == 0 ? AGENT_TRY_MS : 2 * o->try_ms;
+	o->try_ms = o->try_ms == 0 ? agent_patience_ms(a) : 2 * o->try_ms;
 	o->try_until = clk_add_ms(a->now, o->try_ms);
 	o->at = a->target;
 	if (o->ntried < AGENT_TRIES_MAX)
@@ -155,12 +155,12 @@
 	if (r->status == STATUS_UNKNOWN) {
 		o->lost = true;
 		if (!o->repeatable) {
-			agent_failed(a, from, r->leader, r->term);
+			agent_refused(a, from, r->leader, r->term);
 			op_unknown(a, o);
 			return;
 		}
 	}
-	agent_failed(a, from, r->leader, r->term);
+	agent_refused(a, from, r->leader, r->term);
 	if (o->at != from)
 		return;
 	o->at = 0;
@@ -205,8 +205,10 @@
 		}
 		if (o->at != 0 && o->repeatable &&
 		    !clk_before(a->now, o->try_until)) {
-			if (clk_diff_ms(a->now, a->heard) >= AGENT_TRY_MS)
-				agent_failed(a, o->at, 0, 0);
+			if (o->at == a->target &&
+			    clk_diff_ms(a->now, a->heard) >=
+				agent_patience_ms(a))
+				agent_silent(a, o->at);
 			o->at = 0;
 		}
 		if (o->at == 0 && !clk_before(a->now, a->pause))
--- a/src/control/cell_beat.c
+++ b/src/control/cell_beat.c
@@ -94,7 +94,7 @@
 		abort();
 	control__beat_reply__init(r);
 	r->seq = b->seq;
-	r->term = raft_term(c->raft);
+	r->term = cell_named_term(c);
 	r->leader = raft_leader_instance(c->raft);
 	r->has_not_leader = 1;
 	r->not_leader = 1;
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -228,6 +228,7 @@
 void cell_reply(struct cell *, struct cell_from, Control__OpResult *);
 void cell_reply_status(
     struct cell *, struct cell_from, enum status, const char *message);
+uint64_t cell_named_term(const struct cell *);
 void cell_reply_not_leader(struct cell *, struct cell_from, enum status);
 struct cell_pend *cell_propose(
     struct cell *, enum cell_pend_kind, Control__Command *);
--- a/src/control/cell_op.c
+++ b/src/control/cell_op.c
@@ -40,6 +40,18 @@
 	cell_reply(c, from, result_new(c, status, message));
 }
 
+/*
+ * Returns the term that a refusal names. A replica that has heard of no term
+ * names 1, since callers take 0 for an instance without a replica.
+ */
+uint64_t
+cell_named_term(const struct cell *c)
+{
+	uint64_t term = raft_term(c->raft);
+
+	return term == 0 ? 1 : term;
+}
+
 /*
  * Refuses an operation and names the leader that is known. status is
  * STATUS_NOT_LEADER when the operation has certainly not been accepted, else
@@ -56,7 +68,7 @@
 	    status == STATUS_UNKNOWN ? CELL_C_UNKNOWN : CELL_C_NOT_LEADER, 1);
 	r->has_leader = r->has_term = 1;
 	r->leader = raft_leader_instance(c->raft);
-	r->term = raft_term(c->raft);
+	r->term = cell_named_term(c);
 	cell_reply(c, from, r);
 }
 
