Index the agent's operations and keep less of a poll

Cause: with many operations under way, every step looked at all of them; a whole poll was copied until its answer. Change: operations are found by their id and looked at only when one is due; of a poll, identity, order number and running tasks are kept.

--- a/bench/cell.c
+++ b/bench/cell.c
@@ -267,12 +267,11 @@
 	free(o->epoch);
 }
 
-/* Runs what is due now, without timers. */
+/* Runs all that is due now. */
 static void
 one_settle(struct one *o)
 {
-	while (o->s->nheap > 0 && o->s->heap[0]->at_ns <= o->s->now_ns)
-		sim_run_ev(o->s, sim_pop(o->s));
+	sim_run(o->s, 0);
 }
 
 static void
--- a/src/control/agent.c
+++ b/src/control/agent.c
@@ -306,6 +306,13 @@
 		a->latency[a->nlatency++] = pb_dup(a->latency, &s->latency[i]);
 }
 
+static int
+agent_destroy(struct agent *a)
+{
+	agent_op_finish(a);
+	return 0;
+}
+
 /*
  * Makes the agent of an instance. It asks its own instance first if that has
  * a data directory, else one that the seed selects.
@@ -331,7 +338,9 @@
 	ctr_init(&a->ctr, a, agent_ctr_desc, AGENT_C_COUNT);
 	a->step = talloc_new(a);
 	a->now = now;
-	a->op_end = &a->op_first;
+	idx_init(&a->op_by_fid);
+	a->op_due = clk_from_ns(INT64_MAX);
+	talloc_set_destructor(a, agent_destroy);
 	a->pause = a->beat_at = a->fresh_until = now;
 	a->version_floor = conf->min_config_version;
 	target_set(a,
@@ -419,10 +428,10 @@
 		if (clk_before(d, t))
 			t = d;
 	}
-	d = agent_op_deadline(a);
-	if (clk_before(d, t))
-		t = d;
-	return clk_before(t, a->pause) ? a->pause : t;
+	/* Nothing is sent in a pause, but operations may end. */
+	if (clk_before(t, a->pause))
+		t = a->pause;
+	return clk_before(a->op_due, t) ? a->op_due : t;
 }
 
 /* Tells whether this instance may take new work at now. */
--- a/src/control/agent_impl.h
+++ b/src/control/agent_impl.h
@@ -4,6 +4,7 @@
 
 #include "base/rng.h"
 #include "control/agent.h"
+#include "control/idx.h"
 
 __BEGIN_DECLS
 
@@ -50,8 +51,8 @@
 };
 
 struct agent_op {
-	struct agent_op *next;
-	uint64_t id;  /* of the caller */
+	struct agent_op *prev, *next; /* by start */
+	uint64_t id;		      /* of the caller */
 	uint64_t fid; /* of the Forward, the same in every resend */
 	Control__Op *op;
 	bool repeatable; /* idempotent by construction */
@@ -107,7 +108,9 @@
 	size_t nlatency;
 	bool draining;
 
-	struct agent_op *op_first, **op_end;
+	struct agent_op *op_first, *op_last;
+	struct idx op_by_fid;
+	struct timespec op_due; /* when one of them is next due */
 	size_t nops;
 	uint64_t fid;
 
@@ -141,7 +144,7 @@
     struct agent *, uint32_t from, const Control__ForwardReply *);
 void agent_op_down(struct agent *, uint32_t instance);
 void agent_op_tick(struct agent *);
-struct timespec agent_op_deadline(const struct agent *);
+void agent_op_finish(struct agent *);
 
 /* agent_view.c */
 /* Takes a reply to a beat sent at sent over; true if the view changed. */
--- a/src/control/agent_op.c
+++ b/src/control/agent_op.c
@@ -41,21 +41,43 @@
 	op_reply(a, id, r);
 }
 
+static bool
+op_is(const void *object, const void *key)
+{
+	return ((const struct agent_op *)object)->fid == *(const uint64_t *)key;
+}
+
 static void
 op_remove(struct agent *a, struct agent_op *o)
 {
-	struct agent_op **at = &a->op_first;
-
-	while (*at != o)
-		at = &(*at)->next;
-	*at = o->next;
-	if (o->next == NULL)
-		a->op_end = at;
+	if (o->prev != NULL)
+		o->prev->next = o->next;
+	else
+		a->op_first = o->next;
+	if (o->next != NULL)
+		o->next->prev = o->prev;
+	else
+		a->op_last = o->prev;
+	idx_remove(&a->op_by_fid, idx_hash_u64(o->fid), o);
 	a->nops--;
 	/* Messages of this step may point into the operation. */
 	talloc_steal(a->step, o);
 }
 
+/* Frees the index; the operations belong to the agent. */
+void
+agent_op_finish(struct agent *a)
+{
+	idx_finish(&a->op_by_fid);
+}
+
+static void
+op_due(struct agent *a, struct timespec at)
+{
+	if (clk_before(at, a->op_due))
+		a->op_due = at;
+}
+
 static void
 op_send(struct agent *a, struct agent_op *o)
 {
@@ -76,6 +98,9 @@
 		o->tried[o->ntried++] = o->at;
 	else
 		o->lost = true;
+	op_due(a, o->deadline);
+	if (o->repeatable)
+		op_due(a, o->try_until);
 	agent_msg(a, o->at)->forward = f;
 }
 
@@ -99,9 +124,19 @@
 	o->op = pb_dup(o, op);
 	o->repeatable = op_repeatable(op);
 	o->deadline = clk_add_ms(a->now, a->conf.op_timeout_ms);
-	*a->op_end = o;
-	a->op_end = &o->next;
+	o->prev = a->op_last;
+	if (o->prev != NULL)
+		o->prev->next = o;
+	else
+		a->op_first = o;
+	a->op_last = o;
+	idx_add(&a->op_by_fid, idx_hash_u64(o->fid), o);
 	a->nops++;
+	/* The others need no look at when this one can leave at once. */
+	if (clk_before(a->now, a->pause))
+		op_due(a, a->pause);
+	else
+		op_send(a, o);
 }
 
 static bool
@@ -137,10 +172,9 @@
 agent_op_reply(struct agent *a, uint32_t from, const Control__ForwardReply *f)
 {
 	const Control__OpResult *r = f->result;
-	struct agent_op *o = a->op_first;
+	struct agent_op *o =
+	    idx_find(&a->op_by_fid, idx_hash_u64(f->id), op_is, &f->id);
 
-	while (o != NULL && o->fid != f->id)
-		o = o->next;
 	if (o == NULL) {
 		ctr_add(&a->ctr, AGENT_C_LATE, 1);
 		return;
@@ -165,6 +199,7 @@
 		return;
 	o->at = 0;
 	o->try_ms = 0;
+	op_due(a, a->now);
 }
 
 /* Deals with operations that were sent to an instance that is unreachable. */
@@ -179,57 +214,56 @@
 			continue;
 		o->lost = true;
 		o->at = 0;
+		op_due(a, a->now);
 		if (!o->repeatable)
 			op_unknown(a, o);
 	}
 }
 
+/* Handles one operation whose time may have come; it may end. */
+static void
+op_tick(struct agent *a, struct agent_op *o)
+{
+	if (!clk_before(a->now, o->deadline)) {
+		if (o->lost || o->ntried > 0) {
+			op_unknown(a, o);
+			return;
+		}
+		ctr_add(&a->ctr, AGENT_C_UNAVAILABLE, 1);
+		op_reply_status(
+		    a, o->id, STATUS_UNAVAILABLE, "no leader was found");
+		op_remove(a, o);
+		return;
+	}
+	if (o->at != 0 && o->repeatable && !clk_before(a->now, o->try_until)) {
+		if (o->at == a->target &&
+		    clk_diff_ms(a->now, a->heard) >= agent_patience_ms(a))
+			agent_silent(a, o->at);
+		o->at = 0;
+	}
+	if (o->at != 0) {
+		op_due(a, o->deadline);
+		if (o->repeatable)
+			op_due(a, o->try_until);
+	} else if (clk_before(a->now, a->pause)) {
+		op_due(a,
+		    clk_before(o->deadline, a->pause) ? o->deadline : a->pause);
+	} else {
+		op_send(a, o);
+	}
+}
+
 /* Ends and sends operations as far as their time has come. */
 void
 agent_op_tick(struct agent *a)
 {
 	struct agent_op *o, *next;
 
+	if (clk_before(a->now, a->op_due))
+		return;
+	a->op_due = clk_from_ns(INT64_MAX);
 	for (o = a->op_first; o != NULL; o = next) {
 		next = o->next;
-		if (!clk_before(a->now, o->deadline)) {
-			if (o->lost || o->ntried > 0) {
-				op_unknown(a, o);
-				continue;
-			}
-			ctr_add(&a->ctr, AGENT_C_UNAVAILABLE, 1);
-			op_reply_status(a, o->id, STATUS_UNAVAILABLE,
-			    "no leader was found");
-			op_remove(a, o);
-			continue;
-		}
-		if (o->at != 0 && o->repeatable &&
-		    !clk_before(a->now, o->try_until)) {
-			if (o->at == a->target &&
-			    clk_diff_ms(a->now, a->heard) >=
-				agent_patience_ms(a))
-				agent_silent(a, o->at);
-			o->at = 0;
-		}
-		if (o->at == 0 && !clk_before(a->now, a->pause))
-			op_send(a, o);
-	}
-}
-
-/* Returns when an operation is next due; far in the future without one. */
-struct timespec
-agent_op_deadline(const struct agent *a)
-{
-	struct timespec t = clk_from_ns(INT64_MAX);
-	const struct agent_op *o;
-
-	for (o = a->op_first; o != NULL; o = o->next) {
-		if (clk_before(o->deadline, t))
-			t = o->deadline;
-		if (o->at == 0)
-			return a->now;
-		if (o->repeatable && clk_before(o->try_until, t))
-			t = o->try_until;
+		op_tick(a, o);
 	}
-	return t;
 }
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -55,7 +55,11 @@
 
 /* A poll that is not answered yet. */
 struct cell_poll {
-	Control__WorkerPoll *msg;
+	uint64_t epoch, incarnation;
+	uint64_t order_seq; /* 0: it named none */
+	char *name;
+	uint64_t *running;
+	size_t nrunning;
 	uint64_t event_ack;
 	bool confirmed, applied;
 	bool complete; /* its events are applied, no one was refused */
--- a/src/control/cell_worker.c
+++ b/src/control/cell_worker.c
@@ -265,9 +265,9 @@
 
 /* Proposes the events of a poll that the state does not have yet. */
 static void
-poll_events(struct cell *c, struct cell_wait *w, const struct st_worker *sw)
+poll_events(struct cell *c, struct cell_wait *w, const struct st_worker *sw,
+    const Control__WorkerPoll *poll)
 {
-	const Control__WorkerPoll *poll = w->poll->msg;
 	Control__Command *cmd;
 	struct cell_pend *p;
 	size_t i, n = 0;
@@ -301,12 +301,34 @@
 }
 
 static bool
-poll_current(const struct st_worker *sw, const Control__WorkerPoll *poll)
+poll_current(const struct st_worker *sw, const struct cell_poll *poll)
 {
 	return sw != NULL && sw->incarnation == poll->incarnation &&
 	    str_eq_c(sw->name, poll->name);
 }
 
+/* Keeps what the answer depends on. */
+static struct cell_poll *
+poll_new(TALLOC_CTX *ctx, const Control__WorkerPoll *m)
+{
+	struct cell_poll *p = talloc_zero(ctx, struct cell_poll);
+
+	if (p == NULL)
+		abort();
+	p->epoch = m->epoch;
+	p->incarnation = m->incarnation;
+	p->order_seq = m->order_seq;
+	p->name = str_cstr(p, str_from(m->name));
+	p->nrunning = m->n_running;
+	p->running = talloc_array(p, uint64_t, p->nrunning);
+	if (p->running == NULL)
+		abort();
+	if (p->nrunning > 0)
+		memcpy(p->running, m->running, p->nrunning * sizeof(uint64_t));
+	p->applied = true;
+	return p;
+}
+
 /*
  * Takes a poll in. Its lease runs from now; the answer waits for proof of
  * leadership, since a leader that has been replaced must not renew a lease,
@@ -322,18 +344,14 @@
 	size_t i;
 
 	ctr_add(&c->ctr, CELL_C_POLLS, 1);
-	w->poll = talloc_zero(w, struct cell_poll);
-	if (w->poll == NULL)
-		abort();
-	w->poll->msg = pb_dup(w->poll, poll);
-	w->poll->applied = true;
-	if (cw == NULL || !poll_current(sw, poll) ||
+	w->poll = poll_new(w, poll);
+	if (cw == NULL || !poll_current(sw, w->poll) ||
 	    !lease_renew(&c->lease, c->now, poll->epoch))
 		return;
 	if (poll->has_order_seq)
 		orders_done(cw, poll->order_seq);
 	w->poll->complete = true;
-	poll_events(c, w, sw);
+	poll_events(c, w, sw, poll);
 	for (i = 0; i < poll->n_running; i++)
 		feed_running(c, poll->epoch, poll->running[i]);
 	grant_overdue(c->grant, poll->epoch, poll->overdue);
@@ -341,11 +359,11 @@
 }
 
 static bool
-poll_runs(const Control__WorkerPoll *poll, uint64_t task)
+poll_runs(const struct cell_poll *poll, uint64_t task)
 {
 	size_t i;
 
-	for (i = 0; i < poll->n_running; i++) {
+	for (i = 0; i < poll->nrunning; i++) {
 		if (poll->running[i] == task)
 			return true;
 	}
@@ -358,7 +376,7 @@
  */
 static void
 orders_recover(struct cell *c, struct cell_worker *w,
-    const struct st_worker *sw, const Control__WorkerPoll *poll)
+    const struct st_worker *sw, const struct cell_poll *poll)
 {
 	uint32_t i;
 
@@ -383,11 +401,11 @@
 /* Stops what the worker runs although the state does not place it there. */
 static void
 orders_strangers(
-    struct cell *c, struct cell_worker *w, const Control__WorkerPoll *poll)
+    struct cell *c, struct cell_worker *w, const struct cell_poll *poll)
 {
 	size_t i;
 
-	for (i = 0; i < poll->n_running; i++) {
+	for (i = 0; i < poll->nrunning; i++) {
 		const struct st_task *t = st_task_get(c->st, poll->running[i]);
 		struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_STOP,
 			.task = poll->running[i] };
@@ -405,12 +423,12 @@
  */
 static void
 tasks_vanished(
-    struct cell *c, struct cell_worker *w, const Control__WorkerPoll *poll)
+    struct cell *c, struct cell_worker *w, const struct cell_poll *poll)
 {
 	Control__Command *cmd = NULL;
 	size_t i;
 
-	for (i = 0; poll->has_order_seq && i < w->nhad; i++) {
+	for (i = 0; poll->order_seq != 0 && i < w->nhad; i++) {
 		const struct cell_had *h = &w->had[i];
 		const struct st_task *t = st_task_get(c->st, h->task);
 		Control__TaskEvent *e;
@@ -486,7 +504,7 @@
 void
 cell_poll_answer(struct cell *c, struct cell_wait *w)
 {
-	const Control__WorkerPoll *poll = w->poll->msg;
+	const struct cell_poll *poll = w->poll;
 	const struct st_worker *sw = st_worker_get(c->st, poll->epoch);
 	struct cell_worker *cw = cell_worker(c, poll->epoch);
 	Control__OpResult *r = talloc(c->step, Control__OpResult);
