--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -55,7 +55,11 @@
 
 /* A poll that is not answered yet. */
 struct cell_poll {
-	Control__WorkerPoll *msg;
+	uint64_t epoch, incarnation;
+	uint64_t order_seq; /* 0: it named none */
+	char *name;
+	uint64_t *running;
+	size_t nrunning;
 	uint64_t event_ack;
 	bool confirmed, applied;
 	bool complete; /* its events are applied, no one was refused */
@@ -228,6 +232,7 @@
 void cell_reply(struct cell *, struct cell_from, Control__OpResult *);
 void cell_reply_status(
     struct cell *, struct cell_from, enum status, const char *message);
+uint64_t cell_named_term(const struct cell *);
 void cell_reply_not_leader(struct cell *, struct cell_from, enum status);
 struct cell_pend *cell_propose(
     struct cell *, enum cell_pend_kind, Control__Command *);
