Probe after the first timeout and keep queues short under overload

Change: a timeout that the worker is answerable for starts a probe at once, during which the worker gets no new work; a failed one makes it suspect. The latest start leaves the 99th percentile of the service time.

--- a/src/request/adm.c
+++ b/src/request/adm.c
@@ -35,7 +35,6 @@
 		return;
 	a->unread = 0;
 	a->p50_ns = lat_quantile(&a->lat, 0.5) * 1000;
-	a->p90_ns = lat_quantile(&a->lat, 0.9) * 1000;
 	a->p99_ns = lat_quantile(&a->lat, 0.99) * 1000;
 	if (a->lat.n >= ADM_WINDOW)
 		lat_decay(&a->lat);
@@ -65,9 +64,10 @@
 
 /*
  * Returns the latest instant at which a request may start. A class with a
- * target waits only as long as nine of ten requests then still meet it: past
- * that, waiting costs every later request its target too. At least a quarter
- * of the bound is waited for, also when the service itself takes too long.
+ * target waits only as long as 99 of 100 requests then still meet it: under
+ * lasting overload every request waits for that long, and one that misses the
+ * target has taken the slot of one that could have met it. An eighth of the
+ * bound is always waited for, also when the service itself takes too long.
  */
 int64_t
 adm_start_by(const struct adm *a, int64_t arrived, int64_t deadline)
@@ -76,9 +76,9 @@
 	int64_t wait;
 
 	if (a->bound_ns > 0) {
-		wait = a->bound_ns - a->p90_ns;
-		if (wait < a->bound_ns / 4)
-			wait = a->bound_ns / 4;
+		wait = a->bound_ns - a->p99_ns;
+		if (wait < a->bound_ns / 8)
+			wait = a->bound_ns / 8;
 		if (arrived + wait < by)
 			by = arrived + wait;
 	}
--- a/src/request/adm.h
+++ b/src/request/adm.h
@@ -15,7 +15,7 @@
 	int64_t timeout_ns;
 	double service_ns; /* mean time that a request holds a slot */
 	struct lat lat;	   /* of attempts, old ones halved */
-	int64_t p50_ns, p90_ns, p99_ns;
+	int64_t p50_ns, p99_ns;
 	unsigned unread; /* results since the quantiles were computed */
 };
 
--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -554,15 +554,15 @@
  * that have ended are counted and otherwise ignored.
  */
 enum status
-eng_step(struct eng *e, struct timespec at, const struct eng_ev *ev,
+eng_step(struct eng *e, struct timespec now, const struct eng_ev *ev,
     struct eng_acts *acts)
 {
-	int64_t now = clk_ns(at);
+	int64_t t = clk_ns(now);
 	enum status st = STATUS_OK;
 	bool late;
 
 	e->acts = acts;
-	e->now = now;
+	e->now = t;
 	/* What comes at a deadline still counts, SENT above all: the byte
 	 * leaves after this step. Before a new view is taken over nothing
 	 * may be dispatched, since indexes are those of the new one. */
@@ -570,34 +570,34 @@
 	    ev->kind == ENG_EV_FAILED || ev->kind == ENG_EV_CLAIMED ||
 	    ev->kind == ENG_EV_VIEW;
 	if (!late)
-		eng_timers(e, now);
+		eng_timers(e, t);
 	switch (ev->kind) {
 	case ENG_EV_TICK:
 		break;
 	case ENG_EV_ARRIVE:
-		st = eng_arrive(e, ev, now);
+		st = eng_arrive(e, ev, t);
 		break;
 	case ENG_EV_CLAIMED:
 	case ENG_EV_CANCEL:
-		eng_req_event(e, ev, now);
+		eng_req_event(e, ev, t);
 		break;
 	case ENG_EV_SENT:
 	case ENG_EV_DONE:
 	case ENG_EV_FAILED:
-		eng_attempt_event(e, ev, now);
+		eng_attempt_event(e, ev, t);
 		break;
 	case ENG_EV_PROBED:
-		eng_probed(e, ev->u.probed.epoch, ev->u.probed.ok, now);
+		eng_probed(e, ev->u.probed.epoch, ev->u.probed.ok, t);
 		break;
 	case ENG_EV_VIEW:
-		eng_take_view(e, ev->u.view, now);
+		eng_take_view(e, ev->u.view, t);
 		break;
 	case ENG_EV_DRAIN:
 		e->draining = true;
 		break;
 	}
 	if (late)
-		eng_timers(e, now);
+		eng_timers(e, t);
 	e->acts = NULL;
 	return st;
 }
--- a/src/request/eng_worker.c
+++ b/src/request/eng_worker.c
@@ -25,11 +25,12 @@
 	return NULL;
 }
 
-/* Tells whether the worker may get new work. */
+/* Tells whether the worker may get new work; not while it is probed. */
 bool
 eng_worker_usable(const struct eng_worker *w)
 {
-	return w->index != SIZE_MAX && !w->draining && w->out.state == OUT_OK;
+	return w->index != SIZE_MAX && !w->draining && w->out.state == OUT_OK &&
+	    !w->out.probing;
 }
 
 /* Brings the sums of its classes up to date with the state of a worker. */
@@ -69,10 +70,14 @@
 eng_remove_worker(
     struct eng *e, struct eng_worker *w, enum out_state state, int64_t now)
 {
+	int64_t next;
+
 	if (state == OUT_EJECTED)
 		for (size_t i = 0; i < w->nserves; i++)
 			w->serves[i].class->ejected++;
-	tmr_set(&e->tmr, &w->tmr, out_remove(&w->out, state, now));
+	next = out_remove(&w->out, state, now);
+	if (!w->out.probing)
+		tmr_set(&e->tmr, &w->tmr, next);
 	ctr_add(
 	    &e->ctr, state == OUT_EJECTED ? ENG_C_EJECTED : ENG_C_SUSPECTED, 1);
 	eng_worker_changed(e, w);
@@ -100,6 +105,10 @@
 
 	if (timed_out && out_timeout(&w->out))
 		eng_remove_worker(e, w, OUT_SUSPECT, now);
+	else if (timed_out && w->out.state == OUT_OK && !w->out.probing)
+		/* One timeout may be due to the request. A probe tells
+		 * sooner than a second timeout would. */
+		tmr_set(&e->tmr, &w->tmr, now);
 	else if (failing && !ok && eng_may_eject(e, w))
 		eng_remove_worker(e, w, OUT_EJECTED, now);
 	else if (failing && !ok)
@@ -111,6 +120,8 @@
 {
 	w->slot.probes--;
 	ctr_add(&e->ctr, ENG_C_PROBE_FAILED, 1);
+	if (w->out.state == OUT_OK)
+		eng_remove_worker(e, w, OUT_SUSPECT, now);
 	tmr_set(&e->tmr, &w->tmr, out_probe_failed(&w->out, now));
 }
 
@@ -133,6 +144,7 @@
 		return;
 	w->out.probing = true;
 	w->slot.probes++;
+	eng_worker_changed(e, w);
 	a = eng_emit(e, ENG_ACT_PROBE, 0);
 	a->u.probe.worker = w->index;
 	a->u.probe.epoch = w->epoch;
@@ -146,6 +158,12 @@
 
 	if (w == NULL || !w->out.probing) {
 		ctr_add(&e->ctr, ENG_C_OLD_EVENT, 1);
+	} else if (ok && w->out.state == OUT_OK) {
+		w->slot.probes--;
+		w->out.probing = false;
+		tmr_clear(&e->tmr, &w->tmr);
+		eng_worker_changed(e, w);
+		eng_pump(e, w, now);
 	} else if (ok) {
 		w->slot.probes--;
 		eng_readmit(e, w, now);
--- a/src/request/grant.c
+++ b/src/request/grant.c
@@ -372,15 +372,15 @@
  * beat arrived.
  */
 void
-grant_beat(struct grant *g, struct timespec at, const Control__Beat *b,
+grant_beat(struct grant *g, struct timespec now, const Control__Beat *b,
     TALLOC_CTX *ctx, Control__BeatReply *r)
 {
-	int64_t now = clk_ns(at);
+	int64_t t = clk_ns(now);
 	struct grant_holder *p;
 	double *cum, sum = 0;
 	size_t self = 0;
 
-	grant_expire(g, now);
+	grant_expire(g, t);
 	r->has_grant_ttl_ms = 1;
 	r->grant_ttl_ms = (uint64_t)g->conf.ttl_ms;
 	r->n_grants = 0;
@@ -388,20 +388,20 @@
 	if (b->seq <= p->beat_seq)
 		return;
 	p->beat_seq = b->seq;
-	p->heard = now;
+	p->heard = t;
 	if (p->nhold < g->nworkers) {
 		p->hold = grant_grow(p, p->hold, sizeof(*p->hold), g->nworkers);
 		memset(p->hold + p->nhold, 0,
 		    (g->nworkers - p->nhold) * sizeof(*p->hold));
 		p->nhold = g->nworkers;
 	}
-	grant_learn(g, p, now, b);
+	grant_learn(g, p, t, b);
 	cum = grant_grow(ctx, NULL, sizeof(*cum), g->nholders + 1);
 	cum[0] = 0;
 	for (size_t h = 0; h < g->nholders; h++) {
 		if (g->holders[h] == p)
 			self = h;
-		sum += grant_weight(g, g->holders[h], now);
+		sum += grant_weight(g, g->holders[h], t);
 		cum[h + 1] = sum;
 	}
 	for (size_t h = 1; sum > 0 && h <= g->nholders; h++)
@@ -414,9 +414,9 @@
 
 		if (w->epoch == 0 ||
 		    (!p->proven && w->epoch <= g->first_epoch &&
-			now < g->start + g->ttl))
+			t < g->start + g->ttl))
 			continue;
-		grant_offer(g, now, self, i, cum);
+		grant_offer(g, t, self, i, cum);
 		if (d->bound == 0)
 			continue;
 		gr = talloc(ctx, Control__Grant);
--- a/src/request/tests/eng_test.cc
+++ b/src/request/tests/eng_test.cc
@@ -107,6 +107,15 @@
 		ev.u.failed.sent = sent;
 		step(ev);
 	}
+	void probed(uint64_t epoch, bool ok)
+	{
+		struct eng_ev ev = {};
+
+		ev.kind = ENG_EV_PROBED;
+		ev.u.probed.epoch = epoch;
+		ev.u.probed.ok = ok;
+		step(ev);
+	}
 	void claimed(uint64_t req, enum eng_claim c)
 	{
 		struct eng_ev ev = {};
@@ -291,6 +300,7 @@
 	b.tick(400);
 	b.expect_answer(ENG_UNKNOWN, ENG_R_TIMEOUT);
 	EXPECT_NE(nullptr, b.find(ENG_ACT_ABORT));
+	b.probed(5, true);
 	eng_stats(b.e, b.e, &st);
 	ASSERT_EQ(1u, st.nslots);
 	EXPECT_EQ(1u, st.slots[0].used);
