--- a/Makefile
+++ b/Makefile
@@ -99,7 +99,10 @@
 	    --enable=warning,performance,portability \
 	    --suppress='preprocessorErrorDirective:*.pb-c.h' \
 	    --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
-	    -Isrc -D__BEGIN_DECLS= -D__END_DECLS= $(LINTED)
+	    -Isrc -D__BEGIN_DECLS= -D__END_DECLS= \
+	    -DPROTOBUF_C_VERSION_NUMBER=1004001 \
+	    -DPROTOBUF_C_MIN_COMPILER_VERSION=1004001 \
+	    -DPROTOBUF_C__BEGIN_DECLS= -DPROTOBUF_C__END_DECLS= $(LINTED)
 
 lint: format-check tidy cppcheck
 
