Hold for running batch tasks what they use, without a margin

Cause: the processors of a worker were held to 95% and used to some 75%. Change: no margin on the decaying peak of a batch task, 15% instead of 25% on that of requests; urgent tasks keep 10%.

--- a/src/placement/sched_usage.c
+++ b/src/placement/sched_usage.c
@@ -4,9 +4,9 @@
 
 #define USAGE_CPU_DECAY	    0.97
 #define USAGE_SVC_DECAY	    0.99
-#define USAGE_CPU_MARGIN    1.10
+#define USAGE_CPU_MARGIN    1.10 /* of urgent tasks; batch can be throttled */
 #define USAGE_MEM_MARGIN    1.15
-#define USAGE_SVC_MARGIN    1.25
+#define USAGE_SVC_MARGIN    1.15
 #define USAGE_SETTLED	    5	  /* reports before a reservation may shrink */
 #define USAGE_SHRINK	    0.9	  /* smaller changes are not worth it */
 #define USAGE_MOVE_MS	    10000 /* throttling is given this long */
@@ -88,7 +88,7 @@
 usage_want(const struct sched *s, const struct alloc_task *t)
 {
 	struct sched_res need = sched_need(s, &s->q.j[t->job]), to = t->held;
-	double cpu = t->peak_cpu * USAGE_CPU_MARGIN;
+	double cpu = t->peak_cpu * (t->urgent ? USAGE_CPU_MARGIN : 1);
 	double mem = t->peak_mem * USAGE_MEM_MARGIN;
 
 	to.cpu_milli = t->full_cpu;
