Cut the batch cap twice as fast, on answers of the last 8 s

Change: late answers are averaged over 8 s instead of 15 s, and the cap falls by at most 12% instead of 6% a second.

--- a/src/placement/tgt.c
+++ b/src/placement/tgt.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-#define TGT_FAST_MS	15000.0
+#define TGT_FAST_MS	8000.0
 #define TGT_CONTROL_MS	1000
 #define TGT_CAP_START	0.5
 #define TGT_CAP_IDLE	0.005
@@ -111,7 +111,7 @@
 	}
 	over = t->fast_late / t->fast_n / fmax(allowed, 0.0005);
 	if (over > 0.9)
-		t->cap *= 1 - 0.06 * fmin(1, over - 0.9);
+		t->cap *= 1 - 0.12 * fmin(1, over - 0.9);
 	else if (over < 0.7)
 		t->cap += 0.01 * (0.7 - over) / 0.7;
 	t->cap = fmax(TGT_CAP_MIN, fmin(TGT_CAP_MAX, t->cap));
