Begin with a batch cap of 20% of a worker

Cause: the class minutes that missed were the first ones, before anything was learned. Change: the cap on weighted batch work begins at 0.2 instead of 0.5.

--- a/src/placement/tgt.c
+++ b/src/placement/tgt.c
@@ -5,7 +5,7 @@
 
 #define TGT_FAST_MS	8000.0
 #define TGT_CONTROL_MS	1000
-#define TGT_CAP_START	0.5
+#define TGT_CAP_START	0.2
 #define TGT_CAP_IDLE	0.005
 #define TGT_CAP_MIN	0.01
 #define TGT_CAP_MAX	2.0
