--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -13,7 +13,6 @@
 #define PLACE_DOMAIN   1.0
 #define PLACE_SUFFERS  1.0
 #define PLACE_PRESSURE 0.5
-#define PLACE_OWN      5.0 /* the task's own part of the pressure */
 #define PLACE_FAILED   100.0
 #define PLACE_TRIES    3   /* while every candidate would harm a class */
 #define PLACE_HELD_MS  200 /* until a class held back is tried again */
@@ -72,29 +71,24 @@
 
 /*
  * Share of what a worker may still take from batch work that the task would
- * use, over all urgent classes there: above 1 a class would be harmed. *own is
- * the part of the task itself, which tells where its class harms least.
+ * use, over all urgent classes there: above 1 a class would be harmed.
  */
 static double
-place_pressure(const struct sched *s, const struct alloc_worker *w,
-    uint32_t cls, double x, double *own)
+place_pressure(
+    const struct sched *s, const struct alloc_worker *w, uint32_t cls, double x)
 {
 	uint32_t victims[SCHED_VICTIMS];
 	struct intf_near near[INTF_NEAR_MAX];
 	unsigned nv = sched_victims(s, w, victims), nn, i;
-	double p, add, high = 0;
+	double p, high = 0;
 
-	*own = 0;
 	if (nv == 0)
 		return 0;
 	nn = sched_near(s, w, near);
 	for (i = 0; i < nv; i++) {
-		add = x * sched_weight(s, victims[i], cls) /
+		p = (sched_load(s, victims[i], near, nn) +
+			x * sched_weight(s, victims[i], cls)) /
 		    s->q.c[victims[i]].tgt.cap;
-		*own += add;
-		p = sched_load(s, victims[i], near, nn) /
-			s->q.c[victims[i]].tgt.cap +
-		    add;
 		if (p > high)
 			high = p;
 	}
@@ -128,7 +122,7 @@
 	const struct alloc_worker *w = &s->a.w[wi];
 	const struct jobq_class *c = &s->q.c[j->cls];
 	struct sched_res room = alloc_free(w), keep;
-	double cpu = 0, mem = 0, sc, p, own;
+	double cpu = 0, mem = 0, sc, p;
 
 	/* One that the quarantine has no place for is tried carefully. */
 	if (w->suspect >= SCHED_SUSPECT && (w->ntasks > 0 || c->urgent))
@@ -159,9 +153,8 @@
 		return INFINITY;
 	p = place_pressure(s, w, j->cls,
 	    (double)need->cpu_milli /
-		(double)(w->cap.cpu_milli > 0 ? w->cap.cpu_milli : 1),
-	    &own);
-	return p > 1 ? INFINITY : sc + PLACE_PRESSURE * p + PLACE_OWN * own;
+		(double)(w->cap.cpu_milli > 0 ? w->cap.cpu_milli : 1));
+	return p > 1 ? INFINITY : sc + PLACE_PRESSURE * p;
 }
 
 /*
