Let other jobs pass one that is held back or does not fit

Cause: the first job of a class that was held back for a target ended the turn of the class, and 16 jobs that do not fit hid all others behind them. Change: a job held back moves behind the others of its class; when none of the first 16 fits, the first one moves.

--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -353,11 +353,16 @@
 			s->retry_ms = s->retry_ms < s->q.c[ci].held_ms
 			    ? s->retry_ms
 			    : s->q.c[ci].held_ms;
+			/* A large job must not hold smaller ones up. */
+			jobq_queue_back(&s->q, ji);
 			return false;
 		}
 		if (p->starts - start >= PLACE_QUANTUM)
 			return true;
 	}
+	/* None of the first jobs fits: look at others next time. */
+	if (seen == PLACE_WINDOW && ji != JOBQ_NONE && p->starts == start)
+		jobq_queue_back(&s->q, s->q.c[ci].q.head);
 	return false;
 }
 
