--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -5,6 +5,7 @@
 #include "placement/sched_impl.h"
 
 #define HEADROOM_DECAY_S 600
+#define HEADROOM_MAX	 0.25 /* of a worker */
 #define HEADROOM_SIZE_S	 3600
 
 static const struct ctr_desc sched_ctr_desc[SCHED_CTR_COUNT] = {
@@ -214,10 +215,18 @@
 	double each =
 	    s->a.alive == 0 ? 0 : (s->urgent_peak - s->urgent_n) / s->a.alive;
 	double turn = wi * 0.6180339887, n;
+	const struct alloc_worker *w = &s->a.w[wi];
 
 	if (each <= 0)
 		return (struct sched_res){ 0 };
 	n = floor(each + turn - floor(turn));
+	/* A small worker must not be kept free altogether. */
+	n = fmin(n,
+	    floor(HEADROOM_MAX * (double)w->cap.cpu_milli /
+		fmax(1, (double)s->urgent_need.cpu_milli)));
+	n = fmin(n,
+	    floor(HEADROOM_MAX * (double)w->cap.mem_mb /
+		fmax(1, (double)s->urgent_need.mem_mb)));
 	return (
 	    struct sched_res){ (int64_t)(n * (double)s->urgent_need.cpu_milli),
 		(int64_t)(n * (double)s->urgent_need.mem_mb), 0 };
