Name parameters alike in headers and sources

Cause: clang-tidy found declarations whose parameter names differ from the definition. Change: names only.

--- a/src/placement/alloc.h
+++ b/src/placement/alloc.h
@@ -134,7 +134,7 @@
 /* Holds resources for a task; false when they do not fit. */
 bool alloc_task_hold(struct alloc *, uint32_t w, uint64_t id, uint32_t job,
     uint32_t cls, bool urgent, struct sched_res, uint32_t *task);
-void alloc_task_release(struct alloc *, uint32_t task);
+void alloc_task_release(struct alloc *, uint32_t ti);
 /* Changes a reservation, up to the room there is; false: less than asked. */
 bool alloc_task_resize(struct alloc *, uint32_t task, struct sched_res);
 uint32_t alloc_task_find(const struct alloc *, uint64_t id);
--- a/src/placement/jobq.h
+++ b/src/placement/jobq.h
@@ -127,25 +127,25 @@
 uint32_t jobq_job_add(struct jobq *, const struct sched_job *, uint32_t cls);
 uint32_t jobq_job_find(const struct jobq *, uint64_t id);
 /* Forgets a job that holds nothing. */
-void jobq_job_del(struct jobq *, uint32_t job);
+void jobq_job_del(struct jobq *, uint32_t i);
 uint32_t jobq_waiting(const struct jobq_job *);
 /* Recounts the waiting tasks of the job in its class. */
-void jobq_count(struct jobq *, uint32_t job);
+void jobq_count(struct jobq *, uint32_t i);
 /* Next task to start, JOBQ_NONE: none; it becomes live with _take. */
 uint32_t jobq_peek(struct jobq_job *);
-void jobq_take(struct jobq *, uint32_t job, uint32_t task);
+void jobq_take(struct jobq *, uint32_t i, uint32_t task);
 /* A live task waits again. */
-void jobq_return(struct jobq *, uint32_t job, uint32_t task);
-void jobq_finish_task(struct jobq *, uint32_t job, uint32_t task);
+void jobq_return(struct jobq *, uint32_t i, uint32_t task);
+void jobq_finish_task(struct jobq *, uint32_t i, uint32_t task);
 bool jobq_is_done(const struct jobq_job *, uint32_t task);
 bool jobq_is_live(const struct jobq_job *, uint32_t task);
 
 /* Moves a job between its queue, a park and neither. */
-void jobq_queue(struct jobq *, uint32_t job);
-void jobq_queue_back(struct jobq *, uint32_t job);
-void jobq_park_need(struct jobq *, uint32_t job, const struct sched_res *);
-void jobq_park_team(struct jobq *, uint32_t job);
-void jobq_remove(struct jobq *, uint32_t job);
+void jobq_queue(struct jobq *, uint32_t i);
+void jobq_queue_back(struct jobq *, uint32_t i);
+void jobq_park_need(struct jobq *, uint32_t i, const struct sched_res *);
+void jobq_park_team(struct jobq *, uint32_t i);
+void jobq_remove(struct jobq *, uint32_t i);
 bool jobq_quota_allows(const struct jobq_team *, const struct sched_res *);
 
 __END_DECLS
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -71,23 +71,23 @@
 
 struct sched_act *sched_emit(struct sched *, enum sched_act_kind);
 /* Sends an order for a running task. */
-void sched_order(struct sched *, enum sched_act_kind, uint32_t task);
-void sched_job_wait(struct sched *, uint32_t job, enum sched_wait);
+void sched_order(struct sched *, enum sched_act_kind, uint32_t ti);
+void sched_job_wait(struct sched *, uint32_t ji, enum sched_wait);
 /* Frees what a task holds; the task is then done or waits again. */
-void sched_drop(struct sched *, uint32_t task, bool done);
+void sched_drop(struct sched *, uint32_t ti, bool done);
 /* Deletes a job without tasks left, or queues one that has waiting tasks. */
-void sched_job_settle(struct sched *, uint32_t job);
+void sched_job_settle(struct sched *, uint32_t ji);
 /* What a new task of the job would reserve. */
 struct sched_res sched_need(const struct sched *, const struct jobq_job *);
 /* Accounts a new or released reservation to class and team. */
 void sched_charge(struct sched *, const struct alloc_task *, int sign);
-bool sched_hold(struct sched *, uint32_t job, uint32_t number, uint32_t worker,
+bool sched_hold(struct sched *, uint32_t ji, uint32_t number, uint32_t wi,
     struct sched_res need, uint32_t *task);
 
 /* What batch work leaves free on a worker for urgent starts. */
-struct sched_res sched_headroom(const struct sched *, uint32_t worker);
+struct sched_res sched_headroom(const struct sched *, uint32_t wi);
 void sched_place(struct sched *);
-void sched_check_fits(struct sched *, uint32_t job);
+void sched_check_fits(struct sched *, uint32_t ji);
 void sched_fleet_changed(struct sched *);
 
 /* Classes near a worker's requests and urgent tasks, with their share. */
@@ -105,19 +105,18 @@
 void sched_observe(struct sched *, const struct alloc_task *);
 enum status sched_usage(struct sched *, const struct sched_ev *);
 enum status sched_latency(struct sched *, const struct sched_ev *);
-void sched_set_percent(struct sched *, uint32_t task, unsigned percent);
-void sched_attain(
-    const struct sched *, uint32_t cls, double *share_1m, double *share_10m);
+void sched_set_percent(struct sched *, uint32_t ti, unsigned percent);
+void sched_attain(const struct sched *, uint32_t ci, double *m1, double *m10);
 
 /* Checkpoints and stops a task within the budgets; false: refused. */
-bool sched_evict(struct sched *, uint32_t task, enum sched_ctr why);
+bool sched_evict(struct sched *, uint32_t ti, enum sched_ctr why);
 /* Work that a stop now would repeat, or the whole run without checkpoint. */
 int64_t sched_lost_ms(const struct sched *, const struct alloc_task *);
 /* False: no room can be made now. */
-bool sched_preempt(struct sched *, uint32_t job, const struct sched_res *need);
+bool sched_preempt(struct sched *, uint32_t ji, const struct sched_res *need);
 
-void sched_task_failed(struct sched *, uint32_t task);
-void sched_worker_good(struct sched *, uint32_t worker);
+void sched_task_failed(struct sched *, uint32_t ti);
+void sched_worker_good(struct sched *, uint32_t wi);
 void sched_probes(struct sched *);
 bool sched_failed_on(const struct jobq_job *, uint32_t number, uint64_t epoch);
 
