Move work for memory only when it is really used

Cause: a task was moved when the size it may still grow to could not be held, though its use fitted. Change: only use above what is held counts as lacking memory.

--- a/src/placement/sched_usage.c
+++ b/src/placement/sched_usage.c
@@ -132,7 +132,9 @@
 	/* Batch work may use idle processors beyond what it holds. */
 	if (t->urgent)
 		lack->cpu_milli += want.cpu_milli - t->held.cpu_milli;
-	lack->mem_mb += want.mem_mb - t->held.mem_mb;
+	/* What it may still grow to is no reason to move work now. */
+	if (t->peak_mem > t->held.mem_mb)
+		lack->mem_mb += t->peak_mem - t->held.mem_mb;
 }
 
 /* Follows what the requests of a worker use; adds what is lacking. */
@@ -156,7 +158,8 @@
 		s->dirty = true;
 	alloc_worker_svc(&s->a, wi, svc);
 	lack->cpu_milli += svc.cpu_milli - s->a.w[wi].svc.cpu_milli;
-	lack->mem_mb += svc.mem_mb - s->a.w[wi].svc.mem_mb;
+	if ((int64_t)w->svc_mem > w->svc.mem_mb)
+		lack->mem_mb += (int64_t)w->svc_mem - w->svc.mem_mb;
 }
 
 /* Throttles batch tasks, the largest first, until enough is given back. */
