Throttle batch work to start urgent tasks at once

Cause: most evictions were preemptions for urgent tasks that lacked only processors, and each took a checkpoint of some seconds. Change: when a worker lacks only processors, batch tasks there are throttled to a half; the worker gets these orders together with the start. Checkpoints remain for memory and accelerators.

--- a/src/placement/sched_evict.c
+++ b/src/placement/sched_evict.c
@@ -73,6 +73,73 @@
 	return true;
 }
 
+/* A worker to look at for the k-th time, ALLOC_NONE: not this one. */
+static uint32_t
+evict_sample(struct sched *s, uint32_t k)
+{
+	uint32_t wi = s->a.nw <= EVICT_SAMPLE
+	    ? k
+	    : (uint32_t)rng_below(&s->a.rng, s->a.nw);
+
+	if (wi >= s->a.nw || s->a.w[wi].epoch == 0 || s->a.w[wi].closed ||
+	    s->a.w[wi].draining || s->a.w[wi].suspect >= SCHED_SUSPECT)
+		return ALLOC_NONE;
+	return wi;
+}
+
+static bool
+evict_squeezable(const struct alloc_task *t)
+{
+	return !t->urgent && t->state == ALLOC_RUNNING && t->percent == 100;
+}
+
+/*
+ * When a worker lacks only processors for an urgent task, batch tasks there
+ * are throttled to a half. The worker gets both orders together, so the task
+ * starts at once and no work is moved. The worker where the smallest part of
+ * the batch work is slowed down is taken.
+ */
+uint32_t
+sched_squeeze(struct sched *s, const struct sched_res *need)
+{
+	uint32_t k, wi, ti, best = ALLOC_NONE;
+	struct sched_res room;
+	int64_t give;
+	double part, low = 1;
+
+	for (k = 0; k < EVICT_SAMPLE; k++) {
+		wi = evict_sample(s, k);
+		if (wi == ALLOC_NONE)
+			continue;
+		room = alloc_free(&s->a.w[wi]);
+		if (need->mem_mb > room.mem_mb || need->accel > room.accel)
+			continue;
+		give = 0;
+		for (ti = s->a.w[wi].head; ti != ALLOC_NONE;
+		     ti = s->a.t[ti].wnext)
+			if (evict_squeezable(&s->a.t[ti]))
+				give += s->a.t[ti].held.cpu_milli / 2;
+		if (give <= 0)
+			continue;
+		part =
+		    (double)(need->cpu_milli - room.cpu_milli) / (double)give;
+		if (part <= low) {
+			low = part;
+			best = wi;
+		}
+	}
+	if (best == ALLOC_NONE)
+		return best;
+	for (ti = s->a.w[best].head; ti != ALLOC_NONE; ti = s->a.t[ti].wnext) {
+		room = alloc_free(&s->a.w[best]);
+		if (res_fits(need, &room))
+			break;
+		if (evict_squeezable(&s->a.t[ti]))
+			sched_set_percent(s, ti, 50);
+	}
+	return best;
+}
+
 /*
  * Chooses batch tasks of a worker whose end makes room for need, least lost
  * work first. Returns their number, 0 when it cannot be done.
@@ -135,13 +202,8 @@
 	if (c->preempting >= c->waiting || s->a.nw == 0)
 		return false;
 	for (k = 0; k < EVICT_SAMPLE; k++) {
-		wi = s->a.nw <= EVICT_SAMPLE
-		    ? k
-		    : (uint32_t)rng_below(&s->a.rng, s->a.nw);
-		if (wi >= s->a.nw)
-			break;
-		if (s->a.w[wi].epoch == 0 || s->a.w[wi].closed ||
-		    s->a.w[wi].suspect >= SCHED_SUSPECT || s->a.w[wi].draining)
+		wi = evict_sample(s, k);
+		if (wi == ALLOC_NONE)
 			continue;
 		n = evict_plan(s, wi, need, budgets, plan, &lost);
 		if (n == 0 || (nbest > 0 && lost >= low))
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -112,6 +112,8 @@
 bool sched_evict(struct sched *, uint32_t ti, enum sched_ctr why);
 /* Work that a stop now would repeat, or the whole run without checkpoint. */
 int64_t sched_lost_ms(const struct sched *, const struct alloc_task *);
+/* Makes room at once by throttling batch work; the worker or ALLOC_NONE. */
+uint32_t sched_squeeze(struct sched *, const struct sched_res *need);
 /* False: no room can be made now. */
 bool sched_preempt(struct sched *, uint32_t ji, const struct sched_res *need);
 
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -224,6 +224,12 @@
 			p->nofit[p->n++] = need;
 		ctr_add(&s->ctr, SCHED_CTR_NO_ROOM, 1);
 	}
+	if (s->q.c[j->cls].urgent) {
+		wi = sched_squeeze(s, &need);
+		if (wi != ALLOC_NONE &&
+		    sched_hold(s, ji, number, wi, need, task))
+			return SCHED_WAIT_NONE;
+	}
 	/* Room for all that wait, not for one task a pass. */
 	if (s->q.c[j->cls].urgent && !j->gang)
 		for (n = jobq_waiting(j); n > 0; n--)
