Fix a use after free when a claim is answered late

The demo under the address sanitizer stopped an instance: the answer to a claim whose request had ended freed the request within the engine's step, and it was looked at again afterwards. A request now counts its claim as under way until the step is over and is looked up again by its id.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -60,6 +60,7 @@
 	http=()
 	peer=()
 	instance_pid=()
+	killed=()
 	for ((i = 1; i <= n; i++)); do
 		free_port
 		http[i]=127.0.0.1:$port
@@ -90,15 +91,26 @@
 instance_start() {
 	"$build/cicadabay" serve -c "$work/i$1.ini" >>"$work/i$1.log" 2>&1 &
 	instance_pid[$1]=$!
+	killed[$1]=
 	cluster_pids+=($!)
 }
 
 # The shell doesn't report the death of a process that it has disowned.
 instance_kill() {
+	killed[$1]=1
 	disown "${instance_pid[$1]}"
 	kill -KILL "${instance_pid[$1]}"
 }
 
+# No instance may have ended but those that were killed.
+instances_alive() {
+	local i
+	for i in "${!instance_pid[@]}"; do
+		[ "${killed[i]:-}" = 1 ] || kill -0 "${instance_pid[i]}" ||
+		    fail "instance $i has ended"
+	done
+}
+
 instance_ready() {
 	[ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' \
 	    "http://${http[$1]}/readyz")" = 200 ]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,4 +85,5 @@
     fail "a promise about requests was broken"
 [ "$done_tasks" -eq $((jobs * tasks)) ] && [ $((twice + overlaps)) -eq 0 ] ||
     fail "a promise about tasks was broken"
+instances_alive
 say "all promises kept"
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -267,6 +267,29 @@
 	t->dead = r;
 }
 
+static void
+traffic_reap(struct traffic *t)
+{
+	struct treq *r;
+
+	while ((r = t->dead) != NULL) {
+		t->dead = r->next_dead;
+		talloc_free(r);
+	}
+}
+
+/* Looks at a request again after a step, which may have freed it. */
+static void
+req_settle(struct traffic *t, uint64_t id)
+{
+	struct treq *r = g_hash_table_lookup(t->reqs, &id);
+
+	if (r != NULL)
+		req_release(r);
+	if (!t->stepping)
+		traffic_reap(t);
+}
+
 static void
 op_done(struct traffic *t, struct mbox_msg *m)
 {
@@ -293,15 +316,17 @@
 		reply_text(t, o->http, status, body);
 		break;
 	case OP_CLAIM:
-		o->req->ops--;
+		/* Counted as under way until the step is over: the request
+		 * may end in it. */
 		claim_done(t, o->req, res);
-		req_release(o->req);
+		o->req->ops--;
+		req_settle(t, o->req->id);
 		break;
 	case OP_RECORD:
 		o->req->ops--;
 		if (res->status != STATUS_OK)
 			ctr_add(&t->ctr, NCTR_KEY_RECORD_LOST, 1);
-		req_release(o->req);
+		req_settle(t, o->req->id);
 		break;
 	}
 	control__op_result__free_unpacked(res, NULL);
@@ -588,10 +613,7 @@
 	}
 	g_array_set_size(t->evq, 0);
 	t->stepping = false;
-	while ((r = t->dead) != NULL) {
-		t->dead = r->next_dead;
-		talloc_free(r);
-	}
+	traffic_reap(t);
 	tick_arm(t);
 }
 
@@ -656,6 +678,7 @@
 	ev.attempt = u->attempt;
 	ev.u.done.http_status = a->status;
 	traffic_step(t, &ev);
+	req_settle(t, ev.req);
 }
 
 static void
@@ -680,6 +703,7 @@
 	ev.u.failed.kind = kinds[kind];
 	ev.u.failed.sent = sent;
 	traffic_step(t, &ev);
+	req_settle(t, ev.req);
 }
 
 /* ---- requests from clients ---- */
--- a/tests/graceful_stop.sh
+++ b/tests/graceful_stop.sh
@@ -60,4 +60,6 @@
 	[ -n "$l" ] && [ "$l" -ne 0 ] && [ "$l" -ne "$stopping" ]
 }
 wait_for 5 "another leader" new_leader
+killed[stopping]=1
+instances_alive
 echo "five requests in flight answered; leadership moved from $stopping"
--- a/tests/instance_kill.sh
+++ b/tests/instance_kill.sh
@@ -36,3 +36,4 @@
 # Unknown is only what the killed instance had sent and not yet recorded.
 unknown=$(awk '$4 == "unknown"' "$work/load.ledger" | wc -l)
 [ "$unknown" -le 32 ] || fail "$unknown requests with unknown outcome"
+instances_alive
--- a/tests/restart_all.sh
+++ b/tests/restart_all.sh
@@ -36,4 +36,5 @@
 [ "$(jq .version <<<"$out")" = 30 ] || fail "resend gave $out"
 jobs=$("$build/cicadabay" jobs --json | jq '.jobs | length')
 [ "$jobs" = 1 ] || fail "$jobs jobs after the restart"
+instances_alive
 echo "version 30 and one job kept"
--- a/tests/worker_leave.sh
+++ b/tests/worker_leave.sh
@@ -48,4 +48,5 @@
 wait_for 30 "finished job" job_done
 task_faults
 [ $((twice + overlaps)) -eq 0 ] || fail "a task ran twice"
+instances_alive
 echo "nothing sent after 3 s, nothing lost"
