--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,6 +4,7 @@
 
 cluster_pids=()
 work=$(mktemp -d)
+node_settings=() # further lines of the group [node]
 build=
 
 cluster_cleanup() {
@@ -73,6 +74,7 @@
 			printf 'failure_domain = d%d\n' "$i"
 			printf 'http = %s\npeer = %s\n' "${http[i]}" "${peer[i]}"
 			printf 'data = %s/data%d\n' "$work" "$i"
+			printf '%s\n' "${node_settings[@]}"
 			printf '[control]\n'
 			for j in "$@"; do
 				printf '%s\n' "$j"
