--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -759,7 +759,7 @@
 worker_init(struct worker *w, int i)
 {
 	struct front_conf fc;
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = { 0 };
 	socklen_t len = sizeof(sin);
 	struct err e;
 	char addr[64];
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -36,7 +36,6 @@
 	size_t size;	    /* of the whole frame */
 };
 
-uint32_t frame_crc32c(const void *, size_t);
 /* Writes the FRAME_HEAD bytes that go before the payload. */
 void frame_head(uint8_t *head, enum frame_type, const void *p, size_t len);
 /* Parses the frame at the start of buf. */
--- a/src/node/pjson.c
+++ b/src/node/pjson.c
@@ -172,8 +172,8 @@
 	ProtobufCMessage *sub;
 	ProtobufCBinaryData *bin = p;
 	enum status st;
-	struct str text;
-	uint64_t u;
+	struct str text = { NULL, 0 };
+	uint64_t u = 0;
 
 	switch (f->type) {
 	case PROTOBUF_C_TYPE_UINT32:
--- a/src/node/sock.c
+++ b/src/node/sock.c
@@ -60,7 +60,7 @@
 sock_listen(struct str addr, bool shared, struct err *e)
 {
 	struct sockaddr_storage ss;
-	socklen_t len;
+	socklen_t len = 0;
 	int fd, on = 1;
 
 	if (sock_addr(addr, &ss, &len, e) != STATUS_OK)
@@ -88,7 +88,7 @@
 sock_connect(struct str addr, struct err *e)
 {
 	struct sockaddr_storage ss;
-	socklen_t len;
+	socklen_t len = 0;
 	int fd;
 
 	if (sock_addr(addr, &ss, &len, e) != STATUS_OK)
--- a/src/node/tests/frame_test.cc
+++ b/src/node/tests/frame_test.cc
@@ -3,6 +3,7 @@
 #include <cstring>
 #include <vector>
 
+#include "base/crc.h"
 #include "base/rng.h"
 #include "node/frame.h"
 
@@ -24,8 +25,8 @@
 /* Guards against a CRC that is not the standard one. */
 TEST(Frame, CrcMatchesTheStandardCheckValue)
 {
-	EXPECT_EQ(0xE3069283u, frame_crc32c("123456789", 9));
-	EXPECT_EQ(0u, frame_crc32c("", 0));
+	EXPECT_EQ(0xE3069283u, crc32c(0, "123456789", 9));
+	EXPECT_EQ(0u, crc32c(0, "", 0));
 }
 
 /* Guards against accepting a frame of which any single bit has changed. */
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -42,7 +42,7 @@
     TALLOC_CTX *, const struct traffic_conf *, struct err *);
 struct mbox *traffic_mbox(struct traffic *);
 /* Runs the loop until MBOX_STOP; the body of the thread. */
-void *traffic_run(void *traffic);
+void *traffic_run(void *arg);
 void traffic_counters(struct traffic *, struct node_counters *);
 
 __END_DECLS
