--- a/src/base/crc.h
+++ b/src/base/crc.h
@@ -9,7 +9,7 @@
 __BEGIN_DECLS
 
 /* Continues a checksum; the first call passes 0. */
-uint32_t crc32c(uint32_t crc, const void *p, size_t len);
+uint32_t crc32c(uint32_t crc, const void *data, size_t len);
 
 __END_DECLS
 
--- a/src/control/wal_file.c
+++ b/src/control/wal_file.c
@@ -12,13 +12,15 @@
 #include "control/wal_priv.h"
 
 /* Document: magic, length u64, CRC-32C u32, payload. */
-#define DOC_MAGIC     "CBAYDOC1"
 #define DOC_MAGIC_LEN 8U
 #define DOC_HEAD      (DOC_MAGIC_LEN + 12U)
 #define PARTS_MAX     4
 #define FILE_MODE     0640
 #define DIR_MODE      0750
 
+static const uint8_t doc_magic[DOC_MAGIC_LEN] = { 'C', 'B', 'A', 'Y', 'D', 'O',
+	'C', '1' };
+
 static ssize_t
 system_write(void *arg, int fd, const void *p, size_t len)
 {
@@ -113,6 +115,7 @@
 	ssize_t n = 1;
 	char *buf;
 
+	*out = str_mem(NULL, 0);
 	if (fd < 0 && errno == ENOENT)
 		return err_set(
 		    e, STATUS_NOT_FOUND, "data directory: no file %s", name);
@@ -156,7 +159,7 @@
 		len += parts[i].len;
 		all[i + 1] = parts[i];
 	}
-	memcpy(head, DOC_MAGIC, DOC_MAGIC_LEN);
+	memcpy(head, doc_magic, DOC_MAGIC_LEN);
 	wal_put64(head + DOC_MAGIC_LEN, len);
 	wal_put32(head + DOC_MAGIC_LEN + 8, crc);
 	all[0] = str_mem(head, sizeof(head));
@@ -169,12 +172,13 @@
     struct err *e)
 {
 	enum status st = wal_file_read(ctx, dirfd, name, payload, e);
-	const uint8_t *p = (const uint8_t *)payload->p;
+	const uint8_t *p;
 
 	if (st != STATUS_OK)
 		return st;
+	p = (const uint8_t *)payload->p;
 	if (payload->len < DOC_HEAD ||
-	    memcmp(p, DOC_MAGIC, DOC_MAGIC_LEN) != 0 ||
+	    memcmp(p, doc_magic, DOC_MAGIC_LEN) != 0 ||
 	    wal_get64(p + DOC_MAGIC_LEN) != payload->len - DOC_HEAD ||
 	    wal_get32(p + DOC_MAGIC_LEN + 8) !=
 		crc32c(0, p + DOC_HEAD, payload->len - DOC_HEAD))
@@ -246,13 +250,14 @@
 {
 	struct str doc;
 	enum status st = wal_doc_load(ctx, dirfd, "snapshot", &doc, e);
-	const uint8_t *p = (const uint8_t *)doc.p;
+	const uint8_t *p;
 	Control__Members *m = NULL;
 	struct raft_member *v;
 	size_t i, mlen = 0;
 
 	if (st != STATUS_OK)
 		return st;
+	p = (const uint8_t *)doc.p;
 	if (doc.len >= 20) {
 		mlen = wal_get32(p + 16);
 		if (mlen <= doc.len - 20)
