--- a/src/control/st_config.c
+++ b/src/control/st_config.c
@@ -1,14 +1,20 @@
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/pb.h"
 #include "control/st_impl.h"
 
+static struct str
+change_id(const struct st_change *k)
+{
+	return str_mem(k->id, k->id_len);
+}
+
 static bool
 change_is(const void *object, const void *key)
 {
-	return str_eq(
-	    ((const struct st_change *)object)->id, *(const struct str *)key);
+	return str_eq(change_id(object), *(const struct str *)key);
 }
 
 static void
@@ -17,9 +23,7 @@
 	size_t i;
 
 	for (i = 0; i < c->n; i++)
-		free(
-		    (void *)(uintptr_t)c->ring[(c->first + i) % ST_CHANGES_KEPT]
-			.id.p);
+		free(c->ring[(c->first + i) % ST_CHANGES_KEPT]);
 	free(c->ring);
 	idx_finish(&c->by_id);
 	memset(c, 0, sizeof(*c));
@@ -83,30 +87,30 @@
 
 /* Keeps a result under its id and drops the oldest one over the limit. */
 void
-st_change_keep(struct st_changes *c, struct str id, struct st_change result)
+st_change_keep(struct st_changes *c, struct str id, uint64_t digest,
+    uint64_t value, enum status status)
 {
-	struct st_change *k;
-	char *p;
+	struct st_change *k =
+	    calloc(1, offsetof(struct st_change, id) + id.len + 1);
 
-	if (c->ring == NULL) {
-		c->ring = calloc(ST_CHANGES_KEPT, sizeof(*c->ring));
-		if (c->ring == NULL)
-			abort();
-	}
+	if (c->ring == NULL)
+		c->ring = calloc(ST_CHANGES_KEPT, sizeof(struct st_change *));
+	if (k == NULL || c->ring == NULL)
+		abort();
 	if (c->n == ST_CHANGES_KEPT) {
-		k = &c->ring[c->first];
-		idx_remove(&c->by_id, str_hash(k->id), k);
-		free((void *)(uintptr_t)k->id.p);
+		struct st_change *old = c->ring[c->first];
+
+		idx_remove(&c->by_id, str_hash(change_id(old)), old);
+		free(old);
 		c->first = (c->first + 1) % ST_CHANGES_KEPT;
 		c->n--;
 	}
-	p = malloc(id.len + 1);
-	if (p == NULL)
-		abort();
-	memcpy(p, id.p, id.len);
-	k = &c->ring[(c->first + c->n++) % ST_CHANGES_KEPT];
-	*k = result;
-	k->id = str_mem(p, id.len);
+	k->digest = digest;
+	k->value = value;
+	k->status = (uint8_t)status;
+	k->id_len = (uint8_t)id.len;
+	memcpy(k->id, id.p, id.len);
+	c->ring[(c->first + c->n++) % ST_CHANGES_KEPT] = k;
 	idx_add(&c->by_id, str_hash(id), k);
 }
 
@@ -195,10 +199,8 @@
 		st->config = c;
 		st_note(st, ST_NOTE_CONFIG, c->version);
 	}
-	st_change_keep(&st->config_changes, id,
-	    (struct st_change){ .digest = digest,
-		.value = st->config->version,
-		.status = st->res.status });
+	st_change_keep(&st->config_changes, id, digest, st->config->version,
+	    st->res.status);
 }
 
 static void
@@ -209,9 +211,9 @@
 	enc_u64(e, c->n);
 	for (i = 0; i < c->n; i++) {
 		const struct st_change *k =
-		    &c->ring[(c->first + i) % ST_CHANGES_KEPT];
+		    c->ring[(c->first + i) % ST_CHANGES_KEPT];
 
-		enc_str(e, k->id);
+		enc_str(e, change_id(k));
 		enc_u64(e, k->digest);
 		enc_u64(e, k->value);
 		enc_u64(e, k->status);
@@ -227,12 +229,14 @@
 		d->bad = true;
 	for (; n > 0 && !d->bad; n--) {
 		struct str id = dec_str(d);
-		struct st_change k = { .digest = dec_u64(d) };
+		uint64_t digest = dec_u64(d), value = dec_u64(d);
+		uint64_t status = dec_u64(d);
 
-		k.value = dec_u64(d);
-		k.status = (uint8_t)dec_u64(d);
+		if (id.len > ST_NAME_MAX || status >= STATUS_COUNT)
+			d->bad = true;
 		if (!d->bad)
-			st_change_keep(c, id, k);
+			st_change_keep(
+			    c, id, digest, value, (enum status)status);
 	}
 }
 
--- a/src/control/st_impl.h
+++ b/src/control/st_impl.h
@@ -10,14 +10,15 @@
 
 /* The result of a change, kept under its id. */
 struct st_change {
-	struct str id; /* malloc'd */
 	uint64_t digest;
 	uint64_t value; /* version or job */
 	uint8_t status;
+	uint8_t id_len;
+	char id[ST_NAME_MAX]; /* only id_len bytes are allocated */
 };
 
 struct st_changes {
-	struct st_change *ring; /* ST_CHANGES_KEPT, allocated when used */
+	struct st_change **ring; /* ST_CHANGES_KEPT, allocated when used */
 	size_t first, n;
 	struct idx by_id;
 };
@@ -65,8 +66,8 @@
 void st_config_set(struct st *, const Control__ConfigSet *);
 bool st_change_find(struct st *, struct st_changes *, struct str id,
     uint64_t digest, uint64_t *value);
-void st_change_keep(
-    struct st_changes *, struct str id, struct st_change result);
+void st_change_keep(struct st_changes *, struct str id, uint64_t digest,
+    uint64_t value, enum status);
 uint64_t st_change_digest(const void *msg);
 void st_config_save(const struct st *, struct enc *);
 void st_config_load(struct st *, struct dec *);
--- a/src/control/st_job.c
+++ b/src/control/st_job.c
@@ -168,9 +168,7 @@
 		st_note(st, ST_NOTE_JOB_SUBMIT, j->id);
 	}
 	talloc_free((void *)(uintptr_t)spec.p);
-	st_change_keep(&st->job_changes, id,
-	    (struct st_change){
-		.digest = digest, .value = job, .status = st->res.status });
+	st_change_keep(&st->job_changes, id, digest, job, st->res.status);
 }
 
 /* Ends a job: pending tasks at once, the others when their worker says so. */
@@ -255,11 +253,11 @@
 	j->pending--;
 	j->assigned++;
 	st_worker_attach(w, a->task);
-	job_settle(st, j);
 	n = st_note(st, ST_NOTE_ASSIGNED, a->task);
 	n->epoch = a->epoch;
 	n->attempt = a->attempt;
 	n->progress = t->progress;
+	job_settle(st, j);
 }
 
 /* Takes an assigned or ending task off its worker. */
--- a/src/control/st_worker.c
+++ b/src/control/st_worker.c
@@ -42,8 +42,6 @@
 static void
 worker_free(struct st_worker *w)
 {
-	free((void *)(uintptr_t)w->name.p);
-	free((void *)(uintptr_t)w->up.p);
 	free(w->tasks);
 	free(w);
 }
@@ -64,22 +62,12 @@
 	st->first_gone = st->ngone = 0;
 }
 
-static struct str
-worker_copy(struct str s)
-{
-	char *p = malloc(s.len + 1);
-
-	if (p == NULL)
-		abort();
-	if (s.len > 0)
-		memcpy(p, s.p, s.len);
-	return str_mem(p, s.len);
-}
-
+/* Adds a worker; name and up are copied behind it. */
 static struct st_worker *
 worker_add(struct st *st, uint64_t epoch, struct str name, struct str up)
 {
-	struct st_worker *w = calloc(1, sizeof(*w));
+	struct st_worker *w = calloc(1, sizeof(*w) + name.len + up.len);
+	char *p = (char *)(w + 1);
 
 	if (st->nworkers == st->capworkers) {
 		st->capworkers = st->capworkers == 0 ? 16 : 2 * st->capworkers;
@@ -89,8 +77,11 @@
 	if (w == NULL || st->workers == NULL)
 		abort();
 	w->epoch = epoch;
-	w->name = worker_copy(name);
-	w->up = worker_copy(up);
+	memcpy(p, name.p, name.len);
+	w->name = str_mem(p, name.len);
+	p += name.len;
+	memcpy(p, up.p, up.len);
+	w->up = str_mem(p, up.len);
 	st->workers[st->nworkers++] = w;
 	idx_add(&st->worker_by_name, str_hash(w->name), w);
 	return w;
