--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -4,8 +4,9 @@
 #include <string.h>
 
 #define ENG_CHUNK 64
-/* How long the answer to the claim of an ended request is waited for. */
-#define ENG_ORPHAN_NS (30 * CLK_NS_PER_S)
+/* How long the answer to the claim of an ended request is waited for; twice
+ * the time after which the instance gives a forwarded operation up as lost. */
+#define ENG_ORPHAN_NS (10 * CLK_NS_PER_S)
 
 /* Appends an action; the array grows in the caller's struct. */
 struct eng_act *
@@ -254,7 +255,7 @@
 		return ENG_R_UNKNOWN_CLASS;
 	if (ms < 0 || ev->u.arrive.key.len > ENG_KEY_MAX)
 		return ENG_R_BAD_REQUEST;
-	if (e->nreq >= e->conf.max_requests)
+	if (e->nreq + e->norphan >= e->conf.max_requests)
 		return ENG_R_TOO_MANY;
 	if (c->usable == 0 && c->nworkers == 0)
 		return ENG_R_NO_WORKER;
@@ -321,9 +322,18 @@
 	r->class = NULL;
 	e->nreq--;
 	r->state = ENG_S_ORPHAN;
+	e->norphan++;
 	tmr_set(&e->tmr, &r->tmr, now + ENG_ORPHAN_NS);
 }
 
+static void
+eng_orphan_end(struct eng *e, struct eng_req *r)
+{
+	e->norphan--;
+	eng_remove(e, r);
+	eng_req_free(e, r);
+}
+
 static void
 eng_orphan_claimed(struct eng *e, struct eng_req *r, enum eng_claim claim)
 {
@@ -331,8 +341,7 @@
 	if (claim == ENG_CLAIM_GRANTED || claim == ENG_CLAIM_LOST)
 		eng_emit(e, ENG_ACT_RECORD, r->id)->u.record.outcome =
 		    ENG_NOT_RUN;
-	eng_remove(e, r);
-	eng_req_free(e, r);
+	eng_orphan_end(e, r);
 }
 
 /*
@@ -405,7 +414,7 @@
 		r->gone = true;
 		if (r->sent)
 			break;
-		eng_emit(e, ENG_ACT_ABORT, r->id)->attempt = r->attempt;
+		eng_abort(e, r, false);
 		r->class->running--;
 		eng_release(e, w);
 		eng_answer(e, r, now, r->maybe_run ? ENG_UNKNOWN : ENG_NOT_RUN,
@@ -505,8 +514,7 @@
 			if (r->state == ENG_S_CLAIMING) {
 				eng_orphan(e, r, now, ENG_R_CLAIM_UNKNOWN);
 			} else if (r->state == ENG_S_ORPHAN) {
-				eng_remove(e, r);
-				eng_req_free(e, r);
+				eng_orphan_end(e, r);
 			} else {
 				eng_req_timer(e, r, now);
 			}
@@ -554,15 +562,15 @@
  * that have ended are counted and otherwise ignored.
  */
 enum status
-eng_step(struct eng *e, struct timespec at, const struct eng_ev *ev,
+eng_step(struct eng *e, struct timespec now, const struct eng_ev *ev,
     struct eng_acts *acts)
 {
-	int64_t now = clk_ns(at);
+	int64_t t = clk_ns(now);
 	enum status st = STATUS_OK;
 	bool late;
 
 	e->acts = acts;
-	e->now = now;
+	e->now = t;
 	/* What comes at a deadline still counts, SENT above all: the byte
 	 * leaves after this step. Before a new view is taken over nothing
 	 * may be dispatched, since indexes are those of the new one. */
@@ -570,34 +578,34 @@
 	    ev->kind == ENG_EV_FAILED || ev->kind == ENG_EV_CLAIMED ||
 	    ev->kind == ENG_EV_VIEW;
 	if (!late)
-		eng_timers(e, now);
+		eng_timers(e, t);
 	switch (ev->kind) {
 	case ENG_EV_TICK:
 		break;
 	case ENG_EV_ARRIVE:
-		st = eng_arrive(e, ev, now);
+		st = eng_arrive(e, ev, t);
 		break;
 	case ENG_EV_CLAIMED:
 	case ENG_EV_CANCEL:
-		eng_req_event(e, ev, now);
+		eng_req_event(e, ev, t);
 		break;
 	case ENG_EV_SENT:
 	case ENG_EV_DONE:
 	case ENG_EV_FAILED:
-		eng_attempt_event(e, ev, now);
+		eng_attempt_event(e, ev, t);
 		break;
 	case ENG_EV_PROBED:
-		eng_probed(e, ev->u.probed.epoch, ev->u.probed.ok, now);
+		eng_probed(e, ev->u.probed.epoch, ev->u.probed.ok, t);
 		break;
 	case ENG_EV_VIEW:
-		eng_take_view(e, ev->u.view, now);
+		eng_take_view(e, ev->u.view, t);
 		break;
 	case ENG_EV_DRAIN:
 		e->draining = true;
 		break;
 	}
 	if (late)
-		eng_timers(e, now);
+		eng_timers(e, t);
 	e->acts = NULL;
 	return st;
 }
