Measure grants and views; vary classes in the event-order test

Cause: the leader's cost per heartbeat and the cost of a view were unknown, and no test took a class out of the configuration under load. Change: bench_request_cost measures both; the test of any order of events also removes and restores a class; eng.h states what the shell owes.

--- a/bench/request_cost.c
+++ b/bench/request_cost.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "request/eng.h"
+#include "request/grant.h"
 
 static const unsigned serves[1] = { 0 };
 
@@ -43,6 +44,12 @@
 	ev.u.view = &v;
 	(void)eng_step(e, now, &ev, &acts);
 	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t0);
+	for (int i = 0; i < 200; i++)
+		(void)eng_step(e, now, &ev, &acts);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t1);
+	printf("request_cpu_per_view_%zu_workers %.0f us\n", workers,
+	    (double)clk_diff_ns(t1, t0) / 1000 / 200);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t0);
 	for (size_t i = 0; i < n; i++) {
 		uint64_t attempt;
 
@@ -83,9 +90,83 @@
 	free(vw);
 }
 
+/* The leader's part of a heartbeat: time, and bytes on the wire. */
+static void
+bench_grant(size_t workers)
+{
+	struct grant_conf conf = { 32000, 10000, 4 };
+	int64_t now = CLK_NS_PER_S;
+	struct grant *g = grant_new(NULL, &conf, clk_from_ns(0));
+	Control__SlotUse *use = calloc(workers, sizeof(*use));
+	Control__SlotUse **up = calloc(workers, sizeof(*up));
+	struct timespec t0, t1;
+	size_t beats = 0, sent = 0, replied = 0;
+	uint64_t *seq = calloc(9 * workers, sizeof(*seq));
+	uint32_t *held = calloc(9 * workers, sizeof(*held));
+
+	if (use == NULL || up == NULL || seq == NULL || held == NULL)
+		abort();
+	grant_lead(g, 1, 0);
+	for (size_t i = 0; i < workers; i++)
+		grant_worker(g, clk_from_ns(now), i + 1, 8, 60, false);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t0);
+	for (; beats < 900; beats++, now += 500 * CLK_NS_PER_MS / 9) {
+		size_t n = beats % 9;
+		TALLOC_CTX *ctx = talloc_new(NULL);
+		Control__Beat b = CONTROL__BEAT__INIT;
+		Control__BeatReply r = CONTROL__BEAT_REPLY__INIT;
+		Control__ClassDemand d = CONTROL__CLASS_DEMAND__INIT, *dp = &d;
+		char name[] = "svc";
+
+		d.name = name;
+		d.running = (uint32_t)(40 + beats / 90 * n);
+		b.demand = &dp;
+		b.n_demand = 1;
+		b.instance = (uint32_t)n;
+		b.seq = beats + 1;
+		b.slots = up;
+		for (size_t i = 0; i < workers; i++) {
+			if (seq[n * workers + i] == 0)
+				continue;
+			control__slot_use__init(&use[i]);
+			use[i].epoch = i + 1;
+			use[i].held = held[n * workers + i];
+			use[i].has_grant_seq = 1;
+			use[i].grant_seq = seq[n * workers + i];
+			up[b.n_slots++] = &use[i];
+		}
+		grant_beat(g, clk_from_ns(now), &b, ctx, &r);
+		for (size_t i = 0; i < r.n_grants; i++) {
+			size_t at = n * workers + r.grants[i]->epoch - 1;
+
+			held[at] = r.grants[i]->slots;
+			seq[at] = r.grants[i]->seq;
+		}
+		sent += control__beat__get_packed_size(&b);
+		replied += control__beat_reply__get_packed_size(&r);
+		talloc_free(ctx);
+	}
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t1);
+	printf("grant_cpu_per_beat_%zu_workers %.0f us\n", workers,
+	    (double)clk_diff_ns(t1, t0) / 1000 / (double)beats);
+	printf("grant_bytes_per_beat_%zu_workers %.0f bytes\n", workers,
+	    (double)sent / (double)beats);
+	printf("grant_bytes_per_reply_%zu_workers %.0f bytes\n", workers,
+	    (double)replied / (double)beats);
+	printf("grant_bytes_%zu_workers %zu bytes\n", workers,
+	    talloc_total_size(g));
+	talloc_free(g);
+	free(use);
+	free(up);
+	free(seq);
+	free(held);
+}
+
 int
 main(void)
 {
+	bench_grant(50);
+	bench_grant(1000);
 	bench_cost(50);
 	bench_cost(1000);
 	return 0;
--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -257,7 +257,7 @@
 		return ENG_R_BAD_REQUEST;
 	if (e->nreq + e->norphan >= e->conf.max_requests)
 		return ENG_R_TOO_MANY;
-	if (c->usable == 0 && c->nworkers == 0)
+	if (c->nworkers == 0)
 		return ENG_R_NO_WORKER;
 	if (ms == 0 || ms > c->adm.timeout_ns / CLK_NS_PER_MS)
 		ms = c->adm.timeout_ns / CLK_NS_PER_MS;
--- a/src/request/eng.h
+++ b/src/request/eng.h
@@ -1,7 +1,16 @@
 /*
  * The request engine of one traffic thread. Pure: an event and the time in,
  * actions out. It admits, queues, claims, dispatches, retries and answers;
- * the shell moves the bytes. Every request ends in exactly one ANSWER.
+ * the shell moves the bytes. Every request ends in exactly one ANSWER, which
+ * speaks of this request only: an earlier one with the same key has its own.
+ *
+ * The shell passes SENT in before a byte of an attempt can leave, and sends
+ * none if that step aborts the attempt. After ABORT the connection is closed
+ * and never used again. RECORD with NOT_RUN releases the claim of this very
+ * request and no other; it may come after the ANSWER, when the answer to the
+ * claim was late. The ANSWER of a cancelled request comes when it has ended,
+ * which for a running one is not at once. A view's connections bound what the
+ * shell keeps open, idle ones included.
  */
 #ifndef REQUEST_ENG_H
 #define REQUEST_ENG_H
--- a/src/request/tests/eng_sim_test.cc
+++ b/src/request/tests/eng_sim_test.cc
@@ -283,10 +283,12 @@
 		dispatch(engine, a);
 		break;
 	case ENG_ACT_ABORT:
-		for (SimAttempt &t : attempts)
-			if (t.arrival == x.arrivals.at(a.req) &&
-			    t.attempt == a.attempt)
-				t.aborted = true;
+		for (size_t i = attempts.size(); i-- > 0;)
+			if (attempts[i].arrival == x.arrivals.at(a.req) &&
+			    attempts[i].attempt == a.attempt) {
+				attempts[i].aborted = true;
+				break;
+			}
 		break;
 	case ENG_ACT_ANSWER:
 		answer(x.arrivals.at(a.req), a, attempt);
--- a/src/request/tests/eng_test.cc
+++ b/src/request/tests/eng_test.cc
@@ -393,9 +393,17 @@
 			ev.kind = (enum eng_ev_kind)rng_below(&r, ENG_EV_VIEW);
 			if (rng_chance(&r, 0.1)) {
 				b.workers.clear();
-				for (auto &w : all)
+				b.classes.assign({ { str_from("svc"), true, 990,
+				    100, 1000 } });
+				if (rng_chance(&r, 0.7))
+					b.classes.insert(b.classes.begin(),
+					    { str_from("batch"), false, 0, 0,
+						10000 });
+				for (auto w : all) {
+					w.nserves = b.classes.size();
 					if (rng_chance(&r, 0.8))
 						b.workers.push_back(w);
+				}
 				b.publish();
 				goto count;
 			}
