Follow throttle orders in the account of the stream tests

Change: the account counts a throttled task with its percentage of the limit, which is what the order allows it; throttling for urgent starts belongs to target control and is off without it; streams with target control and declared sizes check the exact bound.

--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -224,7 +224,7 @@
 			p->nofit[p->n++] = need;
 		ctr_add(&s->ctr, SCHED_CTR_NO_ROOM, 1);
 	}
-	if (s->q.c[j->cls].urgent) {
+	if (s->q.c[j->cls].urgent && s->conf.targets) {
 		wi = sched_squeeze(s, &need);
 		if (wi != ALLOC_NONE &&
 		    sched_hold(s, ji, number, wi, need, task))
--- a/src/placement/tests/stream_test.cc
+++ b/src/placement/tests/stream_test.cc
@@ -195,6 +195,10 @@
 			case SCHED_ACT_THROTTLE:
 				ASSERT_LE(a.u.task.percent, 100u);
 				ASSERT_GE(a.u.task.percent, 1u);
+				ASSERT_TRUE(jobs[jid].run.count(k));
+				jobs[jid].run[k].limit.cpu_milli =
+				    a.u.task.limit.cpu_milli *
+				    a.u.task.percent / 100;
 				break;
 			case SCHED_ACT_JOB_FAILED:
 				ASSERT_TRUE(jobs.count(a.u.job.id));
@@ -752,6 +756,15 @@
 	printf("rounds %d\n", n);
 }
 
+/* Guards the exact bound when batch work is throttled for urgent work. */
+TEST(sched_stream, invariants_throttled)
+{
+	int n = 0;
+	for (; n < rounds(8) && !HasFailure(); n++)
+		run_stream(base_seed() + 3000 + n, false, false, true);
+	printf("rounds %d\n", n);
+}
+
 /*
  * A scheduler that scans every worker. Guards against candidates being
  * missed or scored wrongly by the bucketed one: same room, same best.
