Keep one slot in eight free of batch requests for urgent classes

Cause: batch requests that run for long took every slot of an instance in a lull, and urgent ones were refused until they ended. Change: a batch request does not take a slot while no more than an eighth of the slots that an urgent class can use are free; instances with fewer than eight slots keep none. Batch refusals under this rule count as crowded_batch. bench_request has a mixed load.

--- a/bench/request.c
+++ b/bench/request.c
@@ -23,7 +23,7 @@
 	for (size_t i = 0; i < m->nreqs; i++) {
 		const struct req *r = &m->reqs[i];
 
-		if (r->arrived < from || r->arrived >= to)
+		if (r->batch || r->arrived < from || r->arrived >= to)
 			continue;
 		all++;
 		if (!r->answered)
@@ -103,6 +103,25 @@
 	}
 }
 
+/* Urgent requests beside twice as many batch requests as there is room for. */
+static void
+bench_mixed(void)
+{
+	struct model *m = model_new(OURS, 0.3, -1, 10);
+	int64_t from = m->now + 2000 * MS;
+	size_t answered = 0;
+
+	m->batch_per_s = 2 * WORKERS * SLOTS * 1000.0 / BATCH_MS;
+	push(m, (struct event){ .at = m->now, .kind = K_ARRIVE, .ok = true });
+	run_until(m, m->end + 2 * TIMEOUT_MS * MS);
+	report(m, "mixed_urgent", from, INT64_MAX);
+	for (size_t i = 0; i < m->nreqs; i++)
+		answered += m->reqs[i].batch && m->reqs[i].answered;
+	printf(
+	    "request_mixed_batch_answered %.0f per_s\n", (double)answered / 10);
+	model_free(m);
+}
+
 static void
 bench_silent(void)
 {
@@ -170,6 +189,7 @@
 {
 	bench_load();
 	bench_skew();
+	bench_mixed();
 	bench_silent();
 	bench_loss(false);
 	bench_loss(true);
--- a/bench/request_model.h
+++ b/bench/request_model.h
@@ -20,7 +20,8 @@
 #define INSTANCES      9
 #define SLOTS	       8
 #define CONNECTIONS    60
-#define SERVICE_MS     20.0 /* mean, exponentially distributed */
+#define SERVICE_MS     20.0  /* mean, exponentially distributed */
+#define BATCH_MS       500.0 /* likewise, of batch requests */
 #define BOUND_MS       150
 #define TIMEOUT_MS     1000
 #define TRANSIT_NS     500000 /* one way */
@@ -62,6 +63,7 @@
 	int inst, tries;
 	uint64_t attempt; /* newest */
 	bool answered, done;
+	bool batch;
 	bool queued;	     /* of a naive router */
 	unsigned char where; /* worker of the newest attempt */
 };
@@ -71,7 +73,7 @@
 	struct eng *e;
 	struct view view;
 	struct view_worker vw[WORKERS];
-	struct view_class vc;
+	struct view_class vc[2];
 	uint64_t beat;
 	/* naive router */
 	int own[WORKERS], next;
@@ -91,7 +93,7 @@
 	int running[WORKERS];
 	bool silent[WORKERS];
 	int64_t last_sent[WORKERS]; /* a request was sent to it */
-	double per_s;
+	double per_s, batch_per_s;
 	int only; /* the one instance that gets load, -1: all */
 	uint64_t reasons[ENG_R_COUNT], refused_naive, expired_naive;
 	double stranded; /* sum over beats of the loaded instance */
@@ -101,7 +103,7 @@
 	struct eng_acts acts;
 };
 
-static const unsigned serves[1] = { 0 };
+static const unsigned serves[2] = { 0, 1 };
 
 static void *
 grow(void *p, size_t size)
@@ -253,8 +255,10 @@
 	b.n_slots = st.nslots;
 	b.slots = up;
 	if (st.ndemand > 0) {
-		d.queued = st.demand[0].queued;
-		d.running = st.demand[0].running;
+		for (size_t i = 0; i < st.ndemand; i++) {
+			d.queued += st.demand[i].queued;
+			d.running += st.demand[i].running;
+		}
 		b.n_demand = 1;
 		b.demand = &dp;
 	}
@@ -345,7 +349,7 @@
 }
 
 static void
-arrive(struct model *m)
+arrive(struct model *m, bool batch)
 {
 	struct eng_ev ev = { .kind = ENG_EV_ARRIVE };
 	struct req *r;
@@ -361,10 +365,13 @@
 	memset(r, 0, sizeof(*r));
 	r->arrived = m->now;
 	r->inst = n;
+	r->batch = batch;
 	push(m,
-	    (struct event){
-		.at = m->now + (int64_t)(rng_exp(&m->rng, 1e9 / m->per_s)),
-		.kind = K_ARRIVE });
+	    (struct event){ .at = m->now +
+		    (int64_t)(rng_exp(
+			&m->rng, 1e9 / (batch ? m->batch_per_s : m->per_s))),
+		.kind = K_ARRIVE,
+		.ok = batch });
 	if (m->policy == ROBIN || m->policy == RANDOM) {
 		push(m,
 		    (struct event){ .at = m->now + TIMEOUT_MS * MS,
@@ -374,7 +381,7 @@
 		return;
 	}
 	ev.req = m->nreqs;
-	ev.u.arrive.class_name = str_from("svc");
+	ev.u.arrive.class_name = str_from(batch ? "batch" : "svc");
 	ev.u.arrive.key = str_from("");
 	ev.u.arrive.idempotent = true;
 	step(m, n, &ev);
@@ -413,7 +420,9 @@
 	m->full += !ev.ok;
 	if (ev.ok) {
 		m->running[ev.worker]++;
-		ev.at = m->now + (int64_t)rng_exp(&m->rng, SERVICE_MS * MS);
+		ev.at = m->now +
+		    (int64_t)rng_exp(&m->rng,
+			(m->reqs[ev.req].batch ? BATCH_MS : SERVICE_MS) * MS);
 	} else {
 		ev.kind = K_RESULT;
 		ev.at = m->now + TRANSIT_NS;
@@ -429,7 +438,7 @@
 	switch (ev.kind) {
 	case K_ARRIVE:
 		if (m->now < m->end)
-			arrive(m);
+			arrive(m, ev.ok);
 		break;
 	case K_BEAT:
 		if (m->inst[ev.inst].alive)
@@ -526,11 +535,13 @@
 
 		x->alive = true;
 		x->e = eng_new(NULL, &ec, clk_from_ns(m->now));
-		x->vc = (struct view_class){ str_from("svc"), true, 990,
+		x->vc[0] = (struct view_class){ str_from("batch"), false, 0, 0,
+			TIMEOUT_MS };
+		x->vc[1] = (struct view_class){ str_from("svc"), true, 990,
 			BOUND_MS, TIMEOUT_MS };
 		x->view.config_version = 1;
-		x->view.classes = &x->vc;
-		x->view.nclasses = 1;
+		x->view.classes = x->vc;
+		x->view.nclasses = 2;
 		x->view.workers = x->vw;
 		x->view.nworkers = WORKERS;
 		for (int i = 0; i < WORKERS; i++) {
@@ -538,7 +549,7 @@
 			x->vw[i].epoch = (uint64_t)i + 1;
 			x->vw[i].rack = str_dup(x->e, str_from(name));
 			x->vw[i].serves = serves;
-			x->vw[i].nserves = 1;
+			x->vw[i].nserves = 2;
 		}
 		push(m,
 		    (struct event){ .at = m->now + n * BEAT_NS / INSTANCES,
--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -145,6 +145,19 @@
 	return ms + (int64_t)rng_below(&e->rng, (uint64_t)ms / 2 + 1);
 }
 
+/* True if other classes hold slots, or slots are kept free for them. */
+static bool
+eng_crowded(const struct eng *e, const struct eng_class *c)
+{
+	for (size_t i = 0; i < e->nclasses; i++) {
+		const struct eng_class *o = e->classes[i];
+
+		if (o != c && (o->running > 0 || (o->urgent && !c->urgent)))
+			return true;
+	}
+	return false;
+}
+
 static void
 eng_count(struct eng *e, struct eng_class *c, enum eng_outcome outcome,
     enum eng_reason why)
@@ -157,14 +170,9 @@
 	if (why != ENG_R_OVERLOAD && why != ENG_R_QUEUE_TIMEOUT)
 		return;
 	c->unmet++;
-	for (size_t i = 0; i < e->nclasses; i++)
-		if (e->classes[i] != c && e->classes[i]->running > 0) {
-			ctr_add(&e->ctr,
-			    c->urgent ? ENG_C_CROWDED_URGENT
-				      : ENG_C_CROWDED_BATCH,
-			    1);
-			break;
-		}
+	if (eng_crowded(e, c))
+		ctr_add(&e->ctr,
+		    c->urgent ? ENG_C_CROWDED_URGENT : ENG_C_CROWDED_BATCH, 1);
 }
 
 static void
--- a/src/request/eng_priv.h
+++ b/src/request/eng_priv.h
@@ -86,6 +86,7 @@
 	unsigned queued, running, claiming;
 	unsigned usable; /* workers that may get new work */
 	unsigned slots;	 /* of these */
+	unsigned free;	 /* of slots, not in use */
 	unsigned ejected;
 	struct eng_worker **workers; /* that serve it, by epoch */
 	size_t nworkers, cap;
@@ -113,6 +114,7 @@
 	struct out out;
 	struct tmr tmr;	  /* next probe, or end of the wait for one */
 	unsigned counted; /* slots in the sums of its classes */
+	unsigned counted_free;
 	bool counted_usable;
 	struct eng_serve *serves;
 	size_t nserves;
--- a/src/request/eng_run.c
+++ b/src/request/eng_run.c
@@ -5,16 +5,43 @@
 #define ENG_SAMPLE 32
 /* Queued requests that are looked at for one free slot. */
 #define ENG_LOOK 4
+/* Batch requests leave one in so many slots to urgent classes. */
+#define ENG_HEADROOM 8
 /* A connection has a quarter of the time left, within these limits. */
 #define ENG_CONNECT_MIN (50 * CLK_NS_PER_MS)
 #define ENG_CONNECT_MAX (1 * CLK_NS_PER_S)
 
+/* Counts slots of a worker taken, or with -1 given back. */
+static void
+eng_busy(struct eng *e, struct eng_worker *w, int by)
+{
+	e->racks[w->rack].used += (unsigned)by;
+	eng_worker_changed(e, w);
+}
+
 /* Gives a slot of a worker back. */
 void
 eng_release(struct eng *e, struct eng_worker *w)
 {
 	slot_give(&w->slot);
-	e->racks[w->rack].used--;
+	eng_busy(e, w, -1);
+}
+
+/*
+ * Tells whether a batch request may take a slot of the worker. Batch requests
+ * may run for long, so they leave a share of the slots of each urgent class
+ * free: without it they would take every slot in a lull and hold it.
+ */
+static bool
+eng_headroom(const struct eng_worker *w)
+{
+	for (size_t i = 0; i < w->nserves; i++) {
+		const struct eng_class *c = w->serves[i].class;
+
+		if (c->urgent && c->free <= c->slots / ENG_HEADROOM)
+			return false;
+	}
+	return true;
 }
 
 /*
@@ -35,6 +62,7 @@
     const struct eng_worker *w, int64_t now, int64_t deadline)
 {
 	return eng_worker_usable(w) && slot_free(&w->slot, now) > 0 &&
+	    (r->class->urgent || eng_headroom(w)) &&
 	    (r->avoid != w->epoch || r->class->usable < 2) &&
 	    slot_fits(&w->slot, now, deadline, e->conf.clock_ppm);
 }
@@ -96,7 +124,7 @@
 	int64_t wait = (deadline - now) / 4;
 
 	slot_take(&w->slot);
-	e->racks[w->rack].used++;
+	eng_busy(e, w, 1);
 	r->class->running++;
 	r->state = ENG_S_RUNNING;
 	r->worker = w;
@@ -360,7 +388,7 @@
 		break;
 	case ENG_S_LINGER:
 		slot_linger_end(&w->slot);
-		e->racks[w->rack].used--;
+		eng_busy(e, w, -1);
 		eng_req_free(e, r);
 		eng_worker_changed(e, w);
 		eng_pump(e, w, now);
--- a/src/request/eng_worker.c
+++ b/src/request/eng_worker.c
@@ -38,18 +38,22 @@
 eng_worker_changed(struct eng *e, struct eng_worker *w)
 {
 	bool usable = eng_worker_usable(w);
-	unsigned slots = 0;
+	unsigned slots = 0, free = 0;
 
 	(void)e;
 	if (usable && w->slot.granted > w->slot.linger)
 		slots = w->slot.granted - w->slot.linger;
+	if (usable && w->slot.granted > w->slot.used)
+		free = w->slot.granted - w->slot.used;
 	for (size_t i = 0; i < w->nserves; i++) {
 		struct eng_class *c = w->serves[i].class;
 
 		c->slots += slots - w->counted;
+		c->free += free - w->counted_free;
 		c->usable += (unsigned)usable - (unsigned)w->counted_usable;
 	}
 	w->counted = slots;
+	w->counted_free = free;
 	w->counted_usable = usable;
 }
 
@@ -221,7 +225,7 @@
 
 		c->index = SIZE_MAX;
 		c->nworkers = 0;
-		c->usable = c->slots = c->ejected = 0;
+		c->usable = c->slots = c->ejected = c->free = 0;
 	}
 	e->by_index =
 	    talloc_realloc(e, e->by_index, struct eng_class *, v->nclasses + 1);
@@ -297,7 +301,7 @@
 	slot_grant(&w->slot, vw->slots, vw->connections, vw->grant_seq,
 	    clk_ns(vw->grant_expiry));
 	e->racks[w->rack].granted += vw->slots;
-	w->counted = 0;
+	w->counted = w->counted_free = 0;
 	w->counted_usable = false;
 	eng_worker_changed(e, w);
 }
@@ -308,7 +312,7 @@
 {
 	w->index = SIZE_MAX;
 	w->nserves = 0;
-	w->counted = 0;
+	w->counted = w->counted_free = 0;
 	w->counted_usable = false;
 	if (w->slot.used > 0)
 		return true;
--- a/src/request/tests/eng_test.cc
+++ b/src/request/tests/eng_test.cc
@@ -483,3 +483,31 @@
 	b.tick(1000);
 	EXPECT_NE(nullptr, b.find(ENG_ACT_PROBE));
 }
+
+/* Guards against batch requests that take every slot before urgent ones
+ * come, and against a share kept free where no urgent class is served. */
+TEST(Eng, BatchLeavesHeadroomForUrgent)
+{
+	for (bool both : { true, false }) {
+		Bench b;
+		unsigned sent = 0;
+		uint64_t svc;
+
+		b.worker(5, 8);
+		b.workers[0].nserves = both ? 2 : 1;
+		b.publish();
+		for (int i = 0; i < 10; i++) {
+			b.arrive("batch");
+			sent += b.find(ENG_ACT_DISPATCH) != NULL;
+		}
+		EXPECT_EQ(both ? 7u : 8u, sent);
+		if (!both)
+			continue;
+		svc = b.arrive("svc");
+		ASSERT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+		b.event(ENG_EV_DONE, svc, 8);
+		EXPECT_EQ(nullptr, b.find(ENG_ACT_DISPATCH));
+		b.event(ENG_EV_DONE, 1, 1);
+		EXPECT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+	}
+}
