Test proof of leadership, slow answers, order numbers and lost tasks

Cause: trial changes to the code showed five rules that no test guarded. Change: a suspended leader's heartbeat answer, freshness over a slow network, orders across a change of leader, a task that a worker lost, and no resend of an operation that cannot be repeated.

--- a/src/control/tests/cell_test.cc
+++ b/src/control/tests/cell_test.cc
@@ -214,6 +214,17 @@
 	return agent_ready(s->inst[inst].agent, sim_local(s, &s->inst[inst]));
 }
 
+uint64_t
+resends(struct sim *s, uint32_t inst)
+{
+	const struct ctr_set *c = agent_counters(s->inst[inst].agent);
+
+	for (size_t i = 0; i < c->n; i++)
+		if (strcmp(c->desc[i].name, "agent_resends") == 0)
+			return ctr_get(c, i);
+	return UINT64_MAX;
+}
+
 } /* namespace */
 
 /* Guards against a service that a group of one does not give. */
@@ -374,6 +385,91 @@
 	EXPECT_EQ(STATUS_STALE, g.poll(4, "w1", 7, epoch).status);
 }
 
+/*
+ * Guards against a leader that was suspended and answers heartbeats and polls
+ * from before it has found out that another one leads.
+ */
+TEST(Cell, AnswersOnlyWithProofOfLeadership)
+{
+	Five g(9);
+	Control__PeerMsg m = CONTROL__PEER_MSG__INIT;
+	Control__Beat b = CONTROL__BEAT__INIT;
+	struct cell_acts acts = {};
+	struct cell_ev ev = { CELL_EV_PEER, SIM_WALL_MS, { nullptr } };
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	struct sim_inst *in = &g.s->inst[sim_leader(g.s)];
+	m.group = SIM_GROUP;
+	m.from = 5;
+	m.beat = &b;
+	b.instance = 5;
+	b.incarnation = 77;
+	ev.u.peer = &m;
+	for (int late = 0; late < 2; late++) {
+		size_t answers = 0;
+
+		b.seq++;
+		acts.n = 0;
+		cell_step(in->cell,
+		    clk_add_ms(sim_local(g.s, in), late ? 5000 : 0), &ev,
+		    &acts);
+		for (size_t i = 0; i < acts.n; i++)
+			answers += acts.v[i].kind == CELL_ACT_SEND &&
+			    acts.v[i].u.send.msg->beat_reply != nullptr;
+		EXPECT_EQ(late ? 0u : 1u, answers);
+	}
+	talloc_free(acts.v);
+}
+
+/* Guards against freshness that counts from when a slow answer arrived. */
+TEST(Cell, FreshnessCountsFromWhenTheBeatWasSent)
+{
+	struct sim_conf c = sim_defaults(0, 5, 3);
+
+	c.delay_ns = 200 * SIM_MS;
+	Five g(10, c);
+	struct sim_inst *in = &g.s->inst[5];
+	for (int i = 0; i < 200; i++) {
+		sim_run(g.s, 10 * SIM_MS);
+		ASSERT_NE(nullptr, in->view);
+		EXPECT_LE(
+		    clk_diff_ms(in->view->fresh_until, sim_local(g.s, in)),
+		    2970 - 400);
+	}
+	EXPECT_TRUE(ready(g.s, 5));
+}
+
+/*
+ * Guards against orders of a new leader that a worker drops as old, and
+ * against a task that a worker lost staying assigned for ever.
+ */
+TEST(Cell, OrdersGrowAcrossLeadersAndLostTasksEnd)
+{
+	Five g(11);
+
+	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
+	uint64_t epoch = g.worker_up(4, "w1", 7).epoch;
+	ASSERT_EQ(STATUS_OK, g.submit(4, "j1", 1).status);
+	sim_run(g.s, 1000 * SIM_MS);
+	Reply r = g.poll(4, "w1", 7, epoch);
+	ASSERT_EQ(1u, r.orders.size());
+	uint64_t seq = r.order_seq;
+	/* Carried out, but the task is not listed: the worker lost it. */
+	for (int i = 0; i < 5 && r.attempt != 2; i++) {
+		r = g.poll(4, "w1", 7, epoch, seq);
+		sim_run(g.s, 1000 * SIM_MS);
+	}
+	EXPECT_EQ(2u, r.attempt);
+	EXPECT_GT(r.order_seq, seq);
+	seq = r.order_seq;
+	g.change_leader();
+	/* Not known to be carried out, so it comes again. */
+	r = g.poll(4, "w1", 7, epoch);
+	ASSERT_EQ(1u, r.orders.size());
+	EXPECT_EQ(2u, r.attempt);
+	EXPECT_GT(r.order_seq, seq);
+}
+
 /* Guards against two claimants of a key, also across a change of leader. */
 TEST(Cell, OneOfTwoInstancesClaimsAKey)
 {
@@ -416,7 +512,9 @@
 	/* The request arrives, its answer does not. */
 	for (uint32_t i = 1; i <= 5; i++)
 		g.s->cut[i][inst] = true;
+	uint64_t before = resends(g.s, inst);
 	EXPECT_EQ(STATUS_UNKNOWN, g.op(inst, &o).status);
+	EXPECT_EQ(before, resends(g.s, inst));
 	/* A change is repeated until its answer is known. */
 	uint64_t id = g.s->op_id + 1;
 	sim_call(
