Rebuild throttled workers within the bound; headroom in memory only

Processors kept free for urgent work were also idle, since batch work can be throttled at once. Change: speeding up respects the quota; at a rebuild batch tasks yield as they did before, and the first TICK tells the workers all percentages; headroom for urgent starts is kept in memory only.

--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -204,32 +204,26 @@
 }
 
 /*
- * Room for as many urgent tasks as ran at the recent peak beyond those that
+ * Memory for as many urgent tasks as ran at the recent peak beyond those that
  * run now, each as large as the largest. Whole tasks are assigned to workers,
  * by a fixed sequence over their indices: an equal share of every worker would
- * be too small for a task.
+ * be too small for a task. Processors need no headroom, since batch work can
+ * be throttled at once.
  */
-struct sched_res
-sched_headroom(const struct sched *s, uint32_t wi)
+int64_t
+sched_headroom_mb(const struct sched *s, uint32_t wi)
 {
 	double each =
 	    s->a.alive == 0 ? 0 : (s->urgent_peak - s->urgent_n) / s->a.alive;
-	double turn = wi * 0.6180339887, n;
-	const struct alloc_worker *w = &s->a.w[wi];
+	double turn = wi * 0.6180339887, n, size;
 
 	if (each <= 0)
-		return (struct sched_res){ 0 };
+		return 0;
 	n = floor(each + turn - floor(turn));
 	/* A small worker must not be kept free altogether. */
-	n = fmin(n,
-	    floor(HEADROOM_MAX * (double)w->cap.cpu_milli /
-		fmax(1, (double)s->urgent_need.cpu_milli)));
-	n = fmin(n,
-	    floor(HEADROOM_MAX * (double)w->cap.mem_mb /
-		fmax(1, (double)s->urgent_need.mem_mb)));
-	return (
-	    struct sched_res){ (int64_t)(n * (double)s->urgent_need.cpu_milli),
-		(int64_t)(n * (double)s->urgent_need.mem_mb), 0 };
+	size = fmax(1, (double)s->urgent_need_mb);
+	n = fmin(n, floor(HEADROOM_MAX * (double)s->a.w[wi].cap.mem_mb / size));
+	return (int64_t)(n * size);
 }
 
 /* Refreshes what depends on time alone. */
@@ -256,13 +250,32 @@
 	s->urgent_peak -= (s->urgent_peak - s->urgent_n) / HEADROOM_DECAY_S;
 	if (s->urgent_peak < s->urgent_n)
 		s->urgent_peak = s->urgent_n;
-	s->urgent_need.cpu_milli -= s->urgent_need.cpu_milli / HEADROOM_SIZE_S;
-	s->urgent_need.mem_mb -= s->urgent_need.mem_mb / HEADROOM_SIZE_S;
+	s->urgent_need_mb -= s->urgent_need_mb / HEADROOM_SIZE_S;
 	sched_probes(s);
 	/* Caps have moved, so what was held back may start. */
 	s->dirty = true;
 }
 
+/*
+ * The rebuild is complete. Batch tasks that run already may have been
+ * throttled by the last leader, so the workers are told the percentages now.
+ */
+static void
+sched_begin(struct sched *s)
+{
+	uint32_t wi, ti;
+
+	s->ready = true;
+	for (wi = 0; wi < s->a.nw; wi++) {
+		if (s->a.w[wi].epoch == 0)
+			continue;
+		for (ti = s->a.w[wi].head; ti != ALLOC_NONE;
+		     ti = s->a.t[ti].wnext)
+			if (!s->a.t[ti].urgent)
+				sched_throttle_order(s, ti);
+	}
+}
+
 /*
  * Takes one event. Actions are appended to out, which the caller clears.
  * Errors: INVALID (malformed), EXISTS (job or worker is known), NOT_FOUND
@@ -280,7 +293,8 @@
 	s->out = out;
 	switch (ev->kind) {
 	case SCHED_EV_TICK:
-		s->ready = true;
+		if (!s->ready)
+			sched_begin(s);
 		break;
 	case SCHED_EV_WORKER_UP:
 		rc = sched_worker_up(s, &ev->u.worker);
--- a/src/placement/sched_impl.h
+++ b/src/placement/sched_impl.h
@@ -53,12 +53,12 @@
 	uint32_t nracks, ndomains;
 	struct ctr_set ctr;
 	int64_t now_ms;
-	uint32_t ticks;		      /* seconds seen, from 1 */
-	int64_t tick_ms;	      /* next refresh of targets and probes */
-	double slot_cpu, slot_mem;    /* use per request slot, fleet */
-	uint32_t urgent_n;	      /* urgent tasks placed */
-	double urgent_peak;	      /* of them, decaying */
-	struct sched_res urgent_need; /* of the largest, decaying */
+	uint32_t ticks;		   /* seconds seen, from 1 */
+	int64_t tick_ms;	   /* next refresh of targets and probes */
+	double slot_cpu, slot_mem; /* use per request slot, fleet */
+	uint32_t urgent_n;	   /* urgent tasks placed */
+	double urgent_peak;	   /* of them, decaying */
+	int64_t urgent_need_mb;	   /* memory of the largest, decaying */
 	uint32_t nquarantined;
 	int64_t pass_ms;  /* earliest next pass */
 	int64_t retry_ms; /* a gang is tried again */
@@ -84,8 +84,8 @@
 bool sched_hold(struct sched *, uint32_t ji, uint32_t number, uint32_t wi,
     struct sched_res need, uint32_t *task);
 
-/* What batch work leaves free on a worker for urgent starts. */
-struct sched_res sched_headroom(const struct sched *, uint32_t wi);
+/* Memory that batch work leaves free on a worker for urgent starts. */
+int64_t sched_headroom_mb(const struct sched *, uint32_t wi);
 void sched_place(struct sched *);
 void sched_check_fits(struct sched *, uint32_t ji);
 void sched_fleet_changed(struct sched *);
@@ -105,6 +105,9 @@
 void sched_observe(struct sched *, const struct alloc_task *);
 enum status sched_usage(struct sched *, const struct sched_ev *);
 enum status sched_latency(struct sched *, const struct sched_ev *);
+/* Throttles batch tasks until lack is given back; returns what is missing. */
+int64_t sched_throttle(struct sched *, uint32_t wi, int64_t lack);
+void sched_throttle_order(struct sched *, uint32_t ti);
 void sched_set_percent(struct sched *, uint32_t ti, unsigned percent);
 void sched_attain(const struct sched *, uint32_t ci, double *m1, double *m10);
 
--- a/src/placement/sched_place.c
+++ b/src/placement/sched_place.c
@@ -121,7 +121,7 @@
 {
 	const struct alloc_worker *w = &s->a.w[wi];
 	const struct jobq_class *c = &s->q.c[j->cls];
-	struct sched_res room = alloc_free(w), keep;
+	struct sched_res room = alloc_free(w);
 	double cpu = 0, mem = 0, sc, p;
 
 	/* One that the quarantine has no place for is tried carefully. */
@@ -148,8 +148,7 @@
 	}
 	if (!s->conf.targets)
 		return sc;
-	keep = sched_headroom(s, wi);
-	if (!res_fits(&keep, &room))
+	if (room.mem_mb < sched_headroom_mb(s, wi))
 		return INFINITY;
 	p = place_pressure(s, w, j->cls,
 	    (double)need->cpu_milli /
--- a/src/placement/sched_task.c
+++ b/src/placement/sched_task.c
@@ -79,10 +79,8 @@
 		res_sub(&team->used, &t->held);
 	if (t->urgent) {
 		s->urgent_n += (uint32_t)sign;
-		if (t->held.cpu_milli > s->urgent_need.cpu_milli)
-			s->urgent_need.cpu_milli = t->held.cpu_milli;
-		if (t->held.mem_mb > s->urgent_need.mem_mb)
-			s->urgent_need.mem_mb = t->held.mem_mb;
+		if (t->held.mem_mb > s->urgent_need_mb)
+			s->urgent_need_mb = t->held.mem_mb;
 	}
 	sched_spread(s, t, sign);
 }
@@ -222,10 +220,48 @@
 	return STATUS_OK;
 }
 
+/*
+ * Holds resources for a task that runs already. The last leader may have
+ * throttled batch tasks of the worker, to a quarter at most, so they yield in
+ * the same way, and a batch task that does not fit whole is throttled to what
+ * fits. Memory is
+ * held up to the room there is, and corrected by the next usage report.
+ */
+static bool
+sched_hold_running(
+    struct sched *s, uint32_t ji, uint32_t number, uint32_t wi, uint32_t *task)
+{
+	struct sched_res need = sched_need(s, &s->q.j[ji]), room;
+	bool urgent = s->q.c[s->q.j[ji].cls].urgent;
+	int64_t full = need.cpu_milli;
+	int64_t least = urgent ? full : (full + 3) / 4;
+
+	room = alloc_free(&s->a.w[wi]);
+	if (least > room.cpu_milli) {
+		(void)sched_throttle(s, wi, least - room.cpu_milli);
+		room = alloc_free(&s->a.w[wi]);
+	}
+	if (need.cpu_milli > room.cpu_milli)
+		need.cpu_milli = room.cpu_milli;
+	if (need.mem_mb > room.mem_mb)
+		need.mem_mb = room.mem_mb;
+	if (need.accel > room.accel)
+		need.accel = room.accel;
+	if (!sched_hold(s, ji, number, wi, need, task))
+		return false;
+	s->a.t[*task].full_cpu = (int32_t)full;
+	s->a.t[*task].state = ALLOC_RUNNING;
+	if (!urgent && need.cpu_milli < full) {
+		int64_t percent = need.cpu_milli * 100 / full;
+
+		sched_set_percent(s, *task, percent > 0 ? percent : 1);
+	}
+	return true;
+}
+
 /*
  * A task runs on a worker: the confirmation of a START, or known from the
- * replicated state at a rebuild. In the second case it holds what is declared
- * or learned, at most the room there is, since it runs whatever we reserve.
+ * replicated state at a rebuild.
  */
 enum status
 sched_assigned(struct sched *s, const struct sched_ev *ev)
@@ -235,7 +271,6 @@
 	uint32_t ji = jobq_job_find(&s->q, id >> JOBQ_TASK_BITS);
 	uint32_t wi = alloc_worker_find(&s->a, ev->u.task.epoch);
 	uint32_t ti = alloc_task_find(&s->a, id);
-	struct sched_res need, room;
 
 	if (ji == JOBQ_NONE || wi == ALLOC_NONE)
 		return STATUS_NOT_FOUND;
@@ -248,15 +283,7 @@
 		ti = ALLOC_NONE;
 	}
 	if (ti == ALLOC_NONE) {
-		need = sched_need(s, &s->q.j[ji]);
-		room = alloc_free(&s->a.w[wi]);
-		if (need.cpu_milli > room.cpu_milli)
-			need.cpu_milli = room.cpu_milli;
-		if (need.mem_mb > room.mem_mb)
-			need.mem_mb = room.mem_mb;
-		if (need.accel > room.accel)
-			need.accel = room.accel;
-		if (!sched_hold(s, ji, number, wi, need, &ti))
+		if (!sched_hold_running(s, ji, number, wi, &ti))
 			return STATUS_INVALID;
 	}
 	if (s->a.t[ti].state == ALLOC_STARTING) {
--- a/src/placement/sched_usage.c
+++ b/src/placement/sched_usage.c
@@ -57,6 +57,20 @@
 	return whole;
 }
 
+/* Tells the worker the full reservation of a task and its percentage. */
+void
+sched_throttle_order(struct sched *s, uint32_t ti)
+{
+	const struct alloc_task *t = &s->a.t[ti];
+	struct sched_act *act = sched_emit(s, SCHED_ACT_THROTTLE);
+
+	act->u.task.task = t->id;
+	act->u.task.epoch = s->a.w[t->worker].epoch;
+	act->u.task.limit = t->held;
+	act->u.task.limit.cpu_milli = t->full_cpu;
+	act->u.task.percent = t->percent;
+}
+
 /*
  * Orders a task to use a percentage of its full reservation and holds as much
  * for it. A raise takes effect only as far as there is room.
@@ -66,7 +80,6 @@
 {
 	struct alloc_task *t = &s->a.t[ti];
 	struct sched_res to = t->held;
-	struct sched_act *act;
 
 	ctr_add(&s->ctr,
 	    percent < t->percent ? SCHED_CTR_THROTTLE : SCHED_CTR_UNTHROTTLE,
@@ -75,12 +88,9 @@
 	t->thr_ms = s->now_ms;
 	to.cpu_milli = (int64_t)t->full_cpu * percent / 100;
 	usage_resize(s, ti, to);
-	act = sched_emit(s, SCHED_ACT_THROTTLE);
-	act->u.task.task = t->id;
-	act->u.task.epoch = s->a.w[t->worker].epoch;
-	act->u.task.limit = t->held;
-	act->u.task.limit.cpu_milli = t->full_cpu;
-	act->u.task.percent = percent;
+	/* During a rebuild the first TICK sends the final percentages. */
+	if (s->ready)
+		sched_throttle_order(s, ti);
 }
 
 /* What a running task should hold after a report. */
@@ -163,8 +173,8 @@
 }
 
 /* Throttles batch tasks, the largest first, until enough is given back. */
-static int64_t
-usage_throttle(struct sched *s, uint32_t wi, int64_t lack)
+int64_t
+sched_throttle(struct sched *s, uint32_t wi, int64_t lack)
 {
 	uint32_t ti, best;
 	int64_t before;
@@ -252,7 +262,7 @@
 	ctr_add(&s->ctr, SCHED_CTR_OVER, 1);
 	if (w->over_ms == 0)
 		w->over_ms = s->now_ms;
-	cpu = usage_throttle(s, wi, lack->cpu_milli);
+	cpu = sched_throttle(s, wi, lack->cpu_milli);
 	if (cpu > 0 && s->now_ms - w->over_ms > USAGE_MOVE_MS) {
 		ti = usage_victim(s, wi, 0, false);
 		if (ti != ALLOC_NONE)
@@ -299,7 +309,9 @@
 		    s->now_ms - t->thr_ms < USAGE_RELAX_MS)
 			continue;
 		more = (int64_t)t->full_cpu * (to - t->percent) / 100;
-		if (more > room.cpu_milli)
+		if (more > room.cpu_milli ||
+		    !jobq_quota_allows(&s->q.t[s->q.c[t->cls].team],
+			&(struct sched_res){ more, 0, 0 }))
 			continue;
 		x = (double)more / (double)w->cap.cpu_milli;
 		nn = sched_near(s, w, near);
