--- a/src/node/control.c
+++ b/src/node/control.c
@@ -556,6 +556,7 @@
 			return;
 		agent_do(c, &ev);
 		tell_threads(c, MBOX_DRAIN);
+		log_event(LOG_NOTICE, "control", "event=drain_settled");
 		break;
 	case DRAIN_FINISH:
 		if (!all_idle(c) && ms < CONTROL_DRAIN_MAX_MS)
--- a/tests/graceful_stop.sh
+++ b/tests/graceful_stop.sh
@@ -6,6 +6,9 @@
 . scripts/cluster.sh
 
 cluster_init "${1:-build/rel}" 3
+for i in 1 2 3; do
+	printf '[shutdown]\nsettle = 1s\n' >>"$work/i$i.ini"
+done
 cluster_start 3
 classes_write
 "$build/cicadabay" apply "$work/classes.ini" >/dev/null || fail "apply"
@@ -35,12 +38,16 @@
 	[ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "$url/readyz")" = 503 ]
 }
 wait_for 3 "refusal by /readyz" not_ready
-# A request that comes after the settle time is refused as not run.
+settled() {
+	grep -q event=drain_settled "$work/i$stopping.log"
+}
+wait_for 10 "end of the settle time" settled
+# From now on a request is refused as not run while the others go on.
 refused() {
-	curl -s -m 8 -D - "$url/svc/tally/late-$RANDOM/." |
+	curl -s -m 8 -D - "$url/svc/tally/late/." |
 	    grep -qi '^cicadabay-reason: draining'
 }
-wait_for 10 "refusal of new work" refused
+wait_for 3 "refusal of new work" refused
 for i in 1 2 3 4 5; do
 	wait "${curl_pid[i]}" || fail "request $i was cut off"
 	[ "$(cat "$work/code$i")" = 200 ] ||
