Refuse removals that would stop the group

Cause: random removals showed that a leader that removes itself sent messages its followers could not answer, and that removing a live member while another is dead leaves a group that can never commit again. Change: a replica remembers its instance after its own removal; a removal is refused with UNAVAILABLE unless a majority of the remaining voters answers; messages to an unknown instance are dropped; schedules remove members. Conclusion: removals of members, the leader included, keep a group alive.

--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -42,7 +42,6 @@
 raft_msg_new(struct raft *r, Control__RaftKind kind, uint64_t to)
 {
 	Control__RaftMsg *m = talloc(r->scratch, Control__RaftMsg);
-	const struct raft_peer *self = raft_self(r);
 
 	if (m == NULL)
 		abort();
@@ -51,19 +50,22 @@
 	m->term = r->term;
 	m->from = r->self;
 	m->to = to;
-	if (self != NULL) {
-		m->has_instance = 1;
-		m->instance = self->instance;
-	}
+	/* Kept after the own removal: a leader then still leads until the
+	 * removal is committed, and has to be answered. */
+	m->has_instance = r->self_instance != 0;
+	m->instance = r->self_instance;
 	return m;
 }
 
-/* Gives a message out at once. */
+/* Gives a message out at once; one to an unknown instance is dropped. */
 void
 raft_send(struct raft *r, Control__RaftMsg *m, uint32_t instance)
 {
-	struct raft_act *a = raft_act_add(r, RAFT_ACT_SEND);
+	struct raft_act *a;
 
+	if (instance == 0)
+		return;
+	a = raft_act_add(r, RAFT_ACT_SEND);
 	a->u.send.instance = instance;
 	a->u.send.msg = m;
 }
--- a/src/control/raft_elect.c
+++ b/src/control/raft_elect.c
@@ -60,7 +60,7 @@
 
 	r->role = RAFT_LEADER;
 	r->leader = r->self;
-	r->leader_instance = raft_self(r)->instance;
+	r->leader_instance = r->self_instance;
 	r->transfer_to = 0;
 	r->lease_void = false;
 	r->term_start = last + 1;
--- a/src/control/raft_member.c
+++ b/src/control/raft_member.c
@@ -188,6 +188,8 @@
 		v[i].replica = m->replica;
 		v[i].instance = m->instance;
 		v[i].voter = m->voter;
+		if (m->replica == r->self)
+			r->self_instance = m->instance;
 	}
 	talloc_free(r->peers);
 	r->peers = v;
@@ -243,9 +245,21 @@
 	return STATUS_OK;
 }
 
+/* Tells whether a member has answered this leader lately. */
+static bool
+answers(const struct raft *r, uint64_t replica)
+{
+	const struct raft_peer *p = raft_peer_find(r, replica);
+
+	return replica == r->self ||
+	    (p->match > 0 &&
+		clk_diff_ms(r->now, p->heard) < RAFT_ELECTION_MIN_MS);
+}
+
 /*
  * Removes a member. STATUS_NOT_FOUND if it is none, STATUS_REFUSED for the
- * last voter.
+ * last voter, STATUS_UNAVAILABLE if the remaining voters that answer are no
+ * majority: the change could never be committed, and no other one either.
  */
 enum status
 raft_member_remove(struct raft *r, uint64_t replica)
@@ -253,7 +267,7 @@
 	const struct raft_peer *p = raft_peer_find(r, replica);
 	enum status st = change_allowed(r);
 	struct raft_member *v;
-	size_t i, n = 0, voters = 0;
+	size_t i, n = 0, voters = 0, alive = 0;
 
 	if (st == STATUS_NOT_LEADER)
 		return st;
@@ -269,9 +283,12 @@
 			continue;
 		v[n++] = r->conf.v[i];
 		voters += r->conf.v[i].voter;
+		alive += r->conf.v[i].voter && answers(r, r->conf.v[i].replica);
 	}
 	if (voters == 0)
 		return STATUS_REFUSED;
+	if (alive < voters / 2 + 1)
+		return STATUS_UNAVAILABLE;
 	propose_conf(r, v, n);
 	return STATUS_OK;
 }
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -79,6 +79,7 @@
 
 struct raft {
 	uint64_t self;
+	uint32_t self_instance; /* 0 until a member list names it */
 	struct rng rng;
 	enum raft_role role;
 	uint64_t term, voted_for, leader;
--- a/src/control/tests/raft_sim_test.cc
+++ b/src/control/tests/raft_sim_test.cc
@@ -209,7 +209,7 @@
 		SimNode &n = s.node(i);
 		bool in = rng_chance(&r, 0.5);
 
-		switch (rng_below(&r, 14)) {
+		switch (rng_below(&r, 15)) {
 		case 0:
 		case 1:
 			if (n.up())
@@ -246,6 +246,13 @@
 				usurp(i);
 			break;
 		case 13:
+			/* Also the leader itself; repair() adds it again. */
+			if (s.leader() != 0 && lost == 0 &&
+			    s.remove_member(s.leader(), n.disk.replica) ==
+				STATUS_OK)
+				lost = i;
+			break;
+		case 14:
 			n.stalled_until = s.now +
 			    (int64_t)rng_below(&r, 3 * (uint64_t)kSecond);
 			break;
--- a/src/control/tests/raft_test.cc
+++ b/src/control/tests/raft_test.cc
@@ -286,6 +286,12 @@
 	synced(2);
 	receive(msg(CONTROL__RAFT_KIND__RAFT_APPEND_REPLY, raft_term(r), 2, 2));
 	EXPECT_EQ(2u, raft_commit_index(r));
+	/* Replica 3 is silent: without 2 nothing could be committed again. */
+	ev.kind = RAFT_EV_MEMBER_REMOVE;
+	ev.u.member.replica = 2;
+	EXPECT_EQ(STATUS_UNAVAILABLE, step(ev));
+	ev.kind = RAFT_EV_MEMBER_ADD;
+	ev.u.member.replica = 4;
 	EXPECT_EQ(STATUS_OK, step(ev));
 	EXPECT_EQ(STATUS_EXISTS, step(ev));
 	ev.u.member.replica = 5;
