Answer unknown when the claimant of a key has restarted

Cause: a second claim was told that the first runs until its deadline, though the claimant's instance had restarted and can never record an end. Change: the leader compares the claim with the incarnation that the instance last sent a heartbeat under. Measured: unit tests and sanitizers pass.

--- a/src/control/cell_op.c
+++ b/src/control/cell_op.c
@@ -210,11 +210,24 @@
 	talloc_free(p);
 }
 
+/* A claimant that has restarted since will never record an end. */
+static bool
+claimant_gone(struct cell *c, const struct st_key *k)
+{
+	const struct cell_inst *n =
+	    k == NULL || !c->serving ? NULL : cell_inst(c, k->instance);
+
+	return n != NULL && n->incarnation != k->incarnation;
+}
+
 static void
 result_key(struct cell *c, Control__OpResult *r, const struct st_result *res)
 {
 	r->has_key_state = 1;
 	r->key_state = res->key_state;
+	if (res->key_state == CONTROL__KEY_STATE__KEY_STATE_RUNNING &&
+	    claimant_gone(c, res->key))
+		r->key_state = CONTROL__KEY_STATE__KEY_STATE_UNKNOWN;
 	if (res->key_state != CONTROL__KEY_STATE__KEY_STATE_RECORDED ||
 	    res->key == NULL)
 		return;
--- a/src/control/tests/cell_sim.h
+++ b/src/control/tests/cell_sim.h
@@ -56,6 +56,7 @@
 	uint32_t id;
 	bool up, has_disk;
 	uint64_t life; /* grows with every start */
+	uint64_t incarnation;
 	double rate;
 	int64_t offset_ns;
 	struct sim_disk disk;
@@ -411,7 +412,7 @@
 	memset(&ac, 0, sizeof(ac));
 	ac.group = SIM_GROUP;
 	ac.instance = id;
-	ac.incarnation = rng_next(&s->rng);
+	ac.incarnation = in->incarnation = rng_next(&s->rng);
 	ac.replica = in->has_disk ? d->replica : 0;
 	ac.peers = peers;
 	ac.npeers = s->conf.instances;
--- a/src/control/tests/cell_sim_test.cc
+++ b/src/control/tests/cell_sim_test.cc
@@ -511,7 +511,7 @@
 		k.class_name = (char *)"web";
 		k.digest = 1;
 		k.instance = inst;
-		k.incarnation = inst;
+		k.incarnation = s->inst[inst].incarnation;
 		k.request = ++requests;
 		k.has_deadline_ms = 1;
 		k.deadline_ms = SIM_WALL_MS + s->now_ns / SIM_MS + 30000;
--- a/src/control/tests/cell_test.cc
+++ b/src/control/tests/cell_test.cc
@@ -140,8 +140,8 @@
 		o.job_submit = &j;
 		return op(inst, &o);
 	}
-	Reply claim(uint32_t inst, const char *key, uint64_t incarnation,
-	    uint64_t request, uint64_t digest = 1)
+	Reply claim(uint32_t inst, const char *key, uint64_t request,
+	    uint64_t digest = 1)
 	{
 		Control__Op o = CONTROL__OP__INIT;
 		Control__KeyClaim k = CONTROL__KEY_CLAIM__INIT;
@@ -150,7 +150,7 @@
 		k.class_name = (char *)"web";
 		k.digest = digest;
 		k.instance = inst;
-		k.incarnation = incarnation;
+		k.incarnation = s->inst[inst].incarnation;
 		k.request = request;
 		k.has_deadline_ms = 1;
 		k.deadline_ms = SIM_WALL_MS + s->now_ns / SIM_MS + 30000;
@@ -242,7 +242,7 @@
 	r = g.poll(1, "w1", 7, r.epoch);
 	EXPECT_EQ(3u, r.orders.size());
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
-	    g.claim(1, "k", 1, 1).key_state);
+	    g.claim(1, "k", 1).key_state);
 	ASSERT_NE(nullptr, g.s->inst[1].view);
 	EXPECT_EQ(1u, g.s->inst[1].view->config_version);
 	ASSERT_EQ(1u, g.s->inst[1].view->nworkers);
@@ -477,22 +477,28 @@
 
 	ASSERT_EQ(STATUS_OK, g.config(1, "c1", 0).status);
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
-	    g.claim(2, "k", 2, 1).key_state);
+	    g.claim(2, "k", 1).key_state);
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_RUNNING,
-	    g.claim(3, "k", 3, 1).key_state);
+	    g.claim(3, "k", 1).key_state);
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_MISMATCH,
-	    g.claim(3, "k", 3, 2, 99).key_state);
+	    g.claim(3, "k", 2, 99).key_state);
 	g.change_leader();
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_RUNNING,
-	    g.claim(3, "k", 3, 1).key_state);
+	    g.claim(3, "k", 1).key_state);
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
-	    g.claim(2, "k", 2, 1).key_state);
+	    g.claim(2, "k", 1).key_state);
 	sim_run(g.s, 40000 * SIM_MS);
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_UNKNOWN,
-	    g.claim(3, "k", 3, 1).key_state);
+	    g.claim(3, "k", 1).key_state);
 	sim_run(g.s, 910000 * SIM_MS);
 	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_CLAIMED,
-	    g.claim(3, "k", 3, 1).key_state);
+	    g.claim(3, "k", 1).key_state);
+	/* The claimant restarts: nobody will record an end. */
+	sim_stop(g.s, 3);
+	sim_start(g.s, 3);
+	sim_run(g.s, 2000 * SIM_MS);
+	EXPECT_EQ(CONTROL__KEY_STATE__KEY_STATE_UNKNOWN,
+	    g.claim(4, "k", 1).key_state);
 }
 
 /*
