Extend the probe interval only after a failed probe

Cause: failures of tasks that ran before the quarantine doubled the interval each, so that a worker with four of them was probed after 16 min. Change: only the failure of a probe doubles it.

--- a/src/placement/sched_fail.c
+++ b/src/placement/sched_fail.c
@@ -104,10 +104,13 @@
 		w->mixed = true;
 	w->bad_job = j->id;
 	if (w->quarantined) {
+		/* Tasks from before the quarantine tell nothing new. */
+		if (w->probing)
+			w->probe_gap_ms =
+			    w->probe_gap_ms * 2 < FAIL_PROBE_MAX_MS
+			    ? w->probe_gap_ms * 2
+			    : FAIL_PROBE_MAX_MS;
 		w->probing = false;
-		w->probe_gap_ms = w->probe_gap_ms * 2 < FAIL_PROBE_MAX_MS
-		    ? w->probe_gap_ms * 2
-		    : FAIL_PROBE_MAX_MS;
 		w->probe_ms = s->now_ms + w->probe_gap_ms;
 	} else if (w->suspect >= SCHED_SUSPECT &&
 	    (s->nquarantined + 1) * FAIL_SHARE <= s->a.alive) {
