--- a/src/control/agent.c
+++ b/src/control/agent.c
@@ -16,8 +16,6 @@
 	    "Heartbeat replies of an older term or out of order, dropped." },
 	[AGENT_C_VERSION_OLD] = { "agent_version_old",
 	    "Heartbeat replies with an older configuration, refused." },
-	[AGENT_C_HINTS] = { "agent_hints",
-	    "Leaders taken from a refusal that named a newer term." },
 	[AGENT_C_OPS] = { "agent_ops", "Operations started." },
 	[AGENT_C_RESENDS] = { "agent_resends", "Operations sent again." },
 	[AGENT_C_LATE] = { "agent_late",
@@ -136,13 +134,12 @@
 }
 
 /*
- * Turns away from an instance that does not lead. A leader that it named is
- * tried next if its term is newer than any seen, so that two instances with
- * old knowledge cannot send a caller back and forth.
+ * Turns away from an instance that does not lead; term 0 tells that it has no
+ * replica. The leader that a refusal names is not used: it did not shorten
+ * the time to the first success, see docs/decisions/leader-discovery.md.
  */
 void
-agent_refused(
-    struct agent *a, uint32_t instance, uint32_t leader, uint64_t term)
+agent_refused(struct agent *a, uint32_t instance, uint64_t term)
 {
 	struct agent_peer *p = peer_find(a, instance);
 
@@ -153,15 +150,7 @@
 	if (instance != a->target)
 		return;
 	a->seeking = true;
-	if (a->conf.leader_hints && leader != 0 && leader != instance &&
-	    term > a->hint_term) {
-		a->hint_term = term;
-		ctr_add(&a->ctr, AGENT_C_HINTS, 1);
-		target_set(a, leader);
-		a->pause = a->now;
-	} else {
-		target_next(a);
-	}
+	target_next(a);
 	beat_again(a);
 }
 
@@ -259,7 +248,7 @@
 	if (r->has_not_leader && r->not_leader) {
 		ctr_add(&a->ctr, AGENT_C_BEAT_REFUSED, 1);
 		if (r->seq == a->beat_seq)
-			agent_refused(a, from, r->leader, r->term);
+			agent_refused(a, from, r->term);
 		return;
 	}
 	if (s->seq != r->seq || r->seq <= a->reply_seq || r->term < a->term) {
@@ -268,8 +257,6 @@
 	}
 	a->reply_seq = r->seq;
 	a->term = r->term;
-	if (r->term > a->hint_term)
-		a->hint_term = r->term;
 	if (r->seq == a->beat_seq)
 		a->beat_open = false;
 	agent_led(a, from);
--- a/src/control/agent.h
+++ b/src/control/agent.h
@@ -27,7 +27,6 @@
 	uint64_t min_config_version; /* from disk; never go below */
 	unsigned clock_ppm;
 	uint64_t seed;
-	bool leader_hints; /* take leaders named in refusals */
 };
 
 enum agent_ev_kind {
--- a/src/control/agent_impl.h
+++ b/src/control/agent_impl.h
@@ -32,7 +32,6 @@
 	AGENT_C_BEAT_REFUSED,
 	AGENT_C_REPLIES_OLD,
 	AGENT_C_VERSION_OLD,
-	AGENT_C_HINTS,
 	AGENT_C_OPS,
 	AGENT_C_RESENDS,
 	AGENT_C_LATE,
@@ -92,7 +91,6 @@
 	unsigned failed;       /* in this round */
 	unsigned rounds;       /* since the last success */
 	bool seeking;	       /* no leader is known */
-	uint64_t hint_term;    /* newest term of a known leader */
 	struct timespec pause; /* nothing is sent before */
 	struct timespec heard; /* last answer of the target */
 
@@ -130,8 +128,7 @@
 struct agent_act *agent_act(struct agent *, enum agent_act_kind);
 Control__PeerMsg *agent_msg(struct agent *, uint32_t instance);
 /* The instance does not lead; leader and term are what it named, or 0. */
-void agent_refused(
-    struct agent *, uint32_t instance, uint32_t leader, uint64_t term);
+void agent_refused(struct agent *, uint32_t instance, uint64_t term);
 /* How long the target is waited for. */
 int64_t agent_patience_ms(const struct agent *);
 /* The instance does not answer. */
--- a/src/control/agent_op.c
+++ b/src/control/agent_op.c
@@ -189,12 +189,12 @@
 	if (r->status == STATUS_UNKNOWN) {
 		o->lost = true;
 		if (!o->repeatable) {
-			agent_refused(a, from, r->leader, r->term);
+			agent_refused(a, from, r->term);
 			op_unknown(a, o);
 			return;
 		}
 	}
-	agent_refused(a, from, r->leader, r->term);
+	agent_refused(a, from, r->term);
 	if (o->at != from)
 		return;
 	o->at = 0;
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -713,7 +713,6 @@
 	ac.op_timeout_ms = CONTROL_OP_TIMEOUT_MS;
 	ac.clock_ppm = 10000;
 	ac.seed = c->conf.seed;
-	ac.leader_hints = true;
 	if (c->disk != NULL) {
 		ac.replica = disk_replica(c->disk);
 		ac.min_config_version = disk_config_version(c->disk);
