Send a throttle behind the START that a new leader repeats

Cause: after a leader change the scheduler restates the processor share of running batch tasks before the worker's first poll; the repeated START came behind it, so a worker that had never had the task dropped the throttle and would run the task at full speed, above what is reserved for it. Ruled out: a duplicate START (there is one), an older sequence number. Change: a queued throttle moves behind a repeated START. The test now expects the START and then the throttle of the same task, instead of one order.

--- a/src/control/cell_worker.c
+++ b/src/control/cell_worker.c
@@ -370,6 +370,26 @@
 	return false;
 }
 
+/*
+ * Moves a queued throttle of a task behind its START: a worker that does not
+ * have the task yet would drop the throttle and run the task at full speed.
+ */
+static void
+throttle_behind_start(struct cell *c, struct cell_worker *w, uint64_t task)
+{
+	size_t i;
+
+	for (i = 0; i < w->norders; i++) {
+		struct cell_order o = w->orders[i];
+
+		if (o.task == task &&
+		    o.kind == CONTROL__ORDER_KIND__ORDER_THROTTLE) {
+			cell_order_add(c, w->epoch, &o);
+			return;
+		}
+	}
+}
+
 /*
  * Repeats orders that an earlier leader may or may not have delivered. A
  * worker ignores a START of an attempt that it has had before.
@@ -393,8 +413,11 @@
 				continue;
 		}
 		o.attempt = t->attempt;
-		if (!order_has(w, o.kind, o.task))
-			cell_order_add(c, w->epoch, &o);
+		if (order_has(w, o.kind, o.task))
+			continue;
+		cell_order_add(c, w->epoch, &o);
+		if (o.kind == CONTROL__ORDER_KIND__ORDER_START)
+			throttle_behind_start(c, w, o.task);
 	}
 }
 
--- a/src/control/tests/cell_sim.h
+++ b/src/control/tests/cell_sim.h
@@ -445,7 +445,7 @@
 sim_defaults(uint64_t seed, unsigned instances, unsigned disks)
 {
 	struct sim_conf c = { seed, instances, disks, SIM_MS, SIM_MS / 4,
-		SIM_MS / 2, 0, 0, true, 4096, 5000, 3000 };
+		SIM_MS / 2, 0, 0, 4096, 5000, 3000 };
 
 	return c;
 }
--- a/src/control/tests/cell_test.cc
+++ b/src/control/tests/cell_test.cc
@@ -465,7 +465,11 @@
 	g.change_leader();
 	/* Not known to be carried out, so it comes again. */
 	r = g.poll(4, "w1", 7, epoch);
-	ASSERT_EQ(1u, r.orders.size());
+	/* A new leader also states the processor share of running tasks. */
+	ASSERT_EQ(2u, r.orders.size());
+	EXPECT_EQ(CONTROL__ORDER_KIND__ORDER_START, r.orders[0].first);
+	EXPECT_EQ(CONTROL__ORDER_KIND__ORDER_THROTTLE, r.orders[1].first);
+	EXPECT_EQ(r.orders[0].second, r.orders[1].second);
 	EXPECT_EQ(2u, r.attempt);
 	EXPECT_GT(r.order_seq, seq);
 }
