--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -31,9 +31,11 @@
 
 #define DEFAULT_RUN_MS 1000
 #define RETRY_MS       200
-#define WORKERS_MAX    2000
-#define MIN_STEP_MS    10
-#define LEAVE_MS       3000 /* new requests may come for so long */
+/* A silent instance must not cost the lease: others are asked in time. */
+#define CALLS_PER_LEASE 3
+#define WORKERS_MAX	2000
+#define MIN_STEP_MS	10
+#define LEAVE_MS	3000 /* new requests may come for so long */
 
 struct opts {
 	char *instances, *name, *serves, *rack, *domain, *ledger, *listen;
@@ -76,7 +78,8 @@
 	struct task *tasks;
 	GArray *events;
 	unsigned running, overdue;
-	struct tevent_timer *timer;
+	struct tevent_timer *timer, *call_timer, *lease_timer;
+	struct back_call *call; /* while calling */
 };
 
 /* A request that is being served. */
@@ -120,6 +123,7 @@
 static struct timeval
 in_ms(int64_t ms)
 {
+	ms = ms > 0 ? ms : 0;
 	return tevent_timeval_current_ofs(
 	    (uint32_t)(ms / 1000), (uint32_t)(ms % 1000) * 1000);
 }
@@ -411,6 +415,31 @@
 	return o;
 }
 
+static void on_call_failed(void *, void *, enum back_fail, bool);
+
+/* Asks another instance, well before the lease has expired. */
+static void
+on_call_timeout(struct tevent_context *c, struct tevent_timer *te,
+    struct timeval tv, void *arg)
+{
+	struct worker *w = arg;
+
+	w->call_timer = NULL;
+	back_abort(w->call);
+	on_call_failed(NULL, w, BACK_RESET, true);
+}
+
+/* Stops all tasks when the lease has expired by this worker's own clock. */
+static void
+on_lease_end(struct tevent_context *c, struct tevent_timer *te,
+    struct timeval tv, void *arg)
+{
+	struct worker *w = arg;
+
+	w->lease_timer = NULL;
+	tasks_drop(w, "expired");
+}
+
 static void
 call_send(struct worker *w, const char *suffix, struct json_object *body)
 {
@@ -432,7 +461,9 @@
 	r.user = w;
 	w->calling = true;
 	w->asked = clk_now(&the_clock);
-	back_start(back, &r);
+	w->call = back_start(back, &r);
+	w->call_timer = tevent_add_timer(
+	    ev, ev, in_ms(w->lease_ms / CALLS_PER_LEASE), on_call_timeout, w);
 	json_object_put(body);
 }
 
@@ -461,9 +492,6 @@
 
 	if (w->calling || w->silent || w->left)
 		return;
-	if (w->announced && w->tasks != NULL &&
-	    clk_before(w->lease_until, clk_now(&the_clock)))
-		tasks_drop(w, "expired");
 	if (!w->announced && stopping) {
 		w->left = true;
 		return;
@@ -530,6 +558,10 @@
 	w->lease_ms = (int64_t)number(o, "lease_ms", (uint64_t)w->lease_ms);
 	w->poll_ms = (int64_t)number(o, "poll_ms", (uint64_t)w->poll_ms);
 	w->lease_until = clk_add_ms(w->asked, w->lease_ms);
+	TALLOC_FREE(w->lease_timer);
+	w->lease_timer = tevent_add_timer(ev, ev,
+	    in_ms(clk_diff_ms(w->lease_until, clk_now(&the_clock))),
+	    on_lease_end, w);
 	if (!w->announced) {
 		w->announced = true;
 		w->epoch = number(o, "epoch", 0);
@@ -550,6 +582,7 @@
 	char *body = str_cstr(NULL, a->body);
 
 	w->calling = false;
+	TALLOC_FREE(w->call_timer);
 	o = json_tokener_parse(body);
 	talloc_free(body);
 	if (a->status == 200 && w->done) {
@@ -575,6 +608,7 @@
 	struct worker *w = user;
 
 	w->calling = w->done = false;
+	TALLOC_FREE(w->call_timer);
 	w->target++;
 	worker_later(w, RETRY_MS);
 }
--- a/scripts/capacity.awk
+++ b/scripts/capacity.awk
@@ -16,13 +16,26 @@
 	}
 	slope = (n * sxy - sx * sy) / (n * sxx - sx * sx)
 	base = (sy - slope * sx) / n
-	worst = 0
+	worst = largest = 0
 	for (i = 1; i <= n; i++) {
 		d = ys[i] - base - slope * xs[i]
 		d = d < 0 ? -d : d
-		if (ys[i] > 0 && d / ys[i] > worst)
-			worst = d / ys[i]
+		worst = d > worst ? d : worst
+		largest = ys[i] > largest ? ys[i] : largest
 	}
+	worst = largest > 0 ? worst / largest : 0
+}
+
+# Fits a figure measured at the sizes in list.
+function fit_at(prefix, list,    n, i, s) {
+	n = split(list, s, " ")
+	for (i = 1; i <= n; i++) {
+		xs[i] = s[i]
+		ys[i] = v[prefix s[i]]
+	}
+	fit(n)
+	return sprintf("%.3g a worker; sizes %s; residual %.0f%%", slope, list,
+	    100 * worst)
 }
 
 # Fits the total of a per-item figure measured at the sizes in list.
@@ -98,6 +111,15 @@
 	put("entry instance", "CPU: engine per 1,000 requests/s", sprintf("%.3g us a request", v["request_cpu_per_request_1000_workers"]), 0.1 * v["request_cpu_per_request_1000_workers"], 2.2, "%", "no scan of workers per request")
 	put("entry instance", "memory: workers in the engine", sprintf("%.4g B a worker", v["request_bytes_per_worker_1000_workers"]), v["request_bytes_per_worker_1000_workers"] * workers / mib, 32, "MB", "granted slots only")
 
+	text = fit_at("process_cpu_leader_", "20 65 200")
+	put("daemon", "CPU: leader's process, today's 65 workers polling each second", text, base + slope * 65, 2.2, "%", "no log write per poll")
+	put("daemon", "CPU: leader's process, 1,100 workers polling every 3 s", text, base + slope * workers / poll_s, 2.2, "%", "polls through all 8 instances; see below")
+	text = fit_at("process_cpu_follower_", "20 65 200")
+	put("daemon", "CPU: other process, today's 65 workers", text, base + slope * 65, 2.2, "%", "polls forwarded in one frame")
+	text = fit_at("process_rss_leader_", "20 65 200")
+	put("daemon", "memory: leader's process, 65 workers", text " KiB", (base + slope * 65) / 1024, 32, "MB", "at rest")
+	put("daemon", "memory: leader's process, 1,100 workers", text " KiB", (base + slope * workers) / 1024, 32, "MB", "at rest, without tasks")
+
 	put("system", "configuration in force on 41 instances", "p99 on the passed-in clock", v["config_accepted_to_in_force_41_instances_p99"] / 1000, 7, "s", "heartbeats of 500 ms; freshness bound 3 s")
 	put("system", "leader loss to next change", "p99, 1 ms one way", v["raft_failover_1ms_p99"] / 1000, 7.3, "s", "elections of 1 to 2 s")
 	put("system", "placement of all 21,000 starts/s in one place", sprintf("%.3g us a start at 22,000 workers", v["placement_us_per_start_22000"]), 100 * 21000 * v["placement_us_per_start_22000"] / 1e6, 100, "% of a core", "would fit one core; groups split it by 20")
--- a/src/control/cell_sched.c
+++ b/src/control/cell_sched.c
@@ -172,7 +172,7 @@
 			abort();
 		refused[nrefused++] = a->u.task.task;
 	}
-	for (i = 0; i < nrefused; i++)
+	for (i = 0; refused != NULL && i < nrefused; i++)
 		cell_assign_refused(c, refused[i]);
 }
 
--- a/src/control/st_worker.c
+++ b/src/control/st_worker.c
@@ -67,7 +67,7 @@
 worker_add(struct st *st, uint64_t epoch, struct str name, struct str up)
 {
 	struct st_worker *w = calloc(1, sizeof(*w) + name.len + up.len);
-	char *p = (char *)(w + 1);
+	char *p;
 
 	if (st->nworkers == st->capworkers) {
 		st->capworkers = st->capworkers == 0 ? 16 : 2 * st->capworkers;
@@ -76,6 +76,7 @@
 	}
 	if (w == NULL || st->workers == NULL)
 		abort();
+	p = (char *)(w + 1);
 	w->epoch = epoch;
 	memcpy(p, name.p, name.len);
 	w->name = str_mem(p, name.len);
--- a/src/node/api.c
+++ b/src/node/api.c
@@ -683,7 +683,9 @@
 		keep_list(o, sub, "members");
 	} else if (json_object_object_get_ex(all, "info", &sub)) {
 		json_object_object_foreach(sub, key, item)
-		    json_object_object_add(o, key, json_object_get(item));
+		{
+			json_object_object_add(o, key, json_object_get(item));
+		}
 	}
 	json_object_put(all);
 	return json_text(ctx, o);
