Split the traffic thread into loop, operations and actions

Cause: traffic.c had grown to 1,126 lines with three duties. Change: traffic_op.c hands operations to the control thread, traffic_act.c carries out the engine's actions, traffic_impl.h holds the shared state; functions are moved, not changed.

--- /dev/null
+++ b/src/node/traffic_act.c
@@ -0,0 +1,386 @@
+#include "node/traffic_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "node/nctr.h"
+#include "node/tstats.h"
+
+static const struct view_worker *
+view_worker_at(struct traffic *t, size_t i, uint64_t epoch)
+{
+	if (t->view == NULL || i >= t->view->nworkers ||
+	    t->view->workers[i].epoch != epoch)
+		return NULL;
+	return &t->view->workers[i];
+}
+
+static void
+dispatch(struct traffic *t, struct treq *r, const struct eng_act *a)
+{
+	const struct view_worker *w =
+	    view_worker_at(t, a->u.dispatch.worker, a->u.dispatch.epoch);
+	struct eng_ev ev = {
+		.kind = ENG_EV_FAILED, .req = r->id, .attempt = a->attempt
+	};
+	struct call_user *u;
+	struct back_req b;
+
+	if (w == NULL || r->http == NULL) {
+		ev.u.failed.kind = ENG_FAIL_CONNECT;
+		traffic_event_later(t, &ev);
+		return;
+	}
+	u = talloc_zero(t, struct call_user);
+	if (u == NULL)
+		abort();
+	u->req = r;
+	u->attempt = a->attempt;
+	memset(&b, 0, sizeof(b));
+	b.addr = w->addr;
+	b.connections = w->connections;
+	b.method = r->http->method;
+	b.target = r->http->target;
+	b.body = r->http->body;
+	b.headers = r->http->headers;
+	b.nheaders = r->http->nheaders;
+	b.epoch = w->epoch;
+	b.request = r->id;
+	b.timeout_ms = clk_diff_ms(a->u.dispatch.deadline, clk_now(&t->clk));
+	if (b.timeout_ms < 1)
+		b.timeout_ms = 1;
+	b.user = u;
+	r->attempt = a->attempt;
+	r->call = back_start(t->back, &b);
+	talloc_steal(r->call, u);
+}
+
+static void
+probe_send(struct traffic *t, const struct eng_act *a)
+{
+	const struct view_worker *w =
+	    view_worker_at(t, a->u.probe.worker, a->u.probe.epoch);
+	struct eng_ev ev = { .kind = ENG_EV_PROBED };
+	struct call_user *u;
+	struct back_req b;
+
+	if (w == NULL) {
+		ev.u.probed.epoch = a->u.probe.epoch;
+		traffic_event_later(t, &ev);
+		return;
+	}
+	u = talloc_zero(t, struct call_user);
+	if (u == NULL)
+		abort();
+	u->probe = talloc_zero(u, struct probe);
+	u->probe->t = t;
+	u->probe->epoch = w->epoch;
+	memset(&b, 0, sizeof(b));
+	b.addr = w->addr;
+	b.connections = w->connections;
+	b.method = str_from("GET");
+	b.target = str_from("/ping");
+	b.epoch = w->epoch;
+	b.probe = true;
+	b.user = u;
+	talloc_steal(back_start(t->back, &b), u);
+}
+
+static int
+refusal_status(enum eng_outcome outcome, enum eng_reason reason)
+{
+	if (outcome == ENG_UNKNOWN)
+		return reason == ENG_R_TIMEOUT ||
+			reason == ENG_R_CLAIM_UNKNOWN ||
+			reason == ENG_R_KEY_RUNNING
+		    ? 504
+		    : 502;
+	switch (reason) {
+	case ENG_R_UNKNOWN_CLASS:
+		return 404;
+	case ENG_R_BAD_REQUEST:
+		return 400;
+	case ENG_R_KEY_MISMATCH:
+		return 422;
+	default:
+		return 503;
+	}
+}
+
+/* Appends a header field; name and value must outlive the list. */
+void
+traffic_header_add(
+    struct front_header *h, size_t *n, const char *name, struct str value)
+{
+	h[*n].name = str_from(name);
+	h[*n].value = value;
+	(*n)++;
+}
+
+static const char *const outcome_names[] = { "answered", "not-run", "unknown" };
+
+static void
+answer_refusal(
+    struct treq *r, const struct eng_act *a, struct front_header *h, size_t n)
+{
+	struct front_reply f;
+	const char *reason = eng_reason_name(a->u.answer.reason);
+	char text[256], after[32];
+	long long s = (a->u.answer.retry_after_ms + 999) / 1000;
+
+	memset(&f, 0, sizeof(f));
+	snprintf(after, sizeof(after), "%lld", s < 1 ? 1 : s);
+	traffic_header_add(h, &n, "Cicadabay-Reason", str_from(reason));
+	traffic_header_add(h, &n, "Content-Type", str_from("application/json"));
+	if (a->u.answer.outcome == ENG_NOT_RUN ||
+	    a->u.answer.reason == ENG_R_KEY_RUNNING)
+		traffic_header_add(h, &n, "Retry-After", str_from(after));
+	snprintf(text, sizeof(text), "{\"outcome\":\"%s\",\"reason\":\"%s\"}\n",
+	    outcome_names[a->u.answer.outcome], reason);
+	f.status = refusal_status(a->u.answer.outcome, a->u.answer.reason);
+	f.headers = h;
+	f.nheaders = n;
+	f.body = str_from(text);
+	front_answer(r->http, &f);
+}
+
+static void
+answer(struct traffic *t, struct treq *r, const struct eng_act *a)
+{
+	struct front_header *h;
+	struct front_reply f;
+	size_t n = 0, i;
+
+	if (r->http == NULL)
+		return;
+	h = talloc_array(r, struct front_header, r->nheaders + 8);
+	if (h == NULL)
+		abort();
+	traffic_header_add(h, &n, "Cicadabay-Outcome",
+	    str_from(outcome_names[a->u.answer.outcome]));
+	if (a->u.answer.outcome == ENG_ANSWERED && r->has_answer) {
+		memset(&f, 0, sizeof(f));
+		for (i = 0; i < r->nheaders; i++)
+			h[n++] = r->headers[i];
+		if (r->nheaders == 0 && r->content_type.len > 0)
+			traffic_header_add(
+			    h, &n, "Content-Type", r->content_type);
+		f.status = r->status;
+		f.headers = h;
+		f.nheaders = n;
+		f.body = r->body;
+		front_answer(r->http, &f);
+	} else {
+		answer_refusal(r, a, h, n);
+	}
+	r->http = NULL;
+}
+
+static void
+act_abort(struct treq *r, uint64_t attempt)
+{
+	if (r->call == NULL || r->attempt != attempt)
+		return;
+	back_abort(r->call);
+	r->call = NULL;
+}
+
+static void
+act_do(struct traffic *t, const struct eng_act *a)
+{
+	struct treq *r;
+
+	if (a->kind == ENG_ACT_PROBE) {
+		probe_send(t, a);
+		return;
+	}
+	r = g_hash_table_lookup(t->reqs, &a->req);
+	if (r == NULL) {
+		log_event(LOG_WARNING, "traffic",
+		    "event=action_without_request kind=%d", (int)a->kind);
+		return;
+	}
+	switch (a->kind) {
+	case ENG_ACT_CLAIM:
+		traffic_claim_send(t, r);
+		break;
+	case ENG_ACT_DISPATCH:
+		dispatch(t, r, a);
+		break;
+	case ENG_ACT_ABORT:
+		act_abort(r, a->attempt);
+		break;
+	case ENG_ACT_ANSWER:
+		answer(t, r, a);
+		break;
+	case ENG_ACT_RECORD:
+		traffic_record_send(t, r, a->u.record.outcome);
+		break;
+	case ENG_ACT_PROBE:
+		break;
+	}
+}
+
+static void
+on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+    void *arg)
+{
+	struct traffic *t = arg;
+	struct eng_ev tick = { .kind = ENG_EV_TICK };
+
+	t->tick = NULL;
+	traffic_step(t, &tick);
+}
+
+/* Keeps one timer, armed again only when the engine needs it earlier. */
+void
+traffic_tick_arm(struct traffic *t)
+{
+	struct timespec at = eng_deadline(t->eng);
+	int64_t ns;
+
+	if (t->tick != NULL && !clk_before(at, t->tick_at))
+		return;
+	TALLOC_FREE(t->tick);
+	ns = clk_diff_ns(at, clk_now(&t->clk));
+	if (ns < 0)
+		ns = 0;
+	if (ns > CLK_NS_PER_S)
+		ns = CLK_NS_PER_S;
+	t->tick_at = at;
+	t->tick = tevent_add_timer(t->ev, t,
+	    tevent_timeval_current_ofs((uint32_t)(ns / CLK_NS_PER_S),
+		(uint32_t)(ns % CLK_NS_PER_S / 1000) + 1),
+	    on_tick, t);
+}
+
+/* Gives the engine an event and carries out what it decides. */
+void
+traffic_step(struct traffic *t, const struct eng_ev *first)
+{
+	struct eng_ev ev = *first;
+	struct treq *r;
+	size_t i, next = 0;
+
+	if (t->stepping) {
+		traffic_event_later(t, first);
+		return;
+	}
+	t->stepping = true;
+	for (;;) {
+		t->acts.n = 0;
+		eng_step(t->eng, clk_now(&t->clk), &ev, &t->acts);
+		for (i = 0; i < t->acts.n; i++)
+			act_do(t, &t->acts.v[i]);
+		for (i = 0; i < t->acts.n; i++) {
+			r = t->acts.v[i].kind == ENG_ACT_PROBE
+			    ? NULL
+			    : g_hash_table_lookup(t->reqs, &t->acts.v[i].req);
+			if (r != NULL)
+				traffic_req_release(r);
+		}
+		if (next == t->evq->len)
+			break;
+		ev = g_array_index(t->evq, struct eng_ev, next);
+		next++;
+	}
+	g_array_set_size(t->evq, 0);
+	t->stepping = false;
+	traffic_reap(t);
+	traffic_tick_arm(t);
+}
+
+/* ---- calls to workers ---- */
+
+/* Tells the engine that the first byte of an attempt may have left. */
+void
+traffic_on_sent(void *arg, void *user)
+{
+	struct call_user *u = user;
+	struct eng_ev ev = { .kind = ENG_EV_SENT };
+
+	if (u->req == NULL)
+		return;
+	ev.req = u->req->id;
+	ev.attempt = u->attempt;
+	traffic_step(arg, &ev);
+}
+
+static void
+answer_keep(struct treq *r, const struct back_answer *a)
+{
+	size_t i;
+
+	r->has_answer = true;
+	r->status = a->status;
+	r->body = str_dup(r, a->body);
+	r->headers = talloc_array(r, struct front_header, a->nheaders + 1);
+	if (r->headers == NULL)
+		abort();
+	for (i = 0; i < a->nheaders; i++) {
+		r->headers[i].name = str_dup(r, a->headers[i].name);
+		r->headers[i].value = str_dup(r, a->headers[i].value);
+	}
+	r->nheaders = a->nheaders;
+	r->content_type = str_dup(r, a->content_type);
+}
+
+static void
+probe_done(struct traffic *t, const struct probe *p, bool ok)
+{
+	struct eng_ev ev = { .kind = ENG_EV_PROBED };
+
+	ev.u.probed.epoch = p->epoch;
+	ev.u.probed.ok = ok;
+	traffic_step(t, &ev);
+}
+
+/* Takes a whole answer of a worker, to a request or to a probe. */
+void
+traffic_on_done(void *arg, void *user, const struct back_answer *a)
+{
+	struct call_user *u = user;
+	struct traffic *t = arg;
+	struct eng_ev ev = { .kind = ENG_EV_DONE };
+
+	if (u->req == NULL) {
+		probe_done(t, u->probe, a->status == 200);
+		return;
+	}
+	u->req->call = NULL;
+	answer_keep(u->req, a);
+	ev.req = u->req->id;
+	ev.attempt = u->attempt;
+	ev.u.done.http_status = a->status;
+	traffic_step(t, &ev);
+	traffic_req_settle(t, ev.req);
+}
+
+/*
+ * Takes the failure of an attempt or a probe; sent: a byte may have left.
+ */
+void
+traffic_on_failed(void *arg, void *user, enum back_fail kind, bool sent)
+{
+	static const enum eng_fail kinds[] = { [BACK_CONNECT] =
+						   ENG_FAIL_CONNECT,
+		[BACK_NOT_STARTED] = ENG_FAIL_NOT_STARTED,
+		[BACK_RESET] = ENG_FAIL_RESET,
+		[BACK_TRUNCATED] = ENG_FAIL_TRUNCATED };
+	struct call_user *u = user;
+	struct traffic *t = arg;
+	struct eng_ev ev = { .kind = ENG_EV_FAILED };
+
+	if (u->req == NULL) {
+		probe_done(t, u->probe, false);
+		return;
+	}
+	u->req->call = NULL;
+	ev.req = u->req->id;
+	ev.attempt = u->attempt;
+	ev.u.failed.kind = kinds[kind];
+	ev.u.failed.sent = sent;
+	traffic_step(t, &ev);
+	traffic_req_settle(t, ev.req);
+}
