--- a/src/node/api.c
+++ b/src/node/api.c
@@ -7,6 +7,12 @@
 #include "node/pjson.h"
 #include "node/sock.h"
 
+/* Far above any real instance, and low enough that sums cannot overflow. */
+#define API_CPU_MILLI_MAX 100000000ULL
+#define API_MEM_MB_MAX	  (1ULL << 32)
+#define API_ACCEL_MAX	  100000
+#define API_SLOTS_MAX	  100000
+
 struct input {
 	TALLOC_CTX *ctx;
 	struct str id; /* the part of the path that "*" stands for */
@@ -298,6 +304,32 @@
 	return pjson_fill(in->ctx, m, in->json, e);
 }
 
+/* A worker without processors or memory, or with absurd ones, is a fault. */
+static enum status
+capacity_check(const Control__WorkerUp *up, struct err *e)
+{
+	const struct {
+		const char *name;
+		uint64_t value, min, max;
+	} fields[] = {
+		{ "cpu_milli", up->cpu_milli, 1, API_CPU_MILLI_MAX },
+		{ "mem_mb", up->mem_mb, 1, API_MEM_MB_MAX },
+		{ "accel", up->accel, 0, API_ACCEL_MAX },
+		{ "slots", up->slots, 0, API_SLOTS_MAX },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+		if (fields[i].value < fields[i].min ||
+		    fields[i].value > fields[i].max)
+			return err_set(e, STATUS_INVALID,
+			    "field \"%s\": expected %llu to %llu",
+			    fields[i].name, (unsigned long long)fields[i].min,
+			    (unsigned long long)fields[i].max);
+	}
+	return STATUS_OK;
+}
+
 static enum status
 post_worker(struct input *in, struct err *e)
 {
@@ -312,7 +344,9 @@
 	st = worker_body(in, &up->base, e);
 	if (st != STATUS_OK)
 		return st;
-	st = sock_addr(str_from(up->addr), &ss, &len, e);
+	st = capacity_check(up, e);
+	if (st == STATUS_OK)
+		st = sock_addr(str_from(up->addr), &ss, &len, e);
 	for (i = 0; st == STATUS_OK && i < up->n_serves; i++)
 		st = name_check("serves", up->serves[i], e);
 	if (st == STATUS_OK && up->rack != NULL)
--- /dev/null
+++ b/tests/damaged_disk.sh
@@ -0,0 +1,73 @@
+#!/usr/bin/env bash
+# Guards against a replica that loses accepted changes to a torn write, that
+# starts on a damaged log, or that votes under an identity whose disk is gone.
+set -u
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+
+cluster_init "${1:-build/rel}" 3
+cluster_start 3
+classes_write
+for version in 0 1 2 3 4 5; do
+	"$build/cicadabay" apply --version $version "$work/classes.ini" \
+	    >/dev/null || fail "apply at version $version"
+done
+at_version_6() {
+	"$build/cicadabay" classes | grep -q '^version *6$'
+}
+replica_of() {
+	"$build/cicadabay" members | awk -v i="$1" '$2 == i { print $1 }'
+}
+voter() {
+	"$build/cicadabay" members |
+	    awk -v i="$1" '$2 == i && $3 == "true" { n++ } END { exit n != 1 }'
+}
+instance_gone() {
+	! kill -0 "${instance_pid[$1]}" 2>/dev/null
+}
+newest_log() {
+	ls "$work/data$1"/log-* | tail -n 1
+}
+at_version_6 || fail "version"
+
+# A torn tail: the last record is cut short.
+instance_kill 2
+wait_for 10 "end of instance 2" instance_gone 2
+log=$(newest_log 2)
+truncate -s -3 "$log"
+instance_start 2
+wait_for 20 "readiness after a torn tail" instance_ready 2
+wait_for 10 "vote after a torn tail" voter 2
+
+# A damaged record with valid ones behind it.
+instance_kill 2
+wait_for 10 "end of instance 2" instance_gone 2
+log=$(newest_log 2)
+cp "$log" "$work/intact"
+offset=$(($(stat -c %s "$log") / 3))
+byte=$(od -An -tu1 -j "$offset" -N 1 "$log")
+printf "$(printf '\\%03o' $((byte ^ 255)))" |
+    dd of="$log" bs=1 seek="$offset" conv=notrunc 2>/dev/null
+if timeout 10 "$build/cicadabay" serve -c "$work/i2.ini" 2>"$work/refused"; then
+	fail "a damaged log was accepted"
+fi
+grep -q CORRUPT "$work/refused" || fail "not CORRUPT: $(cat "$work/refused")"
+
+# An empty directory: a new identity, and the old one is gone.
+old=$(replica_of 2)
+rm -rf "$work/data2"
+instance_start 2
+renewed() {
+	local now
+	now=$(replica_of 2)
+	[ -n "$now" ] && [ "$now" != "$old" ] && voter 2
+}
+wait_for 20 "a vote under a new identity" renewed
+"$build/cicadabay" members | grep -q "^$old " && fail "$old is still a member"
+
+# A second loss right after the repair leaves a majority with all changes.
+instance_kill 1
+wait_for 15 "changes after the second loss" at_version_6
+"$build/cicadabay" apply --version 6 "$work/classes.ini" >/dev/null ||
+    fail "no change accepted after the second loss"
+echo "torn tail cut, damage refused, replica renewed, second loss survived"
