Measure real processes; print answers in a module of their own

Change: scripts/bench_process.sh, part of make bench; the load tool can ask workers directly and prints the 99.9th percentile; cli/show holds the printing.

--- a/fakes/load.c
+++ b/fakes/load.c
@@ -26,6 +26,7 @@
 struct opts {
 	char *instances, *class_name, *ledger, *prefix;
 	int count, concurrency, rate, keyed, idempotent, timeout_ms, seed;
+	int direct;
 	int retry_s;
 };
 
@@ -182,7 +183,7 @@
 	r->call = NULL;
 	TALLOC_FREE(r->timer);
 	snprintf(text, sizeof(text), STR_FMT, STR_ARG(reason));
-	if (str_eq_c(outcome, "answered")) {
+	if (str_eq_c(outcome, "answered") || (opt.direct && a->status == 200)) {
 		body = str_cstr(r, a->body);
 		own = strstr(body, r->path) != NULL;
 		request_end(r, own ? "answered" : "wrong", "-");
@@ -328,7 +329,8 @@
 	printf("retried %d\n", retried);
 	for (i = 0; i < REASONS_MAX && reasons[i].n > 0; i++)
 		printf("%s %d\n", reasons[i].name, reasons[i].n);
-	printf("p50_ms %.2f\np99_ms %.2f\n", quantile(0.50), quantile(0.99));
+	printf("p50_ms %.2f\np99_ms %.2f\np999_ms %.2f\n", quantile(0.50),
+	    quantile(0.99), quantile(0.999));
 }
 
 static GOptionEntry entries[] = {
@@ -341,6 +343,8 @@
 	    "requests at once", "N" },
 	{ "rate", 0, 0, G_OPTION_ARG_INT, &opt.rate,
 	    "requests a second, 0: as fast as they are answered", "N" },
+	{ "direct", 0, 0, G_OPTION_ARG_NONE, &opt.direct,
+	    "the addresses are workers: any 200 is an answer", NULL },
 	{ "keyed", 0, 0, G_OPTION_ARG_INT, &opt.keyed,
 	    "percent with an idempotency key", "N" },
 	{ "idempotent", 0, 0, G_OPTION_ARG_INT, &opt.idempotent,
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,3 +5,4 @@
 	case $b in *.o | *.d) continue ;; esac
 	[ -x "$b" ] && "$b"
 done
+scripts/bench_process.sh "$1"
--- a/src/cli/cmd.c
+++ b/src/cli/cmd.c
@@ -10,10 +10,10 @@
 #include "cli/cls.h"
 #include "cli/explain.h"
 #include "cli/set.h"
+#include "cli/show.h"
 
 #define NELEM(a)	 (sizeof(a) / sizeof((a)[0]))
 #define CHANGE_ID_BYTES	 16
-#define MAX_COLUMNS	 16
 #define MIB_SUFFIX_BYTES (1024 * 1024)
 #define TASKS_MAX	 1000000
 
@@ -40,20 +40,10 @@
 	}
 }
 
-static const char *
-member_text(struct json_object *o, const char *key, const char *def)
-{
-	struct json_object *v;
-
-	if (o == NULL || !json_object_object_get_ex(o, key, &v))
-		return def;
-	return json_object_get_string(v);
-}
-
 static enum status
 reply_status(const struct http_reply *r)
 {
-	const char *name = member_text(r->body, "status", NULL);
+	const char *name = show_member(r->body, "status", NULL);
 	int i;
 
 	for (i = 0; name != NULL && i < STATUS_COUNT; i++) {
@@ -80,7 +70,7 @@
 	if (st != STATUS_OK) {
 		if (opt->json)
 			printf("%s\n", r->text);
-		err_set(&e, st, "%s", member_text(r->body, "message", r->text));
+		err_set(&e, st, "%s", show_member(r->body, "message", r->text));
 		return fail(exit_code(st), &e);
 	}
 	return EXIT_DONE;
@@ -115,98 +105,6 @@
 	return code;
 }
 
-static void
-print_cell(struct json_object *v, int width)
-{
-	const char *text = v == NULL ? "-" : json_object_get_string(v);
-
-	printf("%-*s  ", width, text);
-}
-
-static int
-column_width(struct json_object *rows, const char *column)
-{
-	size_t i, n = json_object_array_length(rows);
-	int width = (int)strlen(column);
-
-	for (i = 0; i < n; i++) {
-		const char *t = member_text(
-		    json_object_array_get_idx(rows, i), column, "-");
-
-		if ((int)strlen(t) > width)
-			width = (int)strlen(t);
-	}
-	return width;
-}
-
-static void
-show_rows(struct json_object *rows, const char *const *columns)
-{
-	int width[MAX_COLUMNS];
-	size_t i, c, n = json_object_array_length(rows);
-
-	for (c = 0; columns[c] != NULL; c++) {
-		width[c] = column_width(rows, columns[c]);
-		printf("%-*s  ", width[c], columns[c]);
-	}
-	printf("\n");
-	for (i = 0; i < n; i++) {
-		struct json_object *row = json_object_array_get_idx(rows, i);
-
-		for (c = 0; columns[c] != NULL; c++) {
-			struct json_object *v = NULL;
-
-			json_object_object_get_ex(row, columns[c], &v);
-			print_cell(v, width[c]);
-		}
-		printf("\n");
-	}
-}
-
-/* Prints plain members, and those of an object behind the object's name. */
-static void
-show_members(struct json_object *o, const char *group)
-{
-	json_object_object_foreach(o, key, val)
-	{
-		if (json_object_is_type(val, json_type_array))
-			continue;
-		if (json_object_is_type(val, json_type_object))
-			show_members(val, key);
-		else
-			printf("%s%s%-32s %s\n", group,
-			    *group == '\0' ? "" : ".", key,
-			    json_object_get_string(val));
-	}
-}
-
-/*
- * Prints the rows of a command's list as columns after the plain members of
- * the body, or the whole body as JSON.
- */
-void
-cmd_show(const struct cmd *cmd, struct json_object *body, bool json)
-{
-	struct json_object *rows;
-
-	if (json || body == NULL) {
-		printf("%s\n", json_object_to_json_string(body));
-		return;
-	}
-	if (cmd->list == NULL) {
-		show_members(body, "");
-		return;
-	}
-	if (cmd->columns == NULL) {
-		printf("%s\n", member_text(body, cmd->list, ""));
-		return;
-	}
-	show_members(body, "");
-	if (json_object_object_get_ex(body, cmd->list, &rows) &&
-	    json_object_is_type(rows, json_type_array))
-		show_rows(rows, cmd->columns);
-}
-
 /*
  * Commands that are one read or deletion. Both have the same effect when sent
  * twice, and so are sent to the next instance after a lost answer.
@@ -226,7 +124,7 @@
 		    ctx, "%s%s%s", cmd->prefix, args[0], cmd->suffix);
 	code = call(opt, ctx, cmd->method, path, NULL, true, &r);
 	if (code == EXIT_DONE)
-		cmd_show(cmd, r.body, opt->json);
+		show_body(cmd, r.body, opt->json);
 	http_reply_finish(&r);
 	talloc_free(ctx);
 	return code;
@@ -239,7 +137,7 @@
 	int code = call(opt, ctx, "GET", "/v1/classes", NULL, true, &r);
 
 	if (code == EXIT_DONE)
-		*v = strtoll(member_text(r.body, "version", "0"), NULL, 10);
+		*v = strtoll(show_member(r.body, "version", "0"), NULL, 10);
 	http_reply_finish(&r);
 	return code;
 }
@@ -270,7 +168,7 @@
 		cls_to_json(ctx, file, id, (uint64_t)version), true, &r),
 	    id);
 	if (code == EXIT_DONE)
-		cmd_show(cmd, r.body, opt->json);
+		show_body(cmd, r.body, opt->json);
 out:
 	http_reply_finish(&r);
 	talloc_free(ctx);
@@ -358,7 +256,7 @@
 		code = explain_unknown(
 		    call(opt, ctx, "POST", "/v1/jobs", body, true, &r), id);
 		if (code == EXIT_DONE)
-			cmd_show(cmd, r.body, opt->json);
+			show_body(cmd, r.body, opt->json);
 	}
 	http_reply_finish(&r);
 	talloc_free(ctx);
@@ -380,7 +278,7 @@
 	code = call(opt, ctx, "POST", "/v1/drain",
 	    json_object_to_json_string(body), args[0] != NULL, &r);
 	if (code == EXIT_DONE)
-		cmd_show(cmd, r.body, opt->json);
+		show_body(cmd, r.body, opt->json);
 	json_object_put(body);
 	http_reply_finish(&r);
 	talloc_free(ctx);
--- a/src/cli/cmd.h
+++ b/src/cli/cmd.h
@@ -52,9 +52,6 @@
 
 const struct cmd *cmd_find(const char *name);
 
-/* Prints body as columns, or as JSON. */
-void cmd_show(const struct cmd *, struct json_object *body, bool json);
-
 __END_DECLS
 
 #endif
