Grow action arrays in one place

Cause: the same growth of an action array stood in five modules, and the one in sched did not check for lack of memory. Change: base/vec does it for raft, cell, agent, eng and sched.

--- a/src/control/agent.c
+++ b/src/control/agent.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/vec.h"
 #include "control/agent_impl.h"
 #include "control/pb.h"
 
@@ -35,13 +36,7 @@
 	struct agent_acts *out = a->acts;
 	struct agent_act *act;
 
-	if (out->n == out->cap) {
-		out->cap = out->cap == 0 ? 16 : 2 * out->cap;
-		out->v =
-		    talloc_realloc(NULL, out->v, struct agent_act, out->cap);
-		if (out->v == NULL)
-			abort();
-	}
+	out->v = vec_grow(out->v, out->n, &out->cap, sizeof(*out->v));
 	act = &out->v[out->n++];
 	memset(act, 0, sizeof(*act));
 	act->kind = kind;
--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/vec.h"
 #include "control/cell_impl.h"
 #include "control/pb.h"
 
@@ -49,13 +50,7 @@
 	struct cell_acts *out = c->acts;
 	struct cell_act *a;
 
-	if (out->n == out->cap) {
-		out->cap = out->cap == 0 ? 16 : 2 * out->cap;
-		out->v =
-		    talloc_realloc(NULL, out->v, struct cell_act, out->cap);
-		if (out->v == NULL)
-			abort();
-	}
+	out->v = vec_grow(out->v, out->n, &out->cap, sizeof(*out->v));
 	a = &out->v[out->n++];
 	memset(a, 0, sizeof(*a));
 	a->kind = kind;
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/vec.h"
 #include "control/raft_priv.h"
 
 /* Grows an array of n elements to hold one more; capacities are powers of 2. */
@@ -24,13 +25,7 @@
 	struct raft_acts *out = r->acts;
 	struct raft_act *a;
 
-	if (out->n == out->cap) {
-		out->cap = out->cap == 0 ? 16 : out->cap * 2;
-		out->v =
-		    talloc_realloc(NULL, out->v, struct raft_act, out->cap);
-		if (out->v == NULL)
-			abort();
-	}
+	out->v = vec_grow(out->v, out->n, &out->cap, sizeof(*out->v));
 	a = &out->v[out->n++];
 	memset(a, 0, sizeof(*a));
 	a->kind = kind;
--- a/src/placement/sched.c
+++ b/src/placement/sched.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 #include <string.h>
+
+#include "base/vec.h"
 #include "placement/sched_impl.h"
 
 #define HEADROOM_DECAY_S 600
@@ -101,10 +103,7 @@
 {
 	struct sched_acts *o = s->out;
 
-	if (o->n == o->cap) {
-		o->cap = o->cap > 0 ? o->cap * 2 : 64;
-		o->v = talloc_realloc(NULL, o->v, struct sched_act, o->cap);
-	}
+	o->v = vec_grow(o->v, o->n, &o->cap, sizeof(*o->v));
 	memset(&o->v[o->n], 0, sizeof(o->v[o->n]));
 	o->v[o->n].kind = kind;
 	return &o->v[o->n++];
--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/vec.h"
+
 #define ENG_CHUNK 64
 /* How long the answer to the claim of an ended request is waited for; twice
  * the time after which the instance gives a forwarded operation up as lost. */
@@ -15,12 +17,7 @@
 	struct eng_acts *o = e->acts;
 	struct eng_act *a;
 
-	if (o->n == o->cap) {
-		o->cap = o->cap > 0 ? 2 * o->cap : 16;
-		o->v = talloc_realloc(NULL, o->v, struct eng_act, o->cap);
-		if (o->v == NULL)
-			abort();
-	}
+	o->v = vec_grow(o->v, o->n, &o->cap, sizeof(*o->v));
 	a = &o->v[o->n++];
 	memset(a, 0, sizeof(*a));
 	a->kind = kind;
