Give the first answer again also for a conflict at version 0

Cause: a resent change that had lost against version 0, before any configuration, was answered with the current version instead of the first answer, because 0 stood for "not set". Change: the result starts with the current version and is set by what the command does.

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/unit_tests: $(TESTOBJ) $(BUILD)/libcicadabay.a
-	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LDLIBS)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main -lrapidcheck $(LDLIBS)
 
 $(BUILD)/bench_%: $(BUILD)/bench/%.o $(BUILD)/libcicadabay.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
--- a/src/control/st.c
+++ b/src/control/st.c
@@ -124,12 +124,11 @@
 	st->index = index;
 	st->nnotes = 0;
 	memset(&st->res, 0, sizeof(st->res));
+	st->res.version = st->config->version;
 	if (c == NULL)
 		st_fail(st, STATUS_CORRUPT, "record is not a command");
 	else
 		st_dispatch(st, c);
-	if (st->res.version == 0)
-		st->res.version = st->config->version;
 	st->res.notes = st->notes;
 	st->res.nnotes = st->nnotes;
 	talloc_free(tmp);
--- a/src/control/st_config.c
+++ b/src/control/st_config.c
@@ -61,8 +61,8 @@
 
 /*
  * Looks for the result of an earlier change with this id and makes it the
- * result of the command. An id that was used for other content is refused.
- * Returns false when the id is new.
+ * result of the command. An id that was used for other content is refused;
+ * *value is left as it is then. Returns false when the id is new.
  */
 bool
 st_change_find(struct st *st, struct st_changes *c, struct str id,
@@ -73,7 +73,6 @@
 
 	if (k == NULL)
 		return false;
-	*value = 0;
 	if (k->digest != digest) {
 		st_fail(st, STATUS_INVALID,
 		    "change id was used for another change");
@@ -172,7 +171,8 @@
 st_config_set(struct st *st, const Control__ConfigSet *set)
 {
 	struct str id = str_from(set->change_id);
-	uint64_t digest = st_change_digest(set), version;
+	uint64_t digest = st_change_digest(set);
+	uint64_t version = st->config->version;
 	const char *fault;
 	Control__Config *c;
 
@@ -197,6 +197,7 @@
 		c->version = st->config->version + 1;
 		talloc_free(st->config);
 		st->config = c;
+		st->res.version = c->version;
 		st_note(st, ST_NOTE_CONFIG, c->version);
 	}
 	st_change_keep(&st->config_changes, id, digest, st->config->version,
