Name the groups and keys that a settings file may have

Cause: the message for an unknown group or key did not say what was expected. Change: it lists the groups, or the keys of the group.

--- a/src/base/ini.c
+++ b/src/base/ini.c
@@ -106,6 +106,31 @@
 	return st;
 }
 
+/* Joins names for a message; the caller frees the result. */
+static char *
+names_of(const struct ini_group *groups, size_t n)
+{
+	GString *s = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		g_string_append_printf(
+		    s, "%s[%s]", i == 0 ? "" : ", ", groups[i].name);
+	return g_string_free(s, FALSE);
+}
+
+static char *
+keys_of(const struct ini_group *g)
+{
+	GString *s = g_string_new(NULL);
+	size_t i;
+
+	for (i = 0; i < g->nfields; i++)
+		g_string_append_printf(
+		    s, "%s%s", i == 0 ? "" : ", ", g->fields[i].key);
+	return g_string_free(s, FALSE);
+}
+
 static enum status
 check_keys(const struct ini *ini, const struct ini_group *g, const char *name,
     struct err *e)
@@ -121,11 +146,14 @@
 				    "%s: [%s] %s: %s", ini->file, name, keys[i],
 				    g->denied[j].reason);
 		}
-		if (st == STATUS_OK && field_find(g, keys[i]) == NULL)
+		if (st == STATUS_OK && field_find(g, keys[i]) == NULL) {
+			char *known = keys_of(g);
+
 			st = err_set(e, STATUS_INVALID,
-			    "%s: [%s] %s: unknown key; expected one of the "
-			    "documented settings",
-			    ini->file, name, keys[i]);
+			    "%s: [%s] %s: unknown key; expected one of %s",
+			    ini->file, name, keys[i], known);
+			g_free(known);
+		}
 	}
 	g_strfreev(keys);
 	return st;
@@ -142,11 +170,15 @@
 		const struct ini_group *g =
 		    group_find(groups, ngroups, ini->names[i]);
 
-		if (g == NULL)
-			return err_set(e, STATUS_INVALID,
-			    "%s: [%s]: unknown group; expected %s%s", ini->file,
-			    ini->names[i], groups[0].name,
-			    ngroups > 1 ? " or another documented group" : "");
+		if (g == NULL) {
+			char *known = names_of(groups, ngroups);
+
+			st = err_set(e, STATUS_INVALID,
+			    "%s: [%s]: unknown group; expected one of %s",
+			    ini->file, ini->names[i], known);
+			g_free(known);
+			return st;
+		}
 		st = check_keys(ini, g, ini->names[i], e);
 		if (st != STATUS_OK)
 			return st;
