Run process tests with sanitizers too, three at a time

Cause: process tests ran with the release build only, one after the other. Change: scripts/check.sh runs them in both builds, three at a time, each test on a range of ports of its own.

--- a/Makefile
+++ b/Makefile
@@ -109,7 +109,7 @@
 asan:
 	$(MAKE) BUILD=build/asan OPT="-O1 -g" \
 	    SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined" \
-	    build/asan/unit_tests build/asan/cicadabay
+	    build/asan/unit_tests all
 
 benches: all $(BENCHES)
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -78,6 +78,35 @@
 	echo "ok unit $1: $n cases"
 }
 
+# process_tests BUILD PREFIX: three process tests at a time, each on a range
+# of ports of its own.
+process_tests() {
+	local t name running=0 port=10000
+	for t in tests/*.sh; do
+		name=process-$2$(basename "$t" .sh)
+		(
+			CLUSTER_PORT=$port bash "$t" "$1" >"$log/$name.log" 2>&1
+			echo $? >"$log/$name.rc"
+		) &
+		port=$((port + 500))
+		running=$((running + 1))
+		if [ $running -eq 3 ]; then
+			wait
+			running=0
+		fi
+	done
+	wait
+	for t in tests/*.sh; do
+		name=process-$2$(basename "$t" .sh)
+		if [ "$(cat "$log/$name.rc")" = 0 ]; then
+			ok "$name"
+		else
+			tail -n 40 "$log/$name.log"
+			not_ok "$name"
+		fi
+	done
+}
+
 step format make -s format-check
 step build make -s -j"$jobs" all build/rel/unit_tests benches
 step build-sanitizer make -s -j"$jobs" asan
@@ -87,10 +116,8 @@
 unit build/asan
 step docs scripts/docs.sh --check
 [ -x scripts/model.sh ] && step model scripts/model.sh small
-for t in tests/*.sh; do
-	[ -e "$t" ] || continue
-	step "process-$(basename "$t" .sh)" bash "$t" build/rel
-done
+process_tests build/rel ""
+process_tests build/asan sanitizer-
 
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -43,7 +43,8 @@
 }
 
 # A port that nobody listens on; below the range for outgoing connections.
-next_port=$((10000 + RANDOM % 18000))
+# Tests that run at once get ranges of their own.
+next_port=${CLUSTER_PORT:-$((10000 + RANDOM % 18000))}
 free_port() {
 	while (exec 3<>"/dev/tcp/127.0.0.1/$next_port") 2>/dev/null; do
 		next_port=$((next_port + 1))
