Resume waiting connections before the HTTP server is stopped

Cause: an operation still waiting for the leader at the end of a planned stop left a suspended connection, on which libmicrohttpd aborts; the process ended with 134 instead of 0. Found by process-sanitizer-graceful_stop in one run. Change: the front keeps its suspended connections in a list and resumes them before it stops the server. Also: member lists are copied in one place and control constants have names. The whole check was not run again after this change.

--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -89,25 +89,10 @@
 	return copy;
 }
 
-static struct raft_member *
-members_copy(TALLOC_CTX *ctx, const struct raft_member *v, size_t n)
-{
-	struct raft_member *copy = talloc_array(ctx, struct raft_member, n);
-	size_t i;
-
-	if (copy == NULL)
-		abort();
-	for (i = 0; i < n; i++) {
-		copy[i] = v[i];
-		copy[i].domain = str_dup(copy, v[i].domain);
-	}
-	return copy;
-}
-
 static void
 members_set(struct cell *c, const struct raft_member *v, size_t n)
 {
-	struct raft_member *copy = members_copy(c, v, n);
+	struct raft_member *copy = raft_members_copy(c, v, n);
 
 	talloc_free(c->members);
 	c->members = copy;
@@ -287,7 +272,7 @@
 	c->save_term = term;
 	a->u.snapshot.index = index;
 	a->u.snapshot.term = term;
-	a->u.snapshot.members = members_copy(c->step, members, nmembers);
+	a->u.snapshot.members = raft_members_copy(c->step, members, nmembers);
 	a->u.snapshot.nmembers = nmembers;
 	a->u.snapshot.data = data;
 	return a;
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -160,6 +160,9 @@
 uint64_t raft_last_index(const struct raft *);
 uint32_t raft_leader_instance(const struct raft *);
 size_t raft_members(const struct raft *, const struct raft_member **);
+/* A deep copy, one talloc tree owned by ctx. */
+struct raft_member *raft_members_copy(
+    TALLOC_CTX *ctx, const struct raft_member *, size_t n);
 /* Bytes and entries kept since the last snapshot. */
 size_t raft_log_bytes(const struct raft *);
 uint64_t raft_log_entries(const struct raft *);
--- a/src/control/raft_member.c
+++ b/src/control/raft_member.c
@@ -63,12 +63,11 @@
 	return best;
 }
 
-/* Replaces a member list by a copy of another one. */
-void
-raft_conf_copy(struct raft *r, struct raft_conf_set *c, uint64_t index,
-    const struct raft_member *v, size_t n)
+/* Copies a member list with its strings into memory owned by ctx. */
+struct raft_member *
+raft_members_copy(TALLOC_CTX *ctx, const struct raft_member *v, size_t n)
 {
-	struct raft_member *copy = talloc_array(r, struct raft_member, n);
+	struct raft_member *copy = talloc_array(ctx, struct raft_member, n);
 	size_t i;
 
 	if (copy == NULL)
@@ -77,6 +76,16 @@
 		copy[i] = v[i];
 		copy[i].domain = str_dup(copy, v[i].domain);
 	}
+	return copy;
+}
+
+/* Replaces a member list by a copy of another one. */
+void
+raft_conf_copy(struct raft *r, struct raft_conf_set *c, uint64_t index,
+    const struct raft_member *v, size_t n)
+{
+	struct raft_member *copy = raft_members_copy(r, v, n);
+
 	talloc_free(c->v);
 	c->index = index;
 	c->v = copy;
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -15,8 +15,12 @@
 #include "node/peer.h"
 #include "node/vsplit.h"
 
-#define THREAD_SHIFT 48	 /* of the thread in the id of an operation */
-#define POLL_MS	     100 /* readiness is looked at this often */
+/* Bound of the time that a message takes between two instances. */
+#define FLIGHT_MS	 500
+#define SNAPSHOT_ENTRIES 4096
+#define SNAPSHOT_BYTES	 (16 * 1024 * 1024)
+#define THREAD_SHIFT	 48  /* of the thread in the id of an operation */
+#define POLL_MS		 100 /* readiness is looked at this often */
 
 /* A message between the agent and the replica of this instance. */
 struct local {
@@ -676,11 +680,11 @@
 	cc.replicas = n->replicas;
 	cc.lease_ms = n->lease_ms;
 	cc.poll_ms = n->poll_ms;
-	cc.flight_ms = 500;
+	cc.flight_ms = FLIGHT_MS;
 	cc.key_retention_ms = n->key_retention_ms;
-	cc.clock_ppm = 10000;
-	cc.snapshot_entries = 4096;
-	cc.snapshot_bytes = 16 * 1024 * 1024;
+	cc.clock_ppm = NODE_CLOCK_PPM;
+	cc.snapshot_entries = SNAPSHOT_ENTRIES;
+	cc.snapshot_bytes = SNAPSHOT_BYTES;
 	c->cell = cell_new(c, &cc, clk_now(&c->clk), e);
 	disk_loaded(c->disk);
 	return c->cell == NULL ? e->status : STATUS_OK;
@@ -711,7 +715,7 @@
 	ac.peers = peers;
 	ac.freshness_ms = n->config_freshness_ms;
 	ac.op_timeout_ms = CONTROL_OP_TIMEOUT_MS;
-	ac.clock_ppm = 10000;
+	ac.clock_ppm = NODE_CLOCK_PPM;
 	ac.seed = c->conf.seed;
 	if (c->disk != NULL) {
 		ac.replica = disk_replica(c->disk);
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -25,6 +25,7 @@
 	bool again;
 	bool draining;
 	size_t busy;
+	struct conn *waiting; /* suspended */
 };
 
 /* The part of a request that only this file sees. */
@@ -45,6 +46,7 @@
 	struct MHD_Response *response;
 	int status;
 	struct front_header headers[HEADERS_MAX];
+	struct conn *prev, *next; /* suspended ones of the front */
 };
 
 static void front_run(struct front *);
@@ -341,6 +343,11 @@
 		return conn_queue(c);
 	MHD_suspend_connection(c->mhd);
 	c->suspended = true;
+	c->prev = NULL;
+	c->next = f->waiting;
+	if (c->next != NULL)
+		c->next->prev = c;
+	f->waiting = c;
 	info =
 	    MHD_get_connection_info(c->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 	c->fd = info->connect_fd;
@@ -419,6 +426,17 @@
 	log_event(LOG_DEBUG, "front", "event=http detail=\"%s\"", line);
 }
 
+static void
+conn_unlink(struct conn *c)
+{
+	if (c->prev != NULL)
+		c->prev->next = c->next;
+	else
+		c->req.front->waiting = c->next;
+	if (c->next != NULL)
+		c->next->prev = c->prev;
+}
+
 /*
  * Answers a request, from within the handler or later. The body and the
  * headers are copied.
@@ -434,6 +452,7 @@
 	TALLOC_FREE(c->watch);
 	if (c->suspended) {
 		c->suspended = false;
+		conn_unlink(c);
 		MHD_resume_connection(c->mhd);
 		front_kick(req->front);
 	}
@@ -456,6 +475,15 @@
 static int
 front_destroy(struct front *f)
 {
+	struct conn *c;
+
+	/* The library aborts when it is stopped with suspended connections. */
+	for (c = f->waiting; c != NULL; c = c->next) {
+		c->suspended = false;
+		c->client_gone = true;
+		MHD_resume_connection(c->mhd);
+	}
+	f->waiting = NULL;
 	if (f->mhd != NULL)
 		MHD_stop_daemon(f->mhd);
 	f->mhd = NULL;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,7 +17,9 @@
 #define NODE_KEY_RETENTION_MS 900000
 #define NODE_LEASE_MS	      6000
 #define NODE_POLL_MS	      1000
-#define NODE_REPLICAS	      3
+/* Bound of the difference between two clocks' rates: 1%. */
+#define NODE_CLOCK_PPM 10000
+#define NODE_REPLICAS  3
 
 struct node_peer {
 	uint32_t instance;
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "node/nctr.h"
+#include "node/node.h"
 #include "node/tstats.h"
 
 #define STOP_WAIT_MS 1000
@@ -397,7 +398,7 @@
 	c.retry_percent = 10;
 	c.retry_min_per_s = 3;
 	c.eject_percent = 20;
-	c.clock_ppm = 10000;
+	c.clock_ppm = NODE_CLOCK_PPM;
 	c.max_requests = TRAFFIC_REQUESTS;
 	return eng_new(t, &c, clk_now(&t->clk));
 }
