Log and count tasks that should run and don't

Once a second the leader now looks for tasks that are assigned and not confirmed, for displaced long-running tasks, and for jobs without any run, and logs those that have been so for 3 s: the phase of the run, the orders sent, the state of the worker's session, or how many workers have room. Three counters tell the causes apart. Answers to starts are logged at the usual level unless the task started. No decision changes.

Tests: JobLog.LogsADisplacedTaskThatWaits, LogsAStartThatIsNotConfirmed, LogsAnAssignedTaskWithoutARun, LogsNoIdleTaskWhileAllRun.

--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -49,4 +49,10 @@
 	    "Workers whose leases ran out while they were silent." },
 	[JCTR_WORKERS_RESTARTED] = { "workers_reborn",
 	    "Workers that had restarted under their id." },
+	[JCTR_IDLE_WAITING] = { "idle_waiting",
+	    "Each second, tasks that should run and are not assigned." },
+	[JCTR_IDLE_UNCONFIRMED] = { "idle_unconfirmed",
+	    "Each second, assigned tasks that no worker has confirmed." },
+	[JCTR_IDLE_NO_RUN] = { "idle_no_run",
+	    "Each second, assigned tasks without a run; must stay 0." },
 };
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -155,6 +155,7 @@
 				struct jst_task *t = &st->tasks[k];
 
 				t->active_run = NULL;
+				t->idle_since_ms = 0;
 				if (t->state == JST_ASSIGNED)
 					jrun_new(jl, t->worker->session, st, k,
 					    t->run, RUN_INHERITED);
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -80,6 +80,11 @@
 #define JLEAD_PLAN_WORKERS_PER_MS 50
 /* Interval of the log line about the whole fleet. */
 #define JLEAD_FLEET_LOG_INTERVAL_MS 1000
+/* A task that should run and hasn't for this long is logged. Long enough for a
+ * change of leader, and for an order that is repeated. */
+#define JLEAD_IDLE_MS 3000
+/* Most such tasks logged in one JLEAD_FLEET_LOG_INTERVAL_MS. */
+#define JLEAD_IDLE_LINES_MAX 8
 /* A start that is sent later than this after its assignment is logged
  * separately. */
 #define JLEAD_LATE_START_MS 1000
--- /dev/null
+++ b/src/job/jlead_idle.c
@@ -0,0 +1,195 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "job/jlead_impl.h"
+
+/* Finds tasks that should run and don't, counts and logs them. Nothing here
+ * decides anything. */
+
+/* Idle tasks of one scan. */
+struct idle_scan {
+	uint32_t nwaiting;     /* not assigned */
+	uint32_t nunconfirmed; /* assigned, not confirmed by the worker */
+	uint32_t nno_run;      /* assigned, and the leader has no run of it */
+	uint32_t nlogged;
+	int64_t oldest_ms;
+};
+
+/* Returns the name of a run's phase in the log. */
+static const char *
+phase_name(const struct jrun *r)
+{
+	switch (r->phase) {
+	case RUN_PROPOSED:
+		return "proposed";
+	case RUN_INHERITED:
+		return "inherited";
+	case RUN_STARTING:
+		return "starting";
+	case RUN_CONFIRMED:
+		return "confirmed";
+	case RUN_ENDING:
+		return "ending";
+	}
+	return "invalid";
+}
+
+/*
+ * Tells whether a task should be running. That is so once it is assigned, and
+ * for a displaced long-running task. Other tasks wait for their turn: only the
+ * first one of a job that has no run at all counts.
+ */
+static bool
+should_run(const struct jst_step *st, uint32_t index)
+{
+	const struct jst_task *t = &st->tasks[index];
+
+	switch (t->state) {
+	case JST_DONE:
+		return false;
+	case JST_ASSIGNED:
+		return t->active_run == NULL ||
+		    t->active_run->phase != RUN_CONFIRMED;
+	case JST_WAITING:
+		return st->spec->lasting ? t->run > 0
+					 : index == 0 && st->job->nruns == 0;
+	}
+	return false;
+}
+
+/* Counts the usable workers that have the processors and memory for a task, by
+ * the input of the last plan. */
+static uint32_t
+count_fitting(const struct jlead *jl, const Job__Step *s)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < jl->nsessions; i++) {
+		const struct jplan_worker *p = &jl->plan_workers[i];
+
+		n += p->usable && p->free_cpu >= (int64_t)s->cpu_milli &&
+		    p->free_mem >= (int64_t)s->mem_mb;
+	}
+	return n;
+}
+
+/* Logs a task that isn't assigned: whether its step and queue let the plan see
+ * it, and how many workers have room. */
+static void
+log_waiting(const struct jlead *jl, const struct jst_step *st, uint32_t index,
+    int64_t idle_ms)
+{
+	const struct jst_task *t = &st->tasks[index];
+
+	log_event(LOG_NOTICE, "job",
+	    "event=idle job=%016" PRIx64 " task=%u.%u.%u run=%u state=waiting "
+	    "idle_ms=%" PRId64 " proposed=%d step_waiting=%u step_proposed=%u "
+	    "queue=%d cpu=%" PRId64 " mem_mb=%" PRId64
+	    " spread=%u fitting=%u of=%zu",
+	    st->job->id, st->occurrence, st->number, index, t->run, idle_ms,
+	    t->active_run != NULL, st->nwaiting, st->nproposed,
+	    st->job->queue_cfg != NULL, (int64_t)st->spec->cpu_milli,
+	    (int64_t)st->spec->mem_mb, st->spec->spread,
+	    count_fitting(jl, st->spec), jl->nsessions);
+}
+
+/* Logs a task that is assigned: the phase of its run and what its worker's
+ * session waits for. */
+static void
+log_assigned(const struct jlead *jl, const struct jst_step *st, uint32_t index,
+    int64_t idle_ms)
+{
+	const struct jst_task *t = &st->tasks[index];
+	const struct jrun *r = t->active_run;
+	const struct wsess *ws = r == NULL ? t->worker->session : r->ws;
+
+	log_event(LOG_NOTICE, "job",
+	    "event=idle job=%016" PRIx64 " task=%u.%u.%u run=%u "
+	    "state=assigned idle_ms=%" PRId64
+	    " phase=%s order_pending=%d unconfirmed=%d stop=%d stopped=%d "
+	    "starts=%u stops=%u worker=%s contacted=%d silent=%d "
+	    "heard_ms=%" PRId64
+	    " poll_pending=%d failed_polls=%u ends_pending=%u restarted=%d "
+	    "leaving=%d removal=%d",
+	    st->job->id, st->occurrence, st->number, index, t->run, idle_ms,
+	    r == NULL ? "none" : phase_name(r), r != NULL && r->order_pending,
+	    r != NULL && r->unconfirmed, r != NULL && r->must_stop,
+	    r != NULL && r->stop_confirmed, r == NULL ? 0 : r->nstarts,
+	    r == NULL ? 0 : r->nstops, t->worker->info->id, ws->contacted,
+	    ws->silent, clk_diff_ms(jl->now, ws->last_heard_at),
+	    ws->poll_pending, ws->failed_polls, ws->ends_pending, ws->restarted,
+	    ws->leave_announced, ws->removal_proposed);
+}
+
+/* Adds an idle task to the scan, and logs it if few have been logged. */
+static void
+add_idle(const struct jlead *jl, const struct jst_step *st, uint32_t index,
+    int64_t idle_ms, struct idle_scan *scan)
+{
+	const struct jst_task *t = &st->tasks[index];
+
+	if (idle_ms > scan->oldest_ms)
+		scan->oldest_ms = idle_ms;
+	if (t->state == JST_WAITING)
+		scan->nwaiting++;
+	else if (t->active_run == NULL)
+		scan->nno_run++;
+	else
+		scan->nunconfirmed++;
+	if (scan->nlogged++ >= JLEAD_IDLE_LINES_MAX)
+		return;
+	if (t->state == JST_WAITING)
+		log_waiting(jl, st, index, idle_ms);
+	else
+		log_assigned(jl, st, index, idle_ms);
+}
+
+/* Finds the idle tasks of a step, and notes since when each is idle. */
+static void
+scan_step(struct jlead *jl, struct jst_step *st, struct idle_scan *scan)
+{
+	int64_t now_ms = clk_ns(jl->now) / CLK_NS_PER_MS;
+	uint32_t k;
+
+	for (k = 0; k < st->spec->count; k++) {
+		struct jst_task *t = &st->tasks[k];
+
+		if (!should_run(st, k)) {
+			t->idle_since_ms = 0;
+			continue;
+		}
+		if (t->idle_since_ms == 0)
+			t->idle_since_ms = now_ms;
+		if (now_ms - t->idle_since_ms >= JLEAD_IDLE_MS)
+			add_idle(jl, st, k, now_ms - t->idle_since_ms, scan);
+	}
+}
+
+/* Counts and logs the tasks that should run and have not done so for
+ * JLEAD_IDLE_MS. */
+void
+jl_scan_idle(struct jlead *jl)
+{
+	struct idle_scan scan = { 0 };
+	struct jst_job *j;
+	uint32_t i;
+
+	for (j = jl->st->active; j != NULL; j = j->next) {
+		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
+			if (j->steps[i].ndone < j->steps[i].spec->count &&
+			    jst_step_ready(&j->steps[i]))
+				scan_step(jl, &j->steps[i], &scan);
+		}
+	}
+	if (scan.nlogged == 0)
+		return;
+	ctr_add(jl->ctr, JCTR_IDLE_WAITING, scan.nwaiting);
+	ctr_add(jl->ctr, JCTR_IDLE_UNCONFIRMED, scan.nunconfirmed);
+	ctr_add(jl->ctr, JCTR_IDLE_NO_RUN, scan.nno_run);
+	log_event(LOG_NOTICE, "job",
+	    "event=idle_tasks waiting=%u unconfirmed=%u no_run=%u "
+	    "oldest_ms=%" PRId64,
+	    scan.nwaiting, scan.nunconfirmed, scan.nno_run, scan.oldest_ms);
+}
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -7,6 +7,8 @@
 #include "job/jlead.h"
 #include "job/jthrottle.h"
 
+__BEGIN_DECLS
+
 enum run_phase {
 	RUN_PROPOSED,  /* the assignment is being replicated */
 	RUN_INHERITED, /* inherited, worker not polled yet */
@@ -123,6 +125,8 @@
 void jl_log_cancel_done(struct jlead *, const struct jst_job *);
 void jl_log_orphan(
     struct jlead *, const struct wsess *, const struct jl_running *);
+/* jlead_idle.c */
+void jl_scan_idle(struct jlead *);
 /* jlead_throttle.c */
 double jl_cpu_share(const struct wsess *, const Job__Step *);
 void jl_update_throttle(struct jlead *, struct wsess *);
@@ -133,4 +137,6 @@
 /* jlead_poll.c */
 void jl_handle_poll(struct jlead *, struct wsess *, const struct jl_reply *);
 
+__END_DECLS
+
 #endif
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -197,6 +197,7 @@
 	    serving / 1000, best_effort / 1000, mem, free_mem, w.others,
 	    w.best_effort, w.long_running, jl->nplans);
 	jl->nplans = 0;
+	jl_scan_idle(jl);
 }
 
 /* Assigns tasks that can start now. */
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -165,7 +165,7 @@
 static void
 handle_start_reply(struct jlead *jl, struct jrun *r, const struct jl_reply *rep)
 {
-	log_event(LOG_DEBUG, "job",
+	log_event(rep->kind == JL_OK ? LOG_DEBUG : LOG_INFO, "job",
 	    "event=start_answer job=%016" PRIx64 " task=%u.%u.%u run=%u "
 	    "worker=%s answer=%d",
 	    rep->task.job, rep->task.occurrence, rep->task.step,
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -53,6 +53,8 @@
 	/* leader: the run, while proposed or assigned */
 	struct jrun *active_run;
 	struct jst_worker *run_worker; /* leader: worker of active_run */
+	/* leader: since when it should run and doesn't, 0: it needn't */
+	int64_t idle_since_ms;
 };
 
 struct jst_step {
--- a/src/job/tests/jobs_log_test.cc
+++ b/src/job/tests/jobs_log_test.cc
@@ -1,3 +1,4 @@
+#include "job/jlead_impl.h"
 #include "job/tests/job_sim.h"
 
 namespace {
@@ -200,4 +201,88 @@
 	EXPECT_TRUE(has(v[0], "state=active since_end_ms=-1 current=1"));
 }
 
+/* Returns a step of long-running tasks. */
+Job__Step
+lasting_step(uint32_t count, uint32_t cpu)
+{
+	Job__Step st = JobSim::step(count, cpu);
+
+	st.has_lasting = st.lasting = 1;
+	return st;
+}
+
+/* Guards against a displaced task that waits without a line saying how many
+ * workers have room for it. */
+TEST_F(JobLog, LogsADisplacedTaskThatWaits)
+{
+	for (int i = 0; i < 2; i++)
+		s.add_worker(4000);
+	s.lead();
+	s.submit(0xabc, "batch", { lasting_step(2, 3000) });
+	s.run(500);
+	s.crash(1);
+	s.run(14000);
+
+	auto idle = lines("event=idle job=0000000000000abc");
+	ASSERT_FALSE(idle.empty());
+	EXPECT_TRUE(has(idle[0], "state=waiting")) << idle[0];
+	EXPECT_TRUE(has(idle[0], "fitting=0 of=2")) << idle[0];
+	auto sums = lines("event=idle_tasks");
+	ASSERT_EQ(idle.size(), sums.size());
+	EXPECT_TRUE(has(sums[0], "waiting=1 unconfirmed=0 no_run=0"))
+	    << sums[0];
+	EXPECT_EQ(idle.size(), ctr_get(&s.ctr, JCTR_IDLE_WAITING));
+}
+
+/* Guards against a start that is never confirmed and leaves no trace in the
+ * log. */
+TEST_F(JobLog, LogsAStartThatIsNotConfirmed)
+{
+	s.add_worker(4000);
+	s.lead();
+	s.run(500);
+	s.drop_starts = true;
+	s.submit(0xabc, "batch", { lasting_step(1, 3000) });
+	s.run(6000);
+
+	auto idle = lines("event=idle job=0000000000000abc");
+	ASSERT_FALSE(idle.empty());
+	EXPECT_TRUE(has(idle[0], "phase=starting")) << idle[0];
+	EXPECT_TRUE(has(idle[0], "unconfirmed=1")) << idle[0];
+	EXPECT_GT(ctr_get(&s.ctr, JCTR_IDLE_UNCONFIRMED), 0U);
+	EXPECT_GE(lines("event=start_answer").size(), 2U);
+}
+
+/* Guards against a task that is assigned without a run, which nothing but the
+ * next leader starts, and that leaves no trace in the log. */
+TEST_F(JobLog, LogsAnAssignedTaskWithoutARun)
+{
+	Job__Task t = JOB__TASK__INIT;
+	struct jst_step *st = NULL;
+
+	s.add_worker(4000);
+	s.lead();
+	s.submit(0xabc, "batch", { lasting_step(1, 3000) });
+	s.run(500);
+	t.job = 0xabc;
+	jrun_free(&s.jl, jst_find_task(&s.st, &t, &st)->active_run);
+	s.run(4500);
+
+	auto idle = lines("event=idle job=0000000000000abc");
+	ASSERT_FALSE(idle.empty());
+	EXPECT_TRUE(has(idle[0], "phase=none")) << idle[0];
+	EXPECT_GT(ctr_get(&s.ctr, JCTR_IDLE_NO_RUN), 0U);
+}
+
+/* Guards against lines about tasks that run or wait for their turn. */
+TEST_F(JobLog, LogsNoIdleTaskWhileAllRun)
+{
+	s.add_worker(4000);
+	s.lead();
+	s.submit(0xabc, "batch", { lasting_step(1, 3000) });
+	s.submit(0xdef, "batch", { lasting_step(2, 3000) });
+	s.run(8000);
+	EXPECT_EQ(0U, lines("event=idle").size());
+}
+
 } // namespace
