Simulate long-running tasks that fail, and check that they come back

The simulation had no long-running task that ended by itself, no check that one is running, and no time without a leader, so that accepted work could stay undone unnoticed. It now checks on the way that each assigned task has a run of the leader on the worker that the state names, and that a long-running task runs again within 9 s of its last run and 11 s of the last fault, the times of the users' rule.

--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -22,6 +22,7 @@
 #include "base/rng.h"
 #include "job/jctr.h"
 #include "job/jlead.h"
+#include "job/jlead_impl.h"
 
 struct SimTask {
 	uint64_t job = 0;
@@ -94,6 +95,10 @@
       public:
 	/* Limits within which tasks of a cancelled job have to end. */
 	static const int64_t CANCEL_MS = 4000, STOP_MS = 900;
+	/* A long-running task has to be running 6 s + 3 s after its last run,
+	 * if nothing failed for CALM_MS: 4 s until the leader counts as in
+	 * touch, 4 s and 3 s. */
+	static const int64_t IDLE_MS = 9000, CALM_MS = 11000;
 
 	struct jst st;
 	struct jlead jl;
@@ -116,6 +121,10 @@
 	std::map<std::string, int64_t> service_ms;
 	std::function<int64_t(const SimTask &)> run_time_ms =
 	    [](const SimTask &) { return 800; };
+	/* how long a long-running task runs until it fails; negative: it
+	 * doesn't */
+	std::function<int64_t(const SimTask &)> lasting_ms =
+	    [](const SimTask &) { return -1; };
 	std::function<bool(const SimTask &, uint64_t)> task_fails =
 	    [](const SimTask &, uint64_t) { return false; };
 	/* Late orders also reach the next incarnation of a worker. */
@@ -141,6 +150,9 @@
 	std::map<SimTask, std::set<std::string>> checkpoints; /* by task */
 	/* last time a call was lost, or a worker or leader disturbed */
 	int64_t last_fault_ms = 0;
+	/* Checks that long-running tasks are started again; there must be room
+	 * for all of them. */
+	bool check_lasting = false;
 
 	explicit JobSim(uint64_t seed)
 	{
@@ -290,6 +302,36 @@
 		jlead_begin(&jl, now(), now_ms, ++token);
 	}
 
+	/* Leaves the workers without a leader for some time; what was in flight
+	 * in the log is lost. */
+	void dark(int64_t ms)
+	{
+		last_fault_ms = now_ms;
+		epoch++;
+		pending.clear();
+		jlead_stop(&jl);
+		run(ms);
+	}
+
+	/* Delivers the notice to leave of a worker that nobody has seen drain;
+	 * its process ends after linger_ms. */
+	void leave_at_once(uint64_t num, int64_t linger_ms)
+	{
+		SimWorker &w = workers[num];
+		uint64_t incarnation = w.incarnation;
+		struct jst_worker *reg =
+		    jst_find_worker_by_id(&st, w.id.c_str());
+
+		if (!w.up || !jl.leading || reg == NULL ||
+		    reg->info->born != incarnation)
+			return;
+		propose_leave(reg);
+		events.emplace(now_ms + linger_ms, [=]() {
+			if (workers[num].incarnation == incarnation)
+				crash(num);
+		});
+	}
+
 	/* Pauses the leader; another replica, with a snapshot of its state, may
 	 * lead from now on. Commits the first few of the records in flight; the
 	 * paused leader learns of them when it resumes. */
@@ -433,6 +475,8 @@
 			if (now_ms % 25 == 0)
 				jlead_tick(&jl, now(), now_ms);
 			jlead_plan(&jl);
+			if (check_lasting && now_ms % 25 == 0)
+				check_kept();
 		}
 	}
 
@@ -476,6 +520,7 @@
 		std::vector<std::function<void()>> inbox;
 	};
 	std::unique_ptr<Paused> paused;
+	std::map<SimTask, int64_t> idle_since_ms; /* long-running tasks */
 	/* by number of the proposal */
 	std::map<uint64_t, std::vector<uint8_t>> pending;
 	uint64_t proposals = 0;
@@ -529,11 +574,24 @@
 			});
 	}
 
-	/* Delivers a notice to leave; repeats it while no replica leads. */
-	void send_leave_notice(uint64_t num, uint64_t incarnation)
+	/* Does what a leading replica does with a worker's notice to leave. */
+	void propose_leave(struct jst_worker *w)
 	{
 		Job__Command c = JOB__COMMAND__INIT;
 		Job__WorkerGone g = JOB__WORKER_GONE__INIT;
+
+		if (!jlead_leave(&jl, now(), w)) {
+			drain(w->num);
+			return;
+		}
+		g.num = w->num;
+		c.gone = &g;
+		jl.ops.propose(jl.ops.arg, &c);
+	}
+
+	/* Delivers a notice to leave; repeats it while no replica leads. */
+	void send_leave_notice(uint64_t num, uint64_t incarnation)
+	{
 		struct jst_worker *w =
 		    jst_find_worker_by_id(&st, workers[num].id.c_str());
 		if (w == NULL || w->info->born != incarnation)
@@ -543,13 +601,7 @@
 			    [=]() { send_leave_notice(num, incarnation); });
 			return;
 		}
-		if (!jlead_leave(&jl, now(), w)) {
-			drain(w->num);
-			return;
-		}
-		g.num = w->num;
-		c.gone = &g;
-		jl.ops.propose(jl.ops.arg, &c);
+		propose_leave(w);
 	}
 
 	/* Returns the key of a task in the maps of this simulation. */
@@ -889,9 +941,10 @@
 			check_start(k, sp);
 		check_requested(order, k);
 		starts[k]++;
-		w.running[k] = { c.run, sp->spec->lasting ? -1 : run_time_ms(k),
-			task_fails(k, alias[c.worker]), now_ms,
-			order.checkpoint,
+		w.running[k] = { c.run,
+			sp->spec->lasting ? lasting_ms(k) : run_time_ms(k),
+			sp->spec->lasting || task_fails(k, alias[c.worker]),
+			now_ms, order.checkpoint,
 			order.sent_to_incarnation != w.incarnation };
 	}
 
@@ -942,6 +995,64 @@
 			    << " ms ago";
 	}
 
+	/* Checks that the leader has a run of each assigned task, on the worker
+	 * that the state names. */
+	void check_run(const SimTask &k, const struct jst_task *t)
+	{
+		const struct jrun *r = t->active_run;
+
+		if (!jl.leading || t->state != JST_ASSIGNED)
+			return;
+		EXPECT_TRUE(r != NULL && r->run == t->run &&
+		    r->ws->w == t->worker && r->phase != RUN_PROPOSED)
+		    << "job " << k.job << " task " << k.index << " run "
+		    << t->run << " is assigned to " << t->worker->info->id
+		    << " without a run there";
+	}
+
+	/* Checks that a long-running task is running, or has not been idle for
+	 * too long while nothing failed. */
+	void check_idle(const SimTask &k)
+	{
+		bool runs = false;
+
+		for (auto &x : workers)
+			runs |= x.second.up && x.second.running.count(k);
+		if (runs) {
+			idle_since_ms.erase(k);
+			return;
+		}
+		auto it = idle_since_ms.emplace(k, now_ms).first;
+		if (now_ms < it->second + IDLE_MS ||
+		    now_ms < last_fault_ms + CALM_MS)
+			return;
+		ADD_FAILURE()
+		    << "job " << k.job << " task " << k.index
+		    << " doesn't run, for " << now_ms - it->second << " ms";
+		check_lasting = false;
+	}
+
+	/* Checks all tasks of active jobs. */
+	void check_kept()
+	{
+		for (auto &x : workers) {
+			if (x.second.up && x.second.unreachable)
+				last_fault_ms = now_ms;
+		}
+		for (struct jst_job *j = st.active; j != NULL; j = j->next) {
+			for (uint32_t i = 0; i < j->spec->n_steps; i++) {
+				const struct jst_step *s = &j->steps[i];
+				for (uint32_t n = 0; n < s->spec->count; n++) {
+					SimTask k = { j->id, 0, i, n };
+					check_run(k, &s->tasks[n]);
+					if (s->spec->lasting &&
+					    jst_step_ready(s))
+						check_idle(k);
+				}
+			}
+		}
+	}
+
 	/* Saves a checkpoint of a task. */
 	void save(const SimTask &k, SimRun &run)
 	{
--- /dev/null
+++ b/src/job/tests/kept_test.cc
@@ -0,0 +1,132 @@
+#include "job/tests/job_sim.h"
+
+#include <cstdlib>
+
+namespace {
+
+/* Failures that happen while long-running tasks run; one bit each. */
+enum mix {
+	MIX_LEADERS = 1,	/* leaders change */
+	MIX_LATE = 2,		/* orders get no answer, are carried out late */
+	MIX_LOSE = 4,		/* calls are lost */
+	MIX_RELAYS = 8,		/* instances that relay calls are lost */
+	MIX_CRASH = 16,		/* workers restart under their ids */
+	MIX_UNREACHABLE = 32,	/* workers are cut off and come back */
+	MIX_LEAVE = 64,		/* workers drain and leave; new ones come */
+	MIX_PAUSE = 128,	/* the leader is paused while others lead */
+	MIX_DARK = 256,		/* nobody leads for some seconds */
+	MIX_LEAVE_AT_ONCE = 512 /* workers leave that nobody saw drain */
+};
+
+/* Causes some of the failures of a mix. */
+void
+disturb(JobSim &s, unsigned mixes)
+{
+	uint64_t w = 1 + rng_below(&s.rng, s.workers.size());
+	SimWorker &worker = s.workers[w];
+
+	if ((mixes & MIX_LEADERS) && rng_chance(&s.rng, 0.3))
+		s.lead();
+	if ((mixes & MIX_DARK) && rng_chance(&s.rng, 0.2)) {
+		s.dark((int64_t)rng_below(&s.rng, 8000));
+		s.lead();
+	}
+	if ((mixes & MIX_CRASH) && rng_chance(&s.rng, 0.4) && worker.up) {
+		s.crash(w);
+		s.run((int64_t)rng_below(&s.rng, 300));
+		s.restart_worker(w);
+		if (rng_chance(&s.rng, 0.5))
+			s.run((int64_t)rng_below(&s.rng, 1000));
+		s.heartbeat(w);
+	}
+	if ((mixes & MIX_UNREACHABLE) && rng_chance(&s.rng, 0.4))
+		s.set_unreachable(w, !worker.unreachable);
+	if ((mixes & MIX_LEAVE) && rng_chance(&s.rng, 0.4)) {
+		s.leave(w, (int64_t)rng_below(&s.rng, 2000),
+		    (int64_t)rng_below(&s.rng, 6000), rng_chance(&s.rng, 0.5));
+		s.add_worker(8000);
+	}
+	if ((mixes & MIX_LEAVE_AT_ONCE) && rng_chance(&s.rng, 0.5)) {
+		s.leave_at_once(w, (int64_t)rng_below(&s.rng, 3000));
+		s.add_worker(8000);
+	}
+	if ((mixes & MIX_PAUSE) && rng_chance(&s.rng, 0.3)) {
+		s.pause();
+		s.run(1000);
+		s.lead();
+	} else if (rng_chance(&s.rng, 0.3)) {
+		s.resume();
+	}
+}
+
+/* Runs one mix of failures; the simulation does the checks. */
+void
+run_mix(uint64_t seed, unsigned mixes)
+{
+	JobSim s(seed);
+	uint64_t job = 0;
+
+	SCOPED_TRACE(
+	    "mix " + std::to_string(mixes) + " seed " + std::to_string(seed));
+	for (int i = 0; i < 6; i++)
+		s.add_worker(8000);
+	s.run_time_ms = [&s](const SimTask &) {
+		return 200 + (int64_t)rng_below(&s.rng, 3000);
+	};
+	s.lasting_ms = [&s](const SimTask &) {
+		return 500 + (int64_t)rng_below(&s.rng, 10000);
+	};
+	s.late_rate = mixes & MIX_LATE ? 0.1 : 0;
+	s.loss_rate = mixes & MIX_LOSE ? 0.1 : 0;
+	s.relay_lost_rate = s.relay_dropped_rate = mixes & MIX_RELAYS ? 0.1 : 0;
+	/* A relay that is lost may hold an order until the worker has
+	 * restarted; question 1 in docs/platform.md. */
+	s.tolerate_stale_orders = getenv("JOB_STRICT") == NULL &&
+	    (mixes & (MIX_RELAYS | MIX_CRASH)) == (MIX_RELAYS | MIX_CRASH);
+	s.check_lasting = true;
+	s.lead();
+	for (int i = 0; i < 16; i++) {
+		Job__Step st = JobSim::step(2, 500);
+		st.has_lasting = st.lasting = i % 3 == 0;
+		s.submit(++job, i % 2 == 0 ? "fast" : "batch", { st });
+		s.run((int64_t)rng_below(&s.rng, 800));
+		disturb(s, mixes);
+	}
+	s.resume();
+	s.late_rate = s.loss_rate = s.relay_lost_rate = s.relay_dropped_rate =
+	    0;
+	for (auto &x : s.workers) {
+		if (x.second.unreachable)
+			s.set_unreachable(x.first, false);
+	}
+	s.run(40000);
+	for (uint64_t j = 1; j <= job; j++)
+		EXPECT_EQ(
+		    (j - 1) % 3 == 0 ? JST_ACTIVE : JST_COMPLETED, s.state(j))
+		    << "job " << j;
+}
+
+class JobKept : public testing::TestWithParam<unsigned> {};
+
+/* Guards against a task that is accepted and not started again after its run
+ * has ended, although there is room. */
+TEST_P(JobKept, LongRunningTasksAreStartedAgain)
+{
+	const char *more = getenv("JOB_SEEDS");
+	uint64_t seeds = more == NULL ? 16 : strtoull(more, NULL, 10);
+
+	for (uint64_t seed = getenv("JOB_FROM")
+		 ? strtoull(getenv("JOB_FROM"), NULL, 10)
+		 : 1;
+	     seed <= seeds && !HasFailure(); seed++)
+		run_mix(seed, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Mixes, JobKept,
+    testing::Values(0, MIX_LEADERS, MIX_LATE, MIX_LOSE, MIX_RELAYS, MIX_CRASH,
+	MIX_UNREACHABLE, MIX_LEAVE, MIX_PAUSE, MIX_DARK, MIX_DARK | MIX_CRASH,
+	MIX_DARK | MIX_UNREACHABLE, MIX_DARK | MIX_LEAVE, MIX_LATE | MIX_CRASH,
+	MIX_LEAVE | MIX_LEADERS | MIX_LATE, MIX_CRASH | MIX_LEADERS,
+	MIX_LEAVE_AT_ONCE, 255, 1023));
+
+} // namespace
