Show a task that is assigned and never started, in tests that fail

While an assignment to a worker is in flight, the worker's notice to leave is committed and its session is dropped with the run. The task is assigned again, with the same run number, as no run has begun. The leader matches commits to runs by task and run number only:

- The refusal of the first assignment drops the run of the second one, whose commit then finds none.
The task is assigned and nobody starts it; only the next leader does.
Callers see an accepted task that doesn't run although there is room.
- Or the commit of the second one is taken for one of a third.
The task runs on another worker than the state names, and the next leader starts it a second time.

--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -350,4 +350,59 @@
 	EXPECT_EQ(0U, s.workers[a].running.size());
 }
 
+/* Guards against a task that is assigned and never started: its worker left
+ * while the assignment was in flight, and the leader took the refusal of that
+ * assignment for one of the next, which has the same run number. */
+TEST(Leave, ARefusedAssignmentLeavesTheNextOneItsRun)
+{
+	JobSim s(9);
+	uint64_t a = s.add_worker(8000);
+	Job__Step st = JobSim::step(1, 1000);
+	st.has_lasting = st.lasting = 1;
+	s.lead();
+	s.run(100);
+	s.leave_at_once(a, 5000); /* committed after 12 ms */
+	s.commit_ms = 30;
+	s.submit(1, "batch", { st });
+	s.run(1); /* assigned to the leaving worker */
+	uint64_t b = s.add_worker(8000);
+	s.run(10);
+	s.commit_ms = 19;
+	s.run(1); /* assigned again; both are committed together */
+	s.run(5000);
+	EXPECT_EQ(1U, s.workers[b].running.size());
+	EXPECT_EQ(0U, s.workers[a].running.size());
+}
+
+/* Guards against a task that one worker runs while the state names another, so
+ * that the next leader starts it a second time. */
+TEST(Leave, ATaskRunsWhereTheCommittedAssignmentSays)
+{
+	JobSim s(10);
+	uint64_t a = s.add_worker(8000);
+	Job__Step st = JobSim::step(1, 1000);
+	st.has_lasting = st.lasting = 1;
+	s.lead();
+	s.run(100);
+	s.leave_at_once(a, 5000);
+	s.commit_ms = 13;
+	s.submit(1, "batch", { st });
+	s.run(1);
+	uint64_t b = s.add_worker(8000);
+	s.run(10);
+	s.run(1); /* assigned to b */
+	s.drain(b);
+	s.add_worker(8000);
+	s.run(4); /* assigned to the third worker */
+	s.run(500);
+	s.lead();
+	s.run(5000);
+	size_t n = 0;
+	for (auto &x : s.workers)
+		n += x.second.running.size();
+	EXPECT_EQ(1U, n);
+	for (auto &x : s.starts)
+		EXPECT_EQ(1, x.second);
+}
+
 } // namespace
