Match a committed assignment with its run by its worker too

Callers saw an accepted long-running task that didn't run for 20 s and more although there was room, until the next leader took over; or, after a change of leader, a task that ran twice.

Cause: the leader matched the commit of an assignment with its run by task and run number. A run number is used up only when an assignment is committed, so while a worker is removed, two assignments with the same number can be in flight. The refusal of the first dropped the run of the second, or the commit of the second confirmed the run of a third on another worker.

A commit is matched by its worker too, and a committed assignment without a run gets one: the replicated state decides, and the leader's memory follows it. So no assigned task is without a run, whatever was in flight.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -353,23 +353,34 @@
 	}
 }
 
-/* Starts a run whose assignment has been committed, or drops it if it was
- * refused. */
+/* Tells whether a run is the one that an assignment proposes. Two of a task
+ * may be in flight with the same run number: if a worker is removed, its tasks
+ * are assigned again before its assignments are refused. */
+static bool
+is_proposed_by(const struct jrun *r, const Job__Assign *a)
+{
+	return r->phase == RUN_PROPOSED && r->run == a->run &&
+	    r->ws->w->num == a->worker;
+}
+
+/* Starts the run of a committed assignment. If the leader has given that run
+ * up, or has proposed another one, the committed one replaces it. */
 static void
-handle_assign(
+start_assigned(
     struct jlead *jl, const struct jst_result *res, const Job__Assign *a)
 {
-	struct jrun *r = res->task == NULL ? NULL : res->task->active_run;
+	struct jrun *r = res->task->active_run;
 
-	if (r == NULL || r->run != a->run || r->phase != RUN_PROPOSED)
-		return;
-	if (res->status != STATUS_OK) {
-		jrun_free(jl, r);
-		return;
+	if (r != NULL && is_proposed_by(r, a)) {
+		r->step->nproposed--;
+		r->step->job->nruns++;
+		r->phase = RUN_STARTING;
+	} else {
+		if (r != NULL)
+			jrun_free(jl, r);
+		r = jrun_new(jl, res->worker->session, res->step,
+		    a->task->index, a->run, RUN_STARTING);
 	}
-	r->step->nproposed--;
-	r->step->job->nruns++;
-	r->phase = RUN_STARTING;
 	r->assigned_at = jl->now;
 	if (r->ws->restarted || r->ws->leave_announced)
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
@@ -377,6 +388,20 @@
 		jrun_send_due(jl, r);
 }
 
+/* Starts a run whose assignment has been committed, or drops it if it was
+ * refused. */
+static void
+handle_assign(
+    struct jlead *jl, const struct jst_result *res, const Job__Assign *a)
+{
+	struct jrun *r = res->task == NULL ? NULL : res->task->active_run;
+
+	if (res->status == STATUS_OK)
+		start_assigned(jl, res, a);
+	else if (r != NULL && is_proposed_by(r, a))
+		jrun_free(jl, r);
+}
+
 /* Frees a run whose end has been committed, and acknowledges the end once all
  * those reported with it are committed too. */
 static void
