Assign nothing to a worker whose removal is being committed

Callers waited for a task that had been given to a worker which had left: between its notice to leave and the commit of its removal, or between the removal of a silent worker and its commit, the plan went on using the worker if nobody had seen it drain. The assignment was refused, and the task planned again.

The notice marks the session as being removed, and the plan passes such sessions over.

Leave.NothingIsAssignedToAWorkerThatIsBeingRemoved failed before (one assignment proposed).

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -328,8 +328,12 @@
 	struct jrun *r;
 
 	jl->now = now;
-	if (ws == NULL || ws->nruns == 0)
+	if (ws == NULL)
+		return true;
+	if (ws->nruns == 0) {
+		ws->removal_proposed = true; /* by the caller */
 		return true;
+	}
 	if (ws->leave_announced)
 		return false;
 	ws->leave_announced = true;
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -230,8 +230,9 @@
 /* Records a heartbeat of a registered worker. */
 void jlead_on_heartbeat(struct jlead *, struct jst_worker *);
 /* Handles a worker's notice that it is about to exit. Returns true if nothing
- * can run there; otherwise its runs are stopped, and its registration is
- * removed once they have ended. */
+ * can run there: the caller then proposes the removal of its registration.
+ * Otherwise its runs are stopped, and the registration is removed once they
+ * have ended. */
 bool jlead_leave(struct jlead *, struct timespec now, struct jst_worker *);
 /* Handles timeouts and sends the orders and polls that are due. */
 void jlead_tick(struct jlead *, struct timespec now, int64_t wall_ms);
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -86,8 +86,8 @@
 		if (ws->plan_stale || p->changed)
 			fill_plan_worker(jl, ws, p);
 		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
-		    !ws->leave_announced && !ws->w->draining &&
-		    !clk_before(jl->now, ws->paused_until);
+		    !ws->leave_announced && !ws->removal_proposed &&
+		    !ws->w->draining && !clk_before(jl->now, ws->paused_until);
 		p->failure_score =
 		    ws->failure_score > 0 ? jl_failure_score(jl, ws) : 0;
 	}
--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -350,6 +350,18 @@
 	EXPECT_EQ(0U, s.workers[a].running.size());
 }
 
+/* Removes a registration, as a command that was committed before those in
+ * flight. */
+void
+remove_worker(JobSim &s, uint64_t num)
+{
+	Job__Command c = JOB__COMMAND__INIT;
+	Job__WorkerGone g = JOB__WORKER_GONE__INIT;
+	g.num = num;
+	c.gone = &g;
+	s.apply(c);
+}
+
 /* Guards against a task that is assigned and never started: its worker left
  * while the assignment was in flight, and the leader took the refusal of that
  * assignment for one of the next, which has the same run number. */
@@ -361,12 +373,12 @@
 	st.has_lasting = st.lasting = 1;
 	s.lead();
 	s.run(100);
-	s.leave_at_once(a, 5000); /* committed after 12 ms */
 	s.commit_ms = 30;
 	s.submit(1, "batch", { st });
-	s.run(1); /* assigned to the leaving worker */
+	s.run(1); /* assigned to the first worker */
 	uint64_t b = s.add_worker(8000);
 	s.run(10);
+	remove_worker(s, a);
 	s.commit_ms = 19;
 	s.run(1); /* assigned again; both are committed together */
 	s.run(5000);
@@ -384,12 +396,12 @@
 	st.has_lasting = st.lasting = 1;
 	s.lead();
 	s.run(100);
-	s.leave_at_once(a, 5000);
 	s.commit_ms = 13;
 	s.submit(1, "batch", { st });
 	s.run(1);
 	uint64_t b = s.add_worker(8000);
 	s.run(10);
+	remove_worker(s, a);
 	s.run(1); /* assigned to b */
 	s.drain(b);
 	s.add_worker(8000);
@@ -405,4 +417,22 @@
 		EXPECT_EQ(1, x.second);
 }
 
+/* Guards against work that is assigned to a worker while its removal is being
+ * committed, and comes back only when the assignment is refused. */
+TEST(Leave, NothingIsAssignedToAWorkerThatIsBeingRemoved)
+{
+	JobSim s(11);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.commit_ms = 50;
+	s.leave_at_once(a, 5000);
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(40);
+	EXPECT_EQ(0U, jst_find_job(&s.st, 1)->steps[0].nproposed);
+	uint64_t b = s.add_worker(8000);
+	s.run(200);
+	EXPECT_EQ(1U, s.workers[b].running.size());
+}
+
 } // namespace
