Give a start up that isn't confirmed, and start nothing on a draining worker

Callers saw an accepted task that didn't run while workers had room, and a backend server that was leaving started new work 7 s after its notice had been acknowledged.

Cause: the leader insisted on the worker that it had chosen. A start without an answer, or one that could not be made, was repeated at the same worker without end, as long as polls of that worker were answered, also when the worker had begun to drain meanwhile.

JobKept.ATaskWhoseStartIsNeverConfirmedGoesElsewhere (no run on the second worker after 6 s) and JobKept.AStartIsNotRepeatedAtADrainingWorker (1 run on the draining worker, 0 on the other) failed before.

After 3 s, or once its worker drains, a start is given up. If a copy of it may be in flight, the run is stopped first, so that the worker refuses the copy, and the task is given to another worker only when the stop is confirmed and the run isn't listed; JobKept.ATaskGivenElsewhereIsNotStartedByALateOrder checks that. The worker counts as failing, so that the plan prefers others. starts_given_up counts them.

--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -8,6 +8,8 @@
 	    "Orders to start a task of a job that had ended; must stay 0." },
 	[JCTR_START_RETRIES] = { "start_retries",
 	    "Starts sent again because no answer came." },
+	[JCTR_STARTS_GIVEN_UP] = { "starts_given_up",
+	    "Starts given up: not confirmed in time, or the worker drains." },
 	[JCTR_START_NO_ROOM] = { "start_refused_room",
 	    "Starts refused for lack of resources: more is allocated on the "
 	    "worker than the leader knows." },
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -385,7 +385,7 @@
 		r = jrun_new(jl, res->worker->session, res->step,
 		    a->task->index, a->run, RUN_STARTING);
 	}
-	r->assigned_at = jl->now;
+	r->assigned_at = r->starting_at = jl->now;
 	if (r->ws->restarted || r->ws->leave_announced)
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
 	else
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -66,6 +66,10 @@
 #define JLEAD_RETRY_MAX_MS 1000
 /* A silent worker without runs is removed after this time. */
 #define JLEAD_FORGET_SILENT_MS 20000
+/* A start that the worker hasn't confirmed for this long is given up, and the
+ * task goes to another worker. Leaves time for a third attempt; users accept
+ * 6 s between two runs of a long-running task. */
+#define JLEAD_START_MS 3000
 /* No tasks are assigned to a worker for this long after it refused a start for
  * lack of resources or because it is unhealthy. */
 #define JLEAD_REFUSED_PAUSE_MS 500
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -109,6 +109,7 @@
 	if (r->phase == RUN_INHERITED) {
 		/* The worker now refuses orders of earlier leaders. */
 		r->phase = RUN_STARTING;
+		r->starting_at = jl->now;
 		if (r->step->job->state != JST_ACTIVE)
 			jrun_end(jl, r, JOB__HOW__GONE, NULL);
 		else
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -173,6 +173,29 @@
 	jrun_send_due(jl, r);
 }
 
+/* Tells whether a start is not to be ordered, or not again. */
+static bool
+is_start_overdue(const struct jlead *jl, const struct jrun *r)
+{
+	return r->phase == RUN_STARTING && !r->must_stop &&
+	    (r->ws->w->draining ||
+		clk_diff_ms(jl->now, r->starting_at) > JLEAD_START_MS);
+}
+
+/* Gives up a start, so that the task goes to another worker. If a copy of the
+ * order may be in flight, the run is stopped first. */
+static void
+give_up_start(struct jlead *jl, struct jrun *r)
+{
+	ctr_add(jl->ctr, JCTR_STARTS_GIVEN_UP, 1);
+	if (!r->ws->w->draining)
+		jl_add_failure(jl, r->ws, 1.0);
+	if (r->unconfirmed)
+		jrun_stop(jl, r, JL_STOP_UNCONFIRMED);
+	else
+		jrun_end(jl, r, JOB__HOW__REFUSED, NULL);
+}
+
 /* Sends the order that a run needs now: its start or its stop, for the first
  * time or again. */
 void
@@ -184,7 +207,9 @@
 	    r->phase == RUN_PROPOSED || r->phase == RUN_INHERITED ||
 	    r->phase == RUN_ENDING)
 		return;
-	if (r->must_stop) {
+	if (is_start_overdue(jl, r)) {
+		give_up_start(jl, r);
+	} else if (r->must_stop) {
 		if (!r->stop_confirmed)
 			jl_call_run(jl, r, JL_STOP);
 	} else if (r->phase == RUN_STARTING && r->ws->contacted) {
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -112,7 +112,8 @@
 	/* Share of calls whose relaying instance is lost after it made the
 	 * call, and of calls that it doesn't make. */
 	double relay_lost_rate = 0, relay_dropped_rate = 0;
-	bool drop_starts = false; /* calls that start a task are lost */
+	/* registration to which calls that start a task are lost; 0: none */
+	uint64_t drop_starts_to = 0;
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
 	/* later registrations of the same worker */
@@ -653,7 +654,7 @@
 			s->check_order(l, key(c->task));
 		uint64_t incarnation = s->worker_of(c->worker).incarnation;
 		bool lost = rng_chance(&s->rng, s->loss_rate) ||
-		    (s->drop_starts && c->kind == JL_START);
+		    (c->worker == s->drop_starts_to && c->kind == JL_START);
 		if (lost)
 			s->last_fault_ms = s->now_ms;
 		if (rng_chance(&s->rng, s->relay_dropped_rate)) {
--- a/src/job/tests/jobs_log_test.cc
+++ b/src/job/tests/jobs_log_test.cc
@@ -238,10 +238,9 @@
  * log. */
 TEST_F(JobLog, LogsAStartThatIsNotConfirmed)
 {
-	s.add_worker(4000);
+	s.drop_starts_to = s.add_worker(4000);
 	s.lead();
 	s.run(500);
-	s.drop_starts = true;
 	s.submit(0xabc, "batch", { lasting_step(1, 3000) });
 	s.run(6000);
 
--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -106,11 +106,81 @@
 		    << "job " << j;
 }
 
-class JobKept : public testing::TestWithParam<unsigned> {};
+/* Returns a step of long-running tasks. */
+Job__Step
+lasting_step(uint32_t count, uint32_t cpu)
+{
+	Job__Step st = JobSim::step(count, cpu);
+
+	st.has_lasting = st.lasting = 1;
+	return st;
+}
+
+/* Guards against a task that waits for a worker which answers polls and never
+ * a start, while other workers have room. */
+TEST(JobKept, ATaskWhoseStartIsNeverConfirmedGoesElsewhere)
+{
+	JobSim s(1);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.drop_starts_to = a;
+	s.submit(1, "batch", { lasting_step(1, 1000) });
+	s.run(200);
+	uint64_t b = s.add_worker(8000);
+	s.run(6000);
+	EXPECT_EQ(1U, s.workers[b].running.size());
+}
+
+/* Guards against a start that is repeated at a worker which has begun to drain,
+ * until it is carried out there. */
+TEST(JobKept, AStartIsNotRepeatedAtADrainingWorker)
+{
+	JobSim s(2);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.drop_starts_to = a;
+	s.submit(1, "batch", { lasting_step(1, 1000) });
+	s.run(200);
+	s.drain(a);
+	uint64_t b = s.add_worker(8000);
+	s.run(700);
+	s.drop_starts_to = 0;
+	s.run(3000);
+	EXPECT_EQ(0U, s.workers[a].running.size());
+	EXPECT_EQ(1U, s.workers[b].running.size());
+}
+
+/* Guards against a task that is given to another worker while a late order may
+ * still start it on the first one. */
+TEST(JobKept, ATaskGivenElsewhereIsNotStartedByALateOrder)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		JobSim s(seed);
+		SCOPED_TRACE(seed);
+		for (int i = 0; i < 3; i++)
+			s.add_worker(8000);
+		s.lead();
+		s.run(100);
+		s.late_rate = 0.7;
+		for (uint64_t j = 1; j <= 6; j++)
+			s.submit(j, "batch", { lasting_step(2, 1000) });
+		s.run(8000);
+		s.late_rate = 0;
+		s.run(12000);
+		size_t n = 0;
+		for (auto &x : s.workers)
+			n += x.second.running.size();
+		EXPECT_EQ(12U, n);
+	}
+}
+
+class JobKeptMixes : public testing::TestWithParam<unsigned> {};
 
 /* Guards against a task that is accepted and not started again after its run
  * has ended, although there is room. */
-TEST_P(JobKept, LongRunningTasksAreStartedAgain)
+TEST_P(JobKeptMixes, LongRunningTasksAreStartedAgain)
 {
 	const char *more = getenv("JOB_SEEDS");
 	uint64_t seeds = more == NULL ? 16 : strtoull(more, NULL, 10);
@@ -122,7 +192,7 @@
 		run_mix(seed, GetParam());
 }
 
-INSTANTIATE_TEST_SUITE_P(Mixes, JobKept,
+INSTANTIATE_TEST_SUITE_P(Mixes, JobKeptMixes,
     testing::Values(0, MIX_LEADERS, MIX_LATE, MIX_LOSE, MIX_RELAYS, MIX_CRASH,
 	MIX_UNREACHABLE, MIX_LEAVE, MIX_PAUSE, MIX_DARK, MIX_DARK | MIX_CRASH,
 	MIX_DARK | MIX_UNREACHABLE, MIX_DARK | MIX_LEAVE, MIX_LATE | MIX_CRASH,
