Run the timers of the event loops on the monotonic clock

Callers saw accepted tasks that didn't run again for as long as the time of day had been set back: an instance that relays calls to workers kept their answers, so that the leader heard of no start and no end, while it neither counted the workers as silent nor tried another instance.

Cause: the event loop's own timers use the time of day. One that is set before the time is set back fires late by as much, and a timer that is pending isn't set again. The same class acted on everything that had such a timer: the ticks of the connections between instances (heartbeats, reconnects), the HTTP server's and client's timeouts, and in serve the ticks of the replica and of the traffic threads, so that raft, leases and deadlines stood still.

Relay.SendsAnswersWhenTheTimeOfDayIsSetBack failed before: the answer came 3008 ms later after a step of 3 s.

All timers in src/node are now on one timerfd per module; ticker.h had that already for the ticks of gate and core.

--- a/src/node/back.c
+++ b/src/node/back.c
@@ -7,6 +7,7 @@
 
 #include "base/clk.h"
 #include "base/log.h"
+#include "node/mtimer.h"
 #include "node/nctr.h"
 
 #define ANSWER_HEADERS_MAX 64
@@ -17,7 +18,7 @@
 	struct back *back;
 	char *addr;
 	CURLM *multi;
-	struct tevent_timer *timer;
+	struct mtimer timer;
 	unsigned max_connections;
 	size_t ncalls;
 	struct timespec used_at;
@@ -62,7 +63,8 @@
 	CURL *spare_handles[SPARE_HANDLES_MAX];
 	size_t nspare;
 	size_t ncalls;
-	struct tevent_timer *sweep_timer;
+	struct mtimer_queue *timers;
+	struct mtimer sweep_timer;
 };
 
 static const char *const stripped_headers[] = { "connection", "keep-alive",
@@ -414,13 +416,9 @@
 
 /* Handles the end of a timeout of libcurl. */
 static void
-on_library_timeout(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+on_library_timeout(void *arg)
 {
-	struct host *h = arg;
-
-	h->timer = NULL;
-	host_run(h, CURL_SOCKET_TIMEOUT, 0);
+	host_run(arg, CURL_SOCKET_TIMEOUT, 0);
 }
 
 /* Called by libcurl to set its timeout; ms below 0 deletes it. */
@@ -429,13 +427,10 @@
 {
 	struct host *h = arg;
 
-	TALLOC_FREE(h->timer);
-	if (ms >= 0)
-		h->timer = tevent_add_timer(h->back->ev, h,
-		    ms == 0 ? tevent_timeval_zero()
-			    : tevent_timeval_current_ofs((uint32_t)(ms / 1000),
-				  (uint32_t)(ms % 1000) * 1000),
-		    on_library_timeout, h);
+	if (ms < 0)
+		mtimer_clear(&h->timer);
+	else
+		mtimer_set_ms(&h->timer, ms);
 	return 0;
 }
 
@@ -444,6 +439,7 @@
 host_destroy(struct host *h)
 {
 	curl_multi_cleanup(h->multi);
+	mtimer_clear(&h->timer);
 	return 0;
 }
 
@@ -464,6 +460,7 @@
 			abort();
 		h->back = b;
 		h->addr = talloc_steal(h, key);
+		mtimer_init(&h->timer, b->timers, on_library_timeout, h);
 		h->multi = curl_multi_init();
 		if (h->multi == NULL)
 			abort();
@@ -657,8 +654,7 @@
  * BACK_HOST_UNUSED_MS.
  */
 static void
-on_sweep_timer(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+on_sweep_timer(void *arg)
 {
 	struct back *b = arg;
 	struct timespec t = clk_now(&b->clk);
@@ -675,9 +671,7 @@
 		g_hash_table_iter_remove(&it);
 		talloc_free(h);
 	}
-	b->sweep_timer = tevent_add_timer(b->ev, b,
-	    tevent_timeval_current_ofs(BACK_IDLE_CONN_MAX_S, 0), on_sweep_timer,
-	    b);
+	mtimer_set_ms(&b->sweep_timer, BACK_IDLE_CONN_MAX_S * 1000);
 }
 
 /* Frees the hosts and the unused handles. */
@@ -713,9 +707,9 @@
 	b->ev = ev;
 	b->clk = clk_system();
 	b->hosts = g_hash_table_new(g_str_hash, g_str_equal);
-	b->sweep_timer = tevent_add_timer(ev, b,
-	    tevent_timeval_current_ofs(BACK_IDLE_CONN_MAX_S, 0), on_sweep_timer,
-	    b);
+	b->timers = mtimer_queue_new(b, ev);
+	mtimer_init(&b->sweep_timer, b->timers, on_sweep_timer, b);
+	mtimer_set_ms(&b->sweep_timer, BACK_IDLE_CONN_MAX_S * 1000);
 	talloc_set_destructor(b, back_destroy);
 	return b;
 }
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -12,6 +12,7 @@
 #include "control/agent.h"
 #include "control/cell.h"
 #include "node/disk.h"
+#include "node/mtimer.h"
 #include "node/nctr.h"
 #include "node/peer.h"
 #include "node/vsplit.h"
@@ -51,7 +52,7 @@
 	bool needs_sync;	/* log writes wait for a sync */
 	struct peer *peer;
 	struct tevent_fd *mbox_fde;
-	struct tevent_timer *tick_timer;
+	struct mtimer tick_timer;
 	int flush_fd; /* eventfd: control_flush is due */
 	struct tevent_fd *flush_fde;
 	bool flush_scheduled;
@@ -376,15 +377,13 @@
 
 /* Lets the replica and the agent act if their deadlines have passed. */
 static void
-on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval tv,
-    void *arg)
+on_tick(void *arg)
 {
 	struct control *c = arg;
 	struct timespec now = clk_now(&c->clk);
 	struct cell_ev cev = { .kind = CELL_EV_TICK };
 	struct agent_ev aev = { .kind = AGENT_EV_TICK };
 
-	c->tick_timer = NULL;
 	if (is_cell_running(c) && !clk_before(now, cell_next_tick(c->cell)))
 		step_cell(c, &cev);
 	if (!clk_before(now, agent_next_tick(c->agent)))
@@ -410,10 +409,7 @@
 		ns = 0;
 	if (ns > READY_CHECK_INTERVAL_MS * CLK_NS_PER_MS)
 		ns = READY_CHECK_INTERVAL_MS * CLK_NS_PER_MS;
-	TALLOC_FREE(c->tick_timer);
-	c->tick_timer = tevent_add_timer(c->ev, c,
-	    tevent_timeval_current_ofs(0, (uint32_t)(ns / 1000) + 1), on_tick,
-	    c);
+	mtimer_set(&c->tick_timer, ns);
 }
 
 /* Delivers local messages and syncs the disk until neither is left to do. */
@@ -854,6 +850,7 @@
 		talloc_free(c);
 		return NULL;
 	}
+	mtimer_init(&c->tick_timer, mtimer_queue_new(c, c->ev), on_tick, c);
 	talloc_set_destructor(c, control_destroy);
 	if (start_cell(c, e) != STATUS_OK) {
 		close(conf->peer_fd);
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -9,6 +9,7 @@
 
 #include "base/clk.h"
 #include "base/log.h"
+#include "node/mtimer.h"
 #include "node/nctr.h"
 
 #define REQUEST_HEADERS_MAX 64
@@ -18,7 +19,7 @@
 	struct tevent_context *ev;
 	struct MHD_Daemon *mhd;
 	struct tevent_fd *fde;
-	struct tevent_timer *timer;
+	struct mtimer timer;
 	struct tevent_immediate *run_event;
 	struct clk clk;
 	bool in_library; /* inside MHD_run */
@@ -61,13 +62,9 @@
 
 /* Runs the library when its timeout has passed. */
 static void
-on_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-    void *arg)
+on_timer(void *arg)
 {
-	struct front *f = arg;
-
-	f->timer = NULL;
-	front_run(f);
+	front_run(arg);
 }
 
 /* Runs the library when front_run_soon has asked for it. */
@@ -95,15 +92,12 @@
 	f->run_again = false;
 	MHD_run(f->mhd);
 	f->in_library = false;
-	TALLOC_FREE(f->timer);
+	mtimer_clear(&f->timer);
 	if (f->run_again ||
 	    (MHD_get_timeout(f->mhd, &ms) == MHD_YES && ms == 0)) {
 		tevent_schedule_immediate(f->run_event, f->ev, on_immediate, f);
 	} else if (MHD_get_timeout(f->mhd, &ms) == MHD_YES) {
-		f->timer = tevent_add_timer(f->ev, f,
-		    tevent_timeval_current_ofs(
-			(uint32_t)(ms / 1000), (uint32_t)(ms % 1000) * 1000),
-		    on_timer, f);
+		mtimer_set_ms(&f->timer, (int64_t)ms);
 	}
 }
 
@@ -542,6 +536,7 @@
 		abort();
 	f->conf = *conf;
 	f->ev = ev;
+	mtimer_init(&f->timer, mtimer_queue_new(f, ev), on_timer, f);
 	f->clk = clk_system();
 	f->run_event = tevent_create_immediate(f);
 	f->mhd = MHD_start_daemon(
--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/rng.h"
 #include "node/frame.h"
+#include "node/mtimer.h"
 #include "node/nctr.h"
 #include "node/sock.h"
 
@@ -60,7 +61,7 @@
 	struct clk clk;
 	struct rng rng;
 	struct tevent_fd *listen_fde;
-	struct tevent_timer *timer;
+	struct mtimer timer;
 	struct link **links;
 	size_t nlinks;
 	struct conn *accepted_conns;
@@ -569,17 +570,14 @@
 
 /* Checks all connections and retries those that have failed. */
 static void
-on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval tv,
-    void *arg)
+on_tick(void *arg)
 {
 	struct peer *p = arg;
 	struct timespec now = clk_now(&p->clk);
 	struct conn *c, *next;
 	size_t i;
 
-	p->timer = tevent_add_timer(ev, p,
-	    tevent_timeval_current_ofs(0, PEER_BACKOFF_MIN_MS * 1000), on_tick,
-	    p);
+	mtimer_set_ms(&p->timer, PEER_BACKOFF_MIN_MS);
 	for (c = p->accepted_conns; c != NULL; c = next) {
 		next = c->next;
 		conn_tick(c, now);
@@ -715,7 +713,8 @@
 		peer_add(p, &conf->peers[i]);
 	p->listen_fde =
 	    tevent_add_fd(ev, p, conf->listen_fd, TEVENT_FD_READ, on_accept, p);
-	p->timer = tevent_add_timer(ev, p, tevent_timeval_zero(), on_tick, p);
+	mtimer_init(&p->timer, mtimer_queue_new(p, ev), on_tick, p);
+	mtimer_set_ms(&p->timer, 0);
 	talloc_set_destructor(p, peer_destroy);
 	return p;
 }
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "node/mtimer.h"
 #include "node/nctr.h"
 #include "node/relay_msg.h"
 #include "node/wcon.h"
@@ -57,7 +58,7 @@
 	struct jrelay_delay batch_age;
 	uint64_t token;		       /* of the newest leader that is known */
 	struct timespec next_sweep_at; /* not after the first deadline */
-	struct tevent_timer *answer_timer; /* set while answers are queued */
+	struct mtimer answer_timer;    /* set while answers are queued */
 };
 
 /* ---- calls that this instance makes ---- */
@@ -104,13 +105,11 @@
 
 /* Sends all answers that are queued. */
 static void
-on_batch_timer(struct tevent_context *ev, struct tevent_timer *te,
-    struct timeval now, void *arg)
+on_batch_timer(void *arg)
 {
 	struct relay *rl = arg;
 	struct rpeer *p;
 
-	rl->answer_timer = NULL;
 	for (p = rl->rpeers; p != NULL; p = p->next) {
 		if (p->answers->len > 0)
 			send_answers(rl, p);
@@ -129,10 +128,8 @@
 		send_answers(rl, p);
 	p->answers_token = token;
 	g_ptr_array_add(p->answers, relay_msg_answer(p, r));
-	if (rl->answer_timer == NULL)
-		rl->answer_timer = tevent_add_timer(rl->conf.ev, rl,
-		    tevent_timeval_current_ofs(0, RELAY_BATCH_MS * 1000),
-		    on_batch_timer, rl);
+	if (!mtimer_is_set(&rl->answer_timer))
+		mtimer_set_ms(&rl->answer_timer, RELAY_BATCH_MS);
 }
 
 /* Passes the reply to the leader that asked for the call, and releases the
@@ -646,6 +643,8 @@
 	rl->relayed =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	talloc_set_destructor(rl, relay_destroy);
+	mtimer_init(&rl->answer_timer, mtimer_queue_new(rl, conf->ev),
+	    on_batch_timer, rl);
 	memset(&wc, 0, sizeof(wc));
 	wc.ev = conf->ev;
 	wc.clk = conf->clk;
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -6,6 +6,7 @@
 #include "node/nctr.h"
 #include "node/relay.h"
 #include "node/relay_msg.h"
+#include "node/tests/wall_clock.h"
 
 namespace {
 
@@ -453,4 +454,21 @@
 	talloc_free(ctx);
 }
 
+/* Guards against answers that are held back for as long as the time of day is
+ * set back: the leader then hears of no start and no end. */
+TEST_F(Relay, SendsAnswersWhenTheTimeOfDayIsSetBack)
+{
+	struct clk clk = clk_system();
+	hold_messages = true;
+	call(make_poll(1), 500);
+	now_ms += 4000;
+	hold_messages = false;
+	deliver(); /* too late to be made; the answer is queued */
+	WallClockSetBack back(3000);
+	int64_t from = clk_ns(clk_now(&clk));
+	ASSERT_TRUE(loop_until(ev, &got_reply));
+	EXPECT_LT((clk_ns(clk_now(&clk)) - from) / CLK_NS_PER_MS, 1000);
+	ASSERT_EQ(1U, leader.replies.size());
+}
+
 } // namespace
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -310,15 +310,12 @@
  * do.
  */
 static void
-on_stats(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-    void *arg)
+on_stats(void *arg)
 {
 	struct traffic *t = arg;
 	struct mbox_msg *m;
 
-	t->stats_timer = tevent_add_timer(ev, t,
-	    tevent_timeval_current_ofs(0, TRAFFIC_STATS_INTERVAL_MS * 1000),
-	    on_stats, t);
+	mtimer_set_ms(&t->stats_timer, TRAFFIC_STATS_INTERVAL_MS);
 	m = tstats_message(t->eng, t->conf.thread);
 	if (mbox_post(&t->conf.shared->control, m) != STATUS_OK)
 		talloc_free(m);
@@ -471,6 +468,8 @@
 	t->ev = tevent_context_init(t);
 	if (t->ev == NULL)
 		abort();
+	t->timers = mtimer_queue_new(t, t->ev);
+	mtimer_init(&t->tick_timer, t->timers, traffic_on_tick, t);
 	t->eng = create_engine(t);
 	bc.ctr = &t->ctr;
 	bc.on_sent = traffic_on_sent;
@@ -493,8 +492,8 @@
 	}
 	t->mbox_fde =
 	    tevent_add_fd(t->ev, t, t->mbox.fd, TEVENT_FD_READ, on_mbox, t);
-	t->stats_timer =
-	    tevent_add_timer(t->ev, t, tevent_timeval_zero(), on_stats, t);
+	mtimer_init(&t->stats_timer, t->timers, on_stats, t);
+	mtimer_set_ms(&t->stats_timer, 0);
 	traffic_arm_tick(t);
 	return t;
 }
--- a/src/node/traffic_act.c
+++ b/src/node/traffic_act.c
@@ -243,14 +243,12 @@
 }
 
 /* Tells the engine that its deadline has passed. */
-static void
-on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-    void *arg)
+void
+traffic_on_tick(void *arg)
 {
 	struct traffic *t = arg;
 	struct eng_ev tick = { .kind = ENG_EV_TICK };
 
-	t->tick_timer = NULL;
 	traffic_step(t, &tick);
 }
 
@@ -264,19 +262,15 @@
 	struct timespec at = eng_next_tick(t->eng);
 	int64_t ns;
 
-	if (t->tick_timer != NULL && !clk_before(at, t->tick_at))
+	if (mtimer_is_set(&t->tick_timer) && !clk_before(at, t->tick_at))
 		return;
-	TALLOC_FREE(t->tick_timer);
 	ns = clk_diff_ns(at, clk_now(&t->clk));
 	if (ns < 0)
 		ns = 0;
 	if (ns > CLK_NS_PER_S)
 		ns = CLK_NS_PER_S;
 	t->tick_at = at;
-	t->tick_timer = tevent_add_timer(t->ev, t,
-	    tevent_timeval_current_ofs((uint32_t)(ns / CLK_NS_PER_S),
-		(uint32_t)(ns % CLK_NS_PER_S / 1000) + 1),
-	    on_tick, t);
+	mtimer_set(&t->tick_timer, ns);
 }
 
 /*
--- a/src/node/traffic_impl.h
+++ b/src/node/traffic_impl.h
@@ -11,6 +11,7 @@
 #include "node/api.h"
 #include "node/back.h"
 #include "node/front.h"
+#include "node/mtimer.h"
 #include "node/traffic.h"
 #include "request/eng.h"
 
@@ -59,10 +60,11 @@
 struct traffic {
 	struct traffic_conf conf;
 	struct tevent_context *ev;
+	struct mtimer_queue *timers;
 	struct clk clk;
 	struct mbox mbox;
 	struct tevent_fd *mbox_fde;
-	struct tevent_timer *tick_timer, *stats_timer;
+	struct mtimer tick_timer, stats_timer;
 	struct timespec tick_at;
 	struct front *front;
 	struct back *back;
@@ -107,6 +109,7 @@
 void traffic_add_header(
     struct front_header *h, size_t *n, const char *name, struct str value);
 void traffic_arm_tick(struct traffic *t);
+void traffic_on_tick(void *arg);
 void traffic_step(struct traffic *t, const struct eng_ev *first);
 void traffic_on_sent(void *arg, void *user);
 void traffic_on_done(void *arg, void *user, const struct back_answer *a);
--- a/src/node/wcon.c
+++ b/src/node/wcon.c
@@ -271,8 +271,7 @@
 
 /* Closes connections and releases hosts that have not been used for long. */
 static void
-on_sweep(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-    void *arg)
+on_sweep(void *arg)
 {
 	struct wcon *w = arg;
 	struct timespec t = clk_now(&w->conf.clk);
@@ -294,8 +293,7 @@
 		g_hash_table_iter_remove(&it);
 		talloc_free(h);
 	}
-	w->sweep_timer = tevent_add_timer(w->conf.ev, w,
-	    tevent_timeval_current_ofs(WCON_IDLE_MS / 1000, 0), on_sweep, w);
+	mtimer_set_ms(&w->sweep_timer, WCON_IDLE_MS);
 }
 
 /* Closes all connections and releases all calls. */
@@ -340,8 +338,9 @@
 	g_queue_init(&w->blocked_hosts);
 	g_queue_init(&w->failed_calls);
 	w->fail_event = tevent_create_immediate(w);
-	w->sweep_timer = tevent_add_timer(conf->ev, w,
-	    tevent_timeval_current_ofs(WCON_IDLE_MS / 1000, 0), on_sweep, w);
+	mtimer_init(
+	    &w->sweep_timer, mtimer_queue_new(w, conf->ev), on_sweep, w);
+	mtimer_set_ms(&w->sweep_timer, WCON_IDLE_MS);
 	talloc_set_destructor(w, wcon_destroy);
 	return w;
 }
--- a/src/node/wcon_impl.h
+++ b/src/node/wcon_impl.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <http_parser.h>
 
+#include "node/mtimer.h"
 #include "node/wcon.h"
 
 /* One connection to a worker. */
@@ -55,7 +56,7 @@
 	size_t nconns;
 	bool full_logged;
 	struct tevent_immediate *fail_event;
-	struct tevent_timer *sweep_timer;
+	struct mtimer sweep_timer;
 };
 
 /* wcon.c */
