Poll a worker through another instance when answers get lost

Callers waited for a task whose run had ended: the instance that polled its worker lost the answers, and the leader polled through the same instance again without end. Such a worker isn't silent, so its leases didn't expire in the leader's view either, and only the next leader heard of the end. With the timers on the time of day this happened to every worker of an instance whose clock had been set back.

A poll whose answer is lost on the way counts as failed, and the next one takes another instance, as with calls that are not made.

--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -72,9 +72,10 @@
 	struct jst_worker *w;
 	struct jrun *runs;
 	uint32_t nruns;
-	bool contacted;	       /* has answered a poll of this leader */
-	bool silent;	       /* the last call had no answer */
-	uint32_t failed_polls; /* polls without an answer */
+	bool contacted; /* has answered a poll of this leader */
+	bool silent;	/* the last call had no answer */
+	/* polls without an answer; each makes calls take another instance */
+	uint32_t failed_polls;
 	/* another incarnation answered under this worker's id */
 	bool restarted;
 	/* the worker has said that it is about to exit */
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -115,12 +115,12 @@
 	}
 	if (rep->kind != JL_OK) {
 		ctr_add(jl->ctr, JCTR_POLLS_FAILED, 1);
+		if (rep->kind != JL_FENCED)
+			ws->failed_polls++;
 		if (rep->kind == JL_RELAY_LOST)
-			return;
+			return; /* another instance polls at once */
 		if (rep->kind != JL_FENCED && rep->kind != JL_RELAY_DROPPED)
 			mark_silent(jl, ws);
-		if (rep->kind != JL_FENCED)
-			ws->failed_polls++;
 		ws->next_poll_at = clk_add_ms(jl->now, ws->backoff_ms);
 		ws->backoff_ms *= 2;
 		if (ws->backoff_ms > JLEAD_RETRY_MAX_MS)
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -112,6 +112,9 @@
 	/* Share of calls whose relaying instance is lost after it made the
 	 * call, and of calls that it doesn't make. */
 	double relay_lost_rate = 0, relay_dropped_rate = 0;
+	/* Instances up to this one in the order of attempts make the calls
+	 * and lose their answers. */
+	uint32_t relays_losing_answers = 0;
 	/* registration to which calls that start a task are lost; 0: none */
 	uint64_t drop_starts_to = 0;
 	/* by the number of their first registration */
@@ -665,6 +668,14 @@
 			    });
 			return;
 		}
+		if (c->relay_attempt < s->relays_losing_answers) {
+			uint64_t ep = l->epoch;
+			s->events.emplace(s->now_ms + s->call_ms,
+			    [=]() { s->deliver(k, ep, 0); });
+			s->events.emplace(s->now_ms + c->timeout_ms + 1000,
+			    [=]() { s->no_answer(k, ep, JL_RELAY_LOST); });
+			return;
+		}
 		if (rng_chance(&s->rng, s->relay_lost_rate)) {
 			int64_t at =
 			    s->now_ms + 1 + (int64_t)rng_below(&s->rng, 3000);
--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -132,6 +132,22 @@
 	EXPECT_EQ(1U, s.workers[b].running.size());
 }
 
+/* Guards against a task whose end is never heard because the instance that
+ * polls its worker loses the answers, though another would not. */
+TEST(JobKept, AnEndIsHeardThroughAnotherInstance)
+{
+	JobSim s(3);
+	s.add_worker(8000);
+	s.lasting_ms = [](const SimTask &) { return 2000; };
+	s.lead();
+	s.submit(1, "batch", { lasting_step(1, 1000) });
+	s.run(1000);
+	ASSERT_EQ(1, (s.starts[{ 1, 0, 0, 0 }]));
+	s.relays_losing_answers = 1;
+	s.run(1000 + 6000);
+	EXPECT_GE((s.starts[{ 1, 0, 0, 0 }]), 2);
+}
+
 /* Guards against a start that is repeated at a worker which has begun to drain,
  * until it is carried out there. */
 TEST(JobKept, AStartIsNotRepeatedAtADrainingWorker)
