Ignore answers to calls of an earlier term

A task could run twice: a replica that lost the lead and won it again got the answer to a start of its earlier term, for example that the worker had no room, and took it for one to the run that it had inherited under the same number. It gave the run up and started the task elsewhere. Calls that other instances make are dropped with the term; direct ones, on fleets of up to 100 workers, went on.

Each term notes the serial of its first call, and earlier answers are ignored.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -175,6 +175,7 @@
 	jl->now = jl->leading_since = now;
 	jl->wall_ms = wall_ms;
 	jl->token = token;
+	jl->first_serial = jl->serial + 1;
 	jl->leading = true;
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -204,8 +204,9 @@
 	struct timespec plan_at;      /* earliest time of the next plan */
 	struct timespec fleet_log_at; /* next log line about the fleet */
 	uint64_t nplans;	      /* since the last such line */
-	uint64_t serial;
-	struct jinterf interf; /* kept when the leader changes */
+	uint64_t serial;	      /* of the last call */
+	uint64_t first_serial;	      /* of this term's calls */
+	struct jinterf interf;	      /* kept when the leader changes */
 	struct jdemand demand;
 	/* from a cancel to the end of the job's last run */
 	struct hist cancel_ms;
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -311,7 +311,7 @@
 	}
 }
 
-/* Handles the answer to a call, or that there was none. */
+/* Handles the answer to a call of this term, or that there was none. */
 void
 jlead_reply(struct jlead *jl, struct timespec now, const struct jl_reply *rep)
 {
@@ -319,7 +319,7 @@
 	struct jrun *r;
 
 	jl->now = now;
-	if (!jl->leading)
+	if (!jl->leading || rep->serial < jl->first_serial)
 		return;
 	ws = jl_session(jl, rep->worker);
 	if (ws == NULL)
--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -192,6 +192,33 @@
 	}
 }
 
+/* Guards against a run that is taken for refused, and started a second time,
+ * because a replica that leads again gets the answer to a start of its earlier
+ * term. */
+TEST(JobKept, AnAnswerToACallOfAnEarlierTermEndsNoRun)
+{
+	JobSim s(4);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.submit(1, "batch", { lasting_step(1, 1000) });
+	s.run(1000);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	uint64_t before = s.jl.serial;
+	s.lead();
+	jl_reply late = {};
+	late.kind = JL_NO_ROOM;
+	late.call = JL_START;
+	late.worker = a;
+	late.serial = before;
+	job__task__init(&late.task);
+	late.task.job = 1;
+	late.run = 1;
+	jlead_reply(&s.jl, s.now(), &late);
+	s.run(2000);
+	EXPECT_EQ(1, (s.starts[{ 1, 0, 0, 0 }]));
+	EXPECT_EQ(1U, s.workers[a].running.size());
+}
+
 class JobKeptMixes : public testing::TestWithParam<unsigned> {};
 
 /* Guards against a task that is accepted and not started again after its run
