Test that instances connect after the time of day was set back

Peer.ConnectsAfterTheTimeOfDayWasSetBack fails with the former timer of peer.c (no connection in 10 s) and passes.

--- a/src/node/tests/peer_test.cc
+++ b/src/node/tests/peer_test.cc
@@ -2,6 +2,8 @@
 
 #include "script_server.h"
 
+#include "node/tests/wall_clock.h"
+
 #include <sys/socket.h>
 #include <netinet/in.h>
 #include <arpa/inet.h>
@@ -254,3 +256,16 @@
 	spec.payload = (char *)payload.c_str();
 	EXPECT_EQ(STATUS_LIMIT, peer_send(peer, 2, &m));
 }
+
+/* Guards against an instance that is not connected to for as long as the time
+ * of day was set back. */
+TEST_F(Peer, ConnectsAfterTheTimeOfDayWasSetBack)
+{
+	struct script_server other(ev);
+	struct node_peer node = { 3, str_from(other.addr.c_str()) };
+
+	tevent_loop_once(ev); /* the first tick */
+	peer_add(peer, &node);
+	WallClockSetBack back(60000);
+	EXPECT_TRUE(loop_until(ev, &other.has_accepted));
+}
--- a/src/node/tests/script_server.h
+++ b/src/node/tests/script_server.h
@@ -27,6 +27,7 @@
 	std::string addr;
 	std::vector<script_step> steps;
 	size_t accepted = 0, closed = 0;
+	bool has_accepted = false;
 	std::vector<std::string> requests;
 	std::set<script_conn *> conns;
 
--- a/src/node/tests/script_server_test.cc
+++ b/src/node/tests/script_server_test.cc
@@ -57,6 +57,7 @@
 	if (fd < 0)
 		return;
 	s->accepted++;
+	s->has_accepted = true;
 	struct script_conn *c = new script_conn{ s, fd, "", NULL };
 	c->fde = tevent_add_fd(ev, ev, fd, TEVENT_FD_READ, on_data, c);
 	s->conns.insert(c);
