Log and count workers whose answers don't arrive

A worker with runs that isn't silent and hasn't been heard for 3.5 s is logged now. A waiting task's line also says whether it is long-running or best-effort, as the room that it counts means little for the latter. No decision changes.

Test: JobLog.LogsAWorkerWhoseAnswersAreLost.

--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -57,4 +57,6 @@
 	    "Each second, assigned tasks that no worker has confirmed." },
 	[JCTR_IDLE_NO_RUN] = { "idle_no_run",
 	    "Each second, assigned tasks without a run; must stay 0." },
+	[JCTR_UNHEARD] = { "workers_unheard",
+	    "Each second, workers whose answers don't arrive, not silent." },
 };
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -87,7 +87,10 @@
 /* A task that should run and hasn't for this long is logged. Long enough for a
  * change of leader, and for an order that is repeated. */
 #define JLEAD_IDLE_MS 3000
-/* Most such tasks logged in one JLEAD_FLEET_LOG_INTERVAL_MS. */
+/* A worker with runs that hasn't been heard for this long and doesn't count as
+ * silent is logged. Longer than a poll that gets no answer. */
+#define JLEAD_UNHEARD_MS 3500
+/* Most such tasks, and workers, logged in one JLEAD_FLEET_LOG_INTERVAL_MS. */
 #define JLEAD_IDLE_LINES_MAX 8
 /* A start that is sent later than this after its assignment is logged
  * separately. */
--- a/src/job/jlead_idle.c
+++ b/src/job/jlead_idle.c
@@ -87,12 +87,12 @@
 	    "event=idle job=%016" PRIx64 " task=%u.%u.%u run=%u state=waiting "
 	    "idle_ms=%" PRId64 " proposed=%d step_waiting=%u step_proposed=%u "
 	    "queue=%d cpu=%" PRId64 " mem_mb=%" PRId64
-	    " spread=%u fitting=%u of=%zu",
+	    " long_running=%d best_effort=%d spread=%u fitting=%u of=%zu",
 	    st->job->id, st->occurrence, st->number, index, t->run, idle_ms,
 	    t->active_run != NULL, st->nwaiting, st->nproposed,
 	    st->job->queue_cfg != NULL, (int64_t)st->spec->cpu_milli,
-	    (int64_t)st->spec->mem_mb, st->spec->spread,
-	    count_fitting(jl, st->spec), jl->nsessions);
+	    (int64_t)st->spec->mem_mb, st->spec->lasting, st->spec->fills,
+	    st->spec->spread, count_fitting(jl, st->spec), jl->nsessions);
 }
 
 /* Logs a task that is assigned: the phase of its run and what its worker's
@@ -167,6 +167,33 @@
 	}
 }
 
+/* Counts and logs the workers with runs that are not heard although they don't
+ * count as silent: their answers are lost on the way, or no poll is sent. */
+static void
+scan_unheard(struct jlead *jl)
+{
+	const struct wsess *ws;
+	uint32_t n = 0;
+	int64_t ms;
+
+	for (ws = jl->sessions; ws != NULL; ws = ws->next) {
+		ms = clk_diff_ms(jl->now, ws->last_heard_at);
+		if (ws->silent || ws->restarted || ws->nruns == 0 ||
+		    ms < JLEAD_UNHEARD_MS)
+			continue;
+		if (n++ >= JLEAD_IDLE_LINES_MAX)
+			continue;
+		log_event(LOG_NOTICE, "job",
+		    "event=unheard worker=%s heard_ms=%" PRId64
+		    " runs=%u contacted=%d poll_pending=%d failed_polls=%u "
+		    "ends_pending=%u leaving=%d removal=%d",
+		    ws->w->info->id, ms, ws->nruns, ws->contacted,
+		    ws->poll_pending, ws->failed_polls, ws->ends_pending,
+		    ws->leave_announced, ws->removal_proposed);
+	}
+	ctr_add(jl->ctr, JCTR_UNHEARD, n);
+}
+
 /* Counts and logs the tasks that should run and have not done so for
  * JLEAD_IDLE_MS. */
 void
@@ -183,6 +210,7 @@
 				scan_step(jl, &j->steps[i], &scan);
 		}
 	}
+	scan_unheard(jl);
 	if (scan.nlogged == 0)
 		return;
 	ctr_add(jl->ctr, JCTR_IDLE_WAITING, scan.nwaiting);
--- a/src/job/tests/jobs_log_test.cc
+++ b/src/job/tests/jobs_log_test.cc
@@ -273,6 +273,23 @@
 	EXPECT_GT(ctr_get(&s.ctr, JCTR_IDLE_NO_RUN), 0U);
 }
 
+/* Guards against a worker whose answers are lost on the way, which leaves no
+ * trace in the log while its task counts as running. */
+TEST_F(JobLog, LogsAWorkerWhoseAnswersAreLost)
+{
+	s.add_worker(4000);
+	s.lead();
+	s.submit(0xabc, "batch", { lasting_step(1, 3000) });
+	s.run(500);
+	s.relays_losing_answers = UINT32_MAX;
+	s.run(6000);
+
+	auto unheard = lines("event=unheard worker=i-1");
+	ASSERT_FALSE(unheard.empty());
+	EXPECT_TRUE(has(unheard[0], "runs=1 contacted=1")) << unheard[0];
+	EXPECT_EQ(unheard.size(), ctr_get(&s.ctr, JCTR_UNHEARD));
+}
+
 /* Guards against lines about tasks that run or wait for their turn. */
 TEST_F(JobLog, LogsNoIdleTaskWhileAllRun)
 {
