Ignore answers to orders of an earlier term of the same replica

Callers could see a task run twice at once: the answer to a start that was sent in an earlier term of the same replica came after the run had been inherited and ordered again. The leader took it for the answer to the present order, which was still in flight. A refusal for lack of room, or on a draining worker any answer that leaves the run unconfirmed, then ended the run at once, and its task was started elsewhere.

Cause: answers to orders were matched by worker, task and run number, but not by serial. Calls that the leader makes itself outlive its term; those made by other instances are dropped with it.

An answer is now taken only for the order in flight, by its serial.

JobLead.AnAnswerToAnOrderOfAnEarlierTermEndsNoRun failed before (2 starts of one task, both running), for a fenced start and for one refused for lack of room.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -271,7 +271,7 @@
 		jl_log_stop(jl, r, &c);
 	}
 	r->order_pending = true;
-	r->confirmed_serial = c.serial;
+	r->order_serial = r->confirmed_serial = c.serial;
 	jl->ops.call(jl->ops.arg, &c);
 }
 
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -50,6 +50,7 @@
 	uint32_t nstarts, nstops;	 /* orders sent so far */
 	bool inherited;			 /* assigned by an earlier leader */
 	struct timespec created;
+	uint64_t order_serial; /* of the last start or stop */
 	/* a poll with a higher serial shows whether the run exists */
 	uint64_t confirmed_serial;
 	struct timespec retry_at, assigned_at;
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -269,6 +269,14 @@
 	}
 }
 
+/* Tells whether a reply belongs to the run's order in flight. One to an order
+ * of an earlier term of this replica says nothing about it. */
+static bool
+is_order_reply(const struct jrun *r, const struct jl_reply *rep)
+{
+	return r->order_pending && rep->serial == r->order_serial;
+}
+
 /* Handles the answer of an earlier incarnation: it says nothing about the
  * present one, but its call is no longer in flight. */
 static void
@@ -291,6 +299,8 @@
 		r->throttle_pending = false;
 		return;
 	}
+	if (!is_order_reply(r, rep))
+		return;
 	r->order_pending = false;
 	jrun_send_due(jl, r);
 }
@@ -349,6 +359,8 @@
 		r->ws->plan_stale = true;
 		return;
 	}
+	if (!is_order_reply(r, rep))
+		return;
 	r->order_pending = false;
 	if (r->phase == RUN_ENDING)
 		return;
--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -668,6 +668,47 @@
 	}
 }
 
+/* Guards against a task that runs twice because the answer to an order of an
+ * earlier term of the same replica is taken for that to the present one, which
+ * is still in flight. */
+TEST(JobLead, AnAnswerToAnOrderOfAnEarlierTermEndsNoRun)
+{
+	for (enum jl_reply_kind kind : { JL_FENCED, JL_NO_ROOM }) {
+		JobSim s(51);
+		SCOPED_TRACE(kind);
+		struct jl_reply answer = {};
+		struct jst_step *sp = NULL;
+		Job__Step st = JobSim::step(1, 1000);
+		st.has_lasting = st.lasting = 1;
+		uint64_t a = s.add_worker(8000);
+		s.lead();
+		s.run(100);
+		s.drop_starts_to = a;
+		s.submit(1, "batch", { st });
+		s.run(50);
+		job__task__init(&answer.task);
+		answer.task.job = 1;
+		struct jst_task *t = jst_find_task(&s.st, &answer.task, &sp);
+		ASSERT_EQ(RUN_STARTING, t->active_run->phase);
+		answer.kind = kind;
+		answer.call = JL_START;
+		answer.worker = a;
+		answer.run = t->run;
+		answer.serial = s.jl.serial;
+		s.drop_starts_to = 0;
+		s.late_rate = 1;
+		s.lead();
+		s.run(50);
+		s.late_rate = 0;
+		ASSERT_TRUE(t->active_run->order_pending);
+		jlead_reply(&s.jl, s.now(), &answer);
+		s.drain(a);
+		s.add_worker(8000);
+		s.run(15000);
+		EXPECT_EQ(1, (s.starts[{ 1, 0, 0, 0 }]));
+	}
+}
+
 class JobAsked : public testing::TestWithParam<unsigned> {};
 
 /* Guards against work that no client submitted: a start with another
