--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -192,6 +192,31 @@
 	}
 }
 
+/* Guards against a task that is stopped and started again because its worker
+ * was silent after it had carried out the order. */
+TEST(JobKept, ATaskStartedBeforeItsWorkerWasSilentIsKept)
+{
+	for (int64_t silent_ms = 1000; silent_ms <= 5000; silent_ms += 250) {
+		JobSim s(4);
+		SCOPED_TRACE(silent_ms);
+		uint64_t a = s.add_worker(8000);
+		s.lead();
+		s.run(100);
+		s.relays_losing_answers = 1;
+		s.submit(1, "batch", { lasting_step(1, 1000) });
+		s.run(40);
+		s.relays_losing_answers = 0;
+		ASSERT_EQ(1U, s.workers[a].running.size());
+		s.set_unreachable(a, true);
+		s.add_worker(8000);
+		s.run(silent_ms);
+		s.set_unreachable(a, false);
+		s.run(10000);
+		EXPECT_EQ(1U, s.workers[a].running.size());
+		EXPECT_EQ(1, (s.starts[{ 1, 0, 0, 0 }]));
+	}
+}
+
 class JobKeptMixes : public testing::TestWithParam<unsigned> {};
 
 /* Guards against a task that is accepted and not started again after its run
