Arm the timers of the event loops on the clock that their times are taken from

On a machine that had ever been suspended, all timers fired late by the time spent suspended: raft, the connections between instances and the HTTP timeouts stood still for as long after each timer was set.

Cause: the times of the timers are taken from clk_system, which counts the time while suspended (CLOCK_BOOTTIME), and the descriptor was set to them on CLOCK_MONOTONIC, which doesn't.

The descriptor is now on CLOCK_BOOTTIME, and is set to the time that is left.

Timers.FireOnTimeOnAMachineThatHasBeenSuspended failed before (a timer of 10 ms fired after 3010 ms, with 3 s suspended).

--- a/src/node/mtimer.c
+++ b/src/node/mtimer.c
@@ -41,13 +41,16 @@
 arm(struct mtimer_queue *q)
 {
 	const struct mtimer *first = first_timer(q);
+	struct clk clk = clk_system();
 	struct itimerspec its;
+	int64_t ns;
 
 	if (first == NULL || (q->armed && !clk_before(first->at, q->armed_at)))
 		return;
 	memset(&its, 0, sizeof(its));
-	its.it_value = first->at;
-	if (timerfd_settime(q->fd, TFD_TIMER_ABSTIME, &its, NULL) < 0)
+	ns = clk_diff_ns(first->at, clk_now(&clk));
+	its.it_value = clk_from_ns(ns > 0 ? ns : 1); /* 0 would clear it */
+	if (timerfd_settime(q->fd, 0, &its, NULL) < 0)
 		abort();
 	q->armed = true;
 	q->armed_at = first->at;
@@ -94,7 +97,8 @@
 
 	if (q == NULL)
 		abort();
-	q->fd = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	/* The clock of clk_system. */
+	q->fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (q->fd < 0)
 		abort();
 	q->timers = g_sequence_new(NULL);
--- a/src/node/tests/mtimer_test.cc
+++ b/src/node/tests/mtimer_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <ctime>
+#include <sys/syscall.h>
 #include <sys/time.h>
+#include <unistd.h>
 #include <vector>
 
 extern "C" {
@@ -29,6 +31,25 @@
 
 namespace {
 
+/* How long the machine has been suspended since it was started, in ms. */
+int64_t suspended_ms = 0;
+
+} // namespace
+
+/* Replaces the C library's function; only CLOCK_BOOTTIME counts the time while
+ * the machine was suspended. */
+extern "C" int
+clock_gettime(clockid_t id, struct timespec *ts) noexcept
+{
+	long rc = syscall(SYS_clock_gettime, id, ts);
+
+	if (rc == 0 && id == CLOCK_BOOTTIME && suspended_ms != 0)
+		*ts = clk_from_ns(clk_ns(*ts) + suspended_ms * CLK_NS_PER_MS);
+	return (int)rc;
+}
+
+namespace {
+
 /* Timers on an event loop; each notes its number when it fires. */
 class Timers : public ::testing::Test {
       protected:
@@ -104,4 +125,17 @@
 	EXPECT_GE(now_ms() - from, 9);
 }
 
+/* Guards against timers that all fire late, by as long as the machine has ever
+ * been suspended. */
+TEST_F(Timers, FireOnTimeOnAMachineThatHasBeenSuspended)
+{
+	suspended_ms = 3000;
+	int64_t from = now_ms();
+	mtimer_set_ms(&v[0].timer, 10);
+	run(1);
+	EXPECT_LT(now_ms() - from, 1000);
+	EXPECT_GE(now_ms() - from, 10);
+	suspended_ms = 0;
+}
+
 } // namespace
