Bound the wait of best-effort tasks when the time of day is set back

A best-effort task that waits for a place with less interference waits at most 1.5 s while much of its service is free. The beginning of the wait was noted by the time of day, so when that was set back, the task waited longer by as much.

A beginning in the future is now replaced by the present.

JobPlan.WaitsAreShortWhenTheTimeOfDayIsSetBack failed before (not started 2 s after the time was set back by 5 s).

--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -484,7 +484,9 @@
 	if (d.service == NULL)
 		return 0;
 	d.may_wait = can_wait && may_wait(r, st, &d);
-	if (can_wait && st->waiting_since_ms == 0)
+	/* The time of day may have been set back. */
+	if (can_wait &&
+	    (st->waiting_since_ms == 0 || st->waiting_since_ms > r->now_ms))
 		st->waiting_since_ms = r->now_ms;
 	if (known_not_to_fit(r, &d))
 		return 0;
