Run the jobs of a queue that a configuration has removed

Callers saw: a job was accepted, a later configuration removed its queue, and from then on nothing of it started. A long-running task of such a queue whose run ended stayed down until a queue of that name was back.

Cause: the plan takes a job's service from its queue, and looked the queue up in the newest configuration only. Without a queue it skips the job. The number of attempts fell back to JST_ATTEMPTS_DEFAULT, so that a job could also fail earlier, or later, than its queue said.

Evidence: JobPlan.JobsOfARemovedQueueStillRun and JobState.ARemovedQueueIsKeptForItsJobs fail without the change: 1 run instead of 2 of the long-running task, the other job stays active, jst_queue returns NULL.

It takes no requests. It goes with the first configuration after its last active job has ended. A queue of that name that comes back replaces it.

Tests: JobSim::config takes the version, the queues and the service; with the defaults it does what it did.

--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -479,16 +479,66 @@
 	s->nworkers--;
 }
 
+/* Tells whether an active job was submitted to this queue. */
+static bool
+queue_has_jobs(const struct jst *s, const char *name)
+{
+	const struct jst_job *j;
+
+	for (j = s->active; j != NULL; j = j->next) {
+		if (strcmp(j->queue, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Adds a copy of a queue to a configuration as a removed one. */
+static void
+add_removed_queue(Job__Config *c, const Job__Queue *q)
+{
+	Job__Queue *copy = (Job__Queue *)copy_msg(&q->base);
+
+	free(copy->host);
+	copy->host = copy_text("");
+	c->queues = realloc(c->queues, (c->n_queues + 1) * sizeof(*c->queues));
+	if (c->queues == NULL)
+		abort();
+	c->queues[c->n_queues++] = copy;
+}
+
+/*
+ * Keeps the queues that a new configuration removes, as accepted jobs still run
+ * by the settings of theirs. One that was removed earlier is kept while it has
+ * active jobs; one that is removed now also without, as a submission may have
+ * been proposed before.
+ */
+static void
+keep_removed_queues(const struct jst *s, const Job__Config *old)
+{
+	size_t i;
+
+	for (i = 0; old != NULL && i < old->n_queues; i++) {
+		const Job__Queue *q = old->queues[i];
+
+		if (jst_queue(s, q->name) == NULL &&
+		    (!jst_queue_removed(q) || queue_has_jobs(s, q->name)))
+			add_removed_queue(s->config, q);
+	}
+}
+
 /* Replaces the configuration if the version is higher. */
 static void
 apply_config(struct jst *s, const Job__Config *m, struct jst_result *r)
 {
-	if (s->config != NULL && m->version <= s->config->version) {
+	Job__Config *old = s->config;
+
+	if (old != NULL && m->version <= old->version) {
 		r->status = STATUS_EXISTS;
 		return;
 	}
-	free_msg(s->config);
 	s->config = (Job__Config *)copy_msg(&m->base);
+	keep_removed_queues(s, old);
+	free_msg(old);
 }
 
 /* Adds a maintenance wave. */
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -114,7 +114,8 @@
 };
 
 struct jst {
-	Job__Config *config; /* NULL: none set yet */
+	/* NULL: none set yet. Also holds removed queues that jobs need. */
+	Job__Config *config;
 	struct jst_job *active, *active_last;
 	struct jst_job *ended, *ended_last; /* oldest first */
 	void *jobs;			    /* hash table by id */
@@ -166,6 +167,7 @@
 void jst_unindex_worker(struct jst *, const struct jst_worker *);
 struct jst_wave *jst_find_wave(const struct jst *, uint64_t id);
 const Job__Queue *jst_queue(const struct jst *, const char *name);
+bool jst_queue_removed(const Job__Queue *);
 const Job__Service *jst_service(const struct jst *, const char *name);
 /* Returns the queue of a host and path, by the longest prefix; NULL if there is
  * none. */
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -141,7 +141,7 @@
 	return NULL;
 }
 
-/* Returns a queue of the configuration by its name. */
+/* Returns a queue by its name, also a removed one that is kept for its jobs. */
 const Job__Queue *
 jst_queue(const struct jst *s, const char *name)
 {
@@ -154,6 +154,14 @@
 	return NULL;
 }
 
+/* Tells whether a queue isn't in the configuration any more: it takes no
+ * requests, so it has no host. */
+bool
+jst_queue_removed(const Job__Queue *q)
+{
+	return q->host[0] == '\0';
+}
+
 /* Returns a service of the configuration by its name. */
 const Job__Service *
 jst_service(const struct jst *s, const char *name)
@@ -178,8 +186,8 @@
 		const Job__Queue *q = s->config->queues[i];
 
 		len = strlen(q->prefix);
-		if (str_eq_c(host, q->host) && len <= path.len &&
-		    memcmp(q->prefix, path.p, len) == 0 &&
+		if (!jst_queue_removed(q) && str_eq_c(host, q->host) &&
+		    len <= path.len && memcmp(q->prefix, path.p, len) == 0 &&
 		    (best == NULL || len > best_len)) {
 			best = q;
 			best_len = len;
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -107,7 +107,8 @@
 	/* Share of calls whose relaying instance is lost after it made the
 	 * call, and of calls that it doesn't make. */
 	double relay_lost_rate = 0, relay_dropped_rate = 0;
-	bool drop_starts = false; /* calls that start a task are lost */
+	bool drop_starts = false;  /* calls that start a task are lost */
+	uint32_t max_attempts = 3; /* in the configuration */
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
 	/* later registrations of the same worker */
@@ -166,31 +167,36 @@
 		return clk_from_ns(now_ms * CLK_NS_PER_MS);
 	}
 
-	/* Configures two queues of one service. */
-	void config()
+	/* Configures queues of one service; "fast" is the urgent one. */
+	void config(uint64_t version = 1,
+	    const std::vector<std::string> &queues = { "fast", "batch" },
+	    const char *service_name = "svc")
 	{
 		Job__Command c = JOB__COMMAND__INIT;
 		Job__Config cf = JOB__CONFIG__INIT;
-		Job__Queue q[2] = { JOB__QUEUE__INIT, JOB__QUEUE__INIT };
-		Job__Queue *qs[2] = { &q[0], &q[1] };
-		char names[2][8] = { "fast", "batch" };
-		char host[] = "h", prefix[2][4] = { "/f/", "/b/" };
-		char service[] = "svc";
-		for (int i = 0; i < 2; i++) {
-			q[i].name = names[i];
-			q[i].host = host;
-			q[i].prefix = prefix[i];
-			q[i].service = service;
+		std::vector<Job__Queue> q(queues.size());
+		std::vector<Job__Queue *> qs;
+		std::vector<std::string> names = queues, prefixes;
+		std::string host = "h", service = service_name;
+		for (auto &name : names)
+			prefixes.push_back("/" + name.substr(0, 1) + "/");
+		for (size_t i = 0; i < q.size(); i++) {
+			job__queue__init(&q[i]);
+			q[i].name = names[i].data();
+			q[i].host = host.data();
+			q[i].prefix = prefixes[i].data();
+			q[i].service = service.data();
 			q[i].has_priority = q[i].has_max_attempts = 1;
-			q[i].priority = (uint32_t)i * 2;
-			q[i].max_attempts = 3;
+			q[i].priority = names[i] == "fast" ? 0 : 2;
+			q[i].max_attempts = max_attempts;
 			q[i].has_target_ms = q[i].has_stretch_milli = 1;
 			q[i].target_ms = 500;
 			q[i].stretch_milli = 1500;
+			qs.push_back(&q[i]);
 		}
-		cf.version = 1;
-		cf.queues = qs;
-		cf.n_queues = 2;
+		cf.version = version;
+		cf.queues = qs.data();
+		cf.n_queues = qs.size();
 		c.config = &cf;
 		apply(c);
 	}
@@ -444,6 +450,19 @@
 		workers[num].reachable_since_ms = now_ms;
 	}
 
+	/* Lets all running tasks of a job on a worker fail. */
+	void fail_running(uint64_t num, uint64_t job)
+	{
+		SimWorker &w = workers[num];
+		std::vector<SimTask> tasks;
+		for (auto &x : w.running) {
+			if (x.first.job == job)
+				tasks.push_back(x.first);
+		}
+		for (auto &t : tasks)
+			end(w, t, JOB__HOW__FAILED);
+	}
+
 	/* Ends a worker's process. */
 	void crash(uint64_t num)
 	{
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -571,4 +571,29 @@
 	EXPECT_EQ(3, started);
 }
 
+/* Guards against accepted jobs that wait for good because a configuration
+ * removed their queue, and against long-running tasks of such a queue that
+ * aren't started again. */
+TEST(JobPlan, JobsOfARemovedQueueStillRun)
+{
+	JobSim s(33);
+	uint64_t a = s.add_worker(4000);
+	s.lead();
+	s.run(100);
+	Job__Step lasts = JobSim::step(1, 1000);
+	lasts.has_lasting = lasts.lasting = 1;
+	s.run_time_ms = [](const SimTask &t) { return t.job == 1 ? -1 : 300; };
+	s.submit(1, "fast", { lasts });
+	s.run(300);
+	ASSERT_EQ(1U, s.starts.size());
+	s.submit(2, "batch", { JobSim::step(2, 4000), JobSim::step(1, 4000) });
+	s.config(2, {});
+	s.fail_running(a, 1);
+	s.run(6000);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+	s.cancel(1);
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(2));
+}
+
 } // namespace
--- a/src/job/tests/jst_test.cc
+++ b/src/job/tests/jst_test.cc
@@ -238,4 +238,44 @@
 	jst_finish(&copy);
 }
 
+/* Guards against a removed queue that still takes requests, and against one
+ * whose jobs lose its settings: also with further configurations, in a
+ * snapshot, and for a job that was proposed before the removal. */
+TEST(JobState, ARemovedQueueIsKeptForItsJobs)
+{
+	JobSim s(10);
+	s.max_attempts = 5;
+	s.config(2);
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.config(3, {});
+	s.submit(2, "fast", { JobSim::step(1, 1000) });
+	s.config(4, {});
+	EXPECT_EQ(nullptr, jst_route(&s.st, str_from("h"), str_from("/b/1")));
+	EXPECT_EQ(nullptr, jst_route(&s.st, str_from(""), str_from("/b/1")));
+	EXPECT_EQ(nullptr, jst_route(&s.st, str_from(""), str_from("")));
+	struct jst copy;
+	struct err e = {};
+	jst_init(&copy);
+	ASSERT_EQ(STATUS_OK, jst_unpack(&copy, jst_pack(&s.st, s.ctx), &e));
+	for (struct jst *st : { &s.st, &copy }) {
+		for (const char *name : { "fast", "batch" }) {
+			const Job__Queue *q = jst_queue(st, name);
+			ASSERT_NE(nullptr, q) << name;
+			EXPECT_STREQ("svc", q->service);
+			EXPECT_EQ(5U, q->max_attempts);
+		}
+	}
+	jst_finish(&copy);
+	/* A queue of that name that comes back replaces it. */
+	s.config(5, { "batch" });
+	EXPECT_STREQ(
+	    "batch", jst_route(&s.st, str_from("h"), str_from("/b/1"))->name);
+	/* Without jobs, it is forgotten. */
+	s.cancel(1);
+	s.cancel(2);
+	s.config(6, {});
+	s.config(7, {});
+	EXPECT_EQ(0U, s.st.config->n_queues);
+}
+
 } // namespace
