Count what a gang gives back as free in the same plan

Callers saw: new long-running tasks waited although the service had more free than short jobs need, for as long as a gang that doesn't fit as a whole was waiting.

Cause: jplan_undo gave the resources back to the workers, but not to the sums of free processors of the service that needs_reserve compares with the reserve for short jobs. A gang that doesn't fit is tried in each plan.

Evidence: JobPlan.ResourcesThatAGangGivesBackCountAsFree fails without the change: the task is never started.

Fix: jplan_undo adds them to both.

--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -577,9 +577,11 @@
 
 	for (i = 0; i < n; i++) {
 		struct jplan_need d = get_need(r, c[i].step);
+		struct jplan_worker *p = &r->workers[c[i].worker];
 
-		allocate(
-		    r->interf, c[i].step, &d, &r->workers[c[i].worker], -1);
+		add_free_cpu(r, p, -1);
+		allocate(r->interf, c[i].step, &d, p, -1);
+		add_free_cpu(r, p, 1);
 	}
 	if (n > 0)
 		r->nno_fit = 0;
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -596,4 +596,33 @@
 	EXPECT_EQ(JST_COMPLETED, s.state(2));
 }
 
+/* Guards against new long-running tasks that wait as long as a gang doesn't
+ * fit, because the plan counts the resources that the gang gave back as
+ * used. */
+TEST(JobPlan, ResourcesThatAGangGivesBackCountAsFree)
+{
+	JobSim s(34);
+	for (int i = 0; i < 10; i++)
+		s.add_worker(10000);
+	s.lead();
+	s.run(100);
+	s.run_time_ms = [](const SimTask &t) { return t.job == 1 ? 200 : -1; };
+	/* Short work, for which new long-running tasks leave resources. */
+	s.submit(1, "fast", { JobSim::step(1, 1000, 10000) });
+	Job__Step lasts = JobSim::step(7, 10000);
+	lasts.has_lasting = lasts.lasting = 1;
+	s.submit(2, "fast", { lasts });
+	s.run(1000);
+	ASSERT_EQ(JST_COMPLETED, s.state(1));
+	Job__Step gang = JobSim::step(4, 10000, 100);
+	gang.has_gang = gang.gang = 1;
+	s.submit(3, "fast", { gang });
+	lasts.count = 1;
+	lasts.cpu_milli = 1000;
+	s.submit(4, "fast", { lasts });
+	s.run(300);
+	EXPECT_EQ(1U, s.starts.count(SimTask{ 4, 0, 0, 0 }));
+	EXPECT_EQ(0U, s.starts.count(SimTask{ 3, 0, 0, 0 }));
+}
+
 } // namespace
