Bound how long a best-effort gang waits for a better place

Callers saw: a best-effort gang didn't start on a mostly free fleet until its own job was nearly late. Users accept 3 s while half of the service is free.

Cause: a step may wait JPLAN_LOW_LOAD_WAIT_MS for places without interference. jplan_place started this time anew whenever it placed a task, also when the plan then gave the places of an incomplete gang back, so that it began again with each plan.

Evidence: JobPlan.WaitsOfAGangAreShortWhileMuchIsFree fails without the change: not started after 2 s.

Fix: the plan clears the time once the tasks are chosen for good.

--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -268,6 +268,8 @@
 			jplan_undo(&round, out + n, k);
 			k = 0;
 		}
+		if (k > 0)
+			st->waiting_since_ms = 0;
 		if (c[i].displaced && k < st->nwaiting - st->nproposed)
 			jplan_reserve(
 			    &round, st, st->nwaiting - st->nproposed - k);
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -519,8 +519,6 @@
 	count_step_tasks(r, st, -1);
 	for (i = 0; i < k; i++)
 		r->step_tasks[out[i].worker]--;
-	if (k > 0)
-		st->waiting_since_ms = 0;
 	return k;
 }
 
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -625,4 +625,28 @@
 	EXPECT_EQ(0U, s.starts.count(SimTask{ 3, 0, 0, 0 }));
 }
 
+/* Guards against a best-effort gang that waits for seconds on a mostly free
+ * fleet because only some of its tasks find a place without interference. */
+TEST(JobPlan, WaitsOfAGangAreShortWhileMuchIsFree)
+{
+	InterferenceFleet b;
+	Job__Step st = JobSim::step(3, 12000);
+	st.has_lasting = st.lasting = 1;
+	st.has_target_ms = st.has_spread = 1;
+	st.target_ms = 50;
+	st.spread = 1;
+	st.image = b.image[0];
+	b.s.submit(1, "fast", { st });
+	b.s.run(100);
+	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(4, 24000, 60000);
+	fill.has_fills = fill.fills = fill.has_gang = fill.gang = 1;
+	fill.image = b.image[2];
+	b.s.submit(10, "batch", { fill });
+	b.s.run(1000);
+	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+	b.s.run(1000);
+	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+}
+
 } // namespace
