Measure how long a task waits by the monotonic clock

Callers saw: a best-effort task didn't start on a mostly free fleet for as long as the leader's wall clock had been stepped back.

Cause: the plan noted since when a step waits for a better place, and compared it, by the wall clock. The bound of JPLAN_LOW_LOAD_WAIT_MS grew by the step.

Evidence: JobPlan.AStepOfTheWallClockDoesNotProlongWaits fails without the change: a step of 20 s back while the task waits, not started 1 s later.

Fix: the plan gets both clocks. Deadlines and start times of occurrences are points in time and stay on the wall clock.

Tests: JobSim has a wall clock that can differ from its time; by default it doesn't.

--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -219,7 +219,8 @@
 		abort();
 	update_plan_workers(jl);
 	n = jplan_choose(jl->st, &jl->interf, &jl->demand, jl->plan_workers,
-	    jl->nsessions, jl->wall_ms, out, JLEAD_ASSIGN_MAX);
+	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS, out,
+	    JLEAD_ASSIGN_MAX);
 	for (i = 0; i < n; i++)
 		propose_assign(jl, &out[i], &jl->plan_workers[out[i].worker]);
 	free(out);
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -168,7 +168,7 @@
 /* Computes the sort keys of a step. */
 static void
 candidate_init(
-    struct candidate *c, struct jst_step *st, uint32_t running, int64_t now_ms)
+    struct candidate *c, struct jst_step *st, uint32_t running, int64_t wall_ms)
 {
 	const Job__Queue *q = st->job->queue_cfg;
 	int64_t span, left, late_ms;
@@ -188,32 +188,32 @@
 	c->has_begun = st->nwaiting < st->spec->count || st->number > 0;
 	left = remaining_path_ms(st);
 	late_ms = c->deadline_ms + (JPLAN_LATE_FACTOR - 1) * span;
-	if (now_ms > late_ms)
+	if (wall_ms > late_ms)
 		c->band = 2;
-	else if (now_ms + left > c->deadline_ms)
+	else if (wall_ms + left > c->deadline_ms)
 		c->band = 1;
 	if (c->band == 0)
-		c->sort_key = (double)(c->deadline_ms - left - now_ms) -
+		c->sort_key = (double)(c->deadline_ms - left - wall_ms) -
 		    expected_start_ms(st, running);
-	c->may_wait = now_ms + left + JPLAN_WAIT_MARGIN_MS <
+	c->may_wait = wall_ms + left + JPLAN_WAIT_MARGIN_MS <
 	    (c->band == 0 ? c->deadline_ms : late_ms);
 }
 
 /* Tells whether the start time of an occurrence has come. */
 static bool
-occurrence_may_start(const struct jst_step *st, int64_t now_ms)
+occurrence_may_start(const struct jst_step *st, int64_t wall_ms)
 {
 	const Job__Spec *spec = st->job->spec;
 
 	return spec->repeat == 0 || !spec->has_start_at_ms ||
-	    now_ms >=
+	    wall_ms >=
 	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms);
 }
 
 /* Writes the steps that can start tasks to out, in order, and returns their
  * number. The caller frees out. */
 static size_t
-collect_candidates(struct jst *s, int64_t now_ms, struct candidate **out)
+collect_candidates(struct jst *s, int64_t wall_ms, struct candidate **out)
 {
 	struct jst_job *j;
 	struct candidate *v = NULL;
@@ -229,7 +229,7 @@
 			struct jst_step *st = &j->steps[i];
 
 			if (st->nwaiting <= st->nproposed ||
-			    !occurrence_may_start(st, now_ms) ||
+			    !occurrence_may_start(st, wall_ms) ||
 			    !jst_step_ready(st))
 				continue;
 			if (n == cap) {
@@ -238,7 +238,7 @@
 				if (v == NULL)
 					abort();
 			}
-			candidate_init(&v[n++], st, running, now_ms);
+			candidate_init(&v[n++], st, running, wall_ms);
 		}
 	}
 	if (n > 1)
@@ -251,13 +251,13 @@
 size_t
 jplan_choose(struct jst *s, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t nworkers,
-    int64_t now_ms, struct jplan_choice *out, size_t max)
+    int64_t wall_ms, int64_t now_ms, struct jplan_choice *out, size_t max)
 {
 	struct jplan_round round;
 	struct candidate *c;
-	size_t i, k, n = 0, ncand = collect_candidates(s, now_ms, &c);
+	size_t i, k, n = 0, ncand = collect_candidates(s, wall_ms, &c);
 
-	jplan_round_init(&round, interf, demand, v, nworkers, now_ms);
+	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
 	for (i = 0; i < ncand && n < max; i++) {
 		struct jst_step *st = c[i].st;
 
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -148,9 +148,10 @@
  * queue after the submission. */
 void jplan_set_deadline(const struct jst *, struct jst_job *);
 /* Writes at most max choices to out and returns their number; subtracts chosen
- * tasks from the free resources. */
+ * tasks from the free resources. wall_ms counts for deadlines and start times,
+ * the monotonic now_ms for how long a task waits. */
 size_t jplan_choose(struct jst *, struct jinterf *, const struct jdemand *,
-    struct jplan_worker *, size_t nworkers, int64_t now_ms,
+    struct jplan_worker *, size_t nworkers, int64_t wall_ms, int64_t now_ms,
     struct jplan_choice *out, size_t max);
 
 __END_DECLS
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -54,7 +54,7 @@
 	int64_t cpu_free[JPLAN_SERVICES_MAX + 1];
 	int64_t cpu_in_pieces[JPLAN_SERVICES_MAX + 1];
 	int64_t cpu_reserved[JPLAN_SERVICES_MAX + 1];
-	int64_t now_ms;
+	int64_t now_ms; /* monotonic */
 	struct jplan_need no_fit[JPLAN_NO_FIT_MAX];
 	size_t nno_fit;
 };
@@ -62,7 +62,8 @@
 /* jplan_place.c */
 bool jplan_displaced(const struct jst_step *);
 void jplan_round_init(struct jplan_round *, struct jinterf *,
-    const struct jdemand *, struct jplan_worker *, size_t n, int64_t now_ms);
+    const struct jdemand *, struct jplan_worker *, size_t n, int64_t wall_ms,
+    int64_t now_ms);
 void jplan_round_finish(struct jplan_round *);
 /* Places up to max waiting tasks of a step and returns their number. If
  * can_wait, starts nothing that slows down a serving task beyond
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -45,7 +45,7 @@
 void
 jplan_round_init(struct jplan_round *r, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t n,
-    int64_t now_ms)
+    int64_t wall_ms, int64_t now_ms)
 {
 	size_t i;
 
@@ -70,7 +70,7 @@
 	}
 	for (i = 0; i < r->nservices; i++)
 		r->cpu_reserved[i] = jdemand_reserve(
-		    demand, r->services[i], now_ms, &r->piece_cpu[i]);
+		    demand, r->services[i], wall_ms, &r->piece_cpu[i]);
 	for (i = 0; i < n; i++)
 		add_free_cpu(r, &v[i], 1);
 	jplan_interf_init(v, n);
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -65,7 +65,8 @@
 	uint32_t ndone;
 	uint32_t nwaiting;  /* neither done nor assigned */
 	uint32_t nproposed; /* leader: of nwaiting, being assigned */
-	/* leader: since when it waits for a better place, 0: it doesn't */
+	/* leader: monotonic time since when it waits for a better place, 0: it
+	 * doesn't */
 	int64_t waiting_since_ms;
 	double load; /* leader: load of its serving tasks, 0: unknown */
 	/* leader: how many of its tasks miss their target, by the plan */
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -101,6 +101,7 @@
 	TALLOC_CTX *ctx = talloc_new(NULL);
 	struct rng rng;
 	int64_t now_ms = 1000000;
+	int64_t wall_offset_ms = 0; /* of the leader's wall clock */
 	int64_t commit_ms = 12, call_ms = 2;
 	/* share of calls lost, and of calls carried out late */
 	double loss_rate = 0, late_rate = 0;
@@ -167,6 +168,12 @@
 		return clk_from_ns(now_ms * CLK_NS_PER_MS);
 	}
 
+	/* Returns the leader's wall clock. */
+	int64_t wall_ms() const
+	{
+		return now_ms + wall_offset_ms;
+	}
+
 	/* Configures queues of one service; "fast" is the urgent one. */
 	void config(uint64_t version = 1,
 	    const std::vector<std::string> &queues = { "fast", "batch" },
@@ -207,7 +214,7 @@
 		struct jst_result r;
 		if (c.end != NULL && c.end->how == JOB__HOW__DONE)
 			done.insert(key(*c.end->task));
-		jlead_apply(&jl, now(), now_ms, &c, &r);
+		jlead_apply(&jl, now(), wall_ms(), &c, &r);
 	}
 
 	/* Adds a worker and registers it; returns the number of its
@@ -293,7 +300,7 @@
 		epoch++;
 		pending.clear();
 		jlead_stop(&jl);
-		jlead_begin(&jl, now(), now_ms, ++token);
+		jlead_begin(&jl, now(), wall_ms(), ++token);
 	}
 
 	/* Pauses the leader; another replica, with a snapshot of its state, may
@@ -381,12 +388,12 @@
 			spec.has_start_at_ms = 1;
 			spec.repeat = repeat;
 			spec.interval_ms = 1000;
-			spec.start_at_ms = now_ms + 1000;
+			spec.start_at_ms = wall_ms() + 1000;
 		}
 		s.job = id;
 		s.queue = q.data();
 		s.spec = &spec;
-		s.at_ms = now_ms;
+		s.at_ms = wall_ms();
 		c.submit = &s;
 		apply(c);
 	}
@@ -397,7 +404,7 @@
 		Job__Command c = JOB__COMMAND__INIT;
 		Job__Cancel m = JOB__CANCEL__INIT;
 		m.job = id;
-		m.at_ms = now_ms;
+		m.at_ms = wall_ms();
 		c.cancel = &m;
 		if (jst_find_job(&st, id) != NULL && state(id) == JST_ACTIVE)
 			cancelled.emplace(id, now_ms);
@@ -437,7 +444,7 @@
 				f();
 			}
 			if (now_ms % 25 == 0)
-				jlead_tick(&jl, now(), now_ms);
+				jlead_tick(&jl, now(), wall_ms());
 			jlead_plan(&jl);
 		}
 	}
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -509,6 +509,31 @@
 	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
 }
 
+/* Guards against a task that waits for as long as the wall clock was stepped
+ * back, on a mostly free fleet. */
+TEST(JobPlan, AStepOfTheWallClockDoesNotProlongWaits)
+{
+	InterferenceFleet b;
+	Job__Step st = JobSim::step(4, 12000);
+	st.has_lasting = st.lasting = 1;
+	st.has_target_ms = st.has_spread = 1;
+	st.target_ms = 50;
+	st.spread = 1;
+	st.image = b.image[0];
+	b.s.submit(1, "fast", { st });
+	b.s.run(100);
+	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(4, 6000, 60000);
+	fill.has_fills = fill.fills = 1;
+	fill.image = b.image[2];
+	b.s.submit(10, "batch", { fill });
+	b.s.run(1000);
+	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+	b.s.wall_offset_ms = -20000;
+	b.s.run(1000);
+	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+}
+
 /* Guards against best-effort tasks that wait for a better place until their own
  * job is late. */
 TEST(JobPlan, WaitsEndBeforeAJobIsLate)
