Never leave a best-effort task throttled to 0 for good

Callers saw: a best-effort task that had been throttled to 0 for a serving task beside it stayed there after the serving task was below its target again. It did no work and never ended, and neither did its job.

Cause: the leader orders a throttle only if it differs from the one it takes to be in effect. That is wrong * after a change of leader, which takes each run to be at 100 percent; * after an order that was carried out, but whose answer was lost; * after an order without an answer that is carried out late, after the one that ended the throttle. If 100 percent is what the run should have, nothing was ordered.

Evidence: JobThrottle.EndsAfterAChangeOfLeader, EndsAfterALostAnswer and EndsAfterALateOrder fail without the change: 0 percent 5 s after the serving task was below its target.

Fix: the throttle of a run counts as known once its last order was answered; that of an inherited run once it uses processors. A run that should not be throttled and uses no processor is told so again, at most once in JTHROTTLE_REPEAT_MS.

Tests: workers of JobSim carry out throttle orders, a task at 0 percent makes no progress, and they report the processors in use and a tail latency that the test sets, 0 by default.

--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -58,7 +58,9 @@
 	uint32_t progress_percent, metric;
 	/* in effect, and last ordered; 100: not throttled */
 	uint32_t throttle_percent, throttle_ordered;
-	bool throttle_pending; /* a throttle order is in flight */
+	bool throttle_pending;	      /* a throttle order is in flight */
+	uint32_t nthrottles;	      /* throttle orders sent so far */
+	struct timespec throttled_at; /* when the last one was sent */
 	char *checkpoint;
 };
 
--- a/src/job/jlead_throttle.c
+++ b/src/job/jlead_throttle.c
@@ -80,13 +80,36 @@
 	return false;
 }
 
+/* Tells whether the leader knows a run's throttle. It doesn't while its last
+ * order has no answer, and when an earlier leader may have throttled it. */
+static bool
+is_throttle_known(const struct jrun *r)
+{
+	return r->nthrottles == 0 ? !r->inherited || r->metric > 0
+				  : r->throttle_ordered == r->throttle_percent;
+}
+
+/* Tells whether a run uses no processor although it isn't throttled, as far as
+ * the leader knows. */
+static bool
+seems_throttled(const struct jlead *jl, const struct jrun *r)
+{
+	struct timespec since =
+	    r->nthrottles == 0 ? r->assigned_at : r->throttled_at;
+
+	return r->throttle_percent > 0 && r->metric == 0 &&
+	    clk_diff_ms(jl->now, since) > JTHROTTLE_REPEAT_MS;
+}
+
 /* Orders a run's throttle unless it is in effect or an order is in flight. */
 static void
 order_throttle(struct jlead *jl, struct jrun *r, uint32_t percent)
 {
 	struct jl_call c;
 
-	if (r->throttle_pending || r->throttle_percent == percent)
+	if (r->throttle_pending ||
+	    (r->throttle_percent == percent && is_throttle_known(r) &&
+		!seems_throttled(jl, r)))
 		return;
 	jl_call_init(jl, r->ws, &c, JL_THROTTLE);
 	jrun_task_ref(r, &c.task);
@@ -94,6 +117,8 @@
 	c.throttle_percent = percent;
 	r->throttle_pending = true;
 	r->throttle_ordered = percent;
+	r->nthrottles++;
+	r->throttled_at = jl->now;
 	ctr_add(jl->ctr, JCTR_THROTTLES, 1);
 	log_event(LOG_INFO, "job",
 	    "event=pace job=%016" PRIx64 " task=%u.%u.%u run=%u worker=%s "
--- a/src/job/jthrottle.h
+++ b/src/job/jthrottle.h
@@ -37,6 +37,13 @@
 #define JTHROTTLE_HEAVY_MS 1900
 #define JTHROTTLE_ALL_MS   2600
 
+/*
+ * A task that uses no processor this long after its last order is told again
+ * not to be throttled: an order without an answer may be carried out late. A
+ * figure covers half a second and comes with the next poll.
+ */
+#define JTHROTTLE_REPEAT_MS 2000
+
 struct jthrottle {
 	bool stop_heavy, stop_all;
 	/* monotonic time when all were last below their target */
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -41,6 +41,7 @@
 	std::string checkpoint;
 	/* started by an order that was sent to an earlier incarnation */
 	bool stale_order;
+	uint32_t throttle_percent = 100;
 };
 
 struct SimWorker {
@@ -110,6 +111,10 @@
 	double relay_lost_rate = 0, relay_dropped_rate = 0;
 	bool drop_starts = false;  /* calls that start a task are lost */
 	uint32_t max_attempts = 3; /* in the configuration */
+	/* orders to throttle are carried out after the delay, and their answers
+	 * are lost */
+	bool drop_throttle_answers = false;
+	int64_t throttle_delay_ms = 0;
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
 	/* later registrations of the same worker */
@@ -118,6 +123,10 @@
 	std::map<std::string, int64_t> service_ms;
 	std::function<int64_t(const SimTask &)> run_time_ms =
 	    [](const SimTask &) { return 800; };
+	/* tail latency of serving tasks */
+	std::function<uint32_t(const SimTask &)> tail_ms = [](const SimTask &) {
+		return 0;
+	};
 	std::function<bool(const SimTask &, uint64_t)> task_fails =
 	    [](const SimTask &, uint64_t) { return false; };
 	/* Late orders also reach the next incarnation of a worker. */
@@ -648,6 +657,15 @@
 			    [=]() { s->no_answer(k, ep, JL_RELAY_LOST); });
 			return;
 		}
+		if (s->drop_throttle_answers && c->kind == JL_THROTTLE) {
+			uint64_t ep = l->epoch;
+			s->events.emplace(
+			    s->now_ms + s->call_ms + s->throttle_delay_ms,
+			    [=]() { s->deliver(k, ep, 0); });
+			s->events.emplace(s->now_ms + c->timeout_ms,
+			    [=]() { s->no_answer(k, ep); });
+			return;
+		}
 		bool late = !lost && c->kind != JL_POLL &&
 		    rng_chance(&s->rng, s->late_rate);
 		uint64_t epoch = l->epoch;
@@ -759,6 +777,7 @@
 			texts_of->push_back(x.second.checkpoint);
 			row.checkpoint = texts_of->back().c_str();
 			row.progress_percent = 100;
+			row.metric = metric(x.first, x.second);
 			rows->push_back(row);
 		}
 		for (auto &x : w.ended) {
@@ -789,6 +808,20 @@
 		});
 	}
 
+	/* Returns the figure of a running task: its tail latency, or the
+	 * processors that it uses. */
+	uint32_t metric(const SimTask &k, const SimRun &run)
+	{
+		struct jst_step *sp = NULL;
+		Job__Task t;
+		ref(k, t);
+		if (jst_find_task(&st, &t, &sp) == NULL)
+			return 0;
+		return sp->spec->target_ms > 0
+		    ? tail_ms(k)
+		    : sp->spec->cpu_milli * run.throttle_percent / 100;
+	}
+
 	/* Tells whether a leader may still receive answers to its calls. */
 	bool may_receive(uint64_t ep) const
 	{
@@ -868,6 +901,9 @@
 				end(w, k, JOB__HOW__STOPPED);
 			break;
 		case JL_THROTTLE:
+			if (w.running.count(k) && w.running[k].run == c.run)
+				w.running[k].throttle_percent =
+				    c.throttle_percent;
 			break;
 		}
 	}
@@ -1034,7 +1070,8 @@
 				    w.lease_until_ms)
 					ended.push_back(
 					    { y.first, JOB__HOW__LAPSED });
-				else if (y.second.left_ms >= 0 &&
+				else if (y.second.throttle_percent > 0 &&
+				    y.second.left_ms >= 0 &&
 				    --y.second.left_ms <= 0)
 					ended.push_back({ y.first,
 					    y.second.fails ? JOB__HOW__FAILED
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -174,6 +174,89 @@
 	}
 }
 
+/* A worker with a serving task and a best-effort one beside it, which makes the
+ * serving one miss its target. */
+struct ThrottledTask {
+	JobSim s;
+	uint32_t tail_ms = 10;
+	uint64_t worker;
+
+	ThrottledTask() : s(43)
+	{
+		worker = s.add_worker(16000);
+		s.lead();
+		s.run(100);
+		s.tail_ms = [this](const SimTask &) { return tail_ms; };
+		s.run_time_ms = [](const SimTask &) { return 20000; };
+		Job__Step st = JobSim::step(1, 4000);
+		st.has_lasting = st.lasting = 1;
+		st.has_target_ms = 1;
+		st.target_ms = 50;
+		s.submit(1, "fast", { st });
+		s.run(3000);
+		Job__Step fill = JobSim::step(1, 4000, 1000);
+		fill.has_fills = fill.fills = 1;
+		s.submit(2, "batch", { fill });
+		s.run(3000);
+		tail_ms = 200;
+	}
+	/* Returns the throttle of the best-effort task in percent. */
+	uint32_t percent()
+	{
+		return s.workers[worker]
+		    .running.at(SimTask{ 2, 0, 0, 0 })
+		    .throttle_percent;
+	}
+	/* Runs until the task is throttled to 0. */
+	void run_until_throttled()
+	{
+		for (int i = 0; i < 7000 && percent() > 0; i++)
+			s.run(1);
+		ASSERT_EQ(0U, percent());
+	}
+};
+
+/* Guards against a best-effort task that stays at 0 percent for good because
+ * the leader that throttled it was replaced. */
+TEST(JobThrottle, EndsAfterAChangeOfLeader)
+{
+	ThrottledTask b;
+	b.run_until_throttled();
+	b.tail_ms = 10;
+	b.s.lead();
+	b.s.run(5000);
+	EXPECT_EQ(100U, b.percent());
+}
+
+/* Guards against a best-effort task that stays at 0 percent for good because
+ * the answer to the order was lost. */
+TEST(JobThrottle, EndsAfterALostAnswer)
+{
+	ThrottledTask b;
+	b.s.drop_throttle_answers = true;
+	b.run_until_throttled();
+	b.s.drop_throttle_answers = false;
+	b.tail_ms = 10;
+	b.s.run(5000);
+	EXPECT_EQ(100U, b.percent());
+}
+
+/* Guards against a best-effort task that stays at 0 percent for good because
+ * the order was carried out late, after the one that ended the throttle. */
+TEST(JobThrottle, EndsAfterALateOrder)
+{
+	ThrottledTask b;
+	b.s.drop_throttle_answers = true;
+	b.s.throttle_delay_ms = 4000;
+	b.s.run(2900);
+	b.s.drop_throttle_answers = false;
+	b.tail_ms = 10;
+	ASSERT_EQ(100U, b.percent());
+	b.run_until_throttled();
+	b.s.run(5000);
+	EXPECT_EQ(100U, b.percent());
+}
+
 /* Guards against images that count as interfering with everything because they
  * interfere with one kind of service, and against the changing load of a
  * serving job that is taken for interference. */
