Place displaced tasks before new ones of the same step

Callers saw: a long-running task that had failed or lost its worker wasn't started again although there was room for it. Tasks of the same job that had never run took the room, and kept it.

Cause: displaced tasks come first in a plan, but by step: all waiting tasks of a step with a displaced one were placed in the order of their index, past the reserve for short jobs, on workers reserved for displaced tasks, and counted for further reservations.

Evidence: JobPlan.ADisplacedTaskComesBeforeNewOnesOfItsStep fails without the change: task 2 of 3, the only one that ran, fails; task 0 starts in its place, and task 2 not again.

Fix: such a step is placed twice, its displaced tasks first of all and its new ones at their turn. Gangs still start as a whole. What the first time chose counts for the limit of tasks on a worker: DisplacedAndNewTasksShareTheLimit failed before it did.

--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -12,7 +12,7 @@
 	int64_t deadline_ms;
 	double sort_key; /* slack in ms, or core-seconds of remaining work */
 	bool may_wait;	 /* it may wait for a better place */
-	bool displaced;	 /* long-running tasks have been displaced */
+	uint32_t ndisplaced; /* displaced long-running tasks to be placed */
 };
 
 /* Returns the length of a job's critical path by declared times, overheads
@@ -80,8 +80,8 @@
 {
 	const struct candidate *a = pa, *b = pb;
 
-	if (a->displaced != b->displaced)
-		return a->displaced ? -1 : 1;
+	if ((a->ndisplaced > 0) != (b->ndisplaced > 0))
+		return a->ndisplaced > 0 ? -1 : 1;
 	if (a->band != b->band)
 		return a->band - b->band;
 	if (a->priority != b->priority)
@@ -179,11 +179,10 @@
 	span = st->job->deadline_ms - st->job->submitted_ms;
 	c->band = 0;
 	c->sort_key = JPLAN_LONG_RUNNING_ORDER;
-	c->has_begun = c->may_wait = c->displaced = false;
-	if (is_long_running(st->job)) {
-		c->displaced = jplan_displaced(st);
+	c->has_begun = c->may_wait = false;
+	c->ndisplaced = 0;
+	if (is_long_running(st->job))
 		return;
-	}
 	c->sort_key = remaining_work(st);
 	c->has_begun = st->nwaiting < st->spec->count || st->number > 0;
 	left = remaining_path_ms(st);
@@ -210,6 +209,24 @@
 	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms);
 }
 
+/* Adds a step to the candidates; a long-running one twice if some of its tasks
+ * are displaced and others new. Returns how many were added. */
+static size_t
+add_candidates(
+    struct candidate *c, struct jst_step *st, uint32_t running, int64_t wall_ms)
+{
+	uint32_t ndisplaced = jplan_count_displaced(st);
+
+	candidate_init(c, st, running, wall_ms);
+	if (ndisplaced == 0)
+		return 1;
+	c->ndisplaced = ndisplaced;
+	if (st->spec->gang || st->nwaiting - st->nproposed == ndisplaced)
+		return 1;
+	candidate_init(c + 1, st, running, wall_ms);
+	return 2;
+}
+
 /* Writes the steps that can start tasks to out, in order, and returns their
  * number. The caller frees out. */
 static size_t
@@ -232,13 +249,13 @@
 			    !occurrence_may_start(st, wall_ms) ||
 			    !jst_step_ready(st))
 				continue;
-			if (n == cap) {
+			if (n + 1 >= cap) {
 				cap = cap == 0 ? 64 : cap * 2;
 				v = realloc(v, cap * sizeof(*v));
 				if (v == NULL)
 					abort();
 			}
-			candidate_init(&v[n++], st, running, wall_ms);
+			n += add_candidates(&v[n], st, running, wall_ms);
 		}
 	}
 	if (n > 1)
@@ -258,22 +275,24 @@
 	size_t i, k, n = 0, ncand = collect_candidates(s, wall_ms, &c);
 
 	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
+	round.chosen = out;
 	for (i = 0; i < ncand && n < max; i++) {
 		struct jst_step *st = c[i].st;
 
 		if (st->spec->gang && st->nwaiting < st->spec->count)
 			continue;
-		k = jplan_place(&round, st, c[i].may_wait, out + n, max - n);
+		k = jplan_place(&round, st, c[i].ndisplaced > 0, c[i].may_wait,
+		    out + n, max - n);
 		if (st->spec->gang && k < st->spec->count) {
 			jplan_undo(&round, out + n, k);
 			k = 0;
 		}
 		if (k > 0)
 			st->waiting_since_ms = 0;
-		if (c[i].displaced && k < st->nwaiting - st->nproposed)
-			jplan_reserve(
-			    &round, st, st->nwaiting - st->nproposed - k);
+		if (k < c[i].ndisplaced)
+			jplan_reserve(&round, st, c[i].ndisplaced - k);
 		n += k;
+		round.nchosen = n;
 	}
 	jplan_round_finish(&round);
 	free(c);
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -34,6 +34,9 @@
 	struct jplan_worker *workers;
 	size_t nworkers;
 	uint32_t *step_tasks; /* number of tasks of the step on each worker */
+	/* chosen so far in this plan */
+	const struct jplan_choice *chosen;
+	size_t nchosen;
 	/* options of the step, a heap with the least cost first */
 	struct jplan_option *heap;
 	size_t nheap;
@@ -60,16 +63,17 @@
 };
 
 /* jplan_place.c */
-bool jplan_displaced(const struct jst_step *);
+uint32_t jplan_count_displaced(const struct jst_step *);
 void jplan_round_init(struct jplan_round *, struct jinterf *,
     const struct jdemand *, struct jplan_worker *, size_t n, int64_t wall_ms,
     int64_t now_ms);
 void jplan_round_finish(struct jplan_round *);
-/* Places up to max waiting tasks of a step and returns their number. If
- * can_wait, starts nothing that slows down a serving task beyond
+/* Places up to max waiting tasks of a step and returns their number: of a
+ * long-running one either the displaced tasks or the new ones, unless it is a
+ * gang. If can_wait, starts nothing that slows down a serving task beyond
  * JPLAN_WAIT_INTERFERENCE. */
-size_t jplan_place(struct jplan_round *, struct jst_step *, bool can_wait,
-    struct jplan_choice *out, size_t max);
+size_t jplan_place(struct jplan_round *, struct jst_step *, bool displaced,
+    bool can_wait, struct jplan_choice *out, size_t max);
 /* Reserves workers for displaced tasks of a step that don't fit anywhere
  * now. */
 void jplan_reserve(struct jplan_round *, const struct jst_step *, size_t tasks);
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -104,25 +104,29 @@
 	return s == NULL || s[0] == '\0' ? NULL : s;
 }
 
-/* Tells whether tasks of a long-running step wait that have run before. */
-bool
-jplan_displaced(const struct jst_step *st)
+/* Tells whether a task waits and isn't being assigned. */
+static bool
+is_waiting(const struct jst_task *t)
 {
-	uint32_t i;
+	return t->state == JST_WAITING && t->active_run == NULL;
+}
+
+/* Counts the waiting tasks of a long-running step that have run before. */
+uint32_t
+jplan_count_displaced(const struct jst_step *st)
+{
+	uint32_t i, n = 0;
 
 	if (!st->spec->lasting || st->nwaiting <= st->nproposed)
-		return false;
-	for (i = 0; i < st->spec->count; i++) {
-		if (st->tasks[i].state == JST_WAITING &&
-		    st->tasks[i].active_run == NULL && st->tasks[i].run > 0)
-			return true;
-	}
-	return false;
+		return 0;
+	for (i = 0; i < st->spec->count; i++)
+		n += is_waiting(&st->tasks[i]) && st->tasks[i].run > 0;
+	return n;
 }
 
 /* Returns the resources and constraints of a step's tasks. */
 static struct jplan_need
-get_need(struct jplan_round *r, const struct jst_step *st)
+get_need(struct jplan_round *r, const struct jst_step *st, bool displaced)
 {
 	const Job__Queue *q = st->job->queue_cfg;
 	const Job__Step *s = st->spec;
@@ -134,7 +138,7 @@
 	d.label = nonempty_or_null(s->label);
 	d.rack = nonempty_or_null(s->rack);
 	d.best_effort = s->fills;
-	d.displaced = jplan_displaced(st);
+	d.displaced = displaced;
 	d.image_index = jinterf_image_index(r->interf, s->image);
 	d.cpu = s->cpu_milli;
 	d.mem = s->mem_mb;
@@ -309,11 +313,12 @@
 	}
 }
 
-/* Adds the runs of a step to step_tasks of their workers, or subtracts them. */
+/* Adds the runs of a step to step_tasks of their workers, or subtracts them.
+ * Tasks chosen in this plan count; only long-running steps are placed twice. */
 static void
 count_step_tasks(struct jplan_round *r, const struct jst_step *st, int sign)
 {
-	uint32_t i;
+	size_t i;
 
 	for (i = 0; i < st->spec->count; i++) {
 		const struct jst_worker *w = st->tasks[i].run_worker;
@@ -323,6 +328,10 @@
 		    r->workers[w->plan_index].w == w)
 			r->step_tasks[w->plan_index] += (uint32_t)sign;
 	}
+	for (i = 0; st->spec->lasting && i < r->nchosen; i++) {
+		if (r->chosen[i].step == st)
+			r->step_tasks[r->chosen[i].worker] += (uint32_t)sign;
+	}
 }
 
 /* Computes the cost of a worker for a task. Returns false if it can't take
@@ -472,10 +481,10 @@
 
 /* Places as many waiting tasks of a step as fit. */
 size_t
-jplan_place(struct jplan_round *r, struct jst_step *st, bool can_wait,
-    struct jplan_choice *out, size_t max)
+jplan_place(struct jplan_round *r, struct jst_step *st, bool displaced,
+    bool can_wait, struct jplan_choice *out, size_t max)
 {
-	struct jplan_need d = get_need(r, st);
+	struct jplan_need d = get_need(r, st, displaced);
 	struct jplan_option best;
 	bool found, met_reserve = false;
 	uint32_t t;
@@ -491,8 +500,9 @@
 	count_step_tasks(r, st, 1);
 	heap_fill(r, st, &d);
 	for (t = 0; t < st->spec->count && k < max; t++) {
-		if (st->tasks[t].state != JST_WAITING ||
-		    st->tasks[t].active_run != NULL)
+		if (!is_waiting(&st->tasks[t]) ||
+		    (st->spec->lasting && !st->spec->gang &&
+			(st->tasks[t].run > 0) != displaced))
 			continue;
 		while ((found = heap_find_best(r, st, &d, &best)) &&
 		    needs_reserve(r, st, &d, &r->workers[best.worker])) {
@@ -542,7 +552,7 @@
 void
 jplan_reserve(struct jplan_round *r, const struct jst_step *st, size_t tasks)
 {
-	struct jplan_need d = get_need(r, st);
+	struct jplan_need d = get_need(r, st, true);
 	size_t i, best, most = r->nworkers / JPLAN_WORKERS_PER_RESERVED + 1;
 
 	if (d.service == NULL)
@@ -574,7 +584,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct jplan_need d = get_need(r, c[i].step);
+		struct jplan_need d = get_need(r, c[i].step, false);
 		struct jplan_worker *p = &r->workers[c[i].worker];
 
 		add_free_cpu(r, p, -1);
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -45,7 +45,7 @@
 };
 
 struct SimWorker {
-	std::string id, addr, rack;
+	std::string id, addr, rack, service;
 	uint64_t incarnation = 1;
 	bool up = true;
 	/* calls to it and its answers are lost */
@@ -228,7 +228,8 @@
 
 	/* Adds a worker and registers it; returns the number of its
 	 * registration. */
-	uint64_t add_worker(uint32_t cpu, const char *rack = "r1")
+	uint64_t add_worker(
+	    uint32_t cpu, const char *rack = "r1", const char *service = "svc")
 	{
 		uint64_t num = st.next_worker;
 		SimWorker &w = workers[num];
@@ -236,6 +237,7 @@
 		w.addr = "10.0.0." + std::to_string(num) + ":80";
 		w.cpu = cpu;
 		w.rack = rack;
+		w.service = service;
 		w.clock_start_ms = now_ms - 5000;
 		heartbeat(num);
 		return num;
@@ -250,14 +252,14 @@
 		Job__Worker m = JOB__WORKER__INIT;
 		struct jst_worker *old =
 		    jst_find_worker_by_id(&st, w.id.c_str());
-		char kind[] = "a", zone[] = "z", service[] = "svc";
+		char kind[] = "a", zone[] = "z";
 		char *labels[2] = { kind, w.rack.data() };
 		if (old != NULL && old->info->born == w.incarnation)
 			return;
 		m.id = w.id.data();
 		m.addr = w.addr.data();
 		m.zone = zone;
-		m.service = service;
+		m.service = w.service.data();
 		m.born = w.incarnation;
 		m.cpu_milli = (uint32_t)w.cpu;
 		m.mem_mb = 1000000;
@@ -407,6 +409,20 @@
 		apply(c);
 	}
 
+	/* Assigns a task as an earlier leader did. */
+	void assign(const SimTask &k, uint32_t run, uint64_t worker)
+	{
+		Job__Command c = JOB__COMMAND__INIT;
+		Job__Assign a = JOB__ASSIGN__INIT;
+		Job__Task t;
+		ref(k, t);
+		a.task = &t;
+		a.run = run;
+		a.worker = worker;
+		c.assign = &a;
+		apply(c);
+	}
+
 	/* Cancels a job. */
 	void cancel(uint64_t id)
 	{
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -757,4 +757,49 @@
 	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
 }
 
+/* Returns a long-running step. */
+Job__Step
+lasting_step(uint32_t count, uint32_t cpu)
+{
+	Job__Step st = JobSim::step(count, cpu);
+	st.has_lasting = st.lasting = 1;
+	return st;
+}
+
+/* Guards against a long-running task that isn't started again because new
+ * tasks of its step take the resources. */
+TEST(JobPlan, ADisplacedTaskComesBeforeNewOnesOfItsStep)
+{
+	JobSim s(35);
+	uint64_t a = s.add_worker(4000);
+	s.submit(1, "fast", { lasting_step(3, 3000) });
+	s.assign(SimTask{ 1, 0, 0, 2 }, 1, a);
+	s.lead();
+	s.run(300);
+	ASSERT_EQ(1, (s.starts[SimTask{ 1, 0, 0, 2 }]));
+	s.fail_running(a, 1);
+	s.run(1000);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 2 }]));
+	EXPECT_EQ(0, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+}
+
+/* Guards against a worker that gets a displaced and a new task of a step in one
+ * plan, beyond the limit of tasks there. */
+TEST(JobPlan, DisplacedAndNewTasksShareTheLimit)
+{
+	JobSim s(38);
+	uint64_t a = s.add_worker(8000);
+	Job__Step st = lasting_step(2, 1000);
+	st.has_spread = 1;
+	st.spread = 1;
+	s.submit(1, "fast", { st });
+	s.assign(SimTask{ 1, 0, 0, 1 }, 1, a);
+	s.lead();
+	s.run(300);
+	s.fail_running(a, 1);
+	s.run(1000);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 1 }]));
+	EXPECT_EQ(0, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+}
+
 } // namespace
