Reserve only workers that will have room for a displaced task

Callers saw: jobs of a service weren't started for as long as a displaced long-running task waited, although a worker had room for them. On a service with few workers that was for good.

Cause: for a displaced task that doesn't fit anywhere, the plan reserves the worker that lacks least. It took every worker that is large enough for the task beside its serving tasks, also if * long-running tasks without a latency target fill it, * long-running tasks hold its memory, * it already has as many tasks of the step as may run there. Such a worker is never free for the task, and nothing else may start there.

Evidence: JobPlan.NoWorkerIsReservedThatStaysFull and NoWorkerIsReservedBeyondTheLimitOfTasksThere fail without the change: the job isn't started after 3 s on a service with half of its processors free.

Fix: a worker is reserved only if it will have the processors, memory and accelerators once its short tasks have ended, and may take another task of the step. The plan's input has what long-running tasks hold.

--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -52,6 +52,23 @@
 	}
 }
 
+/* Adds up what long-running tasks have allocated on a worker. */
+static void
+fill_lasting(const struct wsess *ws, struct jplan_worker *p)
+{
+	const struct jrun *r;
+
+	for (r = ws->runs; r != NULL; r = r->next) {
+		const Job__Step *s = r->step->spec;
+
+		if (!s->lasting)
+			continue;
+		p->lasting_cpu += s->fills ? 0 : s->cpu_milli;
+		p->lasting_mem += s->mem_mb;
+		p->lasting_accel += s->accel;
+	}
+}
+
 /* Fills what runs on a worker and what is free there. */
 static void
 fill_plan_worker(struct jlead *jl, struct wsess *ws, struct jplan_worker *p)
@@ -67,6 +84,7 @@
 	p->best_effort_cpu = ws->best_effort_cpu;
 	p->nserving = ws->nserving;
 	p->serving_cpu = ws->serving_cpu;
+	fill_lasting(ws, p);
 	if (ws->nserving > 0)
 		fill_groups(jl, ws, p);
 	p->nbest_effort = ws->nbest_effort;
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -289,10 +289,10 @@
 		}
 		if (k > 0)
 			st->waiting_since_ms = 0;
-		if (k < c[i].ndisplaced)
-			jplan_reserve(&round, st, c[i].ndisplaced - k);
 		n += k;
 		round.nchosen = n;
+		if (k < c[i].ndisplaced && n < max)
+			jplan_reserve(&round, st, c[i].ndisplaced - k);
 	}
 	jplan_round_finish(&round);
 	free(c);
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -45,8 +45,8 @@
  * others, which lose all value while waiting and soon free their
  * resources. */
 #define JPLAN_LONG_RUNNING_ORDER 1e9
-/* At most one of this many workers, plus one, is reserved for displaced
- * tasks. */
+/* At most one of this many workers, plus one, is reserved for
+ * displaced tasks. */
 #define JPLAN_WORKERS_PER_RESERVED 16
 /*
  * Costs of a worker for a task. The unit is a thousandth of its processors, so
@@ -122,6 +122,8 @@
 	int64_t cpu_total;
 	int64_t best_effort_cpu; /* requested by best-effort tasks */
 	int64_t serving_cpu;	 /* allocated to serving tasks */
+	/* allocated to long-running tasks, best-effort ones use no cpu */
+	int64_t lasting_cpu, lasting_mem, lasting_accel;
 	uint32_t nserving, nbest_effort;
 	struct jplan_group groups[JPLAN_GROUPS_MAX];
 	uint32_t ngroups;
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -40,9 +40,9 @@
 	/* options of the step, a heap with the least cost first */
 	struct jplan_option *heap;
 	size_t nheap;
-	size_t nreserved;
 	const char *services[JPLAN_SERVICES_MAX];
 	uint32_t nservices;
+	size_t nreserved;
 	/* Processors of each service, in all and allocated, best-effort tasks
 	 * included. */
 	int64_t cpu_total[JPLAN_SERVICES_MAX + 1];
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -307,6 +308,11 @@
 	p->changed = true;
 	p->free_mem -= sign * (int64_t)s->mem_mb;
 	p->free_accel -= sign * (int64_t)s->accel;
+	if (s->lasting) {
+		p->lasting_cpu += s->fills ? 0 : sign * (int64_t)s->cpu_milli;
+		p->lasting_mem += sign * (int64_t)s->mem_mb;
+		p->lasting_accel += sign * (int64_t)s->accel;
+	}
 	if (s->target_ms > 0) {
 		p->nserving += (uint32_t)sign;
 		p->serving_cpu += sign * (int64_t)s->cpu_milli;
@@ -532,19 +538,41 @@
 	return k;
 }
 
+/* Returns how much is lacking of what a task needs, as a share of it. */
+static double
+lacking_share(int64_t need, int64_t free_amount)
+{
+	return need > free_amount ? (double)(need - free_amount) / (double)need
+				  : 0;
+}
+
 /* Returns how much a worker lacks for a task, as a share of what the task
  * needs. */
 static double
 shortage(const struct jplan_need *d, const struct jplan_worker *p)
 {
-	double cpu = d->cpu > p->free_cpu
-	    ? (double)(d->cpu - p->free_cpu) / (double)d->cpu
-	    : 0;
-	double mem = d->mem > p->free_mem
-	    ? (double)(d->mem - p->free_mem) / (double)d->mem
-	    : 0;
+	double cpu = lacking_share(d->cpu, p->free_cpu);
+	double mem = lacking_share(d->mem, p->free_mem);
+	double accel = lacking_share(d->accel, p->free_accel);
+
+	return fmax(cpu, fmax(mem, accel));
+}
+
+/* Tells whether a worker that can't take a displaced task now will be able to
+ * once its short tasks have ended. */
+static bool
+will_fit(const struct jplan_round *r, const struct jst_step *st,
+    const struct jplan_need *d, size_t worker)
+{
+	const struct jplan_worker *p = &r->workers[worker];
+	const Job__Worker *w = p->w->info;
 
-	return cpu > mem ? cpu : mem;
+	return p->usable && !p->reserved && is_eligible(d, p) &&
+	    (st->spec->spread == 0 ||
+		r->step_tasks[worker] < st->spec->spread) &&
+	    d->cpu <= p->cpu_total - p->lasting_cpu &&
+	    d->mem <= (int64_t)w->mem_mb - p->lasting_mem &&
+	    d->accel <= (int64_t)w->accel - p->lasting_accel;
 }
 
 /* Reserves the workers that lack least, among those that will have enough once
@@ -557,24 +585,23 @@
 
 	if (d.service == NULL)
 		return;
+	count_step_tasks(r, st, 1);
 	for (; tasks > 0 && r->nreserved < most; tasks--) {
 		best = r->nworkers;
 		for (i = 0; i < r->nworkers; i++) {
-			const struct jplan_worker *p = &r->workers[i];
-
-			if (!p->usable || p->reserved || !is_eligible(&d, p) ||
-			    p->cpu_total - p->serving_cpu < d.cpu ||
-			    d.accel > p->free_accel)
+			if (!will_fit(r, st, &d, i))
 				continue;
 			if (best == r->nworkers ||
-			    shortage(&d, p) < shortage(&d, &r->workers[best]))
+			    shortage(&d, &r->workers[i]) <
+				shortage(&d, &r->workers[best]))
 				best = i;
 		}
 		if (best == r->nworkers)
-			return;
+			break;
 		r->workers[best].reserved = true;
 		r->nreserved++;
 	}
+	count_step_tasks(r, st, -1);
 }
 
 /* Undoes choices. What didn't fit before may fit again. */
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -802,4 +802,60 @@
 	EXPECT_EQ(0, (s.starts[SimTask{ 1, 0, 0, 0 }]));
 }
 
+/* A fleet of two workers, one of which is lost with its long-running task. The
+ * other one can't take the task. */
+struct LostWorker {
+	JobSim s;
+	uint64_t kept, lost;
+
+	LostWorker(const Job__Step &st) : s(36)
+	{
+		kept = s.add_worker(8000);
+		s.lead();
+		s.run(100);
+		s.run_time_ms = [](const SimTask &t) {
+			return t.job == 2 ? 60000 : 300;
+		};
+		s.submit(2, "batch", { JobSim::step(1, 3000, 60000) });
+		s.run(100);
+		lost = s.add_worker(8000);
+		s.run(100);
+		s.submit(1, "fast", { st });
+		s.run(300);
+		s.crash(lost);
+		s.run(30000);
+	}
+	/* Checks that a job starts on the other worker within the time that
+	 * users allow while half of the service is free. */
+	void expect_start()
+	{
+		s.submit(3, "batch", { JobSim::step(1, 500, 300) });
+		s.run(3000);
+		EXPECT_EQ(1, (s.starts[SimTask{ 3, 0, 0, 0 }]));
+	}
+};
+
+/* Guards against jobs that never start because a worker is reserved for a task
+ * that may not run there beside another one of its step. */
+TEST(JobPlan, NoWorkerIsReservedBeyondTheLimitOfTasksThere)
+{
+	Job__Step st = lasting_step(2, 2000);
+	st.has_spread = 1;
+	st.spread = 1;
+	LostWorker b(st);
+	b.expect_start();
+}
+
+/* Guards against jobs that never start because a worker is reserved for a task
+ * whose resources are held there by long-running tasks. */
+TEST(JobPlan, NoWorkerIsReservedThatStaysFull)
+{
+	LostWorker b(lasting_step(2, 4500));
+	b.expect_start();
+	Job__Step st = lasting_step(2, 500);
+	st.mem_mb = 600000;
+	LostWorker c(st);
+	c.expect_start();
+}
+
 } // namespace
