Limit reserved workers by service

Callers saw: while several displaced long-running tasks of a small service waited, none of its other jobs started.

Cause: up to one worker in 16 of the whole fleet is reserved, which can be all workers of a small service beside large ones.

Evidence: JobPlan.FewWorkersOfEachServiceAreReserved fails without the change: three of three workers are reserved in a fleet of 63, and a job that fits isn't started.

Fix: the limit counts the workers of each service.

--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -45,7 +45,7 @@
  * others, which lose all value while waiting and soon free their
  * resources. */
 #define JPLAN_LONG_RUNNING_ORDER 1e9
-/* At most one of this many workers, plus one, is reserved for
+/* At most one of this many workers of a service, plus one, is reserved for
  * displaced tasks. */
 #define JPLAN_WORKERS_PER_RESERVED 16
 /*
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -42,7 +42,9 @@
 	size_t nheap;
 	const char *services[JPLAN_SERVICES_MAX];
 	uint32_t nservices;
-	size_t nreserved;
+	/* Workers of each service, and how many of them are reserved. */
+	size_t service_workers[JPLAN_SERVICES_MAX + 1];
+	size_t nreserved[JPLAN_SERVICES_MAX + 1];
 	/* Processors of each service, in all and allocated, best-effort tasks
 	 * included. */
 	int64_t cpu_total[JPLAN_SERVICES_MAX + 1];
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -65,6 +65,7 @@
 		v[i].service_index = service;
 		v[i].w->plan_index = (uint32_t)i;
 		v[i].reserved = false;
+		r->service_workers[service]++;
 		r->cpu_total[service] += v[i].cpu_total;
 		r->cpu_allocated[service] +=
 		    v[i].cpu_total - v[i].free_cpu + v[i].best_effort_cpu;
@@ -581,12 +582,15 @@
 jplan_reserve(struct jplan_round *r, const struct jst_step *st, size_t tasks)
 {
 	struct jplan_need d = get_need(r, st, true);
-	size_t i, best, most = r->nworkers / JPLAN_WORKERS_PER_RESERVED + 1;
+	size_t i, best, *nreserved = &r->nreserved[d.service_index];
+	size_t most =
+	    r->service_workers[d.service_index] / JPLAN_WORKERS_PER_RESERVED +
+	    1;
 
 	if (d.service == NULL)
 		return;
 	count_step_tasks(r, st, 1);
-	for (; tasks > 0 && r->nreserved < most; tasks--) {
+	for (; tasks > 0 && *nreserved < most; tasks--) {
 		best = r->nworkers;
 		for (i = 0; i < r->nworkers; i++) {
 			if (!will_fit(r, st, &d, i))
@@ -599,7 +603,7 @@
 		if (best == r->nworkers)
 			break;
 		r->workers[best].reserved = true;
-		r->nreserved++;
+		++*nreserved;
 	}
 	count_step_tasks(r, st, -1);
 }
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -858,4 +858,35 @@
 	c.expect_start();
 }
 
+/* Guards against small services of which all workers are reserved, as many as
+ * the rest of the fleet allows. */
+TEST(JobPlan, FewWorkersOfEachServiceAreReserved)
+{
+	JobSim s(37);
+	uint64_t lost[3], kept[3];
+	for (int i = 0; i < 60; i++)
+		s.add_worker(8000);
+	for (auto &w : lost)
+		w = s.add_worker(8000, "r1", "small");
+	s.config(2, { "fast", "batch" }, "small");
+	s.lead();
+	s.run(500);
+	s.submit(1, "fast", { lasting_step(3, 8000) });
+	s.run(300);
+	for (auto &w : kept)
+		w = s.add_worker(8000, "r1", "small");
+	s.run(300);
+	s.run_time_ms = [](const SimTask &t) {
+		return t.job == 2 ? 60000 : 300;
+	};
+	s.submit(2, "batch", { JobSim::step(3, 5500, 60000) });
+	s.run(300);
+	for (auto w : lost)
+		s.crash(w);
+	s.run(30000);
+	s.submit(3, "batch", { JobSim::step(1, 1000, 300) });
+	s.run(1000);
+	EXPECT_EQ(1, (s.starts[SimTask{ 3, 0, 0, 0 }]));
+}
+
 } // namespace
