Leave best-effort tasks out of the use of a service

Callers saw: a best-effort task waited for many seconds for a better place on a service of which less than a fifth of the processors was allocated.

Cause: such waits are short while less than JPLAN_LOW_LOAD_SHARE is allocated, but best-effort tasks counted for the allocated share. Users don't count their processors against the capacity. For the same reason, new long-running tasks left room for short jobs on a service that was mostly free.

Fix: only tasks that have processors of their own count.

--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -45,8 +45,8 @@
 	/* Workers of each service, and how many of them are reserved. */
 	size_t service_workers[JPLAN_SERVICES_MAX + 1];
 	size_t nreserved[JPLAN_SERVICES_MAX + 1];
-	/* Processors of each service, in all and allocated, best-effort tasks
-	 * included. */
+	/* Processors of each service, in all and allocated. Best-effort tasks
+	 * don't count, as other tasks may use what they have. */
 	int64_t cpu_total[JPLAN_SERVICES_MAX + 1];
 	int64_t cpu_allocated[JPLAN_SERVICES_MAX + 1];
 	/*
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -67,8 +67,7 @@
 		v[i].reserved = false;
 		r->service_workers[service]++;
 		r->cpu_total[service] += v[i].cpu_total;
-		r->cpu_allocated[service] +=
-		    v[i].cpu_total - v[i].free_cpu + v[i].best_effort_cpu;
+		r->cpu_allocated[service] += v[i].cpu_total - v[i].free_cpu;
 	}
 	for (i = 0; i < r->nservices; i++)
 		r->cpu_reserved[i] = jdemand_reserve(
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -889,4 +889,34 @@
 	EXPECT_EQ(1, (s.starts[SimTask{ 3, 0, 0, 0 }]));
 }
 
+/* Guards against a task that waits for seconds on a mostly free fleet because
+ * best-effort tasks count as use of the fleet. */
+TEST(JobPlan, BestEffortTasksAreNoUseOfTheFleet)
+{
+	InterferenceFleet b;
+	Job__Step st = lasting_step(4, 12000);
+	st.has_target_ms = st.has_spread = 1;
+	st.target_ms = 50;
+	st.spread = 1;
+	st.image = b.image[0];
+	b.s.submit(1, "fast", { st });
+	b.s.run(100);
+	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(4, 30000, 60000);
+	fill.has_fills = fill.fills = 1;
+	fill.image = b.image[3];
+	b.s.run_time_ms = [](const SimTask &) { return 60000; };
+	b.s.submit(10, "batch", { fill });
+	b.s.run(300);
+	ASSERT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 3 }));
+	fill.count = 1;
+	fill.cpu_milli = 6000;
+	fill.image = b.image[2];
+	b.s.submit(11, "batch", { fill });
+	b.s.run(1000);
+	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 11, 0, 0, 0 }));
+	b.s.run(1000);
+	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 11, 0, 0, 0 }));
+}
+
 } // namespace
