Start overdue jobs on reserved workers while much is free

Callers saw: a job wasn't started on a service of which less than half was in use, with room for it several times over. Users accept 3 s.

Cause: the only worker with room was reserved for a displaced long-running task until a batch task there ended, a minute later.

Evidence: JobPlan.AReservedWorkerHoldsUpNoJobWhileMuchIsFree fails without the change: not started after 3 s with 37% of the processors allocated.

Fix: the bound on waits for places without interference, JPLAN_LOW_LOAD_WAIT_MS below JPLAN_LOW_LOAD_SHARE, holds for reserved workers too, for steps of which nothing runs. The plan notes for each step since when none of its tasks has been chosen, not only for best-effort ones.

--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -17,8 +17,9 @@
  * long-running job come first of all: users wait for them, and on a full fleet
  * small tasks would take all resources that become free before there is enough
  * for a large task. For each displaced task that doesn't fit anywhere, a worker
- * is reserved until it does. New long-running tasks leave free what short jobs
- * need on average.
+ * is reserved until it does, or until a step of which nothing runs has waited
+ * for long on a service of which much is free. New long-running tasks leave
+ * free what short jobs need on average.
  *
  * Best-effort tasks share workers with serving ones. They go where they slow
  * down the fewest serving jobs, and wait for such a place while they have time.
@@ -81,9 +82,9 @@
 #define JPLAN_WAIT_MARGIN_MS	200
 /*
  * While less than this share of a service's processors is allocated, a task
- * waits no longer than this for a better place. Users accept 3 s while half of
- * the service is free; both values leave a margin for data that is slightly out
- * of date.
+ * waits no longer than this for a better place, or for a reserved worker. Users
+ * accept 3 s while half of the service is free; both values leave a margin for
+ * data that is slightly out of date.
  */
 #define JPLAN_LOW_LOAD_SHARE   0.6
 #define JPLAN_LOW_LOAD_WAIT_MS 1500
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -18,6 +18,7 @@
 	uint32_t service_index;
 	bool best_effort, may_wait;
 	bool displaced; /* it has run before and lost its worker */
+	bool may_use_reserved;
 	size_t image_index;
 	int64_t cpu, mem, accel;
 };
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -168,7 +168,7 @@
 		    strcmp(f->service, d->service) == 0 &&
 		    is_same_label(f->label, d->label) &&
 		    f->best_effort == d->best_effort &&
-		    (f->displaced || !d->displaced) &&
+		    (f->may_use_reserved || !d->may_use_reserved) &&
 		    (!f->may_wait ||
 			(d->may_wait && f->image_index == d->image_index)) &&
 		    f->cpu <= d->cpu && f->mem <= d->mem &&
@@ -349,8 +349,8 @@
 	const struct jplan_worker *p = &r->workers[pl->worker];
 	uint32_t ntasks_there = r->step_tasks[pl->worker];
 
-	if (!p->usable || (p->reserved && !d->displaced) || !fits(d, p) ||
-	    !is_eligible(d, p) ||
+	if (!p->usable || (p->reserved && !d->may_use_reserved) ||
+	    !fits(d, p) || !is_eligible(d, p) ||
 	    (st->spec->spread > 0 && ntasks_there >= st->spec->spread))
 		return false;
 	pl->interference = d->best_effort
@@ -455,16 +455,15 @@
 	    JPLAN_LOW_LOAD_SHARE * (double)r->cpu_total[d->service_index];
 }
 
-/* Tells whether a step may wait for a place with less interference. */
+/* Tells whether a step has waited too long on a service of which much is
+ * free. */
 static bool
-may_wait(const struct jplan_round *r, const struct jst_step *st,
+is_overdue(const struct jplan_round *r, const struct jst_step *st,
     const struct jplan_need *d)
 {
-	if (!d->best_effort)
-		return false;
-	return st->waiting_since_ms == 0 ||
-	    r->now_ms - st->waiting_since_ms < JPLAN_LOW_LOAD_WAIT_MS ||
-	    !is_low_load(r, d);
+	return st->waiting_since_ms != 0 &&
+	    r->now_ms - st->waiting_since_ms >= JPLAN_LOW_LOAD_WAIT_MS &&
+	    is_low_load(r, d);
 }
 
 /* Tells whether a new long-running task would use processors that short jobs
@@ -492,14 +491,17 @@
 {
 	struct jplan_need d = get_need(r, st, displaced);
 	struct jplan_option best;
-	bool found, met_reserve = false;
+	bool found, overdue, met_reserve = false;
 	uint32_t t;
 	size_t k = 0, i;
 
 	if (d.service == NULL)
 		return 0;
-	d.may_wait = can_wait && may_wait(r, st, &d);
-	if (can_wait && st->waiting_since_ms == 0)
+	overdue = is_overdue(r, st, &d);
+	d.may_wait = can_wait && d.best_effort && !overdue;
+	d.may_use_reserved = displaced ||
+	    (overdue && st->nwaiting + st->ndone == st->spec->count);
+	if (st->waiting_since_ms == 0)
 		st->waiting_since_ms = r->now_ms;
 	if (known_not_to_fit(r, &d))
 		return 0;
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -858,6 +858,14 @@
 	c.expect_start();
 }
 
+/* Guards against jobs that don't start on a mostly free fleet because a worker
+ * is reserved until a long batch task has ended. */
+TEST(JobPlan, AReservedWorkerHoldsUpNoJobWhileMuchIsFree)
+{
+	LostWorker b(lasting_step(1, 7000));
+	b.expect_start();
+}
+
 /* Guards against small services of which all workers are reserved, as many as
  * the rest of the fleet allows. */
 TEST(JobPlan, FewWorkersOfEachServiceAreReserved)
