--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -45,7 +45,8 @@
 };
 
 struct SimWorker {
-	std::string id, addr, rack, service;
+	std::string id, addr, rack, service, kind;
+	uint32_t mem_mb, accel;
 	uint64_t incarnation = 1;
 	bool up = true;
 	/* calls to it and its answers are lost */
@@ -117,6 +118,9 @@
 	int64_t throttle_delay_ms = 0;
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
+	/* of workers that are added from now on */
+	std::string new_kind = "a";
+	uint32_t new_mem_mb = 1000000, new_accel = 0;
 	/* later registrations of the same worker */
 	std::map<uint64_t, uint64_t> alias;
 	std::multimap<int64_t, std::function<void()>> events;
@@ -238,6 +242,9 @@
 		w.cpu = cpu;
 		w.rack = rack;
 		w.service = service;
+		w.kind = new_kind;
+		w.mem_mb = new_mem_mb;
+		w.accel = new_accel;
 		w.clock_start_ms = now_ms - 5000;
 		heartbeat(num);
 		return num;
@@ -252,8 +259,8 @@
 		Job__Worker m = JOB__WORKER__INIT;
 		struct jst_worker *old =
 		    jst_find_worker_by_id(&st, w.id.c_str());
-		char kind[] = "a", zone[] = "z";
-		char *labels[2] = { kind, w.rack.data() };
+		char zone[] = "z";
+		char *labels[2] = { w.kind.data(), w.rack.data() };
 		if (old != NULL && old->info->born == w.incarnation)
 			return;
 		m.id = w.id.data();
@@ -262,7 +269,9 @@
 		m.service = w.service.data();
 		m.born = w.incarnation;
 		m.cpu_milli = (uint32_t)w.cpu;
-		m.mem_mb = 1000000;
+		m.mem_mb = w.mem_mb;
+		m.has_accel = 1;
+		m.accel = w.accel;
 		m.labels = labels;
 		m.n_labels = 2;
 		alias[st.next_worker] = num;
