--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -12,7 +12,7 @@
 	int64_t deadline_ms;
 	double sort_key; /* slack in ms, or core-seconds of remaining work */
 	bool may_wait;	 /* it may wait for a better place */
-	bool displaced;	 /* long-running tasks have been displaced */
+	uint32_t ndisplaced; /* displaced long-running tasks to be placed */
 };
 
 /* Returns the length of a job's critical path by declared times, overheads
@@ -80,8 +80,8 @@
 {
 	const struct candidate *a = pa, *b = pb;
 
-	if (a->displaced != b->displaced)
-		return a->displaced ? -1 : 1;
+	if ((a->ndisplaced > 0) != (b->ndisplaced > 0))
+		return a->ndisplaced > 0 ? -1 : 1;
 	if (a->band != b->band)
 		return a->band - b->band;
 	if (a->priority != b->priority)
@@ -168,7 +168,7 @@
 /* Computes the sort keys of a step. */
 static void
 candidate_init(
-    struct candidate *c, struct jst_step *st, uint32_t running, int64_t now_ms)
+    struct candidate *c, struct jst_step *st, uint32_t running, int64_t wall_ms)
 {
 	const Job__Queue *q = st->job->queue_cfg;
 	int64_t span, left, late_ms;
@@ -179,41 +179,58 @@
 	span = st->job->deadline_ms - st->job->submitted_ms;
 	c->band = 0;
 	c->sort_key = JPLAN_LONG_RUNNING_ORDER;
-	c->has_begun = c->may_wait = c->displaced = false;
-	if (is_long_running(st->job)) {
-		c->displaced = jplan_displaced(st);
+	c->has_begun = c->may_wait = false;
+	c->ndisplaced = 0;
+	if (is_long_running(st->job))
 		return;
-	}
 	c->sort_key = remaining_work(st);
 	c->has_begun = st->nwaiting < st->spec->count || st->number > 0;
 	left = remaining_path_ms(st);
 	late_ms = c->deadline_ms + (JPLAN_LATE_FACTOR - 1) * span;
-	if (now_ms > late_ms)
+	if (wall_ms > late_ms)
 		c->band = 2;
-	else if (now_ms + left > c->deadline_ms)
+	else if (wall_ms + left > c->deadline_ms)
 		c->band = 1;
 	if (c->band == 0)
-		c->sort_key = (double)(c->deadline_ms - left - now_ms) -
+		c->sort_key = (double)(c->deadline_ms - left - wall_ms) -
 		    expected_start_ms(st, running);
-	c->may_wait = now_ms + left + JPLAN_WAIT_MARGIN_MS <
+	c->may_wait = wall_ms + left + JPLAN_WAIT_MARGIN_MS <
 	    (c->band == 0 ? c->deadline_ms : late_ms);
 }
 
 /* Tells whether the start time of an occurrence has come. */
 static bool
-occurrence_may_start(const struct jst_step *st, int64_t now_ms)
+occurrence_may_start(const struct jst_step *st, int64_t wall_ms)
 {
 	const Job__Spec *spec = st->job->spec;
 
 	return spec->repeat == 0 || !spec->has_start_at_ms ||
-	    now_ms >=
+	    wall_ms >=
 	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms);
 }
 
+/* Adds a step to the candidates; a long-running one twice if some of its tasks
+ * are displaced and others new. Returns how many were added. */
+static size_t
+add_candidates(
+    struct candidate *c, struct jst_step *st, uint32_t running, int64_t wall_ms)
+{
+	uint32_t ndisplaced = jplan_count_displaced(st);
+
+	candidate_init(c, st, running, wall_ms);
+	if (ndisplaced == 0)
+		return 1;
+	c->ndisplaced = ndisplaced;
+	if (st->spec->gang || st->nwaiting - st->nproposed == ndisplaced)
+		return 1;
+	candidate_init(c + 1, st, running, wall_ms);
+	return 2;
+}
+
 /* Writes the steps that can start tasks to out, in order, and returns their
  * number. The caller frees out. */
 static size_t
-collect_candidates(struct jst *s, int64_t now_ms, struct candidate **out)
+collect_candidates(struct jst *s, int64_t wall_ms, struct candidate **out)
 {
 	struct jst_job *j;
 	struct candidate *v = NULL;
@@ -229,16 +246,16 @@
 			struct jst_step *st = &j->steps[i];
 
 			if (st->nwaiting <= st->nproposed ||
-			    !occurrence_may_start(st, now_ms) ||
+			    !occurrence_may_start(st, wall_ms) ||
 			    !jst_step_ready(st))
 				continue;
-			if (n == cap) {
+			if (n + 1 >= cap) {
 				cap = cap == 0 ? 64 : cap * 2;
 				v = realloc(v, cap * sizeof(*v));
 				if (v == NULL)
 					abort();
 			}
-			candidate_init(&v[n++], st, running, now_ms);
+			n += add_candidates(&v[n], st, running, wall_ms);
 		}
 	}
 	if (n > 1)
@@ -251,27 +268,31 @@
 size_t
 jplan_choose(struct jst *s, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t nworkers,
-    int64_t now_ms, struct jplan_choice *out, size_t max)
+    int64_t wall_ms, int64_t now_ms, struct jplan_choice *out, size_t max)
 {
 	struct jplan_round round;
 	struct candidate *c;
-	size_t i, k, n = 0, ncand = collect_candidates(s, now_ms, &c);
+	size_t i, k, n = 0, ncand = collect_candidates(s, wall_ms, &c);
 
-	jplan_round_init(&round, interf, demand, v, nworkers, now_ms);
+	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
+	round.chosen = out;
 	for (i = 0; i < ncand && n < max; i++) {
 		struct jst_step *st = c[i].st;
 
 		if (st->spec->gang && st->nwaiting < st->spec->count)
 			continue;
-		k = jplan_place(&round, st, c[i].may_wait, out + n, max - n);
+		k = jplan_place(&round, st, c[i].ndisplaced > 0, c[i].may_wait,
+		    out + n, max - n);
 		if (st->spec->gang && k < st->spec->count) {
 			jplan_undo(&round, out + n, k);
 			k = 0;
 		}
-		if (c[i].displaced && k < st->nwaiting - st->nproposed)
-			jplan_reserve(
-			    &round, st, st->nwaiting - st->nproposed - k);
+		if (k > 0)
+			st->waiting_since_ms = 0;
 		n += k;
+		round.nchosen = n;
+		if (k < c[i].ndisplaced && n < max)
+			jplan_reserve(&round, st, c[i].ndisplaced - k);
 	}
 	jplan_round_finish(&round);
 	free(c);
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -17,8 +17,9 @@
  * long-running job come first of all: users wait for them, and on a full fleet
  * small tasks would take all resources that become free before there is enough
  * for a large task. For each displaced task that doesn't fit anywhere, a worker
- * is reserved until it does. New long-running tasks leave free what short jobs
- * need on average.
+ * is reserved until it does, or until a step of which nothing runs has waited
+ * for long on a service of which much is free. New long-running tasks leave
+ * free what short jobs need on average.
  *
  * Best-effort tasks share workers with serving ones. They go where they slow
  * down the fewest serving jobs, and wait for such a place while they have time.
@@ -45,8 +46,8 @@
  * others, which lose all value while waiting and soon free their
  * resources. */
 #define JPLAN_LONG_RUNNING_ORDER 1e9
-/* At most one of this many workers, plus one, is reserved for displaced
- * tasks. */
+/* At most one of this many workers of a service, plus one, is reserved for
+ * displaced tasks. */
 #define JPLAN_WORKERS_PER_RESERVED 16
 /*
  * Costs of a worker for a task. The unit is a thousandth of its processors, so
@@ -81,9 +82,9 @@
 #define JPLAN_WAIT_MARGIN_MS	200
 /*
  * While less than this share of a service's processors is allocated, a task
- * waits no longer than this for a better place. Users accept 3 s while half of
- * the service is free; both values leave a margin for data that is slightly out
- * of date.
+ * waits no longer than this for a better place, or for a reserved worker. Users
+ * accept 3 s while half of the service is free; both values leave a margin for
+ * data that is slightly out of date.
  */
 #define JPLAN_LOW_LOAD_SHARE   0.6
 #define JPLAN_LOW_LOAD_WAIT_MS 1500
@@ -122,6 +123,8 @@
 	int64_t cpu_total;
 	int64_t best_effort_cpu; /* requested by best-effort tasks */
 	int64_t serving_cpu;	 /* allocated to serving tasks */
+	/* allocated to long-running tasks, best-effort ones use no cpu */
+	int64_t lasting_cpu, lasting_mem, lasting_accel;
 	uint32_t nserving, nbest_effort;
 	struct jplan_group groups[JPLAN_GROUPS_MAX];
 	uint32_t ngroups;
@@ -148,9 +151,10 @@
  * queue after the submission. */
 void jplan_set_deadline(const struct jst *, struct jst_job *);
 /* Writes at most max choices to out and returns their number; subtracts chosen
- * tasks from the free resources. */
+ * tasks from the free resources. wall_ms counts for deadlines and start times,
+ * the monotonic now_ms for how long a task waits. */
 size_t jplan_choose(struct jst *, struct jinterf *, const struct jdemand *,
-    struct jplan_worker *, size_t nworkers, int64_t now_ms,
+    struct jplan_worker *, size_t nworkers, int64_t wall_ms, int64_t now_ms,
     struct jplan_choice *out, size_t max);
 
 __END_DECLS
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -45,7 +46,7 @@
 void
 jplan_round_init(struct jplan_round *r, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t n,
-    int64_t now_ms)
+    int64_t wall_ms, int64_t now_ms)
 {
 	size_t i;
 
@@ -64,13 +65,13 @@
 		v[i].service_index = service;
 		v[i].w->plan_index = (uint32_t)i;
 		v[i].reserved = false;
+		r->service_workers[service]++;
 		r->cpu_total[service] += v[i].cpu_total;
-		r->cpu_allocated[service] +=
-		    v[i].cpu_total - v[i].free_cpu + v[i].best_effort_cpu;
+		r->cpu_allocated[service] += v[i].cpu_total - v[i].free_cpu;
 	}
 	for (i = 0; i < r->nservices; i++)
 		r->cpu_reserved[i] = jdemand_reserve(
-		    demand, r->services[i], now_ms, &r->piece_cpu[i]);
+		    demand, r->services[i], wall_ms, &r->piece_cpu[i]);
 	for (i = 0; i < n; i++)
 		add_free_cpu(r, &v[i], 1);
 	jplan_interf_init(v, n);
@@ -104,25 +105,29 @@
 	return s == NULL || s[0] == '\0' ? NULL : s;
 }
 
-/* Tells whether tasks of a long-running step wait that have run before. */
-bool
-jplan_displaced(const struct jst_step *st)
+/* Tells whether a task waits and isn't being assigned. */
+static bool
+is_waiting(const struct jst_task *t)
 {
-	uint32_t i;
+	return t->state == JST_WAITING && t->active_run == NULL;
+}
+
+/* Counts the waiting tasks of a long-running step that have run before. */
+uint32_t
+jplan_count_displaced(const struct jst_step *st)
+{
+	uint32_t i, n = 0;
 
 	if (!st->spec->lasting || st->nwaiting <= st->nproposed)
-		return false;
-	for (i = 0; i < st->spec->count; i++) {
-		if (st->tasks[i].state == JST_WAITING &&
-		    st->tasks[i].active_run == NULL && st->tasks[i].run > 0)
-			return true;
-	}
-	return false;
+		return 0;
+	for (i = 0; i < st->spec->count; i++)
+		n += is_waiting(&st->tasks[i]) && st->tasks[i].run > 0;
+	return n;
 }
 
 /* Returns the resources and constraints of a step's tasks. */
 static struct jplan_need
-get_need(struct jplan_round *r, const struct jst_step *st)
+get_need(struct jplan_round *r, const struct jst_step *st, bool displaced)
 {
 	const Job__Queue *q = st->job->queue_cfg;
 	const Job__Step *s = st->spec;
@@ -134,7 +139,7 @@
 	d.label = nonempty_or_null(s->label);
 	d.rack = nonempty_or_null(s->rack);
 	d.best_effort = s->fills;
-	d.displaced = jplan_displaced(st);
+	d.displaced = displaced;
 	d.image_index = jinterf_image_index(r->interf, s->image);
 	d.cpu = s->cpu_milli;
 	d.mem = s->mem_mb;
@@ -163,7 +168,7 @@
 		    strcmp(f->service, d->service) == 0 &&
 		    is_same_label(f->label, d->label) &&
 		    f->best_effort == d->best_effort &&
-		    (f->displaced || !d->displaced) &&
+		    (f->may_use_reserved || !d->may_use_reserved) &&
 		    (!f->may_wait ||
 			(d->may_wait && f->image_index == d->image_index)) &&
 		    f->cpu <= d->cpu && f->mem <= d->mem &&
@@ -303,17 +308,23 @@
 	p->changed = true;
 	p->free_mem -= sign * (int64_t)s->mem_mb;
 	p->free_accel -= sign * (int64_t)s->accel;
+	if (s->lasting) {
+		p->lasting_cpu += s->fills ? 0 : sign * (int64_t)s->cpu_milli;
+		p->lasting_mem += sign * (int64_t)s->mem_mb;
+		p->lasting_accel += sign * (int64_t)s->accel;
+	}
 	if (s->target_ms > 0) {
 		p->nserving += (uint32_t)sign;
 		p->serving_cpu += sign * (int64_t)s->cpu_milli;
 	}
 }
 
-/* Adds the runs of a step to step_tasks of their workers, or subtracts them. */
+/* Adds the runs of a step to step_tasks of their workers, or subtracts them.
+ * Tasks chosen in this plan count; only long-running steps are placed twice. */
 static void
 count_step_tasks(struct jplan_round *r, const struct jst_step *st, int sign)
 {
-	uint32_t i;
+	size_t i;
 
 	for (i = 0; i < st->spec->count; i++) {
 		const struct jst_worker *w = st->tasks[i].run_worker;
@@ -323,6 +334,10 @@
 		    r->workers[w->plan_index].w == w)
 			r->step_tasks[w->plan_index] += (uint32_t)sign;
 	}
+	for (i = 0; st->spec->lasting && i < r->nchosen; i++) {
+		if (r->chosen[i].step == st)
+			r->step_tasks[r->chosen[i].worker] += (uint32_t)sign;
+	}
 }
 
 /* Computes the cost of a worker for a task. Returns false if it can't take
@@ -334,8 +349,8 @@
 	const struct jplan_worker *p = &r->workers[pl->worker];
 	uint32_t ntasks_there = r->step_tasks[pl->worker];
 
-	if (!p->usable || (p->reserved && !d->displaced) || !fits(d, p) ||
-	    !is_eligible(d, p) ||
+	if (!p->usable || (p->reserved && !d->may_use_reserved) ||
+	    !fits(d, p) || !is_eligible(d, p) ||
 	    (st->spec->spread > 0 && ntasks_there >= st->spec->spread))
 		return false;
 	pl->interference = d->best_effort
@@ -440,16 +455,15 @@
 	    JPLAN_LOW_LOAD_SHARE * (double)r->cpu_total[d->service_index];
 }
 
-/* Tells whether a step may wait for a place with less interference. */
+/* Tells whether a step has waited too long on a service of which much is
+ * free. */
 static bool
-may_wait(const struct jplan_round *r, const struct jst_step *st,
+is_overdue(const struct jplan_round *r, const struct jst_step *st,
     const struct jplan_need *d)
 {
-	if (!d->best_effort)
-		return false;
-	return st->waiting_since_ms == 0 ||
-	    r->now_ms - st->waiting_since_ms < JPLAN_LOW_LOAD_WAIT_MS ||
-	    !is_low_load(r, d);
+	return st->waiting_since_ms != 0 &&
+	    r->now_ms - st->waiting_since_ms >= JPLAN_LOW_LOAD_WAIT_MS &&
+	    is_low_load(r, d);
 }
 
 /* Tells whether a new long-running task would use processors that short jobs
@@ -472,29 +486,31 @@
 
 /* Places as many waiting tasks of a step as fit. */
 size_t
-jplan_place(struct jplan_round *r, struct jst_step *st, bool can_wait,
-    struct jplan_choice *out, size_t max)
+jplan_place(struct jplan_round *r, struct jst_step *st, bool displaced,
+    bool can_wait, struct jplan_choice *out, size_t max)
 {
-	struct jplan_need d = get_need(r, st);
+	struct jplan_need d = get_need(r, st, displaced);
 	struct jplan_option best;
-	bool found, met_reserve = false;
+	bool found, overdue, met_reserve = false;
 	uint32_t t;
 	size_t k = 0, i;
 
 	if (d.service == NULL)
 		return 0;
-	d.may_wait = can_wait && may_wait(r, st, &d);
-	/* The time of day may have been set back. */
-	if (can_wait &&
-	    (st->waiting_since_ms == 0 || st->waiting_since_ms > r->now_ms))
+	overdue = is_overdue(r, st, &d);
+	d.may_wait = can_wait && d.best_effort && !overdue;
+	d.may_use_reserved = displaced ||
+	    (overdue && st->nwaiting + st->ndone == st->spec->count);
+	if (st->waiting_since_ms == 0)
 		st->waiting_since_ms = r->now_ms;
 	if (known_not_to_fit(r, &d))
 		return 0;
 	count_step_tasks(r, st, 1);
 	heap_fill(r, st, &d);
 	for (t = 0; t < st->spec->count && k < max; t++) {
-		if (st->tasks[t].state != JST_WAITING ||
-		    st->tasks[t].active_run != NULL)
+		if (!is_waiting(&st->tasks[t]) ||
+		    (st->spec->lasting && !st->spec->gang &&
+			(st->tasks[t].run > 0) != displaced))
 			continue;
 		while ((found = heap_find_best(r, st, &d, &best)) &&
 		    needs_reserve(r, st, &d, &r->workers[best.worker])) {
@@ -521,24 +537,44 @@
 	count_step_tasks(r, st, -1);
 	for (i = 0; i < k; i++)
 		r->step_tasks[out[i].worker]--;
-	if (k > 0)
-		st->waiting_since_ms = 0;
 	return k;
 }
 
+/* Returns how much is lacking of what a task needs, as a share of it. */
+static double
+lacking_share(int64_t need, int64_t free_amount)
+{
+	return need > free_amount ? (double)(need - free_amount) / (double)need
+				  : 0;
+}
+
 /* Returns how much a worker lacks for a task, as a share of what the task
  * needs. */
 static double
 shortage(const struct jplan_need *d, const struct jplan_worker *p)
 {
-	double cpu = d->cpu > p->free_cpu
-	    ? (double)(d->cpu - p->free_cpu) / (double)d->cpu
-	    : 0;
-	double mem = d->mem > p->free_mem
-	    ? (double)(d->mem - p->free_mem) / (double)d->mem
-	    : 0;
+	double cpu = lacking_share(d->cpu, p->free_cpu);
+	double mem = lacking_share(d->mem, p->free_mem);
+	double accel = lacking_share(d->accel, p->free_accel);
+
+	return fmax(cpu, fmax(mem, accel));
+}
+
+/* Tells whether a worker that can't take a displaced task now will be able to
+ * once its short tasks have ended. */
+static bool
+will_fit(const struct jplan_round *r, const struct jst_step *st,
+    const struct jplan_need *d, size_t worker)
+{
+	const struct jplan_worker *p = &r->workers[worker];
+	const Job__Worker *w = p->w->info;
 
-	return cpu > mem ? cpu : mem;
+	return p->usable && !p->reserved && is_eligible(d, p) &&
+	    (st->spec->spread == 0 ||
+		r->step_tasks[worker] < st->spec->spread) &&
+	    d->cpu <= p->cpu_total - p->lasting_cpu &&
+	    d->mem <= (int64_t)w->mem_mb - p->lasting_mem &&
+	    d->accel <= (int64_t)w->accel - p->lasting_accel;
 }
 
 /* Reserves the workers that lack least, among those that will have enough once
@@ -546,29 +582,31 @@
 void
 jplan_reserve(struct jplan_round *r, const struct jst_step *st, size_t tasks)
 {
-	struct jplan_need d = get_need(r, st);
-	size_t i, best, most = r->nworkers / JPLAN_WORKERS_PER_RESERVED + 1;
+	struct jplan_need d = get_need(r, st, true);
+	size_t i, best, *nreserved = &r->nreserved[d.service_index];
+	size_t most =
+	    r->service_workers[d.service_index] / JPLAN_WORKERS_PER_RESERVED +
+	    1;
 
 	if (d.service == NULL)
 		return;
-	for (; tasks > 0 && r->nreserved < most; tasks--) {
+	count_step_tasks(r, st, 1);
+	for (; tasks > 0 && *nreserved < most; tasks--) {
 		best = r->nworkers;
 		for (i = 0; i < r->nworkers; i++) {
-			const struct jplan_worker *p = &r->workers[i];
-
-			if (!p->usable || p->reserved || !is_eligible(&d, p) ||
-			    p->cpu_total - p->serving_cpu < d.cpu ||
-			    d.accel > p->free_accel)
+			if (!will_fit(r, st, &d, i))
 				continue;
 			if (best == r->nworkers ||
-			    shortage(&d, p) < shortage(&d, &r->workers[best]))
+			    shortage(&d, &r->workers[i]) <
+				shortage(&d, &r->workers[best]))
 				best = i;
 		}
 		if (best == r->nworkers)
-			return;
+			break;
 		r->workers[best].reserved = true;
-		r->nreserved++;
+		++*nreserved;
 	}
+	count_step_tasks(r, st, -1);
 }
 
 /* Undoes choices. What didn't fit before may fit again. */
@@ -578,10 +616,12 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct jplan_need d = get_need(r, c[i].step);
+		struct jplan_need d = get_need(r, c[i].step, false);
+		struct jplan_worker *p = &r->workers[c[i].worker];
 
-		allocate(
-		    r->interf, c[i].step, &d, &r->workers[c[i].worker], -1);
+		add_free_cpu(r, p, -1);
+		allocate(r->interf, c[i].step, &d, p, -1);
+		add_free_cpu(r, p, 1);
 	}
 	if (n > 0)
 		r->nno_fit = 0;
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -42,10 +42,12 @@
 	std::string checkpoint;
 	/* started by an order that was sent to an earlier incarnation */
 	bool stale_order;
+	uint32_t throttle_percent = 100;
 };
 
 struct SimWorker {
-	std::string id, addr, rack;
+	std::string id, addr, rack, service, kind;
+	uint32_t mem_mb, accel;
 	uint64_t incarnation = 1;
 	bool up = true;
 	/* calls to it and its answers are lost */
@@ -106,6 +108,7 @@
 	TALLOC_CTX *ctx = talloc_new(NULL);
 	struct rng rng;
 	int64_t now_ms = 1000000;
+	int64_t wall_offset_ms = 0; /* of the leader's wall clock */
 	int64_t commit_ms = 12, call_ms = 2;
 	/* share of calls lost, and of calls carried out late */
 	double loss_rate = 0, late_rate = 0;
@@ -117,8 +120,16 @@
 	uint32_t relays_losing_answers = 0;
 	/* registration to which calls that start a task are lost; 0: none */
 	uint64_t drop_starts_to = 0;
+	uint32_t max_attempts = 3; /* in the configuration */
+	/* orders to throttle are carried out after the delay, and their answers
+	 * are lost */
+	bool drop_throttle_answers = false;
+	int64_t throttle_delay_ms = 0;
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
+	/* of workers that are added from now on */
+	std::string new_kind = "a";
+	uint32_t new_mem_mb = 1000000, new_accel = 0;
 	/* later registrations of the same worker */
 	std::map<uint64_t, uint64_t> alias;
 	std::multimap<int64_t, std::function<void()>> events;
@@ -129,6 +140,10 @@
 	 * doesn't */
 	std::function<int64_t(const SimTask &)> lasting_ms =
 	    [](const SimTask &) { return -1; };
+	/* tail latency of serving tasks */
+	std::function<uint32_t(const SimTask &)> tail_ms = [](const SimTask &) {
+		return 0;
+	};
 	std::function<bool(const SimTask &, uint64_t)> task_fails =
 	    [](const SimTask &, uint64_t) { return false; };
 	/* Late orders also reach the next incarnation of a worker. */
@@ -182,31 +197,42 @@
 		return clk_from_ns(now_ms * CLK_NS_PER_MS);
 	}
 
-	/* Configures two queues of one service. */
-	void config()
+	/* Returns the leader's wall clock. */
+	int64_t wall_ms() const
+	{
+		return now_ms + wall_offset_ms;
+	}
+
+	/* Configures queues of one service; "fast" is the urgent one. */
+	void config(uint64_t version = 1,
+	    const std::vector<std::string> &queues = { "fast", "batch" },
+	    const char *service_name = "svc")
 	{
 		Job__Command c = JOB__COMMAND__INIT;
 		Job__Config cf = JOB__CONFIG__INIT;
-		Job__Queue q[2] = { JOB__QUEUE__INIT, JOB__QUEUE__INIT };
-		Job__Queue *qs[2] = { &q[0], &q[1] };
-		char names[2][8] = { "fast", "batch" };
-		char host[] = "h", prefix[2][4] = { "/f/", "/b/" };
-		char service[] = "svc";
-		for (int i = 0; i < 2; i++) {
-			q[i].name = names[i];
-			q[i].host = host;
-			q[i].prefix = prefix[i];
-			q[i].service = service;
+		std::vector<Job__Queue> q(queues.size());
+		std::vector<Job__Queue *> qs;
+		std::vector<std::string> names = queues, prefixes;
+		std::string host = "h", service = service_name;
+		for (auto &name : names)
+			prefixes.push_back("/" + name.substr(0, 1) + "/");
+		for (size_t i = 0; i < q.size(); i++) {
+			job__queue__init(&q[i]);
+			q[i].name = names[i].data();
+			q[i].host = host.data();
+			q[i].prefix = prefixes[i].data();
+			q[i].service = service.data();
 			q[i].has_priority = q[i].has_max_attempts = 1;
-			q[i].priority = (uint32_t)i * 2;
-			q[i].max_attempts = 3;
+			q[i].priority = names[i] == "fast" ? 0 : 2;
+			q[i].max_attempts = max_attempts;
 			q[i].has_target_ms = q[i].has_stretch_milli = 1;
 			q[i].target_ms = 500;
 			q[i].stretch_milli = 1500;
+			qs.push_back(&q[i]);
 		}
-		cf.version = 1;
-		cf.queues = qs;
-		cf.n_queues = 2;
+		cf.version = version;
+		cf.queues = qs.data();
+		cf.n_queues = qs.size();
 		c.config = &cf;
 		apply(c);
 	}
@@ -217,12 +243,13 @@
 		struct jst_result r;
 		if (c.end != NULL && c.end->how == JOB__HOW__DONE)
 			done.insert(key(*c.end->task));
-		jlead_apply(&jl, now(), now_ms, &c, &r);
+		jlead_apply(&jl, now(), wall_ms(), &c, &r);
 	}
 
 	/* Adds a worker and registers it; returns the number of its
 	 * registration. */
-	uint64_t add_worker(uint32_t cpu, const char *rack = "r1")
+	uint64_t add_worker(
+	    uint32_t cpu, const char *rack = "r1", const char *service = "svc")
 	{
 		uint64_t num = st.next_worker;
 		SimWorker &w = workers[num];
@@ -230,6 +257,10 @@
 		w.addr = "10.0.0." + std::to_string(num) + ":80";
 		w.cpu = cpu;
 		w.rack = rack;
+		w.service = service;
+		w.kind = new_kind;
+		w.mem_mb = new_mem_mb;
+		w.accel = new_accel;
 		w.clock_start_ms = now_ms - 5000;
 		heartbeat(num);
 		return num;
@@ -244,17 +275,19 @@
 		Job__Worker m = JOB__WORKER__INIT;
 		struct jst_worker *old =
 		    jst_find_worker_by_id(&st, w.id.c_str());
-		char kind[] = "a", zone[] = "z", service[] = "svc";
-		char *labels[2] = { kind, w.rack.data() };
+		char zone[] = "z";
+		char *labels[2] = { w.kind.data(), w.rack.data() };
 		if (old != NULL && old->info->born == w.incarnation)
 			return;
 		m.id = w.id.data();
 		m.addr = w.addr.data();
 		m.zone = zone;
-		m.service = service;
+		m.service = w.service.data();
 		m.born = w.incarnation;
 		m.cpu_milli = (uint32_t)w.cpu;
-		m.mem_mb = 1000000;
+		m.mem_mb = w.mem_mb;
+		m.has_accel = 1;
+		m.accel = w.accel;
 		m.labels = labels;
 		m.n_labels = 2;
 		alias[st.next_worker] = num;
@@ -303,7 +336,7 @@
 		epoch++;
 		pending.clear();
 		jlead_stop(&jl);
-		jlead_begin(&jl, now(), now_ms, ++token);
+		jlead_begin(&jl, now(), wall_ms(), ++token);
 	}
 
 	/* Leaves the workers without a leader for some time; what was in flight
@@ -421,23 +454,37 @@
 			spec.has_start_at_ms = 1;
 			spec.repeat = repeat;
 			spec.interval_ms = 1000;
-			spec.start_at_ms = now_ms + 1000;
+			spec.start_at_ms = wall_ms() + 1000;
 		}
 		s.job = id;
 		s.queue = q.data();
 		s.spec = &spec;
-		s.at_ms = now_ms;
+		s.at_ms = wall_ms();
 		c.submit = &s;
 		apply(c);
 	}
 
+	/* Assigns a task as an earlier leader did. */
+	void assign(const SimTask &k, uint32_t run, uint64_t worker)
+	{
+		Job__Command c = JOB__COMMAND__INIT;
+		Job__Assign a = JOB__ASSIGN__INIT;
+		Job__Task t;
+		ref(k, t);
+		a.task = &t;
+		a.run = run;
+		a.worker = worker;
+		c.assign = &a;
+		apply(c);
+	}
+
 	/* Cancels a job. */
 	void cancel(uint64_t id)
 	{
 		Job__Command c = JOB__COMMAND__INIT;
 		Job__Cancel m = JOB__CANCEL__INIT;
 		m.job = id;
-		m.at_ms = now_ms;
+		m.at_ms = wall_ms();
 		c.cancel = &m;
 		if (jst_find_job(&st, id) != NULL && state(id) == JST_ACTIVE)
 			cancelled.emplace(id, now_ms);
@@ -477,7 +524,7 @@
 				f();
 			}
 			if (now_ms % 25 == 0)
-				jlead_tick(&jl, now(), now_ms);
+				jlead_tick(&jl, now(), wall_ms());
 			jlead_plan(&jl);
 			if (check_lasting && now_ms % 25 == 0)
 				check_kept();
@@ -492,6 +539,19 @@
 		workers[num].reachable_since_ms = now_ms;
 	}
 
+	/* Lets all running tasks of a job on a worker fail. */
+	void fail_running(uint64_t num, uint64_t job)
+	{
+		SimWorker &w = workers[num];
+		std::vector<SimTask> tasks;
+		for (auto &x : w.running) {
+			if (x.first.job == job)
+				tasks.push_back(x.first);
+		}
+		for (auto &t : tasks)
+			end(w, t, JOB__HOW__FAILED);
+	}
+
 	/* Ends a worker's process. */
 	void crash(uint64_t num)
 	{
@@ -686,6 +746,15 @@
 			    [=]() { s->no_answer(k, ep, JL_RELAY_LOST); });
 			return;
 		}
+		if (s->drop_throttle_answers && c->kind == JL_THROTTLE) {
+			uint64_t ep = l->epoch;
+			s->events.emplace(
+			    s->now_ms + s->call_ms + s->throttle_delay_ms,
+			    [=]() { s->deliver(k, ep, 0); });
+			s->events.emplace(s->now_ms + c->timeout_ms,
+			    [=]() { s->no_answer(k, ep); });
+			return;
+		}
 		bool late = !lost && c->kind != JL_POLL &&
 		    rng_chance(&s->rng, s->late_rate);
 		uint64_t epoch = l->epoch;
@@ -797,6 +866,7 @@
 			texts_of->push_back(x.second.checkpoint);
 			row.checkpoint = texts_of->back().c_str();
 			row.progress_percent = 100;
+			row.metric = metric(x.first, x.second);
 			rows->push_back(row);
 		}
 		for (auto &x : w.ended) {
@@ -827,6 +897,20 @@
 		});
 	}
 
+	/* Returns the figure of a running task: its tail latency, or the
+	 * processors that it uses. */
+	uint32_t metric(const SimTask &k, const SimRun &run)
+	{
+		struct jst_step *sp = NULL;
+		Job__Task t;
+		ref(k, t);
+		if (jst_find_task(&st, &t, &sp) == NULL)
+			return 0;
+		return sp->spec->target_ms > 0
+		    ? tail_ms(k)
+		    : sp->spec->cpu_milli * run.throttle_percent / 100;
+	}
+
 	/* Tells whether a leader may still receive answers to its calls. */
 	bool may_receive(uint64_t ep) const
 	{
@@ -906,6 +990,9 @@
 				end(w, k, JOB__HOW__STOPPED);
 			break;
 		case JL_THROTTLE:
+			if (w.running.count(k) && w.running[k].run == c.run)
+				w.running[k].throttle_percent =
+				    c.throttle_percent;
 			break;
 		}
 	}
@@ -1131,7 +1218,8 @@
 				    w.lease_until_ms)
 					ended.push_back(
 					    { y.first, JOB__HOW__LAPSED });
-				else if (y.second.left_ms >= 0 &&
+				else if (y.second.throttle_percent > 0 &&
+				    y.second.left_ms >= 0 &&
 				    --y.second.left_ms <= 0)
 					ended.push_back({ y.first,
 					    y.second.fails ? JOB__HOW__FAILED
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -174,6 +174,89 @@
 	}
 }
 
+/* A worker with a serving task and a best-effort one beside it, which makes the
+ * serving one miss its target. */
+struct ThrottledTask {
+	JobSim s;
+	uint32_t tail_ms = 10;
+	uint64_t worker;
+
+	ThrottledTask() : s(43)
+	{
+		worker = s.add_worker(16000);
+		s.lead();
+		s.run(100);
+		s.tail_ms = [this](const SimTask &) { return tail_ms; };
+		s.run_time_ms = [](const SimTask &) { return 20000; };
+		Job__Step st = JobSim::step(1, 4000);
+		st.has_lasting = st.lasting = 1;
+		st.has_target_ms = 1;
+		st.target_ms = 50;
+		s.submit(1, "fast", { st });
+		s.run(3000);
+		Job__Step fill = JobSim::step(1, 4000, 1000);
+		fill.has_fills = fill.fills = 1;
+		s.submit(2, "batch", { fill });
+		s.run(3000);
+		tail_ms = 200;
+	}
+	/* Returns the throttle of the best-effort task in percent. */
+	uint32_t percent()
+	{
+		return s.workers[worker]
+		    .running.at(SimTask{ 2, 0, 0, 0 })
+		    .throttle_percent;
+	}
+	/* Runs until the task is throttled to 0. */
+	void run_until_throttled()
+	{
+		for (int i = 0; i < 7000 && percent() > 0; i++)
+			s.run(1);
+		ASSERT_EQ(0U, percent());
+	}
+};
+
+/* Guards against a best-effort task that stays at 0 percent for good because
+ * the leader that throttled it was replaced. */
+TEST(JobThrottle, EndsAfterAChangeOfLeader)
+{
+	ThrottledTask b;
+	b.run_until_throttled();
+	b.tail_ms = 10;
+	b.s.lead();
+	b.s.run(5000);
+	EXPECT_EQ(100U, b.percent());
+}
+
+/* Guards against a best-effort task that stays at 0 percent for good because
+ * the answer to the order was lost. */
+TEST(JobThrottle, EndsAfterALostAnswer)
+{
+	ThrottledTask b;
+	b.s.drop_throttle_answers = true;
+	b.run_until_throttled();
+	b.s.drop_throttle_answers = false;
+	b.tail_ms = 10;
+	b.s.run(5000);
+	EXPECT_EQ(100U, b.percent());
+}
+
+/* Guards against a best-effort task that stays at 0 percent for good because
+ * the order was carried out late, after the one that ended the throttle. */
+TEST(JobThrottle, EndsAfterALateOrder)
+{
+	ThrottledTask b;
+	b.s.drop_throttle_answers = true;
+	b.s.throttle_delay_ms = 4000;
+	b.s.run(2900);
+	b.s.drop_throttle_answers = false;
+	b.tail_ms = 10;
+	ASSERT_EQ(100U, b.percent());
+	b.run_until_throttled();
+	b.s.run(5000);
+	EXPECT_EQ(100U, b.percent());
+}
+
 /* Guards against images that count as interfering with everything because they
  * interfere with one kind of service, and against the changing load of a
  * serving job that is taken for interference. */
@@ -509,9 +592,9 @@
 	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
 }
 
-/* Guards against a task that waits on a mostly free fleet for as long as the
- * time of day has been set back. */
-TEST(JobPlan, WaitsAreShortWhenTheTimeOfDayIsSetBack)
+/* Guards against a task that waits for as long as the wall clock was stepped
+ * back, on a mostly free fleet. */
+TEST(JobPlan, AStepOfTheWallClockDoesNotProlongWaits)
 {
 	InterferenceFleet b;
 	Job__Step st = JobSim::step(4, 12000);
@@ -523,16 +606,14 @@
 	b.s.submit(1, "fast", { st });
 	b.s.run(100);
 	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
-	Job__Step fill = JobSim::step(4, 6000, 12000);
+	Job__Step fill = JobSim::step(4, 6000, 60000);
 	fill.has_fills = fill.fills = 1;
 	fill.image = b.image[2];
 	b.s.submit(10, "batch", { fill });
-	b.s.run(100);
-	struct jst_step *waiting = &jst_find_job(&b.s.st, 10)->steps[0];
-	ASSERT_EQ(0U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
-	ASSERT_NE(0, waiting->waiting_since_ms);
-	waiting->waiting_since_ms += 5000; /* noted before */
-	b.s.run(2000);
+	b.s.run(1000);
+	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+	b.s.wall_offset_ms = -20000;
+	b.s.run(1000);
 	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
 }
 
@@ -598,4 +679,252 @@
 	EXPECT_EQ(3, started);
 }
 
+/* Guards against accepted jobs that wait for good because a configuration
+ * removed their queue, and against long-running tasks of such a queue that
+ * aren't started again. */
+TEST(JobPlan, JobsOfARemovedQueueStillRun)
+{
+	JobSim s(33);
+	uint64_t a = s.add_worker(4000);
+	s.lead();
+	s.run(100);
+	Job__Step lasts = JobSim::step(1, 1000);
+	lasts.has_lasting = lasts.lasting = 1;
+	s.run_time_ms = [](const SimTask &t) { return t.job == 1 ? -1 : 300; };
+	s.submit(1, "fast", { lasts });
+	s.run(300);
+	ASSERT_EQ(1U, s.starts.size());
+	s.submit(2, "batch", { JobSim::step(2, 4000), JobSim::step(1, 4000) });
+	s.config(2, {});
+	s.fail_running(a, 1);
+	s.run(6000);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+	s.cancel(1);
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(2));
+}
+
+/* Guards against new long-running tasks that wait as long as a gang doesn't
+ * fit, because the plan counts the resources that the gang gave back as
+ * used. */
+TEST(JobPlan, ResourcesThatAGangGivesBackCountAsFree)
+{
+	JobSim s(34);
+	for (int i = 0; i < 10; i++)
+		s.add_worker(10000);
+	s.lead();
+	s.run(100);
+	s.run_time_ms = [](const SimTask &t) { return t.job == 1 ? 200 : -1; };
+	/* Short work, for which new long-running tasks leave resources. */
+	s.submit(1, "fast", { JobSim::step(1, 1000, 10000) });
+	Job__Step lasts = JobSim::step(7, 10000);
+	lasts.has_lasting = lasts.lasting = 1;
+	s.submit(2, "fast", { lasts });
+	s.run(1000);
+	ASSERT_EQ(JST_COMPLETED, s.state(1));
+	Job__Step gang = JobSim::step(4, 10000, 100);
+	gang.has_gang = gang.gang = 1;
+	s.submit(3, "fast", { gang });
+	lasts.count = 1;
+	lasts.cpu_milli = 1000;
+	s.submit(4, "fast", { lasts });
+	s.run(300);
+	EXPECT_EQ(1U, s.starts.count(SimTask{ 4, 0, 0, 0 }));
+	EXPECT_EQ(0U, s.starts.count(SimTask{ 3, 0, 0, 0 }));
+}
+
+/* Guards against a best-effort gang that waits for seconds on a mostly free
+ * fleet because only some of its tasks find a place without interference. */
+TEST(JobPlan, WaitsOfAGangAreShortWhileMuchIsFree)
+{
+	InterferenceFleet b;
+	Job__Step st = JobSim::step(3, 12000);
+	st.has_lasting = st.lasting = 1;
+	st.has_target_ms = st.has_spread = 1;
+	st.target_ms = 50;
+	st.spread = 1;
+	st.image = b.image[0];
+	b.s.submit(1, "fast", { st });
+	b.s.run(100);
+	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(4, 24000, 60000);
+	fill.has_fills = fill.fills = fill.has_gang = fill.gang = 1;
+	fill.image = b.image[2];
+	b.s.submit(10, "batch", { fill });
+	b.s.run(1000);
+	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+	b.s.run(1000);
+	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
+}
+
+/* Returns a long-running step. */
+Job__Step
+lasting_step(uint32_t count, uint32_t cpu)
+{
+	Job__Step st = JobSim::step(count, cpu);
+	st.has_lasting = st.lasting = 1;
+	return st;
+}
+
+/* Guards against a long-running task that isn't started again because new
+ * tasks of its step take the resources. */
+TEST(JobPlan, ADisplacedTaskComesBeforeNewOnesOfItsStep)
+{
+	JobSim s(35);
+	uint64_t a = s.add_worker(4000);
+	s.submit(1, "fast", { lasting_step(3, 3000) });
+	s.assign(SimTask{ 1, 0, 0, 2 }, 1, a);
+	s.lead();
+	s.run(300);
+	ASSERT_EQ(1, (s.starts[SimTask{ 1, 0, 0, 2 }]));
+	s.fail_running(a, 1);
+	s.run(1000);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 2 }]));
+	EXPECT_EQ(0, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+}
+
+/* Guards against a worker that gets a displaced and a new task of a step in one
+ * plan, beyond the limit of tasks there. */
+TEST(JobPlan, DisplacedAndNewTasksShareTheLimit)
+{
+	JobSim s(38);
+	uint64_t a = s.add_worker(8000);
+	Job__Step st = lasting_step(2, 1000);
+	st.has_spread = 1;
+	st.spread = 1;
+	s.submit(1, "fast", { st });
+	s.assign(SimTask{ 1, 0, 0, 1 }, 1, a);
+	s.lead();
+	s.run(300);
+	s.fail_running(a, 1);
+	s.run(1000);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 1 }]));
+	EXPECT_EQ(0, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+}
+
+/* A fleet of two workers, one of which is lost with its long-running task. The
+ * other one can't take the task. */
+struct LostWorker {
+	JobSim s;
+	uint64_t kept, lost;
+
+	LostWorker(const Job__Step &st) : s(36)
+	{
+		kept = s.add_worker(8000);
+		s.lead();
+		s.run(100);
+		s.run_time_ms = [](const SimTask &t) {
+			return t.job == 2 ? 60000 : 300;
+		};
+		s.submit(2, "batch", { JobSim::step(1, 3000, 60000) });
+		s.run(100);
+		lost = s.add_worker(8000);
+		s.run(100);
+		s.submit(1, "fast", { st });
+		s.run(300);
+		s.crash(lost);
+		s.run(30000);
+	}
+	/* Checks that a job starts on the other worker within the time that
+	 * users allow while half of the service is free. */
+	void expect_start()
+	{
+		s.submit(3, "batch", { JobSim::step(1, 500, 300) });
+		s.run(3000);
+		EXPECT_EQ(1, (s.starts[SimTask{ 3, 0, 0, 0 }]));
+	}
+};
+
+/* Guards against jobs that never start because a worker is reserved for a task
+ * that may not run there beside another one of its step. */
+TEST(JobPlan, NoWorkerIsReservedBeyondTheLimitOfTasksThere)
+{
+	Job__Step st = lasting_step(2, 2000);
+	st.has_spread = 1;
+	st.spread = 1;
+	LostWorker b(st);
+	b.expect_start();
+}
+
+/* Guards against jobs that never start because a worker is reserved for a task
+ * whose resources are held there by long-running tasks. */
+TEST(JobPlan, NoWorkerIsReservedThatStaysFull)
+{
+	LostWorker b(lasting_step(2, 4500));
+	b.expect_start();
+	Job__Step st = lasting_step(2, 500);
+	st.mem_mb = 600000;
+	LostWorker c(st);
+	c.expect_start();
+}
+
+/* Guards against jobs that don't start on a mostly free fleet because a worker
+ * is reserved until a long batch task has ended. */
+TEST(JobPlan, AReservedWorkerHoldsUpNoJobWhileMuchIsFree)
+{
+	LostWorker b(lasting_step(1, 7000));
+	b.expect_start();
+}
+
+/* Guards against small services of which all workers are reserved, as many as
+ * the rest of the fleet allows. */
+TEST(JobPlan, FewWorkersOfEachServiceAreReserved)
+{
+	JobSim s(37);
+	uint64_t lost[3], kept[3];
+	for (int i = 0; i < 60; i++)
+		s.add_worker(8000);
+	for (auto &w : lost)
+		w = s.add_worker(8000, "r1", "small");
+	s.config(2, { "fast", "batch" }, "small");
+	s.lead();
+	s.run(500);
+	s.submit(1, "fast", { lasting_step(3, 8000) });
+	s.run(300);
+	for (auto &w : kept)
+		w = s.add_worker(8000, "r1", "small");
+	s.run(300);
+	s.run_time_ms = [](const SimTask &t) {
+		return t.job == 2 ? 60000 : 300;
+	};
+	s.submit(2, "batch", { JobSim::step(3, 5500, 60000) });
+	s.run(300);
+	for (auto w : lost)
+		s.crash(w);
+	s.run(30000);
+	s.submit(3, "batch", { JobSim::step(1, 1000, 300) });
+	s.run(1000);
+	EXPECT_EQ(1, (s.starts[SimTask{ 3, 0, 0, 0 }]));
+}
+
+/* Guards against a task that waits for seconds on a mostly free fleet because
+ * best-effort tasks count as use of the fleet. */
+TEST(JobPlan, BestEffortTasksAreNoUseOfTheFleet)
+{
+	InterferenceFleet b;
+	Job__Step st = lasting_step(4, 12000);
+	st.has_target_ms = st.has_spread = 1;
+	st.target_ms = 50;
+	st.spread = 1;
+	st.image = b.image[0];
+	b.s.submit(1, "fast", { st });
+	b.s.run(100);
+	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(4, 30000, 60000);
+	fill.has_fills = fill.fills = 1;
+	fill.image = b.image[3];
+	b.s.run_time_ms = [](const SimTask &) { return 60000; };
+	b.s.submit(10, "batch", { fill });
+	b.s.run(300);
+	ASSERT_EQ(1U, b.s.starts.count(SimTask{ 10, 0, 0, 3 }));
+	fill.count = 1;
+	fill.cpu_milli = 6000;
+	fill.image = b.image[2];
+	b.s.submit(11, "batch", { fill });
+	b.s.run(1000);
+	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 11, 0, 0, 0 }));
+	b.s.run(1000);
+	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 11, 0, 0, 0 }));
+}
+
 } // namespace
