--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -116,6 +116,7 @@
 	r->now = now;
 	/* The leader's lease may rest on a reply sent before this restart. */
 	r->leader_contact_at = now;
+	r->up_to_date_at = clk_add_ms(now, -RAFT_ELECTION_MIN_MS);
 	r->base_index = r->snap_index = c->snap_index;
 	r->base_term = r->snap_term = c->snap_term;
 	r->commit = r->applied = c->snap_index;
@@ -510,6 +511,18 @@
 	return r->term;
 }
 
+/*
+ * Returns whether this follower has heard from the leader within the minimum
+ * election timeout, and had all that was committed then. A member that was
+ * removed, or is far behind, isn't up to date.
+ */
+bool
+raft_is_up_to_date(const struct raft *r, struct timespec now)
+{
+	return r->role == RAFT_FOLLOWER && r->leader != 0 && !r->loading &&
+	    clk_diff_ms(now, r->up_to_date_at) < RAFT_ELECTION_MIN_MS;
+}
+
 /* Returns the highest log index known to be committed. */
 uint64_t
 raft_commit_index(const struct raft *r)
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -170,6 +170,9 @@
 /* Returns whether this replica leads and its lease excludes any other leader.
  */
 bool raft_has_leader_lease(const struct raft *, struct timespec now);
+/* Returns whether this follower's state is at most RAFT_ELECTION_MIN_MS
+ * behind that of the leader. */
+bool raft_is_up_to_date(const struct raft *, struct timespec now);
 /* Returns a deep copy owned by ctx, freed as a whole. */
 struct raft_member *raft_members_copy(
     TALLOC_CTX *ctx, const struct raft_member *, size_t n);
--- a/src/control/raft_repl.c
+++ b/src/control/raft_repl.c
@@ -303,6 +303,8 @@
 	}
 	if (m->commit > r->commit)
 		r->commit = m->commit < verified ? m->commit : verified;
+	if (m->commit <= r->commit)
+		r->up_to_date_at = r->now;
 	reply_append(r, m, verified);
 }
 
--- a/src/control/tests/raft_test.cc
+++ b/src/control/tests/raft_test.cc
@@ -273,6 +273,41 @@
 	EXPECT_EQ(5u, raft_commit_index(r));
 }
 
+/* Guards against a follower that answers from its state although it lacks
+ * committed entries, or hasn't heard from the leader for long. */
+TEST_F(RaftStep, OnlyAFollowerWithTheCommittedLogIsUpToDate)
+{
+	start(1, 0, { 1 });
+	EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
+	append(1, 1, 1, 1);
+	EXPECT_TRUE(raft_is_up_to_date(r, clk_from_ns(now)));
+	now += (RAFT_ELECTION_MIN_MS - 1) * kMs;
+	EXPECT_TRUE(raft_is_up_to_date(r, clk_from_ns(now)));
+	/* The leader is heard, but most of its log is missing here. */
+	now += kMs;
+	Control__RaftMsg behind =
+	    msg(CONTROL__RAFT_KIND__RAFT_APPEND, 1, 2, 2, 1);
+	behind.has_commit = 1;
+	behind.commit = 9;
+	receive(behind);
+	EXPECT_EQ(2U, raft_commit_index(r));
+	EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
+	/* Nor do chunks of a snapshot, or entries that don't fit, count. */
+	Control__RaftMsg chunk =
+	    msg(CONTROL__RAFT_KIND__RAFT_SNAPSHOT_CHUNK, 1, 2, 8, 1);
+	receive(chunk);
+	EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
+	append(1, 7, 1, 0);
+	EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
+	append(1, 2, 1, 7);
+	behind.index = 9;
+	receive(behind);
+	EXPECT_TRUE(raft_is_up_to_date(r, clk_from_ns(now)));
+	/* Without a leader it isn't. */
+	receive(msg(CONTROL__RAFT_KIND__RAFT_APPEND_REPLY, 2, 3));
+	EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
+}
+
 /* Guards against a membership change while another one, or the first entry of
  * the leader's term, is not committed: two majorities without a common replica
  * would be possible. */
