Let a replica that was removed while it was unreachable join again

A replica asked to be added only if its own member list lacked it. One that was paused or cut off when it was removed never gets the entry that says so, as no leader sends it the log any more. It went on as a candidate whose pre-votes are refused, until its process was restarted with an empty directory. The group stayed one replica short for each such pause of 4 s.

A replica now asks to be added whenever no leader is known by the log. The leader ignores such a request of a member without a line in its log. The replica comes back under its own id with its term, vote and log, as a learner first, so nothing that it has acknowledged or voted for is forgotten.

tests/removed_replica.sh waits for its return.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -178,13 +178,14 @@
 		    c->relay, from, p->domain == NULL ? "" : p->domain);
 }
 
-/* Adds a replica that asks to become a member. Only the leader does. */
+/* Adds a replica that asks to become a member. Only the leader does. Members
+ * ask too while no leader sends them the log. */
 static void
 on_join(struct core *c, const Job__Join *j)
 {
 	struct raft_ev ev = { .kind = RAFT_EV_MEMBER_ADD };
 
-	if (!c->leading)
+	if (!c->leading || core_has_member(c, j->replica))
 		return;
 	ev.u.member.replica = j->replica;
 	ev.u.member.instance = j->instance;
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -122,7 +122,7 @@
 void core_step(struct core *, const struct raft_ev *);
 bool core_log_flush(struct core *);
 void core_members_tick(struct core *);
-bool core_is_member(const struct core *);
+bool core_has_member(const struct core *, uint64_t replica);
 void core_stop_leading(struct core *);
 /* core_disk.c */
 enum status core_log_open(struct core *, struct wal_init *, struct err *);
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -8,14 +8,14 @@
 
 /* The replicated log: proposals, applied entries, snapshots and membership. */
 
-/* Tells whether this replica is in the applied member list. */
+/* Tells whether a replica is in the applied member list. */
 bool
-core_is_member(const struct core *c)
+core_has_member(const struct core *c, uint64_t replica)
 {
 	size_t i;
 
 	for (i = 0; i < c->nmembers; i++) {
-		if (c->members[i].replica == c->replica)
+		if (c->members[i].replica == replica)
 			return true;
 	}
 	return false;
@@ -499,8 +499,11 @@
 	core_step(c, &ev);
 }
 
-/* Asks to be added to the group, or removes a dead member if this replica
- * leads. */
+/*
+ * Removes a dead member if this replica leads, or asks to be added to the group
+ * if it is no member. A replica that was removed while it could not be reached
+ * doesn't have the entry that says so: no leader sends it the log.
+ */
 void
 core_members_tick(struct core *c)
 {
@@ -511,6 +514,7 @@
 	c->next_join_at = clk_add_ms(now, CORE_JOIN_INTERVAL_MS);
 	if (c->leading)
 		remove_dead_member(c);
-	else if (!core_is_member(c) && c->inst->counted)
+	else if (c->inst->counted &&
+	    (c->leader == 0 || !core_has_member(c, c->replica)))
 		send_join(c);
 }
--- a/tests/removed_replica.sh
+++ b/tests/removed_replica.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a replica that was removed while it was paused and tells a
-# worker, whose registration has ended meanwhile, that it is registered.
+# worker, whose registration has ended meanwhile, that it is registered, and
+# against one that never becomes a member again.
 set -u
 cd "$(dirname "$0")/.."
 build=${1:-build/rel}
@@ -115,6 +116,8 @@
 wait_for 15 "removal of the paused replica" \
     count_is_above 0 event=member_remove "${others[@]}"
 wait_for 40 "end of the registration" fleet_is_empty
+joined="event=member .* instance=[0-9]* voter=1"
+members=$(count_lines "$joined" "$leader")
 found=$(count_lines event=leader_found "$paused")
 registered=$(count_lines 'event=worker id=i-1 ' "${others[@]}")
 kill -CONT "${pids[paused]}"
@@ -123,7 +126,10 @@
 wait_for 5 "heartbeat through the replica" heartbeat "$paused"
 wait_for 3 "second registration of the worker" \
     count_is_above "$registered" 'event=worker id=i-1 ' "${others[@]}"
+# The list of four voters follows that with a learner.
+wait_for 20 "return of the replica to the group" \
+    count_is_above $((members + 3 + 3)) "$joined" "$leader"
 for i in 1 2 3 4; do
 	kill -0 "${pids[i]}" 2>/dev/null || fail "replica $i has ended"
 done
-echo "the worker was registered again through the removed replica"
+echo "the worker was registered again, and the replica is a member again"
