Answer a relayed call that can't be decoded

A replica that could not decode a call which it was to make, as after a change of the message, only logged it. The leader waited for the deadline of the call and 1 s more, and then took it for one that may have been made: a start was kept as unconfirmed and had to be stopped or repeated.

The call is now answered as not made at once, and isn't counted as made.

Relay.AMalformedCallIsAnsweredAsNotMade got no reply within 10 s before.

--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -311,8 +311,8 @@
 	    &rl->batch_age, from, m->token, m->sent_ms, now_ms);
 }
 
-/* Makes the calls of another instance's leader; outdated ones are answered with
- * JL_RELAY_DROPPED. */
+/* Makes the calls of another instance's leader; outdated and malformed ones are
+ * answered with JL_RELAY_DROPPED. */
 void
 relay_on_calls(struct relay *rl, uint32_t from, const Job__WorkerCalls *m)
 {
@@ -322,7 +322,7 @@
 	struct jl_reply r;
 	struct jl_call c;
 	int64_t age_ms;
-	bool fresh;
+	bool fresh, valid;
 	size_t i;
 
 	relay_on_leader(rl, m->token);
@@ -343,14 +343,15 @@
 		    rl->batch_age.min_delay_ms);
 	}
 	for (i = 0; i < m->n_calls; i++) {
-		if (!relay_msg_to_call(m->calls[i], &c)) {
+		valid = relay_msg_to_call(m->calls[i], &c);
+		if (!valid)
 			log_event(LOG_WARNING, "relay",
 			    "event=bad_call from=%u serial=%" PRIu64, from,
 			    m->calls[i]->serial);
-			continue;
-		}
+		c.serial = m->calls[i]->serial;
 		c.token = m->token;
-		if (fresh) {
+		if (fresh && valid) {
+			ctr_add(rl->conf.ctr, NCTR_RELAY_MADE, 1);
 			make_call(rl, from, &c, age_ms);
 			continue;
 		}
@@ -358,7 +359,6 @@
 		r.kind = JL_RELAY_DROPPED;
 		queue_answer(rl, from, m->token, &r);
 	}
-	ctr_add(rl->conf.ctr, NCTR_RELAY_MADE, fresh ? m->n_calls : 0);
 }
 
 /* ---- calls that others make for this leader ---- */
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -229,6 +229,23 @@
 	    << out;
 }
 
+/* Guards against a call that can't be decoded and for whose reply the leader
+ * waits until its deadline. */
+TEST_F(Relay, AMalformedCallIsAnsweredAsNotMade)
+{
+	struct jl_call c = make_poll(1);
+	c.kind = JL_START;
+	c.spec = NULL;
+	job__task__init(&c.task);
+	call(c, 500);
+	ASSERT_TRUE(loop_until(ev, &got_reply));
+	ASSERT_EQ(1U, leader.replies.size());
+	EXPECT_EQ(JL_RELAY_DROPPED, leader.replies[0].kind);
+	EXPECT_EQ(1U, leader.replies[0].serial);
+	EXPECT_EQ(0U, server->requests.size());
+	EXPECT_EQ(0U, ctr_get(&ctr, NCTR_RELAY_MADE));
+}
+
 /* Guards against orders of a leader that are sent although this instance knows
  * of a later leader. */
 TEST_F(Relay, CallsOfAnEarlierLeaderAreNotMade)
