Forget the replicas of the past once 64 have been known

An instance adds each replica that it learns of to those it asks who leads, at most 64, and never removed one. After as many replacements a new leader could not be added: it was never pinged, counted as lost after 1.6 s each time it was found by a refusal, and the instance served nothing until it was restarted.

When the table is full, the replica without a sign of being a member for longest now makes room: an answer of its own, or an entry in the list of the leader. The leader itself always stays. A list from another instance is read up to the size of the table, so that it can't displace all of them.

Caller.FindsTheLeaderAfterManyReplacements: no ping to the leader before, all present members are asked now.

--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -23,6 +23,7 @@
 	uint32_t instance;
 	uint64_t ping_seq; /* sequence number of the newest ping */
 	struct timespec pinged_at;
+	uint64_t seen; /* rises with each sign that it is a member */
 	bool clock_known;
 	int64_t clock_ahead_ms;
 };
@@ -32,6 +33,7 @@
 	struct caller_ops ops;
 	struct member members[CALLER_MEMBERS_MAX];
 	size_t nmembers;
+	uint64_t next_seen;
 	uint32_t leader;
 	bool leader_configured;
 	struct timespec leader_heard_at, next_ping_at;
@@ -56,16 +58,49 @@
 	return NULL;
 }
 
-/* Adds a replica to ask, unless it is known, is this instance, or there is no
- * more room. */
+/* Returns the entry for a further replica: a new one, or that of the replica
+ * with the oldest sign of being a member. */
+static struct member *
+get_free_member(struct caller *c)
+{
+	struct member *oldest = NULL;
+	size_t i;
+
+	if (c->nmembers < CALLER_MEMBERS_MAX)
+		return &c->members[c->nmembers++];
+	for (i = 0; i < c->nmembers; i++) {
+		struct member *m = &c->members[i];
+
+		if (m->instance != c->leader &&
+		    (oldest == NULL || m->seen < oldest->seen))
+			oldest = m;
+	}
+	return oldest;
+}
+
+/* Adds a replica to ask, unless it is known or is this instance. */
 static void
 add_member(struct caller *c, uint32_t instance)
 {
+	struct member *m;
+
 	if (instance == 0 || instance == c->self ||
-	    c->nmembers == CALLER_MEMBERS_MAX ||
 	    find_member(c, instance) != NULL)
 		return;
-	c->members[c->nmembers++].instance = instance;
+	m = get_free_member(c);
+	memset(m, 0, sizeof(*m));
+	m->instance = instance;
+	m->seen = ++c->next_seen;
+}
+
+/* Records a sign that a replica is a member. */
+static void
+note_seen(struct caller *c, uint32_t instance)
+{
+	struct member *m = find_member(c, instance);
+
+	if (m != NULL)
+		m->seen = ++c->next_seen;
 }
 
 /* Adds replicas to ask who leads. */
@@ -287,8 +322,16 @@
 caller_on_pong(
     struct caller *c, struct timespec now, uint32_t from, const Job__Pong *p)
 {
+	size_t n = p->n_members < CALLER_MEMBERS_MAX ? p->n_members
+						     : CALLER_MEMBERS_MAX;
+	size_t i;
+
 	update_clock(c, now, from, p);
-	caller_add_members(c, p->members, p->n_members);
+	note_seen(c, from);
+	/* The list of a replica that doesn't lead may be out of date. */
+	for (i = 0; p->leading && i < n; i++)
+		note_seen(c, p->members[i]);
+	caller_add_members(c, p->members, n);
 	if (p->leading) {
 		if (from != c->leader)
 			set_leader(c, now, from);
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -28,7 +28,9 @@
 #define CALLER_CLOCK_MAX_RTT_MS 300
 /* An unanswered call is sent again after this. A commit takes about 20 ms, a
  * change of leader 1 to 2 s. */
-#define CALLER_RESEND_MS   700
+#define CALLER_RESEND_MS 700
+/* Replicas that are asked who leads, former ones included; those without a sign
+ * of being a member for longest are forgotten. */
 #define CALLER_MEMBERS_MAX 64
 
 enum caller_end {
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -187,6 +187,34 @@
 	EXPECT_FALSE(caller_is_ready(f.c, f.now));
 }
 
+/* Guards against an instance that can't find the leader after 64 replicas have
+ * been replaced in its lifetime, and against forgetting a present member. */
+TEST(Caller, FindsTheLeaderAfterManyReplacements)
+{
+	fixture f;
+	for (uint32_t leader = 10; leader < 10 + 2 * CALLER_MEMBERS_MAX;
+	     leader++) {
+		uint32_t members[3] = { 2, leader - 1, leader };
+		Job__Pong p = JOB__PONG__INIT;
+		p.leading = p.configured = 1;
+		p.members = members;
+		p.n_members = 3;
+		caller_on_pong(f.c, f.now, leader, &p);
+	}
+	f.sent.clear();
+	f.advance(CALLER_PING_MS);
+	ASSERT_EQ(1U, f.sent.size());
+	EXPECT_EQ(9U + 2 * CALLER_MEMBERS_MAX, f.sent[0].to);
+	f.sent.clear();
+	caller_on_disconnect(f.c, f.now, 9 + 2 * CALLER_MEMBERS_MAX);
+	f.advance(50);
+	EXPECT_EQ((size_t)CALLER_MEMBERS_MAX, f.sent.size());
+	size_t present = 0;
+	for (auto &s : f.sent)
+		present += s.to == 2 || s.to == 8 + 2 * CALLER_MEMBERS_MAX;
+	EXPECT_EQ(2U, present);
+}
+
 /* Guards against a call that is sent to a former leader again and again. */
 TEST(Caller, FollowsARefusalToTheLeaderItNames)
 {
