Split the relayed calls of one flush, and end those that can't be sent

All calls for one instance went out in one message, and a message above the 4 MiB of a frame, or for a full queue, was dropped without notice. Plans make up to 512 starts each, with specifications of up to 4000 bytes, and go on while a commit is slow: one commit that applies three full plans makes a message of 6 MiB. None of its starts was sent. They ended as unconfirmed after their timeout and 1 s, and were repeated together, in the same oversized message.

Calls and answers are now sent in messages of at most 1 MiB. mesh_send tells whether a message is queued; calls whose message isn't end at once as not made, so that they are repeated after their backoff or through another instance.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -70,12 +70,12 @@
 }
 
 /* Sends a message of the relay to an instance. */
-static void
+static bool
 send_to(void *arg, uint32_t instance, const Job__Msg *m)
 {
 	struct core *c = arg;
 
-	mesh_send(c->mesh, instance, m);
+	return mesh_send(c->mesh, instance, m);
 }
 
 /* Passes a worker's answer to the leader. */
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -167,14 +167,16 @@
 	talloc_free((void *)(uintptr_t)p.addr.p);
 }
 
-/* Sends a message of the scheduler; it is lost if the instance can't be
- * reached. */
-void
+/* Sends a message of the scheduler. Returns false if it is too large or too
+ * many wait to be sent; a message that is queued is lost if the connection
+ * fails. */
+bool
 mesh_send(struct mesh *m, uint32_t instance, const Job__Msg *msg)
 {
 	Control__PeerMsg pm = CONTROL__PEER_MSG__INIT;
 	size_t len = job__msg__get_packed_size(msg);
 	uint8_t *buf = malloc(len + 1);
+	bool queued = instance != 0;
 
 	if (buf == NULL)
 		abort();
@@ -188,9 +190,10 @@
 		pm.job.data = buf;
 		pm.job.len = len;
 		mesh_connect(m, instance);
-		peer_send(m->peer, instance, &pm);
+		queued = peer_send(m->peer, instance, &pm) == STATUS_OK;
 	}
 	free(buf);
+	return queued;
 }
 
 /* Sends a message of the consensus protocol. */
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -39,8 +39,9 @@
 /* Listens for other instances and connects to the seeds. */
 struct mesh *mesh_new(TALLOC_CTX *, struct tevent_context *,
     const struct mesh_conf *, struct err *);
-/* Sends a message; it is lost if the instance can't be reached. */
-void mesh_send(struct mesh *, uint32_t instance, const Job__Msg *);
+/* Sends a message. Returns false if it isn't sent; a message that is sent is
+ * lost if the instance can't be reached. */
+bool mesh_send(struct mesh *, uint32_t instance, const Job__Msg *);
 void mesh_send_raft(struct mesh *, uint32_t instance, Control__RaftMsg *);
 /* Connects to an instance unless it is known. */
 void mesh_connect(struct mesh *, uint32_t instance);
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -85,19 +85,41 @@
 	return p;
 }
 
-/* Sends the queued answers to an instance in one message. */
+/* Returns how many of n queued calls or answers go into the next message: at
+ * least one, and no more than RELAY_MESSAGE_MAX_BYTES. */
+static size_t
+count_batch(void **v, size_t n)
+{
+	size_t i, bytes = 0;
+
+	for (i = 0; i < n; i++) {
+		bytes += protobuf_c_message_get_packed_size(v[i]);
+		if (i > 0 && bytes > RELAY_MESSAGE_MAX_BYTES)
+			break;
+	}
+	return i;
+}
+
+/* Sends the queued answers to an instance. Those that can't be sent are lost:
+ * the leader's calls end at their deadline, as they have been made. */
 static void
 send_answers(struct relay *rl, struct rpeer *p)
 {
 	Job__Msg m = JOB__MSG__INIT;
 	Job__WorkerAnswers a = JOB__WORKER_ANSWERS__INIT;
+	size_t n = p->answers->len, first;
 	guint i;
 
-	a.token = p->answers_token;
-	a.answers = (Job__WorkerAnswer **)p->answers->pdata;
-	a.n_answers = p->answers->len;
 	m.worker_answers = &a;
-	rl->conf.send(rl->conf.arg, p->instance, &m);
+	a.token = p->answers_token;
+	for (first = 0; first < n; first += a.n_answers) {
+		a.answers = (Job__WorkerAnswer **)p->answers->pdata + first;
+		a.n_answers = count_batch(p->answers->pdata + first, n - first);
+		if (!rl->conf.send(rl->conf.arg, p->instance, &m))
+			log_event(LOG_WARNING, "relay",
+			    "event=answers_not_sent to=%u answers=%zu",
+			    p->instance, a.n_answers);
+	}
 	for (i = 0; i < p->answers->len; i++)
 		talloc_free(p->answers->pdata[i]);
 	g_ptr_array_set_size(p->answers, 0);
@@ -516,29 +538,54 @@
 		forward_call(rl, peer, call);
 }
 
-/* Sends the forwarded calls, one message for each instance. */
+/* Sends the calls that are queued for an instance. Adds the serials of those
+ * that can't be sent to unsent. */
+static void
+send_calls(struct relay *rl, struct rpeer *p, GArray *unsent)
+{
+	Job__Msg m = JOB__MSG__INIT;
+	Job__WorkerCalls c = JOB__WORKER_CALLS__INIT;
+	size_t n = p->calls->len, first, i;
+
+	m.worker_calls = &c;
+	c.token = p->calls_token;
+	c.sent_ms = clk_ns(clk_now(&rl->conf.clk)) / CLK_NS_PER_MS;
+	c.has_clock_told = c.clock_told = 1;
+	for (first = 0; first < n; first += c.n_calls) {
+		c.calls = (Job__WorkerCall **)p->calls->pdata + first;
+		c.n_calls = count_batch(p->calls->pdata + first, n - first);
+		if (rl->conf.send(rl->conf.arg, p->instance, &m)) {
+			ctr_add(rl->conf.ctr, NCTR_RELAY_HANDED, c.n_calls);
+			continue;
+		}
+		log_event(LOG_WARNING, "relay",
+		    "event=calls_not_sent to=%u calls=%zu", p->instance,
+		    c.n_calls);
+		for (i = 0; i < c.n_calls; i++)
+			g_array_append_val(unsent, c.calls[i]->serial);
+	}
+	talloc_free_children(p->calls_ctx);
+	g_ptr_array_set_size(p->calls, 0);
+}
+
+/* Sends the forwarded calls. Those that can't be sent end as not made. */
 void
 relay_flush(struct relay *rl)
 {
+	GArray *unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct relayed_call *rc;
 	struct rpeer *p;
+	guint i;
 
-	for (p = rl->rpeers; p != NULL; p = p->next) {
-		Job__Msg m = JOB__MSG__INIT;
-		Job__WorkerCalls c = JOB__WORKER_CALLS__INIT;
-
-		if (p->calls->len == 0)
-			continue;
-		c.token = p->calls_token;
-		c.sent_ms = clk_ns(clk_now(&rl->conf.clk)) / CLK_NS_PER_MS;
-		c.has_clock_told = c.clock_told = 1;
-		c.calls = (Job__WorkerCall **)p->calls->pdata;
-		c.n_calls = p->calls->len;
-		m.worker_calls = &c;
-		rl->conf.send(rl->conf.arg, p->instance, &m);
-		ctr_add(rl->conf.ctr, NCTR_RELAY_HANDED, p->calls->len);
-		talloc_free_children(p->calls_ctx);
-		g_ptr_array_set_size(p->calls, 0);
+	for (p = rl->rpeers; p != NULL; p = p->next)
+		send_calls(rl, p, unsent);
+	for (i = 0; i < unsent->len; i++) {
+		rc = g_hash_table_lookup(
+		    rl->relayed, &g_array_index(unsent, uint64_t, i));
+		if (rc != NULL)
+			end_relayed(rl, rc, JL_RELAY_DROPPED);
 	}
+	g_array_free(unsent, TRUE);
 }
 
 /* Handles answers to forwarded calls; those to calls that have ended are
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -17,6 +17,9 @@
 
 /* Answers for another instance are collected for this long into a message. */
 #define RELAY_BATCH_MS 2
+/* More calls or answers than this go into further messages; far below
+ * FRAME_PAYLOAD_MAX_BYTES. */
+#define RELAY_MESSAGE_MAX_BYTES (1024 * 1024)
 /* A relayed call may take this much longer than its own timeout, for the
  * messages between the instances; above JRELAY_STALE_MS. */
 #define RELAY_TIMEOUT_MARGIN_MS 1000
@@ -47,7 +50,8 @@
 	 * longer. */
 	int64_t direct_workers_max;
 	size_t connections_max; /* to all workers */
-	void (*send)(void *arg, uint32_t instance, const Job__Msg *);
+	/* Returns false if the message isn't sent. */
+	bool (*send)(void *arg, uint32_t instance, const Job__Msg *);
 	/* Gives the reply to a call of this leader. */
 	void (*reply)(void *arg, const struct jl_reply *);
 	/* Returns for how long a replica has not answered the log, in ms; 0 if
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -3,6 +3,7 @@
 #include "script_server.h"
 
 #include "base/log.h"
+#include "node/frame.h"
 #include "node/nctr.h"
 #include "node/relay.h"
 #include "node/relay_msg.h"
@@ -37,6 +38,7 @@
 	int64_t now_ms = 5000;
 	side leader = { this, 1, NULL, {} }, other = { this, 2, NULL, {} };
 	bool got_reply = false, sent_message = false, hold_messages = false;
+	bool refuse_messages = false;
 	std::vector<std::pair<uint32_t, std::vector<uint8_t>>> in_transit;
 
 	static struct timespec clock(void *arg)
@@ -53,15 +55,20 @@
 	{
 		return ((side *)arg)->silent_ms;
 	}
-	static void on_send(void *arg, uint32_t to, const Job__Msg *m)
+	/* As for peer_send, a message above the limit of a frame isn't sent. */
+	static bool on_send(void *arg, uint32_t to, const Job__Msg *m)
 	{
 		side *s = (side *)arg;
 		std::vector<uint8_t> buf(job__msg__get_packed_size(m));
+		if (s->t->refuse_messages ||
+		    buf.size() > FRAME_PAYLOAD_MAX_BYTES)
+			return false;
 		job__msg__pack(m, buf.data());
 		s->t->sent_message = true;
 		s->t->in_transit.push_back({ to, buf });
 		if (!s->t->hold_messages)
 			s->t->deliver();
+		return true;
 	}
 	/* Delivers all messages that have been sent. */
 	void deliver()
@@ -246,6 +253,49 @@
 	EXPECT_EQ(0U, ctr_get(&ctr, NCTR_RELAY_MADE));
 }
 
+/* Guards against starts that are never sent, as those that a slow commit puts
+ * into one message make it too large: three plans with specifications of the
+ * greatest length. */
+TEST_F(Relay, ManyCallsAtOnceGoIntoSeveralMessages)
+{
+	std::string spec(4000, 'x');
+	struct jl_call c = make_poll(0);
+	c.kind = JL_START;
+	c.spec = spec.c_str();
+	job__task__init(&c.task);
+	hold_messages = true;
+	for (c.serial = 1; c.serial <= 3 * JLEAD_ASSIGN_MAX; c.serial++)
+		relay_call(leader.rl, &c, 500);
+	relay_flush(leader.rl);
+	uint64_t next = 1;
+	for (auto &x : in_transit) {
+		Job__Msg *m =
+		    job__msg__unpack(NULL, x.second.size(), x.second.data());
+		for (size_t i = 0; i < m->worker_calls->n_calls; i++)
+			EXPECT_EQ(next++, m->worker_calls->calls[i]->serial);
+		job__msg__free_unpacked(m, NULL);
+	}
+	EXPECT_EQ(3U * JLEAD_ASSIGN_MAX + 1, next);
+	EXPECT_EQ(0U, leader.replies.size());
+}
+
+/* Guards against calls that are taken for sent while the queue to an instance
+ * is full: the leader would wait for their deadline. */
+TEST_F(Relay, CallsThatCantBeSentEndAsNotMade)
+{
+	refuse_messages = true;
+	call(make_poll(1), 500);
+	ASSERT_EQ(1U, leader.replies.size());
+	EXPECT_EQ(JL_RELAY_DROPPED, leader.replies[0].kind);
+	EXPECT_EQ(0U, ctr_get(&ctr, NCTR_RELAY_HANDED));
+	refuse_messages = false;
+	server->steps = { { http("{\"clockMs\":77}"), false } };
+	got_reply = false;
+	call(make_poll(2), 500);
+	ASSERT_TRUE(loop_until(ev, &got_reply));
+	EXPECT_EQ(JL_OK, leader.replies[1].kind);
+}
+
 /* Guards against orders of a leader that are sent although this instance knows
  * of a later leader. */
 TEST_F(Relay, CallsOfAnEarlierLeaderAreNotMade)
