Refuse a change that is too large for the log, and go on with the next

The log takes entries of up to 1 MiB, while the body of a request may have 4 MiB. A larger change stayed at the head of the queue for good, as each try was refused, and no later change passed it: after one configuration of 1.5 MB, or one heartbeat with that many labels from a single worker, no job was accepted, assigned or ended, and the leader kept its lease until it was restarted.

Such a change is now refused with 400 and a line in the log when it is proposed. Up to CORE_COMMAND_MAX_BYTES goes into an entry of its own; so far a large change behind others could exceed the limit together with them.

tests/large_command.sh: before, the large configuration got 503, and in a trial with three replicas so did every later one, through each of them. Now it gets 400, as does the heartbeat, and a configuration of 600 KB and a heartbeat after them take effect.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -18,14 +18,25 @@
  * founders write the same member list; other replicas draw a random one. */
 #define FOUNDER_ID_MIX UINT64_C(0x9e3779b97f4a7c15)
 
-/* Queues a command to be replicated. w receives the outcome; it may be NULL. */
+/* Queues a command to be replicated. w receives the outcome; it may be NULL. A
+ * command that raft would not accept is refused, as no later one could pass
+ * it. */
 void
 core_propose(
     struct core *c, const Job__Command *cmd, const struct core_waiter *w)
 {
 	size_t len = job__command__get_packed_size(cmd);
-	struct core_cmd *k = calloc(1, sizeof(*k) + len);
-
+	struct core_cmd *k;
+
+	if (len > CORE_COMMAND_MAX_BYTES) {
+		log_event(w == NULL ? LOG_CRIT : LOG_NOTICE, "core",
+		    "event=command_too_large call=%d bytes=%zu limit=%d",
+		    w == NULL ? -1 : (int)w->kind, len, CORE_COMMAND_MAX_BYTES);
+		if (w != NULL)
+			core_fail_waiter(c, w, JOB__OUTCOME__INVALID);
+		return;
+	}
+	k = calloc(1, sizeof(*k) + len);
 	if (k == NULL)
 		abort();
 	k->len = len;
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -6,6 +6,7 @@
 #ifndef NODE_CORE_H
 #define NODE_CORE_H
 
+#include "control/raft.h"
 #include "node/inst.h"
 
 __BEGIN_DECLS
@@ -14,8 +15,13 @@
  * entries takes about 0.1 s of processor time. */
 #define CORE_SNAPSHOT_ENTRIES 8192
 #define CORE_SNAPSHOT_BYTES   (8 * 1024 * 1024)
-/* Largest entry of the log; further commands go into the next one. */
+/* Largest entry of several commands; further ones go into the next entry. */
 #define CORE_BATCH_MAX_BYTES (512 * 1024)
+/* Tag and length of a command in its entry. */
+#define CORE_COMMAND_OVERHEAD_BYTES 8
+/* Largest command, alone in its entry. */
+#define CORE_COMMAND_MAX_BYTES                                                 \
+	(RAFT_INFLIGHT_BYTES_MAX - CORE_COMMAND_OVERHEAD_BYTES)
 /* Pause before a failed disk is tried again, doubled up to the maximum: a
  * full disk often accepts a few bytes and fails again. */
 #define CORE_DISK_RETRY_MS     1000
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -38,12 +38,12 @@
 	send_answer(c, from, &a);
 }
 
-/* Answers that leadership ended before a command was committed. The caller
- * sends it again to the next leader. */
+/* Answers the call of a command that isn't committed. After NOT_LEADER the
+ * caller sends it again to the next leader. */
 void
-core_fail_waiter(struct core *c, const struct core_waiter *w)
+core_fail_waiter(struct core *c, const struct core_waiter *w, Job__Outcome o)
 {
-	send_outcome(c, w->from, w->call_id, JOB__OUTCOME__NOT_LEADER);
+	send_outcome(c, w->from, w->call_id, o);
 }
 
 /* ---- reads ---- */
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -132,7 +132,7 @@
 void core_on_call(struct core *, uint32_t from, const Job__Call *);
 void core_on_applied(struct core *, const struct core_waiter *,
     const Job__Command *, const struct jst_result *);
-void core_fail_waiter(struct core *, const struct core_waiter *);
+void core_fail_waiter(struct core *, const struct core_waiter *, Job__Outcome);
 bool core_is_heartbeat_known(struct core *, const Job__Worker *);
 void core_answer_reads(struct core *);
 void core_fail_reads(struct core *);
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -90,7 +90,8 @@
 	while ((f = c->inflight) != NULL) {
 		c->inflight = f->next;
 		for (i = 0; i < f->nwaiters; i++)
-			core_fail_waiter(c, &f->waiters[i]);
+			core_fail_waiter(
+			    c, &f->waiters[i], JOB__OUTCOME__NOT_LEADER);
 		free(f);
 	}
 	c->inflight_tail = &c->inflight;
@@ -292,9 +293,10 @@
 	uint8_t *buf, *p;
 	size_t v;
 
-	for (k = c->cmds; k != NULL && (n == 0 || bytes < CORE_BATCH_MAX_BYTES);
-	     k = k->next) {
-		bytes += k->len + 8;
+	for (k = c->cmds; k != NULL; k = k->next) {
+		if (n > 0 && bytes + k->len > CORE_BATCH_MAX_BYTES)
+			break;
+		bytes += k->len + CORE_COMMAND_OVERHEAD_BYTES;
 		n++;
 	}
 	buf = p = calloc(1, bytes);
@@ -432,7 +434,8 @@
 			struct core_cmd *k = c->cmds;
 
 			c->cmds = k->next;
-			core_fail_waiter(c, &k->waiter);
+			core_fail_waiter(
+			    c, &k->waiter, JOB__OUTCOME__NOT_LEADER);
 			free(k);
 		}
 		c->cmds_tail = &c->cmds;
