--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -122,7 +122,7 @@
 void core_step(struct core *, const struct raft_ev *);
 bool core_log_flush(struct core *);
 void core_members_tick(struct core *);
-bool core_is_member(const struct core *);
+bool core_has_member(const struct core *, uint64_t replica);
 void core_stop_leading(struct core *);
 /* core_disk.c */
 enum status core_log_open(struct core *, struct wal_init *, struct err *);
@@ -132,7 +132,7 @@
 void core_on_call(struct core *, uint32_t from, const Job__Call *);
 void core_on_applied(struct core *, const struct core_waiter *,
     const Job__Command *, const struct jst_result *);
-void core_fail_waiter(struct core *, const struct core_waiter *);
+void core_fail_waiter(struct core *, const struct core_waiter *, Job__Outcome);
 bool core_is_heartbeat_known(struct core *, const Job__Worker *);
 void core_answer_reads(struct core *);
 void core_fail_reads(struct core *);
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -8,14 +8,14 @@
 
 /* The replicated log: proposals, applied entries, snapshots and membership. */
 
-/* Tells whether this replica is in the applied member list. */
+/* Tells whether a replica is in the applied member list. */
 bool
-core_is_member(const struct core *c)
+core_has_member(const struct core *c, uint64_t replica)
 {
 	size_t i;
 
 	for (i = 0; i < c->nmembers; i++) {
-		if (c->members[i].replica == c->replica)
+		if (c->members[i].replica == replica)
 			return true;
 	}
 	return false;
@@ -90,7 +90,8 @@
 	while ((f = c->inflight) != NULL) {
 		c->inflight = f->next;
 		for (i = 0; i < f->nwaiters; i++)
-			core_fail_waiter(c, &f->waiters[i]);
+			core_fail_waiter(
+			    c, &f->waiters[i], JOB__OUTCOME__NOT_LEADER);
 		free(f);
 	}
 	c->inflight_tail = &c->inflight;
@@ -292,9 +293,10 @@
 	uint8_t *buf, *p;
 	size_t v;
 
-	for (k = c->cmds; k != NULL && (n == 0 || bytes < CORE_BATCH_MAX_BYTES);
-	     k = k->next) {
-		bytes += k->len + 8;
+	for (k = c->cmds; k != NULL; k = k->next) {
+		if (n > 0 && bytes + k->len > CORE_BATCH_MAX_BYTES)
+			break;
+		bytes += k->len + CORE_COMMAND_OVERHEAD_BYTES;
 		n++;
 	}
 	buf = p = calloc(1, bytes);
@@ -432,7 +434,8 @@
 			struct core_cmd *k = c->cmds;
 
 			c->cmds = k->next;
-			core_fail_waiter(c, &k->waiter);
+			core_fail_waiter(
+			    c, &k->waiter, JOB__OUTCOME__NOT_LEADER);
 			free(k);
 		}
 		c->cmds_tail = &c->cmds;
@@ -499,8 +502,11 @@
 	core_step(c, &ev);
 }
 
-/* Asks to be added to the group, or removes a dead member if this replica
- * leads. */
+/*
+ * Removes a dead member if this replica leads, or asks to be added to the group
+ * if it is no member. A replica that was removed while it could not be reached
+ * doesn't have the entry that says so: no leader sends it the log.
+ */
 void
 core_members_tick(struct core *c)
 {
@@ -511,6 +517,7 @@
 	c->next_join_at = clk_add_ms(now, CORE_JOIN_INTERVAL_MS);
 	if (c->leading)
 		remove_dead_member(c);
-	else if (!core_is_member(c) && c->inst->counted)
+	else if (c->inst->counted &&
+	    (c->leader == 0 || !core_has_member(c, c->replica)))
 		send_join(c);
 }
