Take nothing read after a pause for the leader's present state

After the election timeout has passed without the leader, messages count only once they have come for another one. RaftStep.MessagesOfBeforeAPauseDoNotMakeAFollowerUpToDate shows it without chance; it fails without the condition.

--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -116,7 +116,8 @@
 	r->now = now;
 	/* The leader's lease may rest on a reply sent before this restart. */
 	r->leader_contact_at = now;
-	r->up_to_date_at = clk_add_ms(now, -RAFT_ELECTION_MIN_MS);
+	r->up_to_date_at = r->resumed_at =
+	    clk_add_ms(now, -RAFT_ELECTION_MIN_MS);
 	r->base_index = r->snap_index = c->snap_index;
 	r->base_term = r->snap_term = c->snap_term;
 	r->commit = r->applied = c->snap_index;
@@ -218,6 +219,11 @@
 		return true;
 	if (r->role == RAFT_LEADER)
 		return false; /* a second leader of this term is ignored */
+	/* This process may have been paused, and messages of before then are
+	 * read now. */
+	if (r->role != RAFT_FOLLOWER ||
+	    (r->leader != 0 && !clk_before(r->now, r->election_at)))
+		r->resumed_at = r->now;
 	if (r->role != RAFT_FOLLOWER || r->leader != m->from)
 		raft_become_follower(
 		    r, m->term, m->from, raft_instance_of(r, m));
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -129,6 +129,8 @@
 	struct timespec election_at, heartbeat_at, leader_contact_at;
 	/* When all that the leader reported as committed was here. */
 	struct timespec up_to_date_at;
+	/* When the leader was last heard again after the election timeout. */
+	struct timespec resumed_at;
 	uint64_t round;		/* of heartbeats, counted from 1 in each term */
 	uint64_t awaited_round; /* started for confirmation requests */
 	struct timespec round_sent[RAFT_ROUND_HISTORY];
--- a/src/control/raft_repl.c
+++ b/src/control/raft_repl.c
@@ -303,7 +303,8 @@
 	}
 	if (m->commit > r->commit)
 		r->commit = m->commit < verified ? m->commit : verified;
-	if (m->commit <= r->commit)
+	if (m->commit <= r->commit &&
+	    clk_diff_ms(r->now, r->resumed_at) >= RAFT_ELECTION_MIN_MS)
 		r->up_to_date_at = r->now;
 	reply_append(r, m, verified);
 }
--- a/src/control/tests/raft_test.cc
+++ b/src/control/tests/raft_test.cc
@@ -308,6 +308,26 @@
 	EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
 }
 
+/* Guards against a follower that was paused and takes messages of before the
+ * pause, which it reads when it resumes, for the leader's present state. */
+TEST_F(RaftStep, MessagesOfBeforeAPauseDoNotMakeAFollowerUpToDate)
+{
+	start(1, 0, { 1 });
+	append(1, 1, 1, 1);
+	ASSERT_TRUE(raft_is_up_to_date(r, clk_from_ns(now)));
+	now += 15000 * kMs;
+	for (int i = 0; i < 4; i++) {
+		append(1, 1, 1, 1);
+		EXPECT_FALSE(raft_is_up_to_date(r, clk_from_ns(now)));
+		now += kMs;
+	}
+	for (int i = 0; i < 12; i++) {
+		now += 100 * kMs;
+		append(1, 1, 1, 1);
+	}
+	EXPECT_TRUE(raft_is_up_to_date(r, clk_from_ns(now)));
+}
+
 /* Guards against a membership change while another one, or the first entry of
  * the leader's term, is not committed: two majorities without a common replica
  * would be possible. */
