End a relayed call with an unreadable answer at its deadline

An instance whose answers can't be read, as one of another version, made the leader repeat a poll at once and without end: the call was reported as lost while other calls of that instance went on.

The answer is now logged and dropped, and the call ends at its time limit as any whose answer is lost.

Relay.ACallWithAnUnreadableAnswerEndsAtItsDeadline failed before (a reply at once).

--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -542,7 +542,7 @@
 }
 
 /* Handles answers to forwarded calls; those to calls that have ended are
- * dropped. */
+ * dropped. One that can't be read is lost: its call ends at its deadline. */
 void
 relay_on_answers(struct relay *rl, uint32_t from, const Job__WorkerAnswers *m)
 {
@@ -562,8 +562,8 @@
 			log_event(LOG_WARNING, "relay",
 			    "event=bad_answer from=%u serial=%" PRIu64, from,
 			    serial);
-			r = rc->reply;
-			r.kind = JL_RELAY_LOST;
+			talloc_free_children(ctx);
+			continue;
 		}
 		g_hash_table_remove(rl->relayed, &serial);
 		rl->conf.reply(rl->conf.arg, &r);
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -345,6 +345,30 @@
 	EXPECT_EQ(JL_RELAY_LOST, leader.replies[0].kind);
 }
 
+/* Guards against calls that take the same way again at once, without end,
+ * because an instance sends answers that can't be read. */
+TEST_F(Relay, ACallWithAnUnreadableAnswerEndsAtItsDeadline)
+{
+	Job__WorkerAnswers m = JOB__WORKER_ANSWERS__INIT;
+	Job__WorkerAnswer a = JOB__WORKER_ANSWER__INIT, *list[] = { &a };
+	struct jl_call poll = make_poll(1);
+
+	hold_messages = true;
+	call(poll, 500);
+	a.serial = poll.serial;
+	a.kind = 1000;
+	m.token = poll.token;
+	m.answers = list;
+	m.n_answers = 1;
+	relay_on_answers(leader.rl, 2, &m);
+	EXPECT_EQ(0U, leader.replies.size());
+	now_ms += 800 + RELAY_TIMEOUT_MARGIN_MS;
+	relay_on_peer(leader.rl, 2, "a");
+	relay_tick(leader.rl);
+	ASSERT_EQ(1U, leader.replies.size());
+	EXPECT_EQ(JL_RELAY_LOST, leader.replies[0].kind);
+}
+
 /* Guards against fields lost between instances: without its occurrence, step
  * and index a task would be started as another one of its job. */
 TEST(RelayMsg, KeepsEveryFieldOfACall)
