Use the preferred instance for a worker again when it is back

Calls to a worker went through a far instance for good after the preferred one had been lost for a moment: each poll that ended with it counted as one whose answer is lost on the way, so that the next calls skipped one more instance, and nothing takes that back. Bytes between zones and new connections to workers are priced.

An instance that is lost as a whole isn't chosen until it is back, so only polls that reach their time limit count.

JobKept.AnEndIsHeardThroughAnotherInstance passes as before.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -303,6 +303,7 @@
 	c.timeout_ms = c.wait_ms + JLEAD_CALL_TIMEOUT_MS;
 	ws->poll_pending = true;
 	ws->poll_serial = c.serial;
+	ws->poll_deadline = clk_add_ms(jl->now, c.timeout_ms);
 	ctr_add(jl->ctr, JCTR_POLLS, 1);
 	jl->ops.call(jl->ops.arg, &c);
 }
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -75,7 +75,7 @@
 	uint32_t nruns;
 	bool contacted; /* has answered a poll of this leader */
 	bool silent;	/* the last call had no answer */
-	/* polls without an answer; each makes calls take another instance */
+	/* polls that failed so that calls take another instance */
 	uint32_t failed_polls;
 	/* another incarnation answered under this worker's id */
 	bool restarted;
@@ -85,6 +85,7 @@
 	uint64_t incarnation;  /* of the worker that answers */
 	bool poll_pending;     /* a long poll is in flight */
 	uint64_t poll_serial;
+	struct timespec poll_deadline; /* end of the poll's time limit */
 	struct timespec next_poll_at, last_heard_at, clock_at, paused_until,
 	    failure_score_at;
 	int64_t backoff_ms;
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -98,6 +98,18 @@
 	}
 }
 
+/* Tells whether the next calls should take another instance after a failed
+ * poll. An instance that was lost before the poll's time limit isn't used until
+ * it is back. */
+static bool
+should_change_instance(
+    const struct jlead *jl, const struct wsess *ws, const struct jl_reply *rep)
+{
+	if (rep->kind == JL_RELAY_LOST)
+		return !clk_before(jl->now, ws->poll_deadline);
+	return rep->kind != JL_FENCED;
+}
+
 /* Handles the answer to a long poll, or that there was none. */
 static void
 handle_poll_reply(
@@ -115,7 +127,7 @@
 	}
 	if (rep->kind != JL_OK) {
 		ctr_add(jl->ctr, JCTR_POLLS_FAILED, 1);
-		if (rep->kind != JL_FENCED)
+		if (should_change_instance(jl, ws, rep))
 			ws->failed_polls++;
 		if (rep->kind == JL_RELAY_LOST)
 			return; /* another instance polls at once */
--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -608,6 +608,22 @@
 	EXPECT_GT(s.last_relay_attempt, before);
 }
 
+/* Guards against a worker that is called through a far instance for good, after
+ * the near one was lost for a moment. */
+TEST(JobLead, AnInstanceThatIsBackMakesItsCallsAgain)
+{
+	JobSim s(7);
+	s.add_worker(8000);
+	s.lead();
+	s.run(3000);
+	ASSERT_EQ(0U, s.last_relay_attempt);
+	s.relay_lost_rate = 1;
+	s.run(3000);
+	s.relay_lost_rate = 0;
+	s.run(3000);
+	EXPECT_EQ(0U, s.last_relay_attempt);
+}
+
 /* Guards against a run that is given up when its worker restarts although
  * another copy of its order is in flight and reaches the next incarnation. */
 TEST(JobLead, ALateCopyOfAConfirmedOrderFindsNoTaskToDouble)
