Limit the timeout of a call, so that its deadline can be represented

A client may allow any time in its request. From 9.2e12 ms on the deadline of its call wrapped into the past: the call was sent and ended 50 ms later as unknown, so that the client got 504 for a job that was accepted.

Timeouts are cut to one hour.

Caller.ACallWithAVeryLongTimeoutWaitsForItsAnswer: the call ended as unknown before its answer.

--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -223,7 +223,9 @@
 	if (k->call == NULL)
 		abort();
 	k->id = k->call->id = c->next_id++;
-	k->deadline = clk_add_ms(now, timeout_ms);
+	k->deadline = clk_add_ms(now,
+	    timeout_ms < CALLER_TIMEOUT_MAX_MS ? timeout_ms
+					       : CALLER_TIMEOUT_MAX_MS);
 	k->resend_at = now;
 	k->needs_send = true;
 	k->done = done;
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -29,6 +29,8 @@
 /* An unanswered call is sent again after this. A commit takes about 20 ms, a
  * change of leader 1 to 2 s. */
 #define CALLER_RESEND_MS 700
+/* Longest timeout of a call; clients may ask for any. */
+#define CALLER_TIMEOUT_MAX_MS (INT64_C(3600) * 1000)
 /* Replicas that are asked who leads, former ones included; those without a sign
  * of being a member for longest are forgotten. */
 #define CALLER_MEMBERS_MAX 64
@@ -56,7 +58,8 @@
     struct caller *, const char *domain, bool calls_workers);
 /* Adds replicas to ask. */
 void caller_add_members(struct caller *, const uint32_t *, size_t n);
-/* Starts a call, which is copied. done is called exactly once, but not from
+/* Starts a call, which is copied; timeout_ms is cut to
+ * CALLER_TIMEOUT_MAX_MS. done is called exactly once, but not from
  * within this function. */
 struct caller_call *caller_start(struct caller *, struct timespec now,
     const Job__Call *, int64_t timeout_ms,
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -129,6 +129,23 @@
 	EXPECT_EQ(CALLER_UNKNOWN, f.ends[0]);
 }
 
+/* Guards against a call that ends at once, as the time that its client allows
+ * is so long that the deadline can't be represented. */
+TEST(Caller, ACallWithAVeryLongTimeoutWaitsForItsAnswer)
+{
+	for (int64_t timeout :
+	    { (int64_t)INT64_MAX, INT64_MAX / (int64_t)CLK_NS_PER_MS }) {
+		fixture f;
+		f.pong(1, true);
+		f.call(timeout);
+		f.advance(200);
+		EXPECT_EQ(0U, f.ends.size()) << timeout;
+		f.answer(1, f.calls()[0].id, JOB__OUTCOME__OK);
+		ASSERT_EQ(1U, f.ends.size());
+		EXPECT_EQ(CALLER_ANSWERED, f.ends[0]);
+	}
+}
+
 /* Guards against calls that wait until their deadline although there has been
  * no leader for longer than an election takes. */
 TEST(Caller, WithoutALeaderACallIsRefusedAtOnce)
