Start gangs that are larger than one plan

Callers saw: a gang of more than 512 tasks never started. A smaller one could wait while other jobs started tasks in each plan.

Cause: a plan assigns at most JLEAD_ASSIGN_MAX tasks, and a gang starts only if all its tasks fit into what is left of that.

Evidence: JobPlan.AGangMayBeLargerThanAPlan fails without the change: no task of a gang of 600 is started on a free worker.

Fix: a gang that begins below the limit may end above it. The plan allocates the choices.

--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -88,7 +88,8 @@
 /* A start that is sent later than this after its assignment is logged
  * separately. */
 #define JLEAD_LATE_START_MS 1000
-/* Most assignments of one plan; keeps the log record below 64 KiB. */
+/* Most assignments of one plan, besides the rest of a gang; keeps the log
+ * record below 64 KiB. */
 #define JLEAD_ASSIGN_MAX 512
 
 enum jl_call_kind {
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -232,18 +232,15 @@
 	jl->plan_needed = false;
 	jl->plan_at = clk_add_ms(
 	    jl->now, (int64_t)jl->nsessions / JLEAD_PLAN_WORKERS_PER_MS);
-	out = calloc(JLEAD_ASSIGN_MAX, sizeof(*out));
-	if (out == NULL)
-		abort();
 	update_plan_workers(jl);
 	n = jplan_choose(jl->st, &jl->interf, &jl->demand, jl->plan_workers,
-	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS, out,
+	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS, &out,
 	    JLEAD_ASSIGN_MAX);
 	for (i = 0; i < n; i++)
 		propose_assign(jl, &out[i], &jl->plan_workers[out[i].worker]);
 	free(out);
 	jl->nplans++;
 	log_fleet(jl);
-	if (n == JLEAD_ASSIGN_MAX)
+	if (n >= JLEAD_ASSIGN_MAX)
 		jl->plan_needed = true;
 }
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -264,27 +264,46 @@
 	return n;
 }
 
+/* Returns the number of tasks of the largest gang among the candidates. */
+static size_t
+largest_gang(const struct candidate *c, size_t n)
+{
+	size_t i, largest = 0;
+
+	for (i = 0; i < n; i++) {
+		const Job__Step *s = c[i].st->spec;
+
+		if (s->gang && s->count > largest)
+			largest = s->count;
+	}
+	return largest;
+}
+
 /* Chooses the tasks that start now. A gang starts as a whole or not at all. */
 size_t
 jplan_choose(struct jst *s, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t nworkers,
-    int64_t wall_ms, int64_t now_ms, struct jplan_choice *out, size_t max)
+    int64_t wall_ms, int64_t now_ms, struct jplan_choice **out, size_t max)
 {
 	struct jplan_round round;
 	struct candidate *c;
 	size_t i, k, n = 0, ncand = collect_candidates(s, wall_ms, &c);
+	struct jplan_choice *chosen =
+	    calloc(max + largest_gang(c, ncand), sizeof(*chosen));
 
+	if (chosen == NULL)
+		abort();
 	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
-	round.chosen = out;
+	round.chosen = chosen;
 	for (i = 0; i < ncand && n < max; i++) {
 		struct jst_step *st = c[i].st;
 
 		if (st->spec->gang && st->nwaiting < st->spec->count)
 			continue;
 		k = jplan_place(&round, st, c[i].ndisplaced > 0, c[i].may_wait,
-		    out + n, max - n);
+		    chosen + n, st->spec->gang ? st->spec->count : max - n);
 		if (st->spec->gang && k < st->spec->count) {
-			jplan_undo(&round, out + n, k);
+			jplan_undo(&round, chosen + n, k);
 			k = 0;
 		}
 		if (k > 0)
@@ -296,5 +315,6 @@
 	}
 	jplan_round_finish(&round);
 	free(c);
+	*out = chosen;
 	return n;
 }
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -150,12 +150,13 @@
 /* Sets queue_cfg and deadline_ms of a job. The deadline is the objective of its
  * queue after the submission. */
 void jplan_set_deadline(const struct jst *, struct jst_job *);
-/* Writes at most max choices to out and returns their number; subtracts chosen
- * tasks from the free resources. wall_ms counts for deadlines and start times,
+/* Sets out to the choices, which the caller frees, and returns their number: at
+ * most max, unless a gang begins below and ends above. Subtracts chosen tasks
+ * from the free resources. wall_ms counts for deadlines and start times,
  * the monotonic now_ms for how long a task waits. */
 size_t jplan_choose(struct jst *, struct jinterf *, const struct jdemand *,
     struct jplan_worker *, size_t nworkers, int64_t wall_ms, int64_t now_ms,
-    struct jplan_choice *out, size_t max);
+    struct jplan_choice **out, size_t max);
 
 __END_DECLS
 
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -927,4 +927,29 @@
 	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 11, 0, 0, 0 }));
 }
 
+/* Guards against a gang that never starts because it has more tasks than one
+ * plan assigns, or than other jobs leave of those. */
+TEST(JobPlan, AGangMayBeLargerThanAPlan)
+{
+	JobSim s(39);
+	s.add_worker(256000);
+	s.lead();
+	s.run(100);
+	s.run_time_ms = [](const SimTask &t) {
+		return t.job == 1 ? 60000 : 20;
+	};
+	Job__Step gang = JobSim::step(JLEAD_ASSIGN_MAX + 88, 100, 60000);
+	gang.has_gang = gang.gang = 1;
+	s.submit(1, "batch", { gang });
+	/* Urgent tasks wait in each plan. */
+	uint64_t job = 2;
+	for (int i = 0; i < 100; i++) {
+		s.submit(job++, "fast", { JobSim::step(5, 1, 20) });
+		s.run(10);
+	}
+	EXPECT_EQ(JLEAD_ASSIGN_MAX + 88,
+	    std::count_if(s.starts.begin(), s.starts.end(),
+		[](auto &x) { return x.first.job == 1; }));
+}
+
 } // namespace
