Keep the sums of each service apart, however many there are

Callers saw: a best-effort task waited for many seconds for a better place on a service that was mostly free.

Cause: the plan told 16 services apart. The others shared one set of sums, so that the task's service counted as full because those were.

Evidence: JobPlan.TheUseOfEachOfManyServicesCounts fails without the change: 20 services, all but the last full; not started after 2 s.

Fix: the plan has an entry for each service that a worker has. The index of a worker's service is kept from one plan to the next, so that most look-ups compare one name. Queues of other services need no entry.

--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -8,14 +8,13 @@
  * large as one of them is skipped, so that the few common sizes and each
  * best-effort image are enough. */
 #define JPLAN_NO_FIT_MAX 128
-/* Services with an index of their own; the others share one more and are
- * compared by name. */
-#define JPLAN_SERVICES_MAX 16
+
+#define JPLAN_NO_SERVICE UINT32_MAX
 
 /* Resources and constraints of a task. */
 struct jplan_need {
-	const char *service, *label, *rack;
-	uint32_t service_index;
+	const char *label, *rack;
+	uint32_t service_index; /* JPLAN_NO_SERVICE: no worker has it */
 	bool best_effort, may_wait;
 	bool displaced; /* it has run before and lost its worker */
 	bool may_use_reserved;
@@ -29,6 +28,22 @@
 	uint32_t worker;
 };
 
+/* The workers of one service. Processors are in 1/1000. */
+struct jplan_service {
+	const char *name;
+	size_t nworkers, nreserved;
+	/* Processors in all and allocated. Best-effort tasks don't count, as
+	 * other tasks may use what they have. */
+	int64_t cpu_total, cpu_allocated;
+	/*
+	 * On usable workers: processors of a typical short task, free
+	 * processors (best-effort tasks ignored), free processors in multiples
+	 * of piece_cpu on one worker, and how much of both new long-running
+	 * tasks must leave free.
+	 */
+	int64_t piece_cpu, cpu_free, cpu_in_pieces, cpu_reserved;
+};
+
 /* State of one plan; free resources shrink as tasks are placed. */
 struct jplan_round {
 	struct jinterf *interf;
@@ -41,25 +56,8 @@
 	/* options of the step, a heap with the least cost first */
 	struct jplan_option *heap;
 	size_t nheap;
-	const char *services[JPLAN_SERVICES_MAX];
-	uint32_t nservices;
-	/* Workers of each service, and how many of them are reserved. */
-	size_t service_workers[JPLAN_SERVICES_MAX + 1];
-	size_t nreserved[JPLAN_SERVICES_MAX + 1];
-	/* Processors of each service, in all and allocated. Best-effort tasks
-	 * don't count, as other tasks may use what they have. */
-	int64_t cpu_total[JPLAN_SERVICES_MAX + 1];
-	int64_t cpu_allocated[JPLAN_SERVICES_MAX + 1];
-	/*
-	 * Per service, on usable workers: processors of a typical short task,
-	 * free processors (best-effort tasks ignored), free processors in
-	 * multiples of piece_cpu on one worker, and how much of both new
-	 * long-running tasks must leave free.
-	 */
-	int64_t piece_cpu[JPLAN_SERVICES_MAX + 1];
-	int64_t cpu_free[JPLAN_SERVICES_MAX + 1];
-	int64_t cpu_in_pieces[JPLAN_SERVICES_MAX + 1];
-	int64_t cpu_reserved[JPLAN_SERVICES_MAX + 1];
+	struct jplan_service *services;
+	uint32_t nservices, services_cap;
 	int64_t now_ms; /* monotonic */
 	struct jplan_need no_fit[JPLAN_NO_FIT_MAX];
 	size_t nno_fit;
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -7,28 +7,55 @@
 /* Places the tasks of a step: which workers can take them, and which is
  * best. */
 
-/* Returns the index of a service, JPLAN_SERVICES_MAX if there are too many. */
+/* Returns the index of a service, JPLAN_NO_SERVICE if it isn't known. */
 static uint32_t
-find_service_index(struct jplan_round *r, const char *name)
+find_service(const struct jplan_round *r, const char *name)
 {
 	uint32_t i;
 
 	for (i = 0; i < r->nservices; i++) {
-		if (strcmp(r->services[i], name) == 0)
+		if (strcmp(r->services[i].name, name) == 0)
 			return i;
 	}
-	if (r->nservices == JPLAN_SERVICES_MAX)
-		return JPLAN_SERVICES_MAX;
-	r->services[r->nservices] = name;
+	return JPLAN_NO_SERVICE;
+}
+
+/* Adds a service and returns its index. */
+static uint32_t
+add_service(struct jplan_round *r, const char *name)
+{
+	if (r->nservices == r->services_cap) {
+		r->services_cap =
+		    r->services_cap == 0 ? 16 : r->services_cap * 2;
+		r->services = realloc(
+		    r->services, r->services_cap * sizeof(*r->services));
+		if (r->services == NULL)
+			abort();
+	}
+	memset(&r->services[r->nservices], 0, sizeof(*r->services));
+	r->services[r->nservices].name = name;
 	return r->nservices++;
 }
 
+/* Returns the index of a worker's service, which is most often the same as in
+ * the plan before. */
+static uint32_t
+worker_service(struct jplan_round *r, const struct jplan_worker *p)
+{
+	const char *name = p->w->info->service;
+	uint32_t i = p->service_index;
+
+	if (i >= r->nservices || strcmp(r->services[i].name, name) != 0)
+		i = find_service(r, name);
+	return i == JPLAN_NO_SERVICE ? add_service(r, name) : i;
+}
+
 /* Returns the free processors of a worker in multiples of a typical short
  * task. */
 static int64_t
 whole_pieces(const struct jplan_round *r, const struct jplan_worker *p)
 {
-	int64_t piece = r->piece_cpu[p->service_index];
+	int64_t piece = r->services[p->service_index].piece_cpu;
 
 	return !p->usable || piece <= 0 ? 0 : p->free_cpu / piece * piece;
 }
@@ -38,8 +65,26 @@
 static void
 add_free_cpu(struct jplan_round *r, const struct jplan_worker *p, int sign)
 {
-	r->cpu_free[p->service_index] += p->usable ? sign * p->free_cpu : 0;
-	r->cpu_in_pieces[p->service_index] += sign * whole_pieces(r, p);
+	struct jplan_service *s = &r->services[p->service_index];
+
+	s->cpu_free += p->usable ? sign * p->free_cpu : 0;
+	s->cpu_in_pieces += sign * whole_pieces(r, p);
+}
+
+/* Adds a worker to its service. */
+static void
+add_worker(struct jplan_round *r, size_t i)
+{
+	struct jplan_worker *p = &r->workers[i];
+	struct jplan_service *s;
+
+	p->service_index = worker_service(r, p);
+	p->w->plan_index = (uint32_t)i;
+	p->reserved = false;
+	s = &r->services[p->service_index];
+	s->nworkers++;
+	s->cpu_total += p->cpu_total;
+	s->cpu_allocated += p->cpu_total - p->free_cpu;
 }
 
 /* Starts a plan over these workers. */
@@ -59,19 +104,14 @@
 	r->heap = calloc(n + 1, sizeof(*r->heap));
 	if (r->step_tasks == NULL || r->heap == NULL)
 		abort();
-	for (i = 0; i < n; i++) {
-		uint32_t service = find_service_index(r, v[i].w->info->service);
-
-		v[i].service_index = service;
-		v[i].w->plan_index = (uint32_t)i;
-		v[i].reserved = false;
-		r->service_workers[service]++;
-		r->cpu_total[service] += v[i].cpu_total;
-		r->cpu_allocated[service] += v[i].cpu_total - v[i].free_cpu;
+	for (i = 0; i < n; i++)
+		add_worker(r, i);
+	for (i = 0; i < r->nservices; i++) {
+		struct jplan_service *s = &r->services[i];
+
+		s->cpu_reserved =
+		    jdemand_reserve(demand, s->name, wall_ms, &s->piece_cpu);
 	}
-	for (i = 0; i < r->nservices; i++)
-		r->cpu_reserved[i] = jdemand_reserve(
-		    demand, r->services[i], wall_ms, &r->piece_cpu[i]);
 	for (i = 0; i < n; i++)
 		add_free_cpu(r, &v[i], 1);
 	jplan_interf_init(v, n);
@@ -83,6 +123,7 @@
 {
 	free(r->step_tasks);
 	free(r->heap);
+	free(r->services);
 }
 
 /* Tells whether a worker has a label. */
@@ -133,9 +174,8 @@
 	const Job__Step *s = st->spec;
 	struct jplan_need d = { 0 };
 
-	d.service = q == NULL ? NULL : q->service;
-	if (d.service != NULL)
-		d.service_index = find_service_index(r, d.service);
+	d.service_index =
+	    q == NULL ? JPLAN_NO_SERVICE : find_service(r, q->service);
 	d.label = nonempty_or_null(s->label);
 	d.rack = nonempty_or_null(s->rack);
 	d.best_effort = s->fills;
@@ -165,7 +205,6 @@
 		const struct jplan_need *f = &r->no_fit[i];
 
 		if (f->service_index == d->service_index &&
-		    strcmp(f->service, d->service) == 0 &&
 		    is_same_label(f->label, d->label) &&
 		    f->best_effort == d->best_effort &&
 		    (f->may_use_reserved || !d->may_use_reserved) &&
@@ -190,11 +229,8 @@
 static bool
 is_eligible(const struct jplan_need *d, const struct jplan_worker *p)
 {
-	if (d->service_index != p->service_index ||
-	    (d->service_index == JPLAN_SERVICES_MAX &&
-		strcmp(p->w->info->service, d->service) != 0))
-		return false;
-	return d->label == NULL || has_label(p->w->info, d->label);
+	return d->service_index == p->service_index &&
+	    (d->label == NULL || has_label(p->w->info, d->label));
 }
 
 /* Returns the processors that further best-effort tasks can use on a worker. */
@@ -451,8 +487,10 @@
 static bool
 is_low_load(const struct jplan_round *r, const struct jplan_need *d)
 {
-	return (double)r->cpu_allocated[d->service_index] <
-	    JPLAN_LOW_LOAD_SHARE * (double)r->cpu_total[d->service_index];
+	const struct jplan_service *s = &r->services[d->service_index];
+
+	return (double)s->cpu_allocated <
+	    JPLAN_LOW_LOAD_SHARE * (double)s->cpu_total;
 }
 
 /* Tells whether a step has waited too long on a service of which much is
@@ -473,15 +511,16 @@
     const struct jplan_need *d, const struct jplan_worker *p)
 {
 	struct jplan_worker after = *p;
-	int64_t reserved = r->cpu_reserved[d->service_index], lost;
+	const struct jplan_service *s = &r->services[d->service_index];
+	int64_t lost;
 
 	if (!st->spec->lasting || d->displaced || is_low_load(r, d))
 		return false;
-	if (r->cpu_free[d->service_index] - d->cpu < reserved)
+	if (s->cpu_free - d->cpu < s->cpu_reserved)
 		return true;
 	after.free_cpu -= d->cpu;
 	lost = whole_pieces(r, p) - whole_pieces(r, &after);
-	return lost > 0 && r->cpu_in_pieces[d->service_index] - lost < reserved;
+	return lost > 0 && s->cpu_in_pieces - lost < s->cpu_reserved;
 }
 
 /* Places as many waiting tasks of a step as fit. */
@@ -495,7 +534,7 @@
 	uint32_t t;
 	size_t k = 0, i;
 
-	if (d.service == NULL)
+	if (d.service_index == JPLAN_NO_SERVICE)
 		return 0;
 	overdue = is_overdue(r, st, &d);
 	d.may_wait = can_wait && d.best_effort && !overdue;
@@ -583,15 +622,15 @@
 jplan_reserve(struct jplan_round *r, const struct jst_step *st, size_t tasks)
 {
 	struct jplan_need d = get_need(r, st, true);
-	size_t i, best, *nreserved = &r->nreserved[d.service_index];
-	size_t most =
-	    r->service_workers[d.service_index] / JPLAN_WORKERS_PER_RESERVED +
-	    1;
+	struct jplan_service *s;
+	size_t i, best, most;
 
-	if (d.service == NULL)
+	if (d.service_index == JPLAN_NO_SERVICE)
 		return;
+	s = &r->services[d.service_index];
+	most = s->nworkers / JPLAN_WORKERS_PER_RESERVED + 1;
 	count_step_tasks(r, st, 1);
-	for (; tasks > 0 && *nreserved < most; tasks--) {
+	for (; tasks > 0 && s->nreserved < most; tasks--) {
 		best = r->nworkers;
 		for (i = 0; i < r->nworkers; i++) {
 			if (!will_fit(r, st, &d, i))
@@ -604,7 +643,7 @@
 		if (best == r->nworkers)
 			break;
 		r->workers[best].reserved = true;
-		++*nreserved;
+		s->nreserved++;
 	}
 	count_step_tasks(r, st, -1);
 }
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -952,4 +952,42 @@
 		[](auto &x) { return x.first.job == 1; }));
 }
 
+/* Guards against a task that waits for seconds on a mostly free service because
+ * others are full, with more services than the plan tells apart. */
+TEST(JobPlan, TheUseOfEachOfManyServicesCounts)
+{
+	JobSim s(42);
+	char serving[] = "s1", best_effort[] = "f1";
+	const uint64_t nservices = 20;
+	auto name = [](uint64_t i) { return "svc" + std::to_string(i); };
+	auto use_service = [&](uint64_t i) {
+		s.config(2 + i, { "fast", "batch" }, name(i).c_str());
+	};
+	for (uint64_t i = 0; i < nservices; i++)
+		s.add_worker(64000, "r1", name(i).c_str());
+	s.lead();
+	s.run(500);
+	for (uint64_t i = 0; i + 1 < nservices; i++) {
+		use_service(i);
+		s.submit(100 + i, "fast", { lasting_step(1, 64000) });
+		s.run(100);
+	}
+	use_service(nservices - 1);
+	Job__Step st = lasting_step(1, 12000);
+	st.has_target_ms = 1;
+	st.target_ms = 50;
+	st.image = serving;
+	s.submit(1, "fast", { st });
+	s.run(100);
+	jst_find_job(&s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(1, 24000, 60000);
+	fill.has_fills = fill.fills = 1;
+	fill.image = best_effort;
+	s.submit(2, "batch", { fill });
+	s.run(1000);
+	EXPECT_EQ(0U, s.starts.count(SimTask{ 2, 0, 0, 0 }));
+	s.run(1000);
+	EXPECT_EQ(1U, s.starts.count(SimTask{ 2, 0, 0, 0 }));
+}
+
 } // namespace
