Go on with an occurrence although the wall clock was stepped back

Callers saw: an occurrence had begun, one of its tasks failed or its next step became ready, and nothing of it ran for as long as the leader's wall clock was behind its start time.

Cause: the plan compares the start time with the wall clock for each task of the occurrence, at each attempt. A step of the clock, or a leader whose clock is behind that of the one before, makes the time come a second time.

Evidence: JobPlan.AStepOfTheWallClockHoldsUpNoOccurrenceThatHasBegun fails without the change: 5 s back, the failed task isn't started again within 0.7 s.

Fix: an occurrence of which a task has been assigned may go on.

--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -198,7 +198,26 @@
 	    (c->band == 0 ? c->deadline_ms : late_ms);
 }
 
-/* Tells whether the start time of an occurrence has come. */
+/* Tells whether a task of an occurrence has been assigned; the first task of a
+ * step is before the others. */
+static bool
+occurrence_has_begun(const struct jst_step *st)
+{
+	const Job__Spec *spec = st->job->spec;
+	const struct jst_step *base =
+	    &st->job->steps[st->occurrence * spec->n_steps];
+	size_t i;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		if (base[i].nwaiting < base[i].spec->count ||
+		    base[i].tasks[0].run > 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether the start time of an occurrence has come. One that has begun
+ * goes on if the wall clock is stepped back, or a leader's is behind. */
 static bool
 occurrence_may_start(const struct jst_step *st, int64_t wall_ms)
 {
@@ -206,7 +225,8 @@
 
 	return spec->repeat == 0 || !spec->has_start_at_ms ||
 	    wall_ms >=
-	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms);
+	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms) ||
+	    occurrence_has_begun(st);
 }
 
 /* Adds a step to the candidates; a long-running one twice if some of its tasks
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -990,4 +990,28 @@
 	EXPECT_EQ(1U, s.starts.count(SimTask{ 2, 0, 0, 0 }));
 }
 
+/* Guards against a task of an occurrence that has begun, which isn't started
+ * again until the wall clock, stepped back, shows the start time once more. */
+TEST(JobPlan, AStepOfTheWallClockHoldsUpNoOccurrenceThatHasBegun)
+{
+	JobSim s(44);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run_time_ms = [](const SimTask &) { return 300; };
+	Job__Step second = JobSim::step(1, 1000);
+	uint32_t after[1] = { 0 };
+	second.after = after;
+	second.n_after = 1;
+	s.submit(1, "fast", { JobSim::step(2, 1000), second }, 2);
+	s.run(1200);
+	ASSERT_EQ(2U, s.starts.size());
+	s.fail_running(a, 1);
+	s.wall_offset_ms = -5000;
+	s.run(700);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+	EXPECT_EQ(1, (s.starts[SimTask{ 1, 0, 1, 0 }]));
+	s.run(3000);
+	EXPECT_EQ(0, (s.starts[SimTask{ 1, 1, 0, 0 }]));
+}
+
 } // namespace
