--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -198,7 +198,26 @@
 	    (c->band == 0 ? c->deadline_ms : late_ms);
 }
 
-/* Tells whether the start time of an occurrence has come. */
+/* Tells whether a task of an occurrence has been assigned; the first task of a
+ * step is before the others. */
+static bool
+occurrence_has_begun(const struct jst_step *st)
+{
+	const Job__Spec *spec = st->job->spec;
+	const struct jst_step *base =
+	    &st->job->steps[st->occurrence * spec->n_steps];
+	size_t i;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		if (base[i].nwaiting < base[i].spec->count ||
+		    base[i].tasks[0].run > 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether the start time of an occurrence has come. One that has begun
+ * goes on if the wall clock is stepped back, or a leader's is behind. */
 static bool
 occurrence_may_start(const struct jst_step *st, int64_t wall_ms)
 {
@@ -206,7 +225,8 @@
 
 	return spec->repeat == 0 || !spec->has_start_at_ms ||
 	    wall_ms >=
-	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms);
+	    spec->start_at_ms + (int64_t)(st->occurrence * spec->interval_ms) ||
+	    occurrence_has_begun(st);
 }
 
 /* Adds a step to the candidates; a long-running one twice if some of its tasks
@@ -264,27 +284,46 @@
 	return n;
 }
 
+/* Returns the number of tasks of the largest gang among the candidates. */
+static size_t
+largest_gang(const struct candidate *c, size_t n)
+{
+	size_t i, largest = 0;
+
+	for (i = 0; i < n; i++) {
+		const Job__Step *s = c[i].st->spec;
+
+		if (s->gang && s->count > largest)
+			largest = s->count;
+	}
+	return largest;
+}
+
 /* Chooses the tasks that start now. A gang starts as a whole or not at all. */
 size_t
 jplan_choose(struct jst *s, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t nworkers,
-    int64_t wall_ms, int64_t now_ms, struct jplan_choice *out, size_t max)
+    int64_t wall_ms, int64_t now_ms, struct jplan_choice **out, size_t max)
 {
 	struct jplan_round round;
 	struct candidate *c;
 	size_t i, k, n = 0, ncand = collect_candidates(s, wall_ms, &c);
+	struct jplan_choice *chosen =
+	    calloc(max + largest_gang(c, ncand), sizeof(*chosen));
 
+	if (chosen == NULL)
+		abort();
 	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
-	round.chosen = out;
+	round.chosen = chosen;
 	for (i = 0; i < ncand && n < max; i++) {
 		struct jst_step *st = c[i].st;
 
 		if (st->spec->gang && st->nwaiting < st->spec->count)
 			continue;
 		k = jplan_place(&round, st, c[i].ndisplaced > 0, c[i].may_wait,
-		    out + n, max - n);
+		    chosen + n, st->spec->gang ? st->spec->count : max - n);
 		if (st->spec->gang && k < st->spec->count) {
-			jplan_undo(&round, out + n, k);
+			jplan_undo(&round, chosen + n, k);
 			k = 0;
 		}
 		if (k > 0)
@@ -296,5 +335,6 @@
 	}
 	jplan_round_finish(&round);
 	free(c);
+	*out = chosen;
 	return n;
 }
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -927,4 +927,91 @@
 	EXPECT_EQ(1U, b.s.starts.count(SimTask{ 11, 0, 0, 0 }));
 }
 
+/* Guards against a gang that never starts because it has more tasks than one
+ * plan assigns, or than other jobs leave of those. */
+TEST(JobPlan, AGangMayBeLargerThanAPlan)
+{
+	JobSim s(39);
+	s.add_worker(256000);
+	s.lead();
+	s.run(100);
+	s.run_time_ms = [](const SimTask &t) {
+		return t.job == 1 ? 60000 : 20;
+	};
+	Job__Step gang = JobSim::step(JLEAD_ASSIGN_MAX + 88, 100, 60000);
+	gang.has_gang = gang.gang = 1;
+	s.submit(1, "batch", { gang });
+	/* Urgent tasks wait in each plan. */
+	uint64_t job = 2;
+	for (int i = 0; i < 100; i++) {
+		s.submit(job++, "fast", { JobSim::step(5, 1, 20) });
+		s.run(10);
+	}
+	EXPECT_EQ(JLEAD_ASSIGN_MAX + 88,
+	    std::count_if(s.starts.begin(), s.starts.end(),
+		[](auto &x) { return x.first.job == 1; }));
+}
+
+/* Guards against a task that waits for seconds on a mostly free service because
+ * others are full, with more services than the plan tells apart. */
+TEST(JobPlan, TheUseOfEachOfManyServicesCounts)
+{
+	JobSim s(42);
+	char serving[] = "s1", best_effort[] = "f1";
+	const uint64_t nservices = 20;
+	auto name = [](uint64_t i) { return "svc" + std::to_string(i); };
+	auto use_service = [&](uint64_t i) {
+		s.config(2 + i, { "fast", "batch" }, name(i).c_str());
+	};
+	for (uint64_t i = 0; i < nservices; i++)
+		s.add_worker(64000, "r1", name(i).c_str());
+	s.lead();
+	s.run(500);
+	for (uint64_t i = 0; i + 1 < nservices; i++) {
+		use_service(i);
+		s.submit(100 + i, "fast", { lasting_step(1, 64000) });
+		s.run(100);
+	}
+	use_service(nservices - 1);
+	Job__Step st = lasting_step(1, 12000);
+	st.has_target_ms = 1;
+	st.target_ms = 50;
+	st.image = serving;
+	s.submit(1, "fast", { st });
+	s.run(100);
+	jst_find_job(&s.st, 1)->steps[0].load = 0.7;
+	Job__Step fill = JobSim::step(1, 24000, 60000);
+	fill.has_fills = fill.fills = 1;
+	fill.image = best_effort;
+	s.submit(2, "batch", { fill });
+	s.run(1000);
+	EXPECT_EQ(0U, s.starts.count(SimTask{ 2, 0, 0, 0 }));
+	s.run(1000);
+	EXPECT_EQ(1U, s.starts.count(SimTask{ 2, 0, 0, 0 }));
+}
+
+/* Guards against a task of an occurrence that has begun, which isn't started
+ * again until the wall clock, stepped back, shows the start time once more. */
+TEST(JobPlan, AStepOfTheWallClockHoldsUpNoOccurrenceThatHasBegun)
+{
+	JobSim s(44);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run_time_ms = [](const SimTask &) { return 300; };
+	Job__Step second = JobSim::step(1, 1000);
+	uint32_t after[1] = { 0 };
+	second.after = after;
+	second.n_after = 1;
+	s.submit(1, "fast", { JobSim::step(2, 1000), second }, 2);
+	s.run(1200);
+	ASSERT_EQ(2U, s.starts.size());
+	s.fail_running(a, 1);
+	s.wall_offset_ms = -5000;
+	s.run(700);
+	EXPECT_EQ(2, (s.starts[SimTask{ 1, 0, 0, 0 }]));
+	EXPECT_EQ(1, (s.starts[SimTask{ 1, 0, 1, 0 }]));
+	s.run(3000);
+	EXPECT_EQ(0, (s.starts[SimTask{ 1, 1, 0, 0 }]));
+}
+
 } // namespace
