Send no request later than its attempt may connect

A process that is paused while it connects to a backend server and wakes to a finished connection sent the request before its timers ran: the event loop returns from its wait with the socket's event. The first byte could leave any time after the engine's limit for connecting (50 ms to 1 s), also after the deadline and after the grant of the slot had run out, so that a backend server could get more requests than its slots.

The engine now passes that limit with the attempt, and the HTTP client checks it where libcurl asks before the first byte. A late attempt fails as one that could not connect; that nothing was sent is true, so it may be tried again.

Back.APausedProcessSendsNothingAfterTheLimit sleeps past the limit without running the event loop. Eng.AnAttemptMayBeSentOnlyWhileItConnects holds the limit to the engine's own timer.

--- a/src/node/back.c
+++ b/src/node/back.c
@@ -39,6 +39,7 @@
 	void *user;
 	struct str body;
 	uint64_t request_id;
+	struct timespec send_by; /* as in struct back_req */
 	bool is_probe;
 	bool maybe_sent;    /* a byte may have been sent */
 	bool sent_reported; /* on_sent was called */
@@ -128,7 +129,8 @@
  * Called by libcurl on an established connection before the first byte is sent.
  * libcurl resends a request by itself if a reused connection closes before an
  * answer; this second send is refused, since the worker may have run the first
- * one.
+ * one. So is one after send_by: a process that was paused while it connected
+ * may get here before its timers run.
  */
 static int
 on_prereq(
@@ -140,6 +142,9 @@
 		ctr_add(c->back->conf.ctr, NCTR_BACK_RESEND_STOPPED, 1);
 		return CURL_PREREQFUNC_ABORT;
 	}
+	if (clk_ns(c->send_by) != 0 &&
+	    clk_before(c->send_by, clk_now(&c->back->clk)))
+		return CURL_PREREQFUNC_ABORT;
 	c->maybe_sent = true;
 	if (!c->is_probe) {
 		c->next_unreported = c->back->unreported;
@@ -616,6 +621,7 @@
 	c->host = back_get_host(b, r->addr, r->max_connections);
 	c->user = r->user;
 	c->request_id = r->request_id;
+	c->send_by = r->send_by;
 	c->is_probe = r->is_probe;
 	c->reuse_without_echo = r->reuse_without_echo;
 	c->all_headers = r->all_headers;
--- a/src/node/back.h
+++ b/src/node/back.h
@@ -51,6 +51,7 @@
 	uint64_t epoch;
 	uint64_t request_id; /* sent; the answer is to repeat (echo) it */
 	int64_t timeout_ms;
+	struct timespec send_by;  /* no byte is sent after it; 0: no limit */
 	unsigned max_connections; /* limit for the worker; 0: default */
 	bool is_probe;		  /* uses a connection of its own */
 	bool reuse_without_echo;  /* of the connection, if there is no echo */
--- a/src/node/tests/back_test.cc
+++ b/src/node/tests/back_test.cc
@@ -1,7 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include "script_server.h"
 
+#include "base/clk.h"
 #include "node/back.h"
 #include "node/nctr.h"
 
@@ -15,6 +18,7 @@
 	     failed_after_sending = false, ok = false;
 	enum back_fail kind = BACK_CONNECT_FAILED;
 	std::string body;
+	struct timespec send_by = {};
 
 	static void on_sent(void *arg, void *)
 	{
@@ -62,6 +66,7 @@
 		r.epoch = 3;
 		r.request_id = 42;
 		r.timeout_ms = 1000;
+		r.send_by = send_by;
 		has_ended = reported_sent = failed_after_sending = ok = false;
 		return back_start(back, &r);
 	}
@@ -231,3 +236,24 @@
 	EXPECT_EQ(0u, server->requests.size());
 	EXPECT_FALSE(reported_sent);
 }
+
+/* Guards against a request that is sent after its limit because the process was
+ * paused while it connected: its slot may be another instance's by then. */
+TEST_F(Back, APausedProcessSendsNothingAfterTheLimit)
+{
+	const struct clk clk = clk_system();
+
+	server->steps = { { answer_with_echo, false } };
+	send_by = clk_add_ms(clk_now(&clk), 20);
+	start();
+	usleep(30000);
+	ASSERT_TRUE(loop_until(ev, &has_ended));
+	EXPECT_FALSE(ok);
+	EXPECT_EQ(BACK_CONNECT_FAILED, kind);
+	EXPECT_FALSE(failed_after_sending);
+	EXPECT_FALSE(reported_sent);
+	EXPECT_EQ(0u, server->requests.size());
+	send_by = clk_add_ms(clk_now(&clk), 10000);
+	call();
+	EXPECT_TRUE(ok);
+}
--- a/src/node/traffic_act.c
+++ b/src/node/traffic_act.c
@@ -58,6 +58,7 @@
 	b.timeout_ms = clk_diff_ms(a->u.dispatch.deadline, clk_now(&t->clk));
 	if (b.timeout_ms < 1)
 		b.timeout_ms = 1;
+	b.send_by = a->u.dispatch.send_by;
 	b.user = u;
 	r->attempt = a->attempt;
 	r->call = back_start(t->back, &b);
--- a/src/request/eng.h
+++ b/src/request/eng.h
@@ -143,6 +143,7 @@
 			size_t worker; /* index in the view */
 			uint64_t epoch;
 			struct timespec deadline;
+			struct timespec send_by; /* no byte may leave later */
 		} dispatch;
 		struct {
 			enum eng_outcome outcome;
--- a/src/request/eng_run.c
+++ b/src/request/eng_run.c
@@ -156,13 +156,15 @@
 		wait = ENG_CONNECT_MIN_NS;
 	if (wait > ENG_CONNECT_MAX_NS)
 		wait = ENG_CONNECT_MAX_NS;
-	tmr_set(
-	    &e->timers, &r->tmr, now + wait < deadline ? now + wait : deadline);
+	if (wait > deadline - now)
+		wait = deadline - now;
+	tmr_set(&e->timers, &r->tmr, now + wait);
 	a = eng_emit(e, ENG_ACT_DISPATCH, r->id);
 	a->attempt = r->attempt;
 	a->u.dispatch.worker = w->index;
 	a->u.dispatch.epoch = w->epoch;
 	a->u.dispatch.deadline = clk_from_ns(deadline);
+	a->u.dispatch.send_by = clk_from_ns(now + wait);
 }
 
 /*
--- a/src/request/tests/eng_test.cc
+++ b/src/request/tests/eng_test.cc
@@ -199,6 +199,30 @@
 	EXPECT_TRUE(eng_is_idle(b.e));
 }
 
+/* Guards against an attempt whose first byte may leave after the engine has
+ * given it up as not sent. */
+TEST(Eng, AnAttemptMayBeSentOnlyWhileItConnects)
+{
+	EngineFixture b;
+	int64_t send_by;
+
+	b.worker(5, 2);
+	b.publish();
+	b.arrive("svc", false, "", 20);
+	ASSERT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+	EXPECT_EQ(b.now + 20000000,
+	    clk_ns(b.find(ENG_ACT_DISPATCH)->u.dispatch.send_by));
+	b.event(ENG_EV_DONE, 1, 1);
+	b.arrive("svc", false);
+	ASSERT_NE(nullptr, b.find(ENG_ACT_DISPATCH));
+	send_by = clk_ns(b.find(ENG_ACT_DISPATCH)->u.dispatch.send_by);
+	EXPECT_EQ(b.now + 250000000, send_by);
+	b.tick(249);
+	EXPECT_EQ(nullptr, b.find(ENG_ACT_ABORT));
+	b.tick(1);
+	EXPECT_NE(nullptr, b.find(ENG_ACT_ABORT));
+}
+
 /* Guards against an answer to a claim that leads to a dispatch or to an outcome
  * that it does not prove, and against a lost claim that is never released. */
 TEST(Eng, ClaimDecidesTheOutcome)
