Take a refusal that names a worker for no service in tests

is_served looked for the word "worker" in the answer to a probe, and the body of a refusal for the reason no_worker has it too. Tests went on before the instance had a slot or knew the worker, and a final check of service passed on a refusal.

Seen in no_quorum.sh: in the runs that were later refused for 32 s the leader had granted slots to instances 1 and 2 only when the test killed both; instance 3 had answered the probe with no_worker. Answers with a status of 400 or more are no service now.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -174,9 +174,10 @@
 	EOF
 }
 
-# is_served INSTANCE: the instance gets a request of the class "tally" answered.
+# is_served INSTANCE: the instance gets a request of the class "tally" answered
+# by a worker; refusals are no service, also those that name a worker.
 is_served() {
-	curl -s -m 2 "http://${http[$1]}/svc/tally/probe" | grep -q worker
+	curl -s -f -m 2 "http://${http[$1]}/svc/tally/probe" | grep -q worker
 }
 
 # requests_started N: workers have started at least N requests.
