Free slots of instances that are gone once the worker counts fewer

After a majority was back and a new leader had taken over, an instance refused every request for 32 s (queue_timeout) although the only worker was idle.

Cause: a new leader takes all slots of a worker for held under grants of earlier leaders, and subtracts what instances report. What nobody reports stays held until the longest grant ends, 32 s after the leader began. Instances that were killed never report.

What bounds a silent instance is that it starts nothing without a fresh configuration.

* A grant lets requests start only for config_freshness from the heartbeat whose reply listed it.
A reply of a new leader that doesn't list a grant used to extend it.
To lose no time, an instance sends its next heartbeat at once when it learns of a new term.
* 8.5 s after a leader began (7 s, the longest config_freshness an instance may have, and 1.5 s to connect and send), requests on the worker are all that is left under earlier grants.
The leader gives the worker an order that does nothing, a throttle of no task, and takes running_requests of a poll that says the order was carried out.
An old poll can't say so.
* The slots may be granted again then, while the silent instance still has an unexpired grant that it would report to a third leader.
Before the order, the leader commits an empty command as a fence, and numbers of offers carry the term: later leaders honour no grants of terms before the newest fence.
Grants reported after a count aren't honoured either.
Requests beyond what is honoured are counted as held before such an instance gets an offer.

Workers that don't report running_requests keep the old limit of 32 s.

Tests: receive_reply of GrantSim takes replies in the order of their heartbeats, as the agent does, instead of grants by their number; the check of the sum is unchanged.

--- a/bench/request_cost.c
+++ b/bench/request_cost.c
@@ -40,6 +40,7 @@
 			.rack = str_from("r"),
 			.slots = 1,
 			.connections = 7,
+			.grant_start_until = v.fresh_until,
 			.grant_expiry = v.fresh_until,
 			.serves = serves,
 			.nserves = 1 };
@@ -101,7 +102,7 @@
 static void
 bench_grant(size_t workers)
 {
-	struct grant_conf conf = { 32000, 10000, 4 };
+	struct grant_conf conf = { 32000, 10000, 4, 0 };
 	int64_t now = CLK_NS_PER_S;
 	struct grant *g = grant_new(NULL, &conf, clk_from_ns(0));
 	Control__SlotUse *use = calloc(workers, sizeof(*use));
@@ -113,7 +114,7 @@
 
 	if (use == NULL || up == NULL || seq == NULL || held == NULL)
 		abort();
-	grant_set_term(g, 1, 0);
+	grant_set_term(g, 1, 0, 0);
 	for (size_t i = 0; i < workers; i++)
 		grant_update_worker(g, clk_from_ns(now), i + 1, 8, 60, false);
 	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t0);
--- a/bench/request_model.h
+++ b/bench/request_model.h
@@ -288,14 +288,14 @@
 		w->slots = rep.grants[i]->slots;
 		w->connections = rep.grants[i]->connections;
 		w->grant_seq = rep.grants[i]->seq;
-		w->grant_expiry =
+		w->grant_expiry = w->grant_start_until =
 		    clk_from_ns(m->now_ns + GRANT_TTL_MS * NS_PER_MS);
 	}
 	for (int i = 0; i < WORKERS && m->policy == STATIC_GRANTS; i++) {
 		/* 8 slots for 9 instances: each has none on 1 of 9 workers. */
 		x->vw[i].slots = i % INSTANCES == n ? 0 : 1;
 		x->vw[i].connections = 6;
-		x->vw[i].grant_expiry =
+		x->vw[i].grant_expiry = x->vw[i].grant_start_until =
 		    clk_from_ns(m->now_ns + GRANT_TTL_MS * NS_PER_MS);
 	}
 	for (int i = 0; i < WORKERS; i++)
@@ -556,7 +556,7 @@
 static struct model *
 model_new(enum policy policy, double load, int only, double seconds)
 {
-	struct grant_conf gc = { GRANT_TTL_MS, 10000, 4 };
+	struct grant_conf gc = { GRANT_TTL_MS, 10000, 4, 0 };
 	struct model *m = calloc(1, sizeof(*m));
 	char name[32];
 
--- a/src/cli/settings.c
+++ b/src/cli/settings.c
@@ -56,7 +56,8 @@
 
 static const struct ini_field control_fields[] = {
 	{ "config_freshness", INI_DURATION,
-	    offsetof(struct raw_settings, freshness_ms), "3s", 1000, 7000,
+	    offsetof(struct raw_settings, freshness_ms), "3s", 1000,
+	    NODE_CONFIG_FRESHNESS_MAX_MS,
 	    "no new work without a confirmed configuration for longer" },
 	{ "key_retention", INI_DURATION,
 	    offsetof(struct raw_settings, retention_ms), "15m", MS_PER_MIN,
--- a/src/control/agent.c
+++ b/src/control/agent.c
@@ -259,6 +259,9 @@
 		ctr_add(&a->ctr, AGENT_C_REPLIES_OLD, 1);
 		return;
 	}
+	/* A new leader grants nothing until a heartbeat names its term. */
+	if (r->term > a->term)
+		a->next_heartbeat = a->now;
 	a->reply_seq = r->seq;
 	a->term = r->term;
 	if (r->seq == a->heartbeat_seq)
--- a/src/control/agent_impl.h
+++ b/src/control/agent_impl.h
@@ -72,6 +72,7 @@
 	uint64_t epoch;
 	uint64_t seq;
 	unsigned slots, connections;
+	struct timespec start_until; /* no request is started after this */
 	struct timespec expiry;
 };
 
--- a/src/control/agent_view.c
+++ b/src/control/agent_view.c
@@ -106,13 +106,15 @@
 }
 
 /*
- * Stores the grants of a reply to a heartbeat sent at sent. A worker that
- * isn't listed keeps its earlier grant until that expires, since a new leader
- * lists only the grants it has learnt of.
+ * Stores the grants of a reply to a heartbeat sent at sent, under which
+ * requests may be started until start_until. A worker that isn't listed keeps
+ * its earlier grant until that expires, since a new leader lists only the
+ * grants it has learnt of. The reply doesn't extend such a grant: another
+ * instance may have it by then.
  */
 static void
-grants_update(
-    struct agent *a, struct timespec sent, const Control__BeatReply *r)
+grants_update(struct agent *a, struct timespec sent,
+    struct timespec start_until, const Control__BeatReply *r)
 {
 	int64_t valid_ns = (int64_t)r->grant_ttl_ms * CLK_NS_PER_MS;
 	size_t i;
@@ -133,6 +135,7 @@
 		g->seq = m->seq;
 		g->slots = m->slots;
 		g->connections = m->connections;
+		g->start_until = start_until;
 		g->expiry = clk_add_ns(sent, valid_ns);
 	}
 	grants_expire(a);
@@ -150,7 +153,8 @@
 {
 	int64_t valid_ns = a->conf.freshness_ms * CLK_NS_PER_MS;
 	uint64_t version;
-	struct timespec until;
+	struct timespec until =
+	    clk_add_ns(sent, valid_ns - valid_ns / PPM * a->conf.clock_ppm);
 
 	if (r->config_version < a->newest_config_version) {
 		ctr_add(&a->ctr, AGENT_C_VERSION_OLD, 1);
@@ -166,7 +170,7 @@
 	if (version > a->newest_config_version)
 		a->newest_config_version = version;
 	workers_update(a, r);
-	grants_update(a, sent, r);
+	grants_update(a, sent, until, r);
 	/* Without the leader's configuration nothing is fresh. */
 	if (version < r->config_version)
 		return true;
@@ -177,7 +181,6 @@
 			abort();
 		control__config__init(a->config);
 	}
-	until = clk_add_ns(sent, valid_ns - valid_ns / PPM * a->conf.clock_ppm);
 	if (clk_before(a->fresh_until, until))
 		a->fresh_until = until;
 	return true;
@@ -250,8 +253,10 @@
 	w->connections = g->connections;
 	/* A draining instance returns all its slots. */
 	w->slots = a->draining ? 0 : g->slots;
-	if (w->slots > 0)
+	if (w->slots > 0) {
+		w->grant_start_until = g->start_until;
 		w->grant_expiry = g->expiry;
+	}
 }
 
 /* Emits a VIEW action with a copy of the current state. */
--- a/src/control/cell.c
+++ b/src/control/cell.c
@@ -155,8 +155,8 @@
 {
 	const struct lease_conf lc = { c->conf.lease_ms, c->conf.max_transit_ms,
 		c->conf.clock_ppm };
-	const struct grant_conf gc = { CELL_GRANT_TTL_MS, c->conf.clock_ppm,
-		1 };
+	const struct grant_conf gc = { CELL_GRANT_TTL_MS, c->conf.clock_ppm, 1,
+		c->conf.freshness_max_ms };
 	const struct sched_conf sc = { c->conf.raft.seed ^ c->term, true, true,
 		true, 8 };
 	struct cell **leader_ctx = talloc(c, struct cell *);
@@ -172,7 +172,8 @@
 	idx_init(&c->starts);
 	idx_init(&c->jobs);
 	c->grant = grant_new(c->leader_ctx, &gc, c->now);
-	grant_set_term(c->grant, c->term, index);
+	grant_set_term(c->grant, c->term, c->grant_fence_term, index);
+	c->fence_proposed = false;
 	c->sched = sched_new(c->leader_ctx, &sc, c->now);
 	c->order_count = 0;
 	c->next_housekeeping = c->now;
@@ -243,6 +244,9 @@
 
 	switch (e->kind) {
 	case CONTROL__ENTRY_KIND__ENTRY_DATA:
+		/* An empty command fences the grants of earlier terms. */
+		if (e->data.len == 0)
+			c->grant_fence_term = e->term;
 		res = st_apply(c->st, e->index, e->data);
 		/* The leader of a term proposes all its records, in order. */
 		if (proposed_here && c->proposed_first != NULL) {
@@ -302,7 +306,7 @@
 	if (st_restore(c->st, ra->u.snapshot.data, &err) != STATUS_OK)
 		return err.status;
 	members_set(c, ra->u.snapshot.members, ra->u.snapshot.nmembers);
-	c->applied_term = ra->u.snapshot.term;
+	c->applied_term = c->grant_fence_term = ra->u.snapshot.term;
 	c->saving_snapshot = false;
 	c->loading_snapshot = true;
 	a = cell_snapshot_write(c, ra->u.snapshot.index, ra->u.snapshot.term,
@@ -506,7 +510,8 @@
 		return NULL;
 	}
 	st_skip(c->st, rc.snap_index);
-	c->applied_term = rc.snap_term;
+	/* A snapshot doesn't tell whether its log had fences. */
+	c->applied_term = c->grant_fence_term = rc.snap_term;
 	c->save_index = rc.snap_index;
 	members_set(c, rc.members, rc.nmembers);
 	rc.snap_data = conf->snapshot;
--- a/src/control/cell.h
+++ b/src/control/cell.h
@@ -21,6 +21,7 @@
 	int64_t lease_ms;	   /* lease of a worker, default 6000 */
 	int64_t poll_ms;	   /* interval of worker polls, default 1000 */
 	int64_t max_transit_ms;	   /* longest message transit, default 500 */
+	int64_t freshness_max_ms;  /* longest config_freshness of an instance */
 	int64_t key_retention_ms;  /* of idempotency records, default 900000 */
 	unsigned clock_ppm;	   /* largest clock rate error; 10000 is 1 % */
 	uint64_t snapshot_entries; /* log entries per snapshot, default 4096 */
--- a/src/control/cell_impl.h
+++ b/src/control/cell_impl.h
@@ -109,6 +109,7 @@
 	CELL_PROPOSAL_EVENTS,
 	CELL_PROPOSAL_LOST,
 	CELL_PROPOSAL_ASSIGN,
+	CELL_PROPOSAL_FENCE,
 	CELL_PROPOSAL_INTERNAL
 };
 
@@ -146,6 +147,7 @@
 	uint64_t epoch;
 	bool has_polled; /* at least once since this leader began to serve */
 	bool quarantined;
+	uint64_t count_order;	   /* seq of the order to count; 0: none */
 	struct cell_order *orders; /* not yet executed, by seq */
 	size_t norders, caporders;
 	struct cell_executed_order *executed;
@@ -187,7 +189,10 @@
 	struct cell_conf conf;
 	struct raft *raft;
 	struct st *st;
-	uint64_t applied_term;	     /* of the last entry applied */
+	uint64_t applied_term; /* of the last entry applied */
+	/* Of the last leader that may have granted slots again that leaders
+	 * before it had granted. */
+	uint64_t grant_fence_term;
 	struct raft_member *members; /* as of the last entry applied */
 	size_t nmembers;
 	struct ctr_set ctr;
@@ -206,6 +211,7 @@
 	TALLOC_CTX *leader_ctx; /* owns what ends with the leadership */
 	struct lease lease;
 	struct grant *grant;
+	bool fence_proposed; /* for the grants of earlier leaders */
 	struct sched *sched;
 	struct sched_acts sched_acts;
 	Control__Config *sched_config; /* as last given to the scheduler */
--- a/src/control/cell_op.c
+++ b/src/control/cell_op.c
@@ -213,6 +213,9 @@
 		for (i = 0; c->serving && i < p->ntasks; i++)
 			cell_assignment_refused(c, p->tasks[i]);
 		break;
+	case CELL_PROPOSAL_FENCE:
+		c->fence_proposed = false;
+		break;
 	case CELL_PROPOSAL_INTERNAL:
 		break;
 	}
@@ -306,6 +309,7 @@
 		break;
 	case CELL_PROPOSAL_LOST:
 	case CELL_PROPOSAL_ASSIGN:
+	case CELL_PROPOSAL_FENCE:
 	case CELL_PROPOSAL_INTERNAL:
 		break;
 	}
--- a/src/control/cell_worker.c
+++ b/src/control/cell_worker.c
@@ -344,6 +344,45 @@
 	return p;
 }
 
+/*
+ * Has a worker count its requests if slots may be held that only these can
+ * hold. Before, a fence in the log tells later leaders that grants of earlier
+ * terms are void. The order to count is a throttle of no task, which does
+ * nothing: a poll that says it was carried out was made after it was given,
+ * however long the poll was in transit.
+ */
+static void
+order_count(struct cell *c, struct cell_worker *w)
+{
+	struct cell_order o = { .kind = CONTROL__ORDER_KIND__ORDER_THROTTLE,
+		.percent = 100 };
+
+	if (w->count_order != 0 ||
+	    !grant_wants_count(c->grant, c->now, w->epoch))
+		return;
+	if (c->grant_fence_term == c->term) {
+		cell_order_add(c, w->epoch, &o);
+		w->count_order = w->orders[w->norders - 1].seq;
+	} else if (!c->fence_proposed) {
+		Control__Command *cmd = cell_command_new(c);
+
+		control__command__init(cmd);
+		cell_propose(c, CELL_PROPOSAL_FENCE, cmd);
+		c->fence_proposed = true;
+	}
+}
+
+/* Passes the count of requests in a poll to the grants. */
+static void
+report_running_requests(struct cell *c, const struct cell_worker *w,
+    const Control__WorkerPoll *poll)
+{
+	if (w->count_order != 0 && poll->has_running_requests &&
+	    poll->has_order_seq && poll->order_seq >= w->count_order)
+		grant_set_running(
+		    c->grant, poll->epoch, poll->running_requests);
+}
+
 /*
  * Handles a poll of a worker and renews its lease from now. The answer waits
  * until the reported events are durable and leadership is confirmed: a leader
@@ -370,6 +409,7 @@
 	for (i = 0; i < poll->n_running; i++)
 		report_running(c, poll->epoch, poll->running[i]);
 	grant_set_overdue(c->grant, poll->epoch, poll->overdue);
+	report_running_requests(c, cw, poll);
 	report_usage(c, poll);
 }
 
@@ -564,6 +604,7 @@
 	if (!cw->has_polled)
 		orders_repeat_unconfirmed(c, cw, sw, poll);
 	cw->has_polled = true;
+	order_count(c, cw);
 	orders_stop_orphaned(c, cw, poll);
 	if (w->poll->events_complete)
 		tasks_end_lost(c, cw, poll);
--- a/src/control/tests/cell_sim.h
+++ b/src/control/tests/cell_sim.h
@@ -415,6 +415,7 @@
 		cc.lease_ms = 6000;
 		cc.poll_ms = 1000;
 		cc.max_transit_ms = 500;
+		cc.freshness_max_ms = s->conf.freshness_ms;
 		cc.key_retention_ms = 900000;
 		cc.clock_ppm = 10000;
 		cc.snapshot_entries = s->conf.snapshot_entries;
--- a/src/control/tests/cell_test.cc
+++ b/src/control/tests/cell_test.cc
@@ -89,7 +89,7 @@
 		return op(inst, &o);
 	}
 	Reply poll(uint32_t inst, const char *name, uint64_t incarnation,
-	    uint64_t epoch, uint64_t order_seq = 0)
+	    uint64_t epoch, uint64_t order_seq = 0, int running = -1)
 	{
 		Control__Op o = CONTROL__OP__INIT;
 		Control__WorkerPoll p = CONTROL__WORKER_POLL__INIT;
@@ -99,6 +99,8 @@
 		p.epoch = epoch;
 		p.has_order_seq = order_seq != 0;
 		p.order_seq = order_seq;
+		p.has_running_requests = running >= 0;
+		p.running_requests = (uint32_t)running;
 		o.worker_poll = &p;
 		return op(inst, &o);
 	}
@@ -209,6 +211,98 @@
 	}
 };
 
+/* Returns the slots of the first worker under which an instance may start
+ * requests now. */
+unsigned
+usable_slots(struct sim *s, uint32_t inst)
+{
+	struct sim_instance *in = &s->inst[inst];
+	struct timespec now = sim_local_time(s, in);
+
+	if (!in->up || in->view == nullptr || in->view->nworkers == 0 ||
+	    !clk_before(now, in->view->fresh_until) ||
+	    !clk_before(now, in->view->workers[0].grant_start_until) ||
+	    !clk_before(now, in->view->workers[0].grant_expiry))
+		return 0;
+	return in->view->workers[0].slots;
+}
+
+/* A group with a worker that has 8 slots and counts its requests. */
+struct CountingWorker : FiveInstances {
+	uint64_t epoch = 0, order_seq = 0;
+	unsigned running = 0;	  /* requests, as the worker reports them */
+	unsigned most_usable = 0; /* of all instances at any time */
+
+	explicit CountingWorker(uint64_t seed) : FiveInstances(seed)
+	{
+		s->check = [](void *arg) {
+			CountingWorker *w = (CountingWorker *)(Group *)arg;
+
+			w->most_usable = std::max(w->most_usable, w->usable());
+		};
+		config(1, "c1", 0);
+		epoch = worker_up(1, "w1", 7).epoch;
+	}
+	unsigned usable()
+	{
+		unsigned sum = 0;
+
+		for (uint32_t i = 1; i <= s->conf.instances; i++)
+			sum += usable_slots(s, i);
+		return sum;
+	}
+	/* Reports the slots that an instance holds. */
+	void report_held(uint32_t inst)
+	{
+		struct sim_instance *in = &s->inst[inst];
+		struct agent_ev ev = { AGENT_EV_STATS, { nullptr } };
+		Control__SlotUse u = CONTROL__SLOT_USE__INIT;
+
+		if (!in->up || in->view == nullptr || in->view->nworkers == 0)
+			return;
+		memset(&ev.u, 0, sizeof(ev.u));
+		u.epoch = epoch;
+		u.has_grant_seq = 1;
+		u.grant_seq = in->view->workers[0].grant_seq;
+		if (clk_before(sim_local_time(s, in),
+			in->view->workers[0].grant_expiry))
+			u.held = in->view->workers[0].slots;
+		ev.u.stats.slots = &u;
+		ev.u.stats.nslots = 1;
+		sim_step_agent(s, in, &ev);
+	}
+	/* Runs for some seconds, with reports of all instances. */
+	void run(int seconds)
+	{
+		for (int i = 0; i < seconds * 5; i++) {
+			for (uint32_t k = 1; k <= s->conf.instances; k++)
+				report_held(k);
+			sim_run(s, 200 * SIM_MS);
+		}
+	}
+	/* The same, with a poll at the instance in each second. */
+	void run_polling(uint32_t inst, int seconds)
+	{
+		for (int i = 0; i < seconds; i++) {
+			Reply r =
+			    poll(inst, "w1", 7, epoch, order_seq, (int)running);
+
+			order_seq = std::max(order_seq, r.order_seq);
+			run(1);
+		}
+	}
+	/* Restarts the leader and waits until another one serves. */
+	void replace_leader()
+	{
+		uint32_t old = sim_leader(s);
+
+		sim_stop(s, old);
+		run(4);
+		sim_start(s, old);
+		run(1);
+	}
+};
+
 bool
 ready(struct sim *s, uint32_t inst)
 {
@@ -388,6 +482,96 @@
 	EXPECT_EQ(STATUS_STALE, g.poll(4, "w1", 7, epoch).status);
 }
 
+/*
+ * Guards against requests that are refused until grants expire because the only
+ * worker's slots are taken for held by instances that are gone.
+ */
+TEST(Cell, ANewLeaderFreesSlotsOfInstancesThatAreGone)
+{
+	CountingWorker g(21);
+
+	ASSERT_EQ(0u, usable_slots(g.s, 3));
+	for (uint32_t i : { 1, 2, 4, 5 })
+		sim_stop(g.s, i);
+	sim_run(g.s, 5000 * SIM_MS);
+	EXPECT_FALSE(ready(g.s, 3));
+	sim_start(g.s, 1);
+	while (!ready(g.s, 3))
+		sim_run(g.s, 100 * SIM_MS);
+	EXPECT_EQ(0u, g.usable());
+	/* A poll may be old if it doesn't show that it came after the order. */
+	for (int i = 0; i < 8; i++) {
+		g.poll(3, "w1", 7, g.epoch, 0, 0);
+		g.run(1);
+	}
+	EXPECT_EQ(0u, g.usable());
+	g.run_polling(3, 3);
+	EXPECT_GT(usable_slots(g.s, 3), 0u);
+	EXPECT_EQ(8u, g.usable());
+	EXPECT_EQ(8u, g.most_usable);
+}
+
+/*
+ * Guards against an instance that returns after its slots were granted again
+ * and starts requests under its earlier grant, which has not expired.
+ */
+TEST(Cell, AnInstanceThatReturnsUsesNoEarlierGrant)
+{
+	CountingWorker g(22);
+
+	g.run_polling(4, 3);
+	ASSERT_EQ(8u, g.usable());
+	ASSERT_GT(usable_slots(g.s, 5), 0u);
+	sim_isolate(g.s, 5, true);
+	g.replace_leader();
+	EXPECT_LT(g.usable(), 8u);
+	EXPECT_GT(g.usable(), 0u);
+	g.run_polling(4, 8);
+	EXPECT_EQ(8u, g.usable());
+	EXPECT_EQ(0u, usable_slots(g.s, 5));
+	EXPECT_TRUE(clk_before(sim_local_time(g.s, &g.s->inst[5]),
+	    g.s->inst[5].view->workers[0].grant_expiry));
+	sim_isolate(g.s, 5, false);
+	g.run_polling(4, 8);
+	EXPECT_EQ(8u, g.usable());
+	EXPECT_EQ(8u, g.most_usable);
+	EXPECT_GT(usable_slots(g.s, 5), 0u);
+}
+
+/*
+ * Guards against slots in use twice after two changes of leader: the first new
+ * leader grants those of a silent instance again, which reports them to the
+ * second one as its own.
+ */
+TEST(Cell, AVoidGrantIsNotHonouredByLaterLeaders)
+{
+	CountingWorker g(22);
+	unsigned again;
+
+	g.run_polling(4, 3);
+	sim_isolate(g.s, 5, true);
+	g.replace_leader();
+	g.run_polling(4, 8);
+	ASSERT_EQ(8u, g.usable());
+	/* What instance 4 and the leader were granted is in use when they are
+	 * gone; instance 5 can't know that. */
+	again = usable_slots(g.s, 4) + usable_slots(g.s, sim_leader(g.s));
+	ASSERT_GT(again, 2u);
+	g.running = again;
+	sim_isolate(g.s, 4, true);
+	sim_isolate(g.s, 5, false);
+	g.s->cut[4][5] = g.s->cut[5][4] = true;
+	g.replace_leader();
+	EXPECT_TRUE(clk_before(sim_local_time(g.s, &g.s->inst[5]),
+	    g.s->inst[5].view->workers[0].grant_expiry));
+	for (int i = 0; i < 10; i++) {
+		g.run_polling(5, 1);
+		EXPECT_LE(g.usable() + again, 8u);
+	}
+	EXPECT_EQ(8u, g.usable() + again);
+	EXPECT_EQ(8u, g.most_usable);
+}
+
 /*
  * Guards against a leader that was suspended and answers heartbeats and polls
  * before it learns that it has been replaced.
--- a/src/control/view.h
+++ b/src/control/view.h
@@ -30,7 +30,9 @@
 	unsigned connections; /* most that the reader may keep open */
 	uint64_t grant_seq;
 	struct timespec grant_expiry; /* 0 when slots is 0 */
-	const unsigned *serves;	      /* indexes into classes */
+	/* No request is started under the grant after this. */
+	struct timespec grant_start_until;
+	const unsigned *serves; /* indexes into classes */
 	size_t nserves;
 };
 
--- a/src/node/control.c
+++ b/src/node/control.c
@@ -756,6 +756,7 @@
 	cc.lease_ms = n->lease_ms;
 	cc.poll_ms = n->poll_ms;
 	cc.max_transit_ms = MAX_TRANSIT_MS;
+	cc.freshness_max_ms = NODE_CONFIG_FRESHNESS_MAX_MS;
 	cc.key_retention_ms = n->key_retention_ms;
 	cc.clock_ppm = NODE_CLOCK_PPM;
 	cc.snapshot_entries = SNAPSHOT_INTERVAL_ENTRIES;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -18,6 +18,8 @@
 #define NODE_KEY_RETENTION_MS	 900000
 #define NODE_LEASE_MS		 6000
 #define NODE_POLL_MS		 1000
+/* Longest time of this setting on any instance; leaders rely on it. */
+#define NODE_CONFIG_FRESHNESS_MAX_MS 7000
 /* Upper bound of the drift between two clocks, in parts per million. */
 #define NODE_CLOCK_PPM 10000
 #define NODE_REPLICAS  3
--- a/src/request/eng_worker.c
+++ b/src/request/eng_worker.c
@@ -338,7 +338,7 @@
 	w->index = index;
 	w->draining = vw->draining;
 	slot_grant(&w->slot, vw->slots, vw->connections, vw->grant_seq,
-	    clk_ns(vw->grant_expiry));
+	    clk_ns(vw->grant_start_until), clk_ns(vw->grant_expiry));
 	e->racks[w->rack].granted += vw->slots;
 	w->counted_slots = w->counted_free = 0;
 	w->counted_usable = false;
--- a/src/request/grant.c
+++ b/src/request/grant.c
@@ -6,6 +6,11 @@
 
 /* Silence, four heartbeats, after which an instance has no demand. */
 #define GRANT_DEMAND_TIMEOUT_MS 2000
+/* From the decision to send a request until the worker has it: the longest time
+ * to connect, and its transit. */
+#define GRANT_SEND_MAX_MS 1500
+/* Position of the leader's term in the sequence number of an offer. */
+#define GRANT_SEQ_TERM_SHIFT 32
 
 /* The slots of one worker that one holder has been offered. */
 struct grant_hold {
@@ -34,6 +39,7 @@
 	unsigned slots, connections, overdue;
 	/* may be held under grants of earlier leaders */
 	unsigned earlier_slots;
+	bool counted; /* earlier_slots are requests that the worker counted */
 	bool draining;
 	double rounding_offset; /* spreads remainders over holders */
 };
@@ -42,8 +48,11 @@
 	struct grant_conf conf;
 	int64_t start_ns; /* when this leader took over */
 	int64_t ttl_ns;	  /* validity of a grant, for the slowest clock */
-	uint64_t term, max_earlier_epoch;
-	uint64_t seq; /* highest of any offer, also of earlier leaders */
+	/* When no request can reach a worker under a grant of an earlier leader
+	 * any more. */
+	int64_t quiet_ns;
+	uint64_t term, fence_term, max_earlier_epoch;
+	uint64_t seq;			/* of the newest offer */
 	struct grant_capacity *workers; /* epoch 0: unused element */
 	size_t nworkers;
 	size_t *by_epoch; /* indexes of the known workers, by epoch */
@@ -62,6 +71,22 @@
 	return p;
 }
 
+/* Returns the ns that ms on any instance's clock last on the leader's clock. */
+static int64_t
+grant_slowest_ns(const struct grant *g, int64_t ms)
+{
+	int64_t ns = ms * CLK_NS_PER_MS;
+
+	return ns + ns / 1000000 * g->conf.clock_ppm + CLK_NS_PER_MS;
+}
+
+/* Returns true if grants of earlier leaders may not have expired. */
+static bool
+grant_earlier_valid(const struct grant *g, int64_t now)
+{
+	return now < g->start_ns + g->ttl_ns;
+}
+
 /*
  * Creates the table of a leader that takes over at now. Nothing is free
  * until grant_set_term has named the term, or ttl_ms (plus the bound of the
@@ -76,22 +101,30 @@
 		abort();
 	g->conf = *conf;
 	g->start_ns = clk_ns(now);
-	g->ttl_ns = conf->ttl_ms * CLK_NS_PER_MS;
-	g->ttl_ns += g->ttl_ns / 1000000 * conf->clock_ppm + CLK_NS_PER_MS;
+	g->ttl_ns = grant_slowest_ns(g, conf->ttl_ms);
+	/* Earlier leaders answered no heartbeat that was sent after now. */
+	g->quiet_ns = INT64_MAX;
+	if (conf->freshness_ms > 0)
+		g->quiet_ns = g->start_ns +
+		    grant_slowest_ns(g, conf->freshness_ms + GRANT_SEND_MAX_MS);
 	g->max_earlier_epoch = UINT64_MAX;
 	return g;
 }
 
 /*
- * Sets the leader's term and the log index at which it began: workers with
- * higher epochs were never granted by an earlier leader. It is called once,
- * before any worker is added. Without it the table is still safe: it grants
- * nothing of any worker until ttl_ms has passed.
+ * Sets the leader's term, the term of the last leader that may have granted
+ * again what was granted before its term, and the log index at which this term
+ * began: workers with higher epochs were never granted by an earlier leader. It
+ * is called once, before any worker is added. Without it the table is still
+ * safe: it grants nothing of any worker until ttl_ms has passed.
  */
 void
-grant_set_term(struct grant *g, uint64_t term, uint64_t max_earlier_epoch)
+grant_set_term(struct grant *g, uint64_t term, uint64_t fence_term,
+    uint64_t max_earlier_epoch)
 {
 	g->term = term;
+	g->seq = term << GRANT_SEQ_TERM_SHIFT;
+	g->fence_term = fence_term;
 	g->max_earlier_epoch = max_earlier_epoch;
 }
 
@@ -174,7 +207,7 @@
 		w->rounding_offset =
 		    fmod((double)epoch * 0.6180339887498949, 1.0);
 		if (epoch <= g->max_earlier_epoch &&
-		    clk_ns(now) < g->start_ns + g->ttl_ns)
+		    grant_earlier_valid(g, clk_ns(now)))
 			w->earlier_slots = slots;
 	}
 	w = &g->workers[i];
@@ -212,6 +245,41 @@
 		g->workers[i].overdue = n;
 }
 
+/*
+ * Returns true if slots of a worker may be held under grants of earlier
+ * leaders, but no request can start under these any more. What holds them then
+ * is only requests on the worker, which it counts in its polls. The caller has
+ * the worker count after this call, and first makes sure that later leaders get
+ * a fence_term that is not below this term.
+ */
+bool
+grant_wants_count(const struct grant *g, struct timespec now, uint64_t epoch)
+{
+	size_t i = grant_worker_index(g, epoch);
+	int64_t t = clk_ns(now);
+
+	return i < g->nworkers && g->workers[i].earlier_slots > 0 &&
+	    t >= g->quiet_ns && grant_earlier_valid(g, t);
+}
+
+/*
+ * Sets the requests that a worker runs, as it counted them after
+ * grant_wants_count had returned true. No more slots than that are in use under
+ * grants of earlier leaders. The count includes requests under grants of this
+ * leader, since the worker can't tell them apart.
+ */
+void
+grant_set_running(struct grant *g, uint64_t epoch, unsigned n)
+{
+	size_t i = grant_worker_index(g, epoch);
+
+	if (i == g->nworkers)
+		return;
+	g->workers[i].counted = true;
+	if (n < g->workers[i].earlier_slots)
+		g->workers[i].earlier_slots = n;
+}
+
 /*
  * Returns the slots of worker i that no instance can hold, that no instance
  * may hold under a grant of an earlier leader, and that no overdue request
@@ -223,7 +291,7 @@
 	const struct grant_capacity *w = &g->workers[i];
 	unsigned unavailable = w->overdue;
 
-	if (now < g->start_ns + g->ttl_ns)
+	if (grant_earlier_valid(g, now))
 		unavailable += w->earlier_slots;
 	for (size_t h = 0; h < g->nholders; h++) {
 		const struct grant_holder *p = g->holders[h];
@@ -328,6 +396,20 @@
 	    floor(cum_share[h] * n + w->rounding_offset));
 }
 
+/*
+ * Returns true if a grant that a holder reports is still its own: no leader
+ * since may have granted the same slots again. Grants of leaders of an earlier
+ * version name no term.
+ */
+static bool
+grant_is_honoured(const struct grant *g, const Control__SlotUse *s)
+{
+	uint64_t term =
+	    s->has_grant_seq ? s->grant_seq >> GRANT_SEQ_TERM_SHIFT : 0;
+
+	return term == 0 || term >= g->fence_term;
+}
+
 /*
  * Updates a holder from a heartbeat that is newer than all before: its demand
  * and what it holds of each worker.
@@ -338,7 +420,7 @@
 {
 	bool knows_term = g->term != 0 && b->has_term && b->term == g->term;
 	bool first_report =
-	    knows_term && !p->follows_leader && now < g->start_ns + g->ttl_ns;
+	    knows_term && !p->follows_leader && grant_earlier_valid(g, now);
 	double demand = 0;
 
 	for (size_t i = 0; i < b->n_demand; i++)
@@ -347,6 +429,8 @@
 				       : p->demand + (demand - p->demand) * 0.1;
 	p->draining = b->has_draining && b->draining;
 	p->follows_leader = p->follows_leader || knows_term;
+	for (size_t i = 0; i < p->nhold; i++)
+		p->hold[i].used = 0;
 	for (size_t i = 0; i < b->n_slots; i++) {
 		const Control__SlotUse *s = b->slots[i];
 		size_t at = grant_worker_index(g, s->epoch);
@@ -357,9 +441,8 @@
 			continue;
 		w = &g->workers[at];
 		d = &p->hold[at];
-		if (s->has_grant_seq && s->grant_seq > g->seq)
-			g->seq = s->grant_seq;
-		if (first_report && w->earlier_slots > 0 && d->expiry_ns == 0) {
+		if (first_report && w->earlier_slots > 0 && !w->counted &&
+		    d->expiry_ns == 0 && grant_is_honoured(g, s)) {
 			/* The holder now ignores grants of earlier leaders,
 			 * so the slots it holds are known. */
 			unsigned n = s->held < w->earlier_slots
@@ -368,7 +451,7 @@
 
 			w->earlier_slots -= n;
 			d->max_usable = d->offered = n;
-			d->offer_seq = s->has_grant_seq ? s->grant_seq : 0;
+			d->offer_seq = ++g->seq;
 			d->expiry_ns = now + g->ttl_ns;
 		} else if (d->expiry_ns > now && s->has_grant_seq &&
 		    s->grant_seq == d->offer_seq) {
@@ -420,14 +503,18 @@
 	struct grant_holder *p = g->holders[h];
 	struct grant_capacity *w = &g->workers[i];
 	struct grant_hold *d = &p->hold[i];
-	unsigned target = grant_target(w, cum_share, h), offer;
+	unsigned target = grant_target(w, cum_share, h), offer, unknown;
 
 	if (d->expiry_ns <= now)
-		d->offered = d->max_usable = d->used = 0;
+		d->offered = d->max_usable = 0;
 	offer = d->offered;
+	/* Requests under grants that are not honoured any more: with an offer
+	 * the holder would report them as held. */
+	unknown = d->used > d->max_usable ? d->used : 0;
 	if (target > offer) {
 		unsigned free = grant_free_by_index(g, now, i);
 
+		free = free > unknown ? free - unknown : 0;
 		/* Slots that the holder may still use under an earlier
 		 * offer are not free, but may be offered to it again. */
 		free += d->max_usable - offer;
@@ -442,8 +529,8 @@
 	if (offer != d->offered) {
 		d->offered = offer;
 		d->offer_seq = ++g->seq;
-		if (offer > d->max_usable)
-			d->max_usable = offer;
+		if (offer + unknown > d->max_usable)
+			d->max_usable = offer + unknown;
 	}
 	if (d->max_usable > 0)
 		d->expiry_ns = now + g->ttl_ns;
--- a/src/request/slot.c
+++ b/src/request/slot.c
@@ -6,11 +6,12 @@
  */
 void
 slot_grant(struct slot *s, unsigned granted, unsigned connections, uint64_t seq,
-    int64_t expiry)
+    int64_t start_until, int64_t expiry)
 {
 	s->granted = granted;
 	s->connections = connections;
 	s->grant_seq = seq;
+	s->start_until_ns = start_until;
 	s->expiry_ns = expiry;
 }
 
@@ -23,8 +24,8 @@
 {
 	unsigned slots, conns, open = s->used + s->probes;
 
-	if (s->expiry_ns <= now || s->granted <= s->used ||
-	    s->connections <= open)
+	if (s->expiry_ns <= now || s->start_until_ns <= now ||
+	    s->granted <= s->used || s->connections <= open)
 		return 0;
 	slots = s->granted - s->used;
 	conns = s->connections - open;
--- a/src/request/slot.h
+++ b/src/request/slot.h
@@ -18,12 +18,13 @@
 	unsigned lingering;   /* ended here, may still run on the worker */
 	unsigned probes;      /* connections of probes */
 	uint64_t grant_seq;
-	int64_t expiry_ns; /* of the grant */
+	int64_t start_until_ns; /* the grant lets no request start after */
+	int64_t expiry_ns;	/* of the grant */
 };
 
 /* Replaces the grant by a newer one. */
 void slot_grant(struct slot *, unsigned granted, unsigned connections,
-    uint64_t seq, int64_t expiry);
+    uint64_t seq, int64_t start_until, int64_t expiry);
 /* Returns the number of requests that may be sent at now. */
 unsigned slot_free(const struct slot *, int64_t now);
 /* Returns true if the grant outlasts a request that may run until deadline. */
--- a/src/request/tests/eng_sim_test.cc
+++ b/src/request/tests/eng_sim_test.cc
@@ -100,6 +100,7 @@
 		w.slots = x.share;
 		w.connections = 7 * x.share;
 		w.grant_seq = 1;
+		w.grant_start_until = clk_from_ns(now + 3000 * MS);
 		w.grant_expiry = clk_from_ns(now + GRANT_TTL);
 		w.serves = serves;
 		w.nserves = 2;
--- a/src/request/tests/eng_test.cc
+++ b/src/request/tests/eng_test.cc
@@ -57,8 +57,10 @@
 
 		view.config_version = 1;
 		view.fresh_until = clk_from_ns(now + 3000000000);
-		for (auto &w : workers)
+		for (auto &w : workers) {
+			w.grant_start_until = view.fresh_until;
 			w.grant_expiry = clk_from_ns(now + 32000000000);
+		}
 		view.classes = classes.data();
 		view.nclasses = classes.size();
 		view.workers = workers.data();
--- a/src/request/tests/grant_test.cc
+++ b/src/request/tests/grant_test.cc
@@ -13,7 +13,9 @@
 namespace {
 
 const int64_t MS = 1000000;
-const int64_t TTL_MS = 4000;
+const int64_t TTL_MS = 4000, FRESH_MS = 700;
+/* Longest time from the decision to send a request to its arrival. */
+const int64_t SEND_MS = 1480;
 const unsigned SLOTS = 8, CONNS = 60;
 
 /* Slots and the sequence number of the grant that gave them. */
@@ -22,12 +24,19 @@
 	uint64_t seq;
 };
 
+/* A request, in true time. Its slot is released later than it ends if its
+ * answer is lost. */
+struct Run {
+	int64_t arrival, end, release;
+};
+
 /* What an instance holds of one worker. */
 struct Held {
 	unsigned slots = 0, conns = 0;
 	uint64_t seq = 0;
-	int64_t expiry = 0;	   /* by the clock of the instance */
-	std::vector<int64_t> ends; /* of running requests, true time */
+	/* By the clock of the instance. */
+	int64_t start_until = 0, expiry = 0;
+	std::vector<Run> runs;
 };
 
 /* An instance, which applies replies and uses the slots granted. */
@@ -37,7 +46,7 @@
 	double rate; /* of its clock, 1 is exact */
 	bool alive = true;
 	int64_t partitioned_until = 0; /* no messages before */
-	uint64_t term = 0, heartbeat = 0;
+	uint64_t term = 0, heartbeat = 0, newest_reply = 0;
 	double demand = 0;
 	/* Time of each heartbeat, by its own clock. */
 	std::map<uint64_t, int64_t> sent;
@@ -64,6 +73,14 @@
 	std::map<uint64_t, unsigned> conns;
 };
 
+/* A poll of a worker, or its answer, in transit. */
+struct Poll {
+	int64_t at;
+	bool answer;
+	uint64_t epoch, order; /* order: to count, by term */
+	unsigned running;
+};
+
 /* Simulation of instances, successive leaders and an unreliable network. */
 struct GrantSim {
 	struct rng r;
@@ -72,6 +89,12 @@
 	std::vector<Instance> instances;
 	std::vector<uint64_t> epochs;
 	std::vector<Msg> net;
+	/* Instances start requests for FRESH_MS, and workers count them. */
+	bool counts;
+	uint64_t fence = 0; /* term */
+	int64_t ttl_ms;
+	std::vector<Poll> polls;
+	std::map<uint64_t, uint64_t> carried_out, ordered; /* by worker */
 	struct grant *leader = NULL;
 	unsigned node = 0;
 	uint64_t term = 0, index = 100;
@@ -79,9 +102,10 @@
 	double loss, duplicates;
 	double slow; /* share of messages delayed by seconds */
 	bool violated = false;
-	unsigned long leaders = 0, moved = 0, checks = 0;
+	unsigned long leaders = 0, moved = 0, checks = 0, counted = 0;
 
-	explicit GrantSim(uint64_t s) : seed(s)
+	explicit GrantSim(uint64_t s, bool count = false)
+	    : seed(s), counts(count), ttl_ms(count ? 4 * TTL_MS : TTL_MS)
 	{
 		rng_init(&r, s);
 		loss = rng_unit(&r) * 0.4;
@@ -127,7 +151,8 @@
 	/* Replaces the leader by one that knows only the workers. */
 	void elect()
 	{
-		struct grant_conf conf = { TTL_MS, 10000, 1 };
+		struct grant_conf conf = { ttl_ms, 10000, 1,
+			counts ? FRESH_MS : 0 };
 
 		talloc_free(leader);
 		leader_rate = skew();
@@ -135,7 +160,8 @@
 		node = (unsigned)rng_below(&r, 3);
 		term++;
 		leaders++;
-		grant_set_term(leader, term, ++index);
+		ordered.clear();
+		grant_set_term(leader, term, fence, ++index);
 		for (uint64_t e : epochs)
 			grant_update_worker(
 			    leader, leader_now(), e, SLOTS, CONNS, false);
@@ -153,23 +179,38 @@
 			net.push_back(m);
 		}
 	}
-	/* Ends the requests whose time has come. */
+	/* Releases the slots of requests whose time has come. */
 	void end_requests()
 	{
 		for (Instance &i : instances)
 			for (auto &h : i.held) {
-				auto &v = h.second.ends;
+				auto &v = h.second.runs;
 
-				v.erase(
-				    std::remove_if(v.begin(), v.end(),
-					[&](int64_t t) { return t <= now; }),
+				v.erase(std::remove_if(v.begin(), v.end(),
+					    [&](const Run &x) {
+						    return x.release <= now;
+					    }),
 				    v.end());
 			}
 	}
+	/* Returns the requests on their way to the worker or running there. */
+	unsigned pending(const Held &h)
+	{
+		unsigned n = 0;
+
+		for (const Run &x : h.runs)
+			n += x.end > now;
+		return n;
+	}
+	/* Returns the slots of a grant that has not expired. */
+	unsigned valid(const Instance &i, const Held &h)
+	{
+		return i.alive && h.expiry > i.own(now) ? h.slots : 0;
+	}
 	/* Returns the slots that an instance may use now. */
 	unsigned granted(const Instance &i, const Held &h)
 	{
-		return i.alive && h.expiry > i.own(now) ? h.slots : 0;
+		return counts && h.start_until <= i.own(now) ? 0 : valid(i, h);
 	}
 	/* Sends a heartbeat of instance n, to a former leader at times. */
 	void heartbeat(size_t n)
@@ -187,9 +228,9 @@
 		if (i.partitioned_until > now)
 			return;
 		for (auto &h : i.held) {
-			unsigned used = (unsigned)h.second.ends.size();
+			unsigned used = (unsigned)h.second.runs.size();
 
-			m.use[h.first] = { std::max(granted(i, h.second), used),
+			m.use[h.first] = { std::max(valid(i, h.second), used),
 				h.second.seq };
 			m.used[h.first] = used;
 		}
@@ -248,19 +289,17 @@
 	{
 		Instance &i = instances[m.inst];
 
-		if (!i.alive || i.partitioned_until > now || m.term < i.term)
+		if (!i.alive || i.partitioned_until > now || m.term < i.term ||
+		    m.heartbeat <= i.newest_reply)
 			return;
 		i.term = m.term;
+		i.newest_reply = m.heartbeat;
 		for (auto &g : m.grants) {
 			Held &h = i.held[g.first];
-			int64_t expiry = i.sent[m.heartbeat] + TTL_MS * MS;
 
-			if (g.second.seq < h.seq || expiry <= i.own(now))
-				continue;
 			moved += g.second.slots > h.slots;
-			h.expiry = g.second.seq == h.seq
-			    ? std::max(h.expiry, expiry)
-			    : expiry;
+			h.start_until = i.sent[m.heartbeat] + FRESH_MS * MS;
+			h.expiry = i.sent[m.heartbeat] + ttl_ms * MS;
 			h.seq = g.second.seq;
 			h.slots = g.second.slots;
 			h.conns = m.conns.at(g.first);
@@ -273,12 +312,73 @@
 			Held &h = x.second;
 			int64_t left = h.expiry - i.own(now);
 
+			int64_t latest = now + left - left / 100;
+
 			left -= left / 100;
-			while (h.ends.size() < granted(i, h) && left > 2 * MS &&
-			    rng_chance(&r, 0.7))
-				h.ends.push_back(now +
-				    (int64_t)rng_below(&r, (uint64_t)left));
+			/* Some requests are short, so that counts differ. */
+			if (counts && rng_chance(&r, 0.7))
+				left = std::min(left, 1500 * MS);
+			while (h.runs.size() < granted(i, h) && left > 2 * MS &&
+			    rng_chance(&r, 0.7)) {
+				int64_t send =
+				    counts ? rng_below(&r, SEND_MS) * MS : 0;
+
+				int64_t end = now +
+				    (int64_t)rng_below(&r, (uint64_t)left);
+				bool lost = counts && rng_chance(&r, 0.2);
+
+				h.runs.push_back(
+				    { now + send, end, lost ? latest : end });
+			}
+		}
+	}
+	/* Returns the requests that a worker runs. */
+	unsigned running(uint64_t epoch)
+	{
+		unsigned n = 0;
+
+		end_requests();
+		for (Instance &i : instances)
+			for (const Run &x : i.held[epoch].runs)
+				n += x.arrival <= now && x.end > now;
+		return n;
+	}
+	/* Sends a poll or its answer, like send. */
+	void send_poll(Poll p)
+	{
+		int copies = rng_chance(&r, loss) ? 0 : 1;
+
+		copies += rng_chance(&r, duplicates) ? 1 : 0;
+		for (; copies > 0; copies--) {
+			p.at = now + (int64_t)rng_below(&r, 5 * MS);
+			if (rng_chance(&r, slow))
+				p.at += (int64_t)rng_below(&r, 3000 * MS);
+			polls.push_back(p);
+		}
+	}
+	/* Handles a poll at the leader as a cell does, or an answer. */
+	void receive_poll(const Poll &p)
+	{
+		uint64_t &order = ordered[p.epoch];
+
+		if (p.answer) {
+			uint64_t &done = carried_out[p.epoch];
+
+			done = std::max(done, p.order);
+			return;
+		}
+		if (order != 0 && p.order >= order) {
+			unsigned free =
+			    grant_free_slots(leader, leader_now(), p.epoch);
+
+			grant_set_running(leader, p.epoch, p.running);
+			counted += grant_free_slots(
+				       leader, leader_now(), p.epoch) > free;
 		}
+		if (order == 0 &&
+		    grant_wants_count(leader, leader_now(), p.epoch))
+			order = fence = term;
+		send_poll({ 0, true, p.epoch, order, 0 });
 	}
 	/* Returns true if the real use of each worker is within its limits. The
 	 * sums are computed independently of the code under test. */
@@ -291,8 +391,7 @@
 			for (Instance &i : instances) {
 				Held &h = i.held[e];
 
-				sum += std::max(
-				    granted(i, h), (unsigned)h.ends.size());
+				sum += std::max(granted(i, h), pending(h));
 				if (granted(i, h) > 0)
 					conns += h.conns;
 			}
@@ -330,6 +429,10 @@
 			elect();
 		} else if (p < 0.815) {
 			worker();
+		} else if (counts) {
+			uint64_t e = epochs[rng_below(&r, epochs.size())];
+
+			send_poll({ 0, false, e, carried_out[e], running(e) });
 		}
 		deliver();
 	}
@@ -348,6 +451,16 @@
 			m.reply ? receive_reply(m) : receive_heartbeat(m);
 			violated = violated || !within_limits();
 		}
+		for (size_t k = 0; k < polls.size();) {
+			Poll x = polls[k];
+
+			if (x.at > now) {
+				k++;
+				continue;
+			}
+			polls.erase(polls.begin() + (long)k);
+			receive_poll(x);
+		}
 	}
 	/* Sends heartbeats of all live instances and delivers the replies. */
 	void settle(int rounds)
@@ -394,6 +507,86 @@
 	EXPECT_GT(moved, rounds * 10);
 }
 
+/* Guards against the same with workers that count their requests, so that slots
+ * of silent instances are granted again before their grants expire. */
+TEST(Grant, NeverGrantsWhatMayBeInUseAfterACount)
+{
+	unsigned long counted = 0, rounds = 400;
+
+	for (uint64_t seed = 1; seed <= rounds; seed++) {
+		GrantSim w(seed, true);
+
+		for (int i = 0; i < 1200 && !w.violated; i++) {
+			w.event();
+			w.violated = w.violated || !w.within_limits();
+		}
+		ASSERT_FALSE(w.violated) << "seed " << seed;
+		counted += w.counted;
+	}
+	printf("figure freed_by_count %lu\n", counted);
+	EXPECT_GT(counted, rounds);
+}
+
+/* Guards against a new leader that leaves a worker unused until grants of
+ * instances that are gone have expired, although the worker runs nothing. */
+TEST(Grant, SlotsOfSilentInstancesAreFreeOnceTheWorkerCountsFewer)
+{
+	GrantSim w(3, true);
+	uint64_t e = w.epochs[0];
+	Instance &in = w.instances[0];
+	int64_t start;
+
+	while (w.instances.size() > 1)
+		w.instances.pop_back();
+	w.elect();
+	start = w.now;
+	in.demand = 100;
+	while (!grant_wants_count(w.leader, w.leader_now(), e)) {
+		w.settle(1);
+		EXPECT_EQ(0u, w.granted(in, in.held[e]));
+		ASSERT_LT(w.now, start + w.ttl_ms * MS);
+	}
+	EXPECT_GE(w.now, start + (FRESH_MS + 1500) * MS);
+	grant_set_running(w.leader, e, 3);
+	w.settle(2);
+	EXPECT_EQ(SLOTS - 3, w.granted(in, in.held[e]));
+	grant_set_running(w.leader, e, 5);
+	w.settle(1);
+	EXPECT_EQ(SLOTS - 3, w.granted(in, in.held[e]));
+	grant_set_running(w.leader, e, 0);
+	w.settle(1);
+	EXPECT_EQ(SLOTS, w.granted(in, in.held[e]));
+	EXPECT_FALSE(grant_wants_count(w.leader, w.leader_now(), e));
+	EXPECT_LT(w.now, start + w.ttl_ms * MS);
+}
+
+/* Guards against an instance that starts requests under its earlier grants when
+ * it is back after a count. */
+TEST(Grant, AnInstanceThatReturnsLateLosesItsEarlierGrants)
+{
+	GrantSim w(4, true);
+	uint64_t e = w.epochs[0];
+
+	while (w.instances.size() > 2)
+		w.instances.pop_back();
+	w.settle(10);
+	EXPECT_EQ(SLOTS / 2, w.granted(w.instances[1], w.instances[1].held[e]));
+	w.elect();
+	w.instances[1].partitioned_until = w.now + 3000 * MS;
+	while (!grant_wants_count(w.leader, w.leader_now(), e))
+		w.settle(1);
+	grant_set_running(w.leader, e, 0);
+	w.settle(1);
+	EXPECT_EQ(SLOTS, w.granted(w.instances[0], w.instances[0].held[e]));
+	w.instances[1].partitioned_until = 0;
+	w.settle(1);
+	EXPECT_TRUE(w.within_limits());
+	EXPECT_EQ(0u, w.granted(w.instances[1], w.instances[1].held[e]));
+	w.settle(10);
+	EXPECT_TRUE(w.within_limits());
+	EXPECT_EQ(SLOTS / 2, w.granted(w.instances[1], w.instances[1].held[e]));
+}
+
 /* Guards against slots that stay unused while an instance has demand for them,
  * and against an instance that loses all its slots. */
 TEST(Grant, MovesSlotsToWhereDemandIs)
