Divide only the slots that instances can get

An instance that was killed and started again got no slot of a worker for up to 32 s, while another instance had two or three: restarting instances 1 and 2 of three one after the other left instance 2 without service for more than 20 s (8 slots, one worker). The slots of the earlier incarnations are held until their grants expire, which is right, but the targets divided all 8 slots, so that the live instances never seemed to have more than their share and nothing was taken back from them.

Slots that silent holders have, and after quiet_ns those under grants of earlier leaders, are now left out of what is divided. Offers still grow only by free slots, so no bound changes.

--- a/src/request/grant.c
+++ b/src/request/grant.c
@@ -364,6 +364,13 @@
 	g->nholders = n;
 }
 
+/* Returns true if a holder has missed several heartbeats. */
+static bool
+grant_is_silent(const struct grant_holder *p, int64_t now)
+{
+	return p->last_heard_ns + GRANT_DEMAND_TIMEOUT_MS * CLK_NS_PER_MS < now;
+}
+
 /*
  * Returns the weight of a holder in the division of slots: its demand plus the
  * reserve, so that an idle instance keeps some slots. It is 0 if the holder is
@@ -372,26 +379,47 @@
 static double
 grant_weight(const struct grant *g, const struct grant_holder *p, int64_t now)
 {
-	if (p->draining ||
-	    p->last_heard_ns + GRANT_DEMAND_TIMEOUT_MS * CLK_NS_PER_MS < now)
+	if (p->draining || grant_is_silent(p, now))
 		return 0;
 	return p->demand +
 	    (g->conf.reserve_slots > 0 ? g->conf.reserve_slots : 1);
 }
 
 /*
- * Returns the slots of a worker that holder number h should have: its share of
- * the demand. cum_share has the cumulated shares. Rounding these makes the
- * targets of all holders add up to the slots; the offset makes remainders fall
- * on different holders at different workers.
+ * Returns the slots of worker i that can be divided among the instances: those
+ * that neither overdue requests nor silent holders have. Instances that follow
+ * this leader have reported their earlier slots by quiet_ns.
  */
 static unsigned
-grant_target(const struct grant_capacity *w, const double *cum_share, size_t h)
+grant_divisible(const struct grant *g, int64_t now, size_t i)
 {
-	double n = w->overdue < w->slots ? w->slots - w->overdue : 0;
+	const struct grant_capacity *w = &g->workers[i];
+	unsigned unavailable = w->overdue;
 
 	if (w->draining)
 		return 0;
+	if (now >= g->quiet_ns && grant_earlier_valid(g, now))
+		unavailable += w->earlier_slots;
+	for (size_t h = 0; h < g->nholders; h++) {
+		const struct grant_holder *p = g->holders[h];
+
+		if (i < p->nhold && p->hold[i].expiry_ns > now &&
+		    grant_is_silent(p, now))
+			unavailable += p->hold[i].max_usable;
+	}
+	return unavailable < w->slots ? w->slots - unavailable : 0;
+}
+
+/*
+ * Returns the slots of a worker that holder number h should have: its share of
+ * the demand, of the n slots that can be divided. cum_share has the cumulated
+ * shares. Rounding these makes the targets of all holders add up to n; the
+ * offset makes remainders fall on different holders at different workers.
+ */
+static unsigned
+grant_target(const struct grant_capacity *w, unsigned n,
+    const double *cum_share, size_t h)
+{
 	return (unsigned)(floor(cum_share[h + 1] * n + w->rounding_offset) -
 	    floor(cum_share[h] * n + w->rounding_offset));
 }
@@ -467,11 +495,11 @@
 
 /*
  * Returns true if unused slots of worker i should be taken back from holder
- * number self: another holder has less than its target, or more slots are
- * offered than the worker has.
+ * number self: another holder has less than its target of the n slots that can
+ * be divided, or more slots are offered than the worker has.
  */
 static bool
-grant_should_reclaim(const struct grant *g, int64_t now, size_t i,
+grant_should_reclaim(const struct grant *g, int64_t now, size_t i, unsigned n,
     const double *cum_share, size_t self)
 {
 	const struct grant_capacity *w = &g->workers[i];
@@ -484,7 +512,7 @@
 		if (i < p->nhold && p->hold[i].expiry_ns > now)
 			offered = p->hold[i].offered;
 		sum += offered;
-		if (h != self && offered < grant_target(w, cum_share, h))
+		if (h != self && offered < grant_target(w, n, cum_share, h))
 			return true;
 	}
 	return sum > w->slots;
@@ -503,7 +531,8 @@
 	struct grant_holder *p = g->holders[h];
 	struct grant_capacity *w = &g->workers[i];
 	struct grant_hold *d = &p->hold[i];
-	unsigned target = grant_target(w, cum_share, h), offer, unknown;
+	unsigned n = grant_divisible(g, now, i);
+	unsigned target = grant_target(w, n, cum_share, h), offer, unknown;
 
 	if (d->expiry_ns <= now)
 		d->offered = d->max_usable = 0;
@@ -521,7 +550,7 @@
 		offer += target - offer < free ? target - offer : free;
 	} else if (target < offer &&
 	    (w->draining || p->draining ||
-		grant_should_reclaim(g, now, i, cum_share, h))) {
+		grant_should_reclaim(g, now, i, n, cum_share, h))) {
 		unsigned least = d->used < offer ? d->used : offer;
 
 		offer = target > least ? target : least;
--- a/src/request/tests/grant_test.cc
+++ b/src/request/tests/grant_test.cc
@@ -616,6 +616,30 @@
 	EXPECT_GE(busy, 20u);
 }
 
+/* Guards against instances that get no slot until the grants of their earlier
+ * incarnations have expired, while another instance has several. */
+TEST(Grant, RestartedInstancesShareWhatIsLeft)
+{
+	GrantSim w(8);
+
+	while (w.instances.size() > 3)
+		w.instances.pop_back();
+	w.settle(10);
+	for (size_t n = 0; n < 2; n++) {
+		w.instances[n].alive = false;
+		w.join(w.instances[n].id);
+		w.settle(4);
+		EXPECT_TRUE(w.within_limits());
+	}
+	w.settle(2);
+	for (uint64_t e : w.epochs)
+		for (size_t n = 2; n < w.instances.size(); n++) {
+			Instance &i = w.instances[n];
+
+			EXPECT_GT(w.granted(i, i.held[e]), 0u) << n;
+		}
+}
+
 /* Guards against granting slots of a draining worker, slots that overdue
  * requests occupy, or connections that the worker does not have. */
 TEST(Grant, RespectsDrainOverdueAndConnections)
--- a/tests/restart_service.sh
+++ b/tests/restart_service.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against requests that are refused for the validity of a slot grant
-# after all instances were killed and started again, although the only worker is
-# idle.
+# after all instances were killed and started again, or one after the other,
+# although the only worker is idle.
 set -u
 cd "$(dirname "$0")/.."
 . scripts/cluster.sh
@@ -25,8 +25,11 @@
 	wait_for 20 "service by instance $i" is_served "$i"
 done
 # The log holds an entry without a command now.
-instance_kill 1
-instance_start 1
-wait_for 20 "readiness of instance 1" instance_ready 1
+for i in 1 2 3; do
+	instance_kill "$i"
+	instance_start "$i"
+	wait_for 20 "readiness of instance $i" instance_ready "$i"
+	wait_for 20 "service by instance $i" is_served "$i"
+done
 check_instances_alive
-echo "all instances serve again after a restart of all"
+echo "all instances serve again after a restart of all and of each"
