Return early from an assignment without a task

clang-tidy reports a null dereference in start_assigned: it can't tell that an assignment of an unknown task is never committed as valid. No behaviour changes.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -399,8 +399,11 @@
 handle_assign(
     struct jlead *jl, const struct jst_result *res, const Job__Assign *a)
 {
-	struct jrun *r = res->task == NULL ? NULL : res->task->active_run;
+	struct jrun *r;
 
+	if (res->task == NULL)
+		return;
+	r = res->task->active_run;
 	if (res->status == STATUS_OK)
 		start_assigned(jl, res, a);
 	else if (r != NULL && is_proposed_by(r, a))
