--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -99,11 +99,15 @@
 	cluster_pids+=($!)
 }
 
-# Kills an instance, disowned first so that the shell doesn't report its end.
+# Kills an instance, disowned first so that the shell doesn't report its end, and
+# waits until it has released its ports.
 instance_kill() {
 	killed[$1]=1
 	disown "${instance_pid[$1]}"
 	kill -KILL "${instance_pid[$1]}"
+	while kill -0 "${instance_pid[$1]}" 2>/dev/null; do
+		sleep 0.01
+	done
 }
 
 # Fails if an instance has ended that was not killed.
