List two faults of the incident's class that are not fixed

JobLead.ASubmissionSentAgainAfterAStepOfTheClockIsKnown: a step of the time of day by three minutes and more.

--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -725,6 +725,31 @@
 	}
 }
 
+/* Guards against a job that runs twice because its submission is sent again
+ * after a leader's time of day was set ahead, by more than ended jobs are
+ * kept. */
+TEST(JobLead, ASubmissionSentAgainAfterAStepOfTheClockIsKnown)
+{
+	JobSim s(6);
+	s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.submit(1, "fast", { JobSim::step(1, 1000) });
+	s.run(2000);
+	ASSERT_EQ(JST_COMPLETED, s.state(1));
+	const Job__Submit *m = jst_find_job(&s.st, 1)->submit;
+	std::vector<uint8_t> buf(job__submit__get_packed_size(m));
+	job__submit__pack(m, buf.data());
+	Job__Submit *again = job__submit__unpack(NULL, buf.size(), buf.data());
+	Job__Command c = JOB__COMMAND__INIT;
+	struct jst_result r;
+	again->at_ms = s.now_ms + JST_ENDED_RETENTION_MS + 1000;
+	c.submit = again;
+	jlead_apply(&s.jl, s.now(), again->at_ms, &c, &r);
+	EXPECT_EQ(STATUS_EXISTS, r.status);
+	job__submit__free_unpacked(again, NULL);
+}
+
 class JobAsked : public testing::TestWithParam<unsigned> {};
 
 /* Guards against work that no client submitted: a start with another
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -120,6 +120,7 @@
 	uint32_t relays_losing_answers = 0;
 	/* registration to which calls that start a task are lost; 0: none */
 	uint64_t drop_starts_to = 0;
+	bool drop_stops = false; /* orders to stop are lost there too */
 	uint32_t max_attempts = 3; /* in the configuration */
 	/* orders to throttle are carried out after the delay, and their answers
 	 * are lost */
@@ -717,7 +718,9 @@
 			s->check_order(l, key(c->task));
 		uint64_t incarnation = s->worker_of(c->worker).incarnation;
 		bool lost = rng_chance(&s->rng, s->loss_rate) ||
-		    (c->worker == s->drop_starts_to && c->kind == JL_START);
+		    (c->worker == s->drop_starts_to &&
+			(c->kind == JL_START ||
+			    (s->drop_stops && c->kind == JL_STOP)));
 		if (lost)
 			s->last_fault_ms = s->now_ms;
 		if (rng_chance(&s->rng, s->relay_dropped_rate)) {
--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -148,6 +148,23 @@
 	EXPECT_GE((s.starts[{ 1, 0, 0, 0 }]), 2);
 }
 
+/* Guards against a task that waits without end for the stop of a start which
+ * was never confirmed, at a worker that answers nothing but polls. */
+TEST(JobKept, ATaskWhoseStartAndStopAreLostGoesElsewhere)
+{
+	JobSim s(5);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.drop_starts_to = a;
+	s.drop_stops = true;
+	s.submit(1, "batch", { lasting_step(1, 1000) });
+	s.run(200);
+	uint64_t b = s.add_worker(8000);
+	s.run(JLEAD_START_MS + JLEAD_LEASE_MS + 3000);
+	EXPECT_EQ(1U, s.workers[b].running.size());
+}
+
 /* Guards against a start that is repeated at a worker which has begun to drain,
  * until it is carried out there. */
 TEST(JobKept, AStartIsNotRepeatedAtADrainingWorker)
