Test that the vote of a removed replica isn't counted

A replica that was removed while it was unreachable answers requests for votes as before. A candidate counts the votes of the members in its log only, so this has no effect.

--- a/src/control/tests/raft_test.cc
+++ b/src/control/tests/raft_test.cc
@@ -328,6 +328,46 @@
 	EXPECT_TRUE(raft_is_up_to_date(r, clk_from_ns(now)));
 }
 
+/* Guards against an election that is won with the vote of a replica that was
+ * removed and doesn't know it. */
+TEST_F(RaftStep, TheVoteOfARemovedReplicaIsNotCounted)
+{
+	Control__Member member[3], *left[3];
+	Control__Members list = CONTROL__MEMBERS__INIT;
+	uint8_t buf[200];
+	for (size_t i = 0; i < 3; i++) {
+		control__member__init(&member[i]);
+		member[i].replica = member[i].instance = i == 2 ? 4 : i + 1;
+		member[i].voter = 1;
+		left[i] = &member[i];
+	}
+	list.members = left;
+	list.n_members = 3;
+	start(1, 0, {});
+	Control__Entry e = CONTROL__ENTRY__INIT, *p = &e;
+	e.index = e.term = 1;
+	e.kind = CONTROL__ENTRY_KIND__ENTRY_MEMBERS;
+	e.has_data = 1;
+	e.data.data = buf;
+	e.data.len = control__members__pack(&list, buf);
+	Control__RaftMsg m = msg(CONTROL__RAFT_KIND__RAFT_APPEND, 1, 2);
+	m.n_entries = 1;
+	m.entries = &p;
+	receive(m);
+	now += 3 * kSecond;
+	tick();
+	ASSERT_EQ(RAFT_PRE_CANDIDATE, raft_role(r));
+	receive(msg(CONTROL__RAFT_KIND__RAFT_PREVOTE_REPLY, 2, 3));
+	EXPECT_EQ(RAFT_PRE_CANDIDATE, raft_role(r));
+	receive(msg(CONTROL__RAFT_KIND__RAFT_PREVOTE_REPLY, 2, 4));
+	EXPECT_EQ(RAFT_CANDIDATE, raft_role(r));
+	synced(persist_seq());
+	receive(msg(CONTROL__RAFT_KIND__RAFT_VOTE_REPLY, 2, 3));
+	EXPECT_EQ(RAFT_CANDIDATE, raft_role(r));
+	receive(msg(CONTROL__RAFT_KIND__RAFT_VOTE_REPLY, 2, 4));
+	EXPECT_EQ(RAFT_LEADER, raft_role(r));
+}
+
 /* Guards against a membership change while another one, or the first entry of
  * the leader's term, is not committed: two majorities without a common replica
  * would be possible. */
