Don't let one batch of calls with an impossible time make later ones stale

The least delay of a leader's batches tells which of them were delayed. One batch with a time far in the future set it for good: from then on this replica answered every batch of that leader as late, and made none of its calls until the next term. A negative time made the difference overflow.

A batch with a time that no clock shows, or that lies in the future by more than JRELAY_STALE_MS, is now answered as not made and isn't noted.

Relay.ABatchFromTheFutureDoesNotMakeLaterOnesStale: the good call after them was answered with JL_RELAY_DROPPED before.

--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -315,20 +315,25 @@
  * and it was not delayed on its way. A batch whose sender has a clock of
  * unknown difference may be of any age and is refused; senders of earlier
  * versions don't set clock_told and are judged by the delay of their other
- * batches only.
+ * batches only. One from the future isn't noted: it would make all later ones
+ * look late.
  */
 static bool
 is_batch_fresh(
     struct relay *rl, uint32_t from, const Job__WorkerCalls *m, int64_t now_ms)
 {
-	int64_t ahead_ms;
+	int64_t ahead_ms, delay_ms;
 
-	if (m->token != rl->token)
-		return false;
-	if (m->clock_told &&
-	    (!rl->conf.get_clock_ahead(rl->conf.arg, from, &ahead_ms) ||
-		now_ms - m->sent_ms - ahead_ms > JRELAY_STALE_MS))
+	if (m->token != rl->token || m->sent_ms < 0 ||
+	    m->sent_ms > RELAY_TIME_MAX_MS)
 		return false;
+	if (m->clock_told) {
+		if (!rl->conf.get_clock_ahead(rl->conf.arg, from, &ahead_ms))
+			return false;
+		delay_ms = now_ms - m->sent_ms - ahead_ms;
+		if (delay_ms > JRELAY_STALE_MS || delay_ms < -JRELAY_STALE_MS)
+			return false;
+	}
 	return jrelay_is_fresh(
 	    &rl->batch_age, from, m->token, m->sent_ms, now_ms);
 }
@@ -343,25 +348,25 @@
 	    rl->batch_age.leader != from || rl->batch_age.token != m->token;
 	struct jl_reply r;
 	struct jl_call c;
-	int64_t age_ms;
+	int64_t age_ms, delay_ms = m->sent_ms < 0 ? 0 : now_ms - m->sent_ms;
 	bool fresh, valid;
 	size_t i;
 
 	relay_on_leader(rl, m->token);
 	fresh = is_batch_fresh(rl, from, m, now_ms);
-	age_ms = now_ms - m->sent_ms - rl->batch_age.min_delay_ms;
+	age_ms = delay_ms - rl->batch_age.min_delay_ms;
 	if (first)
 		log_event(LOG_NOTICE, "relay",
 		    "event=first_calls from=%u token=%" PRIu64
 		    " calls=%zu delay_ms=%" PRId64,
-		    from, m->token, m->n_calls, now_ms - m->sent_ms);
+		    from, m->token, m->n_calls, delay_ms);
 	if (!fresh) {
 		ctr_add(rl->conf.ctr, NCTR_RELAY_STALE, m->n_calls);
 		log_event(LOG_NOTICE, "relay",
 		    "event=stale_calls from=%u token=%" PRIu64
 		    " newest_token=%" PRIu64 " calls=%zu delay_ms=%" PRId64
 		    " min_delay_ms=%" PRId64,
-		    from, m->token, rl->token, m->n_calls, now_ms - m->sent_ms,
+		    from, m->token, rl->token, m->n_calls, delay_ms,
 		    rl->batch_age.min_delay_ms);
 	}
 	for (i = 0; i < m->n_calls; i++) {
--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -25,6 +25,8 @@
 #define RELAY_TIMEOUT_MARGIN_MS 1000
 /* Connections to one worker: one for a long poll, two for orders. */
 #define RELAY_WORKER_CONNECTIONS 3
+/* Greatest time on the clock of an instance. */
+#define RELAY_TIME_MAX_MS (INT64_C(1) << 52)
 /* An instance that has sent no ping for this long gets no more calls; three
  * times CALLER_PING_MS. */
 #define RELAY_PEER_SILENT_MS 1600
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -296,6 +296,24 @@
 	EXPECT_EQ(JL_OK, leader.replies[1].kind);
 }
 
+/* Guards against one batch with an impossible time after which all batches of
+ * its leader count as late. */
+TEST_F(Relay, ABatchFromTheFutureDoesNotMakeLaterOnesStale)
+{
+	server->steps = { { http("{\"clockMs\":77}"), false } };
+	for (int64_t sent_ms : { (int64_t)INT64_MIN, (int64_t)-1,
+		 now_ms + 3600000, (int64_t)INT64_MAX }) {
+		Job__WorkerCalls bad = JOB__WORKER_CALLS__INIT;
+		bad.token = make_poll(1).token;
+		bad.sent_ms = sent_ms;
+		bad.has_clock_told = bad.clock_told = 1;
+		relay_on_calls(other.rl, 1, &bad);
+	}
+	call(make_poll(1), 500);
+	ASSERT_TRUE(loop_until(ev, &got_reply));
+	EXPECT_EQ(JL_OK, leader.replies[0].kind);
+}
+
 /* Guards against orders of a leader that are sent although this instance knows
  * of a later leader. */
 TEST_F(Relay, CallsOfAnEarlierLeaderAreNotMade)
