--- a/tests/core_disk.sh
+++ b/tests/core_disk.sh
@@ -4,65 +4,9 @@
 # disk has space.
 set -u
 cd "$(dirname "$0")/.."
-build=${1:-build/rel}
-port=${CLUSTER_PORT:-10000}
-net=127.93.$((port / 500 % 200))
-work=$(mktemp -d)
-pids=()
+. scripts/replicas.sh
 
-cleanup() {
-	for p in "${pids[@]}"; do
-		kill -9 "$p" 2>/dev/null
-	done
-	wait 2>/dev/null
-	rm -rf "$work"
-}
-trap cleanup EXIT
-
-fail() {
-	echo "core_disk: $1"
-	tail -n 20 "$work"/core-*.log
-	exit 1
-}
-
-wait_for() { # SECONDS WHAT COMMAND...
-	local n=$(($1 * 10)) what=$2
-	shift 2
-	while ! "$@" >/dev/null 2>&1; do
-		n=$((n - 1))
-		[ $n -gt 0 ] || fail "no $what"
-		sleep 0.1
-	done
-}
-
-write_settings() { # NUMBER
-	cat >"$work/core-$1.ini" <<-INI
-	[instance]
-	name = core-$1
-	ip = $net.$1
-	domain = z$1
-	peer_port = 7720
-	seeds = $net.1:8166,$net.2:8166,$net.3:8166
-	found = true
-	counted = true
-	tolerate = 1
-	data = $work/data-$1
-	control = $net.$1:8166
-	metrics = $net.$1:9464
-	INI
-}
-
-start_replica() { # NUMBER
-	"$build/cicadabay" core -c "$work/core-$1.ini" \
-	    >>"$work/core-$1.log" 2>&1 &
-	pids[$1]=$!
-}
-
-post() { # NUMBER PATH FILE
-	[ "$(curl -s -m 3 -o /dev/null -w '%{http_code}' \
-	    -H 'Content-Type: application/json' --data-binary "@$3" \
-	    "http://$net.$1:8166$2")" = 200 ]
-}
+replicas_init "${1:-build/rel}" 127.93 3
 
 replace_config() { # VERSION NUMBER: replaces it by one of about 24 KB
 	{
@@ -85,9 +29,6 @@
 	curl -s "http://$net.3:9464/metrics" | grep -qE 'disk_failed(_total)? [1-9]'
 }
 
-for i in 1 2 3; do
-	write_settings "$i"
-done
 # Writes of replica 3 fail once a file has reached 256 KiB.
 (
 	trap '' XFSZ
@@ -95,8 +36,8 @@
 	exec "$build/cicadabay" core -c "$work/core-3.ini"
 ) >>"$work/core-3.log" 2>&1 &
 pids[3]=$!
-start_replica 1
-start_replica 2
+replica_start 1
+replica_start 2
 wait_for 20 "first configuration" replace_config 1 1
 for v in $(seq 2 24); do
 	wait_for 10 "configuration $v" replace_config "$v" $((v % 2 + 1))
@@ -106,13 +47,8 @@
     fail "the failure is not in the log"
 kill -0 "${pids[3]}" 2>/dev/null ||
     fail "the replica ended after its disk failed"
-cat >"$work/heartbeat.json" <<-JSON
-	{"service":"svc","address":"127.0.0.1:9","zone":"z3","version":"v1",
-	"slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":16000,
-	"memMb":32768,"gpu":0},"labels":["a","r1"],"born":1,"clockMs":5,"seq":1}
-JSON
-wait_for 5 "heartbeat through the replica" \
-    post 3 /-/Instances.Heartbeat/i-1 "$work/heartbeat.json"
+heartbeat_write
+wait_for 5 "heartbeat through the replica" heartbeat 3
 prlimit --pid "${pids[3]}" --fsize=unlimited: ||
     fail "prlimit can't lift the limit"
 wait_for 20 "log of the recovered disk" \
--- a/tests/removed_replica.sh
+++ b/tests/removed_replica.sh
@@ -4,63 +4,9 @@
 # against one that never becomes a member again.
 set -u
 cd "$(dirname "$0")/.."
-build=${1:-build/rel}
-port=${CLUSTER_PORT:-10000}
-net=127.94.$((port / 500 % 200))
-work=$(mktemp -d)
-pids=()
+. scripts/replicas.sh
 
-cleanup() {
-	for p in "${pids[@]}"; do
-		kill -9 "$p" 2>/dev/null
-	done
-	wait 2>/dev/null
-	rm -rf "$work"
-}
-trap cleanup EXIT
-
-fail() {
-	echo "removed_replica: $1"
-	tail -n 20 "$work"/core-*.log
-	exit 1
-}
-
-wait_for() { # SECONDS WHAT COMMAND...
-	local n=$(($1 * 10)) what=$2
-	shift 2
-	while ! "$@" >/dev/null 2>&1; do
-		n=$((n - 1))
-		[ $n -gt 0 ] || fail "no $what"
-		sleep 0.1
-	done
-}
-
-write_settings() { # NUMBER
-	cat >"$work/core-$1.ini" <<-INI
-	[instance]
-	name = core-$1
-	ip = $net.$1
-	domain = z$1
-	peer_port = 7720
-	seeds = $net.1:8166,$net.2:8166,$net.3:8166,$net.4:8166
-	found = true
-	counted = true
-	tolerate = 1
-	data = $work/data-$1
-	control = $net.$1:8166
-	metrics = $net.$1:9464
-	INI
-}
-
-post() { # NUMBER PATH FILE
-	[ "$(curl -s -m 3 -o /dev/null -w '%{http_code}' \
-	    -H 'Content-Type: application/json' --data-binary "@$3" \
-	    "http://$net.$1:8166$2")" = 200 ]
-}
-
-heartbeat() { # NUMBER
-	post "$1" /-/Instances.Heartbeat/i-1 "$work/heartbeat.json"
-}
+replicas_init "${1:-build/rel}" 127.94 4
 
 count_lines() { # PATTERN NUMBER...
 	local pattern=$1 logs=() i
@@ -86,16 +32,9 @@
 cat >"$work/config.json" <<-JSON
 	{"version":1,"routes":[],"services":[{"name":"svc"}]}
 JSON
-# Nothing answers at the worker's address, so that its registration ends.
-cat >"$work/heartbeat.json" <<-JSON
-	{"service":"svc","address":"127.0.0.1:9","zone":"z3","version":"v1",
-	"slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":16000,
-	"memMb":32768,"gpu":0},"labels":["a","r1"],"born":1,"clockMs":5,"seq":1}
-JSON
+heartbeat_write # its registration ends, as nothing answers there
 for i in 1 2 3 4; do
-	write_settings "$i"
-	"$build/cicadabay" core -c "$work/core-$i.ini" >"$work/core-$i.log" 2>&1 &
-	pids[i]=$!
+	replica_start "$i"
 done
 wait_for 20 "configuration" post 1 /-/Config.Replace "$work/config.json"
 leader=
