--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -120,7 +120,7 @@
 	uint32_t relays_losing_answers = 0;
 	/* registration to which calls that start a task are lost; 0: none */
 	uint64_t drop_starts_to = 0;
-	bool drop_stops = false; /* orders to stop are lost there too */
+	bool drop_stops = false;   /* orders to stop are lost there too */
 	uint32_t max_attempts = 3; /* in the configuration */
 	/* orders to throttle are carried out after the delay, and their answers
 	 * are lost */
