Log ends that are acknowledged without effect, and what a restart left applied

Now event=end_ignored gives the cause, and done_ignored counts ends as done of tasks that aren't done; event=stale_command and commands_stale do the same for commands that no longer apply when they are committed; worker_lost gives the lease and the clock, lead the inherited runs, and role, start and snapshot_loaded the applied, committed and last index. No decision changes.

JobLog.LogsAnEndThatHasNoEffect, LogsWhichLeaseOfAWorkerHasExpired and LogsACommandThatNoLongerApplies need the new lines.

--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -47,6 +47,11 @@
 	[JCTR_ENDS_FAILED] = { "ends_failed", "Runs that failed." },
 	[JCTR_ENDS_OTHER] = { "ends_other", "Runs stopped or lapsed." },
 	[JCTR_ENDS_GONE] = { "ends_gone", "Runs lost with their worker." },
+	[JCTR_DONE_IGNORED] = { "done_ignored",
+	    "Ends as done acknowledged without effect on a task that isn't "
+	    "done; must stay 0." },
+	[JCTR_COMMANDS_STALE] = { "commands_stale",
+	    "Assignments and ends that no longer applied once committed." },
 	[JCTR_WORKERS_LOST] = { "workers_lost",
 	    "Workers whose leases ran out while they were silent." },
 	[JCTR_WORKERS_RESTARTED] = { "workers_reborn",
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -138,11 +138,12 @@
 	j->queue_cfg = NULL;
 }
 
-/* Takes over the assigned tasks of a list of jobs as inherited runs. */
-static void
+/* Takes over the assigned tasks of a list of jobs as inherited runs; returns
+ * their number. */
+static uint32_t
 inherit_runs(struct jlead *jl, struct jst_job *j)
 {
-	uint32_t i, k;
+	uint32_t i, k, n = 0;
 
 	for (; j != NULL; j = j->next) {
 		clear_queue_cache(j);
@@ -156,12 +157,15 @@
 
 				t->active_run = NULL;
 				t->idle_since_ms = 0;
-				if (t->state == JST_ASSIGNED)
-					jrun_new(jl, t->worker->session, st, k,
-					    t->run, RUN_INHERITED);
+				if (t->state != JST_ASSIGNED)
+					continue;
+				jrun_new(jl, t->worker->session, st, k, t->run,
+				    RUN_INHERITED);
+				n++;
 			}
 		}
 	}
+	return n;
 }
 
 /* Starts to lead. Nothing is assigned to a worker before it has been polled. */
@@ -169,6 +173,7 @@
 jlead_begin(
     struct jlead *jl, struct timespec now, int64_t wall_ms, uint64_t token)
 {
+	uint32_t inherited;
 	size_t i;
 
 	jlead_stop(jl);
@@ -180,10 +185,11 @@
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
 		session_new(jl, jl->st->workers[i]);
-	inherit_runs(jl, jl->st->active);
-	inherit_runs(jl, jl->st->ended);
-	log_event(LOG_NOTICE, "job", "event=lead token=%" PRIu64 " workers=%zu",
-	    token, jl->st->nworkers);
+	inherited =
+	    inherit_runs(jl, jl->st->active) + inherit_runs(jl, jl->st->ended);
+	log_event(LOG_NOTICE, "job",
+	    "event=lead token=%" PRIu64 " workers=%zu inherited_runs=%u", token,
+	    jl->st->nworkers, inherited);
 	jlead_tick(jl, now, wall_ms);
 }
 
@@ -478,6 +484,9 @@
 	if (!jl->leading)
 		return;
 	jl->plan_needed = true;
+	if ((c->assign != NULL || c->end != NULL) &&
+	    res->status == STATUS_STALE)
+		jl_log_stale(jl, c, res);
 	if (c->assign != NULL)
 		handle_assign(jl, res, c->assign);
 	else if (c->end != NULL)
@@ -497,22 +506,18 @@
 end_lost_runs(struct jlead *jl, struct wsess *ws)
 {
 	struct jrun *r, *next;
-	bool any = false;
+	uint32_t n = 0;
 
 	for (r = ws->runs; r != NULL; r = next) {
 		next = r->next;
 		if (r->phase == RUN_PROPOSED || r->phase == RUN_ENDING)
 			continue;
-		any = true;
+		n++;
 		ctr_add(jl->ctr, JCTR_ENDS_GONE, 1);
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
 	}
-	if (!any)
-		return;
-	ctr_add(jl->ctr, JCTR_WORKERS_LOST, 1);
-	log_event(LOG_NOTICE, "job",
-	    "event=worker_lost worker=%s silent_ms=%" PRId64, ws->w->info->id,
-	    clk_diff_ms(jl->now, ws->last_heard_at));
+	if (n > 0)
+		jl_log_worker_lost(jl, ws, n);
 }
 
 /* Sends the orders that are due. Clears orders_due if no run needs an order, so
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -131,6 +131,11 @@
 void jl_log_cancel_done(struct jlead *, const struct jst_job *);
 void jl_log_orphan(
     struct jlead *, const struct wsess *, const struct jl_running *);
+void jl_log_ignored_end(
+    struct jlead *, const struct wsess *, const struct jl_ended *);
+void jl_log_worker_lost(struct jlead *, const struct wsess *, uint32_t nruns);
+void jl_log_stale(
+    struct jlead *, const Job__Command *, const struct jst_result *);
 /* jlead_idle.c */
 void jl_scan_idle(struct jlead *);
 /* jlead_throttle.c */
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -162,3 +162,95 @@
 	    t == NULL || t->worker == NULL ? "-" : t->worker->info->id,
 	    crc32c_text(row->checkpoint));
 }
+
+/* Returns why a reported end has no effect; *is_lost tells whether it is the
+ * end of work on a task that isn't done. */
+static const char *
+ignored_end_cause(const struct jst_job *j, const struct jst_task *t,
+    const struct jl_ended *e, bool *is_lost)
+{
+	*is_lost = false;
+	if (j == NULL)
+		return "job_unknown";
+	if (j->state != JST_ACTIVE)
+		return "job_ended";
+	if (t == NULL)
+		return "task_unknown";
+	if (t->state == JST_DONE)
+		return "task_done";
+	*is_lost = e->how == JOB__HOW__DONE;
+	if (e->run > t->run)
+		return "run_unknown";
+	if (e->run < t->run)
+		return "later_run";
+	if (t->state == JST_WAITING)
+		return "run_ended";
+	if (t->active_run == NULL)
+		return "no_run";
+	return t->active_run->phase == RUN_ENDING ? "ending" : "elsewhere";
+}
+
+/* Counts and logs a reported end that has no effect. One that tells nothing new
+ * is logged for debugging only. */
+void
+jl_log_ignored_end(
+    struct jlead *jl, const struct wsess *ws, const struct jl_ended *e)
+{
+	const struct jst_job *j = jst_find_job(jl->st, e->task.job);
+	struct jst_step *st = NULL;
+	const struct jst_task *t = jst_find_task(jl->st, &e->task, &st);
+	bool is_lost;
+	const char *cause = ignored_end_cause(j, t, e, &is_lost);
+
+	if (is_lost)
+		ctr_add(jl->ctr, JCTR_DONE_IGNORED, 1);
+	log_event(is_lost ? LOG_NOTICE : LOG_DEBUG, "job",
+	    "event=end_ignored job=%016" PRIx64 " task=%u.%u.%u run=%u how=%s "
+	    "worker=%s born=%" PRIu64 " number=%" PRIu64
+	    " cause=%s state=%s current_run=%u current_worker=%s",
+	    e->task.job, e->task.occurrence, e->task.step, e->task.index,
+	    e->run,
+	    protobuf_c_enum_descriptor_get_value(&job__how__descriptor, e->how)
+		->name,
+	    ws->w->info->id, ws->incarnation, e->number, cause,
+	    j == NULL ? "unknown" : state_name(j->state),
+	    t == NULL ? 0 : t->run,
+	    t == NULL || t->worker == NULL ? "-" : t->worker->info->id);
+}
+
+/* Counts and logs that the leases of a silent worker have expired, with what
+ * they were computed from; nruns runs end with them. */
+void
+jl_log_worker_lost(struct jlead *jl, const struct wsess *ws, uint32_t nruns)
+{
+	ctr_add(jl->ctr, JCTR_WORKERS_LOST, 1);
+	log_event(LOG_NOTICE, "job",
+	    "event=worker_lost worker=%s silent_ms=%" PRId64
+	    " runs=%u contacted=%d lease_until_ms=%" PRId64 " clock_ms=%" PRId64
+	    " clock_age_ms=%" PRId64 " leading_ms=%" PRId64,
+	    ws->w->info->id, clk_diff_ms(jl->now, ws->last_heard_at), nruns,
+	    ws->contacted, ws->lease_until_max_ms, ws->clock_ms,
+	    clk_diff_ms(jl->now, ws->clock_at),
+	    clk_diff_ms(jl->now, jl->leading_since));
+}
+
+/* Counts and logs an assignment or an end that no longer applied when it was
+ * committed. */
+void
+jl_log_stale(
+    struct jlead *jl, const Job__Command *c, const struct jst_result *res)
+{
+	const Job__Task *ref =
+	    c->assign != NULL ? c->assign->task : c->end->task;
+	const struct jst_task *t = res->task;
+
+	ctr_add(jl->ctr, JCTR_COMMANDS_STALE, 1);
+	log_event(LOG_NOTICE, "job",
+	    "event=stale_command kind=%s job=%016" PRIx64
+	    " task=%u.%u.%u run=%u state=%s task_state=%d current_run=%u",
+	    c->assign != NULL ? "assign" : "end", ref->job, ref->occurrence,
+	    ref->step, ref->index,
+	    c->assign != NULL ? c->assign->run : c->end->run,
+	    res->job == NULL ? "unknown" : state_name(res->job->state),
+	    t == NULL ? -1 : (int)t->state, t == NULL ? 0 : t->run);
+}
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -91,8 +91,10 @@
 		return;
 	ws->last_end = e->number;
 	r = find_ended_run(jl, ws, e);
-	if (r == NULL || r->phase == RUN_ENDING)
+	if (r == NULL || r->phase == RUN_ENDING) {
+		jl_log_ignored_end(jl, ws, e);
 		return;
+	}
 	record_end(jl, ws, r, e->how);
 	r->end_session = ws;
 	ws->ends_pending++;
--- a/src/job/tests/jobs_log_test.cc
+++ b/src/job/tests/jobs_log_test.cc
@@ -115,6 +115,65 @@
 	EXPECT_EQ(1U, lines("event=cancel_done ").size());
 }
 
+/* Guards against an end that is acknowledged without effect and leaves no
+ * line. */
+TEST_F(JobLog, LogsAnEndThatHasNoEffect)
+{
+	uint64_t a = s.add_worker(4000);
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.submit(0xabc, "batch", { JobSim::step(1, 1500) });
+	s.run(500);
+	SimWorker &w = s.workers[a];
+	w.ended.push_back(
+	    { w.next_end++, { 0xabc, 0, 0, 0 }, 7, JOB__HOW__DONE });
+	s.run(500);
+	EXPECT_TRUE(w.ended.empty());
+	EXPECT_EQ(1U, ctr_get(&s.ctr, JCTR_DONE_IGNORED));
+	auto v = lines("event=end_ignored ");
+	ASSERT_EQ(1U, v.size());
+	EXPECT_TRUE(has(v[0], "job=0000000000000abc task=0.0.0 run=7 how=DONE"))
+	    << v[0];
+	EXPECT_TRUE(has(v[0], "cause=run_unknown state=active current_run=1"))
+	    << v[0];
+}
+
+/* Guards against runs that are given up for expired leases, without the figures
+ * that this follows from. */
+TEST_F(JobLog, LogsWhichLeaseOfAWorkerHasExpired)
+{
+	uint64_t a = s.add_worker(4000);
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.submit(0xabc, "batch", { JobSim::step(2, 1500) });
+	s.run(500);
+	s.set_unreachable(a, true);
+	s.run(9000);
+	auto v = lines("event=worker_lost ");
+	ASSERT_EQ(1U, v.size());
+	EXPECT_TRUE(has(v[0], " runs=2 contacted=1 lease_until_ms=")) << v[0];
+	EXPECT_TRUE(has(v[0], " clock_age_ms=")) << v[0];
+}
+
+/* Guards against a committed command that no longer applies and leaves no
+ * line. */
+TEST_F(JobLog, LogsACommandThatNoLongerApplies)
+{
+	uint64_t a = s.add_worker(4000);
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.submit(0xabc, "batch", { JobSim::step(1, 1500) });
+	s.run(500);
+	s.assign({ 0xabc, 0, 0, 0 }, 1, a);
+	auto v = lines("event=stale_command ");
+	ASSERT_EQ(1U, v.size());
+	EXPECT_TRUE(has(v[0],
+	    "kind=assign job=0000000000000abc task=0.0.0 run=1 state=active "
+	    "task_state=1 current_run=1"))
+	    << v[0];
+	EXPECT_EQ(1U, ctr_get(&s.ctr, JCTR_COMMANDS_STALE));
+}
+
 /* Guards against an orphaned run whose cause isn't logged. */
 TEST_F(JobLog, LogsWhyARunIsOrphaned)
 {
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -499,9 +499,11 @@
 	tevent_add_signal(c->ev, c, SIGHUP, 0, on_signal, c);
 	log_event(LOG_NOTICE, "core",
 	    "event=start name=" STR_FMT " replica=%016" PRIx64
-	    " generation=%" PRIu64 " index=%" PRIu64 " members=%zu found=%d",
+	    " generation=%" PRIu64 " index=%" PRIu64 " last=%" PRIu64
+	    " members=%zu found=%d",
 	    STR_ARG(inst->name), c->replica, c->generation, c->applied,
-	    c->nmembers, inst->found);
+	    c->raft == NULL ? 0 : raft_last_index(c->raft), c->nmembers,
+	    inst->found);
 	while (!is_shutdown_done(c)) {
 		if (tevent_loop_once(c->ev) != 0)
 			break;
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -195,8 +195,11 @@
 	c->role = a->u.role.role;
 	c->leader = a->u.role.leader_instance;
 	log_event(LOG_NOTICE, "core",
-	    "event=role role=%d term=%" PRIu64 " leader=%u index=%" PRIu64,
-	    c->role, a->u.role.term, c->leader, c->applied);
+	    "event=role role=%d term=%" PRIu64 " leader=%u index=%" PRIu64
+	    " commit=%" PRIu64 " last=%" PRIu64 " snapshot=%" PRIu64,
+	    c->role, a->u.role.term, c->leader, c->applied,
+	    raft_commit_index(c->raft), raft_last_index(c->raft),
+	    c->snapshot_index);
 	if (led && (c->role != RAFT_LEADER || a->u.role.term != c->term))
 		core_stop_leading(c);
 	c->term = a->u.role.term;
@@ -219,8 +222,9 @@
 		return;
 	}
 	log_event(LOG_NOTICE, "core",
-	    "event=snapshot_loaded index=%" PRIu64 " bytes=%zu", s.index,
-	    s.data.len);
+	    "event=snapshot_loaded index=%" PRIu64 " bytes=%zu before=%" PRIu64
+	    " last=%" PRIu64,
+	    s.index, s.data.len, c->applied, raft_last_index(c->raft));
 	c->applied = s.index;
 	c->applied_term = s.term;
 	set_members(c, s.members, s.nmembers);
