Test that an end as done counts, and that leases of an earlier incarnation do

The simulation checks the users' rule now: no start after an end as done that is acknowledged then or later, unless the worker's leases lapsed in between. Before it passed over all ends of runs from before the worker was cut off.

--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -481,14 +481,16 @@
 
 /* Failures that happen while clients cancel jobs; one bit each. */
 enum mix {
-	MIX_LEADERS = 1,       /* leaders change, orders come late */
-	MIX_LOSE = 2,	       /* calls are lost, or carried out late */
-	MIX_RELAYS = 4,	       /* instances that relay calls are lost */
-	MIX_CRASH = 8,	       /* workers restart under their ids */
-	MIX_UNREACHABLE = 16,  /* workers are cut off and come back */
-	MIX_LEAVE = 32,	       /* workers drain and leave; new ones come */
-	MIX_PAUSE = 64,	       /* the leader is paused while others lead */
-	MIX_STALE_ORDERS = 128 /* late orders also reach the next incarnation */
+	MIX_LEADERS = 1,      /* leaders change, orders come late */
+	MIX_LOSE = 2,	      /* calls are lost, or carried out late */
+	MIX_RELAYS = 4,	      /* instances that relay calls are lost */
+	MIX_CRASH = 8,	      /* workers restart under their ids */
+	MIX_UNREACHABLE = 16, /* workers are cut off and come back */
+	MIX_LEAVE = 32,	      /* workers drain and leave; new ones come */
+	MIX_PAUSE = 64,	      /* the leader is paused while others lead */
+	MIX_STALE_ORDERS =
+	    128,	   /* late orders also reach the next incarnation */
+	MIX_SLOW_LOG = 256 /* commits take up to half a second */
 };
 
 /* Submits a job with a random mix of kinds of tasks. */
@@ -564,6 +566,7 @@
 	s.tolerate_stale_orders = getenv("JOB_STRICT") == NULL &&
 	    ((mixes & MIX_STALE_ORDERS) ||
 		(mixes & (MIX_RELAYS | MIX_CRASH)) == (MIX_RELAYS | MIX_CRASH));
+	s.commit_delay_max_ms = mixes & MIX_SLOW_LOG ? 500 : 0;
 	s.lead();
 	for (int i = 0; i < 24; i++) {
 		submit_some(s, ++job);
@@ -770,6 +773,8 @@
 	MIX_CRASH | MIX_PAUSE, MIX_CRASH | MIX_RELAYS, MIX_CRASH | MIX_LOSE,
 	MIX_CRASH | MIX_LEADERS, MIX_CRASH | MIX_UNREACHABLE,
 	MIX_CRASH | MIX_LEAVE, MIX_CRASH | MIX_LEADERS | MIX_STALE_ORDERS,
-	MIX_LEAVE | MIX_LOSE, MIX_LEAVE | MIX_LEADERS | MIX_PAUSE, 127, 255));
+	MIX_LEAVE | MIX_LOSE, MIX_LEAVE | MIX_LEADERS | MIX_PAUSE, 127, 255,
+	MIX_SLOW_LOG, MIX_SLOW_LOG | MIX_UNREACHABLE,
+	MIX_SLOW_LOG | MIX_CRASH | MIX_UNREACHABLE, MIX_SLOW_LOG | 127));
 
 } // namespace
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -66,10 +66,12 @@
 		uint32_t run;
 		Job__How how;
 		std::string checkpoint = "";
-		int64_t start_ms = 0;
+		int64_t ended_ms = 0;
 		bool stale_order = false;
 	};
 	std::vector<End> ended;
+	/* last time at which no lease was in force */
+	int64_t last_lapse_ms = 0;
 	bool draining = false;
 	int64_t reachable_since_ms = 0; /* when it last became reachable */
 };
@@ -110,6 +112,8 @@
 	int64_t now_ms = 1000000;
 	int64_t wall_offset_ms = 0; /* of the leader's wall clock */
 	int64_t commit_ms = 12, call_ms = 2;
+	/* Commits take up to this much longer; they stay in order. */
+	int64_t commit_delay_max_ms = 0;
 	/* share of calls lost, and of calls carried out late */
 	double loss_rate = 0, late_rate = 0;
 	/* Share of calls whose relaying instance is lost after it made the
@@ -162,6 +166,7 @@
 	std::set<SimTask> done;		/* committed ends */
 	std::set<SimTask> acknowledged; /* ends acknowledged to workers */
 	std::map<SimTask, int> starts;
+	std::map<SimTask, int64_t> last_start_ms;
 	int64_t most_cpu = 0;
 	/* submitted specifications, by job */
 	std::map<uint64_t, std::string> texts;
@@ -589,6 +594,7 @@
 	/* by number of the proposal */
 	std::map<uint64_t, std::vector<uint8_t>> pending;
 	uint64_t proposals = 0;
+	int64_t last_commit_ms = 0; /* of the proposals so far */
 
 	/* Applies a packed command as committed. */
 	void apply_packed(const std::vector<uint8_t> &buf)
@@ -675,7 +681,16 @@
 		return { t.job, t.occurrence, t.step, t.index };
 	}
 
-	/* Commits a proposal after commit_ms. */
+	/* Returns how much longer than commit_ms a commit takes. */
+	int64_t draw_commit_delay_ms()
+	{
+		return commit_delay_max_ms == 0
+		    ? 0
+		    : (int64_t)rng_below(
+			  &rng, (uint64_t)commit_delay_max_ms + 1);
+	}
+
+	/* Commits a proposal after commit_ms and its delay. */
 	static void on_propose(void *arg, const Job__Command *cmd)
 	{
 		auto *l = (SimLeader *)arg;
@@ -688,7 +703,9 @@
 			/* a former leader's proposal is never committed */
 			return;
 		s->pending[n] = buf;
-		s->events.emplace(s->now_ms + s->commit_ms, [=]() {
+		s->last_commit_ms = std::max(s->last_commit_ms,
+		    s->now_ms + s->commit_ms + s->draw_commit_delay_ms());
+		s->events.emplace(s->last_commit_ms, [=]() {
 			if (s->pending.erase(n) > 0)
 				s->apply_packed(buf);
 		});
@@ -970,13 +987,8 @@
 		switch (c.kind) {
 		case JL_POLL:
 			for (auto &e : w.ended) {
-				/* A run from before the worker was cut off may
-				 * have been given up when its lease expired. */
-				if (e.n <= c.acked_end &&
-				    e.how == JOB__HOW__DONE &&
-				    e.start_ms >= w.reachable_since_ms &&
-				    !(tolerate_stale_orders && e.stale_order))
-					acknowledged.insert(e.task);
+				if (e.n <= c.acked_end)
+					note_end(w, e);
 			}
 			w.ended.erase(
 			    std::remove_if(w.ended.begin(), w.ended.end(),
@@ -1000,6 +1012,20 @@
 		}
 	}
 
+	/* Handles the acknowledgement of an end: a task that was done must not
+	 * have started since then, nor start later. If the leases of its worker
+	 * have lapsed since then, its run may have been given up before. */
+	void note_end(const SimWorker &w, const SimWorker::End &e)
+	{
+		if (e.how != JOB__HOW__DONE || w.last_lapse_ms >= e.ended_ms ||
+		    (tolerate_stale_orders && e.stale_order))
+			return;
+		EXPECT_LE(last_start_ms[e.task], e.ended_ms)
+		    << "a task of job " << e.task.job
+		    << " was started after the end that is noted";
+		acknowledged.insert(e.task);
+	}
+
 	/* Starts a task on a worker, or sets the reason of its refusal. */
 	void start(
 	    SimWorker &w, const SimCall &order, const SimTask &k, jl_reply &r)
@@ -1043,6 +1069,7 @@
 			check_start(k, sp);
 		check_requested(order, k);
 		starts[k]++;
+		last_start_ms[k] = now_ms;
 		w.running[k] = { c.run,
 			sp->spec->lasting ? lasting_ms(k) : run_time_ms(k),
 			sp->spec->lasting || task_fails(k, alias[c.worker]),
@@ -1201,7 +1228,7 @@
 		w.refused_up_to[k] = std::max(w.refused_up_to[k], run);
 		w.ended.push_back(
 		    { w.next_end++, k, run, how, w.running[k].checkpoint,
-			w.running[k].started_ms, w.running[k].stale_order });
+			now_ms, w.running[k].stale_order });
 		w.running.erase(k);
 	}
 
@@ -1213,6 +1240,8 @@
 			std::vector<std::pair<SimTask, Job__How>> ended;
 			if (!w.up)
 				continue;
+			if (now_ms - w.clock_start_ms >= w.lease_until_ms)
+				w.last_lapse_ms = now_ms;
 			for (auto &y : w.running) {
 				check_cancelled(w, y.first, y.second);
 				if (now_ms % 100 == 0)
--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -6,16 +6,17 @@
 
 /* Failures that happen while long-running tasks run; one bit each. */
 enum mix {
-	MIX_LEADERS = 1,	/* leaders change */
-	MIX_LATE = 2,		/* orders get no answer, are carried out late */
-	MIX_LOSE = 4,		/* calls are lost */
-	MIX_RELAYS = 8,		/* instances that relay calls are lost */
-	MIX_CRASH = 16,		/* workers restart under their ids */
-	MIX_UNREACHABLE = 32,	/* workers are cut off and come back */
-	MIX_LEAVE = 64,		/* workers drain and leave; new ones come */
-	MIX_PAUSE = 128,	/* the leader is paused while others lead */
-	MIX_DARK = 256,		/* nobody leads for some seconds */
-	MIX_LEAVE_AT_ONCE = 512 /* workers leave that nobody saw drain */
+	MIX_LEADERS = 1,      /* leaders change */
+	MIX_LATE = 2,	      /* orders get no answer, are carried out late */
+	MIX_LOSE = 4,	      /* calls are lost */
+	MIX_RELAYS = 8,	      /* instances that relay calls are lost */
+	MIX_CRASH = 16,	      /* workers restart under their ids */
+	MIX_UNREACHABLE = 32, /* workers are cut off and come back */
+	MIX_LEAVE = 64,	      /* workers drain and leave; new ones come */
+	MIX_PAUSE = 128,      /* the leader is paused while others lead */
+	MIX_DARK = 256,	      /* nobody leads for some seconds */
+	MIX_LEAVE_AT_ONCE = 512, /* workers leave that nobody saw drain */
+	MIX_SLOW_LOG = 1024	 /* commits take up to half a second */
 };
 
 /* Causes some of the failures of a mix. */
@@ -84,6 +85,7 @@
 	s.tolerate_stale_orders = getenv("JOB_STRICT") == NULL &&
 	    (mixes & (MIX_RELAYS | MIX_CRASH)) == (MIX_RELAYS | MIX_CRASH);
 	s.check_lasting = true;
+	s.commit_delay_max_ms = mixes & MIX_SLOW_LOG ? 500 : 0;
 	s.lead();
 	for (int i = 0; i < 16; i++) {
 		Job__Step st = JobSim::step(2, 500);
@@ -279,6 +281,8 @@
 	MIX_UNREACHABLE, MIX_LEAVE, MIX_PAUSE, MIX_DARK, MIX_DARK | MIX_CRASH,
 	MIX_DARK | MIX_UNREACHABLE, MIX_DARK | MIX_LEAVE, MIX_LATE | MIX_CRASH,
 	MIX_LEAVE | MIX_LEADERS | MIX_LATE, MIX_CRASH | MIX_LEADERS,
-	MIX_LEAVE_AT_ONCE, 255, 1023));
+	MIX_LEAVE_AT_ONCE, 255, 1023, MIX_SLOW_LOG,
+	MIX_SLOW_LOG | MIX_UNREACHABLE,
+	MIX_SLOW_LOG | MIX_DARK | MIX_UNREACHABLE, 2047));
 
 } // namespace
--- /dev/null
+++ b/src/job/tests/twice_test.cc
@@ -0,0 +1,92 @@
+#include "job/tests/job_sim.h"
+
+/* Tests of what keeps a task from running a second time. */
+
+namespace {
+
+const SimTask TASK = { 1, 0, 0, 0 };
+
+/* Submits a job of one task and lets it start. Its worker is then cut off for
+ * unreachable_ms, in which the task is done while the lease is in force;
+ * commits take commit_ms from then on, and a second worker is idle. */
+void
+finish_behind_a_cut(JobSim &s, int64_t unreachable_ms, int64_t commit_ms)
+{
+	uint64_t a = s.add_worker(8000);
+
+	s.run_time_ms = [](const SimTask &) { return 5500; };
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(300);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	s.add_worker(8000);
+	s.run(100);
+	s.set_unreachable(a, true);
+	s.commit_ms = commit_ms;
+	s.run(unreachable_ms);
+	s.set_unreachable(a, false);
+}
+
+/* Guards against an end as done that is acknowledged and lost, because it is
+ * reported while the leader's decision to give that run up is committed. */
+TEST(JobTwice, AnEndReportedWhileItsRunIsGivenUpCounts)
+{
+	JobSim s(1);
+
+	finish_behind_a_cut(s, 6500, 400);
+	EXPECT_EQ(JST_ACTIVE, s.state(1));
+	s.run(3000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_EQ(1, s.starts[TASK]);
+}
+
+/* Guards against a task that runs to its end a second time although its first
+ * run has reported that it was done. */
+TEST(JobTwice, AnEndReportedAfterTheTaskWasStartedElsewhereCounts)
+{
+	JobSim s(2);
+
+	finish_behind_a_cut(s, 7000, 12);
+	ASSERT_EQ(2, s.starts[TASK]);
+	s.run(1500);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	for (auto &x : s.workers) {
+		EXPECT_TRUE(x.second.running.empty()) << x.second.id;
+		EXPECT_TRUE(x.second.ended.empty()) << x.second.id;
+	}
+	s.run(8000);
+	EXPECT_EQ(2, s.starts[TASK]);
+}
+
+/* Guards against a run that is given up while it is under a lease that was
+ * meant for the worker's earlier incarnation, by the clock of that one. */
+TEST(JobTwice, ALeaseMeantForTheEarlierIncarnationIsWaitedFor)
+{
+	JobSim s(3);
+	uint64_t a = s.add_worker(8000);
+
+	s.workers[a].clock_start_ms = s.now_ms - 60000;
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(500);
+	s.call_ms = 300;
+	s.run(2500);
+	s.crash(a);
+	s.restart_worker(a);
+	s.run(600);
+	s.call_ms = 2;
+	ASSERT_GT(s.workers[a].lease_until_ms, JLEAD_LEASE_MS + 500)
+	    << "no poll crossed the restart";
+	s.submit(2, "batch", { JobSim::step(1, 1000) });
+	s.heartbeat(a);
+	s.run(200);
+	ASSERT_EQ(1U, s.workers[a].running.count({ 2, 0, 0, 0 }));
+	s.add_worker(8000);
+	s.set_unreachable(a, true);
+	s.run(20000);
+	EXPECT_EQ(2, (s.starts[{ 2, 0, 0, 0 }]))
+	    << "given up and started again";
+}
+
+} // namespace
