Count an end as done also of a run that was given up

What callers saw: tasks ran twice, the second time over a second after the end of the first run had been acknowledged to its worker.

Cause: a worker's list of ends is acknowledged up to the last one that the leader has seen, and an end was passed over when the leader had no run of it or was already giving the run up. So "done" was acknowledged and lost when it came while the decision to give the run up was being committed, or after that. The task waited again and was started elsewhere. Once the task was running elsewhere, that run went to its end, too.

Now the replicated state takes an end as done of any run of the task, up to the newest; it is acknowledged once it is committed, and a later run is stopped. An end by which a worker tells a second time what is being replicated is also acknowledged only with that commit.

--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -47,6 +47,8 @@
 	[JCTR_ENDS_FAILED] = { "ends_failed", "Runs that failed." },
 	[JCTR_ENDS_OTHER] = { "ends_other", "Runs stopped or lapsed." },
 	[JCTR_ENDS_GONE] = { "ends_gone", "Runs lost with their worker." },
+	[JCTR_ENDS_LATE] = { "ends_late",
+	    "Tasks done by a run that had been given up." },
 	[JCTR_DONE_IGNORED] = { "done_ignored",
 	    "Ends as done acknowledged without effect on a task that isn't "
 	    "done; must stay 0." },
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -81,6 +81,22 @@
 	return ws;
 }
 
+/* Drops the late ends that a session has reported. */
+static void
+drop_late_ends(struct jlead *jl, const struct wsess *ws)
+{
+	struct late_end **p = &jl->late_ends, *l;
+
+	while ((l = *p) != NULL) {
+		if (l->ws != ws) {
+			p = &l->next;
+			continue;
+		}
+		*p = l->next;
+		free(l);
+	}
+}
+
 /* Frees a session and its runs, and drops references to it from other runs. */
 static void
 session_free(struct jlead *jl, struct wsess *ws)
@@ -92,6 +108,7 @@
 
 	while (ws->runs != NULL)
 		jrun_free(jl, ws->runs);
+	drop_late_ends(jl, ws);
 	for (other = jl->sessions; other != NULL; other = other->next) {
 		for (r = other->runs; r != NULL; r = r->next) {
 			if (r->end_session == ws)
@@ -417,6 +434,55 @@
 		jrun_free(jl, r);
 }
 
+/* Counts an end that a session has reported as committed, and acknowledges all
+ * of them once none is left. */
+static void
+ack_end(struct jlead *jl, struct wsess *ws)
+{
+	if (--ws->ends_pending > 0)
+		return;
+	ws->acked_end = ws->last_end;
+	if (!ws->poll_pending && !ws->silent && !ws->restarted)
+		jl_poll(jl, ws);
+}
+
+/* Tells whether a late end is the one of a command. */
+static bool
+is_end_of(const struct late_end *l, const Job__End *e)
+{
+	return l->run == e->run && e->how == JOB__HOW__DONE &&
+	    l->task.job == e->task->job &&
+	    l->task.occurrence == e->task->occurrence &&
+	    l->task.step == e->task->step && l->task.index == e->task->index;
+}
+
+/* Acknowledges the late ends that a committed command records. */
+static void
+ack_late_ends(struct jlead *jl, const Job__End *e)
+{
+	struct late_end **p = &jl->late_ends, *l;
+
+	while ((l = *p) != NULL) {
+		if (!is_end_of(l, e)) {
+			p = &l->next;
+			continue;
+		}
+		*p = l->next;
+		ack_end(jl, l->ws);
+		free(l);
+	}
+}
+
+/* Ends the run of a task that an earlier run has done. */
+static void
+drop_later_run(struct jlead *jl, struct jrun *r)
+{
+	if (r->phase == RUN_PROPOSED)
+		jrun_free(jl, r);
+	else
+		jrun_stop(jl, r, JL_STOP_TASK_DONE);
+}
+
 /* Frees a run whose end has been committed, and acknowledges the end once all
  * those reported with it are committed too. */
 static void
@@ -425,16 +491,19 @@
 	struct jrun *r = res->task == NULL ? NULL : res->task->active_run;
 	struct wsess *ws;
 
-	if (r == NULL || r->run != e->run)
+	ack_late_ends(jl, e);
+	if (r == NULL)
+		return;
+	if (r->run != e->run) {
+		if (res->status == STATUS_OK)
+			drop_later_run(jl, r);
 		return;
+	}
 	ws = r->end_session;
 	r->end_session = NULL;
 	jrun_free(jl, r);
-	if (ws == NULL || --ws->ends_pending > 0)
-		return;
-	ws->acked_end = ws->last_end;
-	if (!ws->poll_pending && !ws->silent && !ws->restarted)
-		jl_poll(jl, ws);
+	if (ws != NULL)
+		ack_end(jl, ws);
 }
 
 /* Starts a session for a new incarnation; earlier ones under its id are
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -8,7 +8,8 @@
  * its end; or refused the start while no other copy of the order is in flight;
  * or confirmed a stop and no longer lists it; or has restarted since it
  * confirmed the run; or the lease has run out even on the slowest clock that a
- * worker may have.
+ * worker may have. If a worker reports later that such a run was done, its task
+ * is done, and a later run of it is stopped.
  */
 #ifndef JOB_JLEAD_H
 #define JOB_JLEAD_H
@@ -193,6 +194,7 @@
 };
 
 struct wsess;
+struct late_end;
 
 /* State of the job leader. On other replicas only the averages are kept up. */
 struct jlead {
@@ -215,6 +217,7 @@
 	/* from a cancel to the end of the job's last run */
 	struct hist cancel_ms;
 	struct wsess *sessions; /* linked list */
+	struct late_end *late_ends;
 	size_t nsessions;
 	/* Input of the plan, one entry per session; kept between plans, as most
 	 * workers don't change from one plan to the next. */
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -21,11 +21,12 @@
 enum jl_stop_reason {
 	JL_STOP_NONE,
 	JL_STOP_JOB_ENDED,
-	JL_STOP_NOT_LISTED, /* the worker no longer lists the run */
-	JL_STOP_RESTARTED,  /* the worker has restarted */
-	JL_STOP_LEAVING,    /* the worker is about to exit */
-	JL_STOP_UNCONFIRMED /* refused, but another copy of the start may be in
-			       flight */
+	JL_STOP_NOT_LISTED,  /* the worker no longer lists the run */
+	JL_STOP_RESTARTED,   /* the worker has restarted */
+	JL_STOP_LEAVING,     /* the worker is about to exit */
+	JL_STOP_UNCONFIRMED, /* refused, but another copy of the start may be in
+				flight */
+	JL_STOP_TASK_DONE    /* an earlier run has done the task */
 };
 
 /* One start of a task, from its assignment to its replicated end. */
@@ -66,6 +67,14 @@
 	char *checkpoint;
 };
 
+/* The end as done of a run that was given up, while it is being replicated. */
+struct late_end {
+	struct late_end *next;
+	struct wsess *ws; /* reported it, and gets it acknowledged */
+	Job__Task task;
+	uint32_t run;
+};
+
 /* Session: what the leader knows about one registered worker. */
 struct wsess {
 	struct wsess *next;
@@ -131,6 +140,8 @@
 void jl_log_cancel_done(struct jlead *, const struct jst_job *);
 void jl_log_orphan(
     struct jlead *, const struct wsess *, const struct jl_running *);
+void jl_log_late_end(
+    struct jlead *, const struct wsess *, const struct jl_ended *);
 void jl_log_ignored_end(
     struct jlead *, const struct wsess *, const struct jl_ended *);
 void jl_log_worker_lost(struct jlead *, const struct wsess *, uint32_t nruns);
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -40,6 +40,8 @@
 		return "worker_leaves";
 	case JL_STOP_UNCONFIRMED:
 		return "unconfirmed";
+	case JL_STOP_TASK_DONE:
+		return "task_done";
 	}
 	return "invalid";
 }
@@ -190,6 +192,25 @@
 	return t->active_run->phase == RUN_ENDING ? "ending" : "elsewhere";
 }
 
+/* Counts and logs that a run which was given up has done its task. */
+void
+jl_log_late_end(
+    struct jlead *jl, const struct wsess *ws, const struct jl_ended *e)
+{
+	struct jst_step *st = NULL;
+	const struct jst_task *t = jst_find_task(jl->st, &e->task, &st);
+
+	ctr_add(jl->ctr, JCTR_ENDS_LATE, 1);
+	log_event(LOG_NOTICE, "job",
+	    "event=late_end job=%016" PRIx64 " task=%u.%u.%u run=%u worker=%s "
+	    "born=%" PRIu64 " number=%" PRIu64
+	    " current_run=%u current_worker=%s",
+	    e->task.job, e->task.occurrence, e->task.step, e->task.index,
+	    e->run, ws->w->info->id, ws->incarnation, e->number,
+	    t == NULL ? 0 : t->run,
+	    t == NULL || t->worker == NULL ? "-" : t->worker->info->id);
+}
+
 /* Counts and logs a reported end that has no effect. One that tells nothing new
  * is logged for debugging only. */
 void
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -81,6 +81,47 @@
 	return t->active_run;
 }
 
+/* Tells whether a run that was given up has done its task all the same. */
+static bool
+is_late_end(struct jlead *jl, const struct jl_ended *e)
+{
+	struct jst_step *st = NULL;
+	const struct jst_task *t = jst_find_task(jl->st, &e->task, &st);
+
+	return t != NULL && e->how == JOB__HOW__DONE && !st->spec->lasting &&
+	    st->job->state == JST_ACTIVE && t->state != JST_DONE &&
+	    e->run > 0 && e->run <= t->run;
+}
+
+/* Replicates the end as done of a run that was given up. */
+static void
+propose_late_end(struct jlead *jl, struct wsess *ws, const struct jl_ended *e)
+{
+	Job__Command c = JOB__COMMAND__INIT;
+	Job__End end = JOB__END__INIT;
+	struct late_end *l = calloc(1, sizeof(*l));
+
+	if (l == NULL)
+		abort();
+	l->ws = ws;
+	l->task = e->task;
+	/* Fields without these are not packed. */
+	l->task.has_occurrence = l->task.has_step = l->task.has_index = 1;
+	l->run = e->run;
+	l->next = jl->late_ends;
+	jl->late_ends = l;
+	ws->ends_pending++;
+	end.task = &l->task;
+	end.run = e->run;
+	end.how = e->how;
+	end.saved = (char *)(uintptr_t)e->checkpoint;
+	end.has_at_ms = 1;
+	end.at_ms = jl->wall_ms;
+	c.end = &end;
+	jl_log_late_end(jl, ws, e);
+	jl->ops.propose(jl->ops.arg, &c);
+}
+
 /* Replicates a reported end; ends reported before are skipped. */
 static void
 handle_ended(struct jlead *jl, struct wsess *ws, const struct jl_ended *e)
@@ -92,7 +133,10 @@
 	ws->last_end = e->number;
 	r = find_ended_run(jl, ws, e);
 	if (r == NULL || r->phase == RUN_ENDING) {
-		jl_log_ignored_end(jl, ws, e);
+		if (is_late_end(jl, e))
+			propose_late_end(jl, ws, e);
+		else
+			jl_log_ignored_end(jl, ws, e);
 		return;
 	}
 	record_end(jl, ws, r, e->how);
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -370,6 +370,19 @@
 	step_done(s, st, at_ms, r);
 }
 
+/* Tells whether an end changes its task: it is that of the present run, or an
+ * earlier run, which was given up, has done the work all the same. */
+static bool
+end_applies(
+    const struct jst_step *st, const struct jst_task *t, const Job__End *m)
+{
+	if (t->state == JST_ASSIGNED && t->run == m->run)
+		return true;
+	return m->how == JOB__HOW__DONE && !st->spec->lasting &&
+	    st->job->state == JST_ACTIVE && t->state != JST_DONE &&
+	    m->run > 0 && m->run <= t->run;
+}
+
 /* Ends a run. The task is done, waits again, or fails its job. */
 static void
 apply_end(struct jst *s, const Job__End *m, struct jst_result *r)
@@ -383,7 +396,7 @@
 	if (t == NULL)
 		return;
 	r->job = st->job;
-	if (t->state != JST_ASSIGNED || t->run != m->run)
+	if (!end_applies(st, t, m))
 		return;
 	r->status = STATUS_OK;
 	r->worker = t->worker;
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -33,9 +33,9 @@
 {
 	JobSim s(1);
 
-	finish_behind_a_cut(s, 6500, 400);
+	finish_behind_a_cut(s, 6200, 3000);
 	EXPECT_EQ(JST_ACTIVE, s.state(1));
-	s.run(3000);
+	s.run(6000);
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
 	EXPECT_EQ(1, s.starts[TASK]);
 }
