--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -81,6 +81,22 @@
 	return ws;
 }
 
+/* Drops the late ends that a session has reported. */
+static void
+drop_late_ends(struct jlead *jl, const struct wsess *ws)
+{
+	struct late_end **p = &jl->late_ends, *l;
+
+	while ((l = *p) != NULL) {
+		if (l->ws != ws) {
+			p = &l->next;
+			continue;
+		}
+		*p = l->next;
+		free(l);
+	}
+}
+
 /* Frees a session and its runs, and drops references to it from other runs. */
 static void
 session_free(struct jlead *jl, struct wsess *ws)
@@ -92,6 +108,7 @@
 
 	while (ws->runs != NULL)
 		jrun_free(jl, ws->runs);
+	drop_late_ends(jl, ws);
 	for (other = jl->sessions; other != NULL; other = other->next) {
 		for (r = other->runs; r != NULL; r = r->next) {
 			if (r->end_session == ws)
@@ -138,11 +155,12 @@
 	j->queue_cfg = NULL;
 }
 
-/* Takes over the assigned tasks of a list of jobs as inherited runs. */
-static void
+/* Takes over the assigned tasks of a list of jobs as inherited runs; returns
+ * their number. */
+static uint32_t
 inherit_runs(struct jlead *jl, struct jst_job *j)
 {
-	uint32_t i, k;
+	uint32_t i, k, n = 0;
 
 	for (; j != NULL; j = j->next) {
 		clear_queue_cache(j);
@@ -156,12 +174,15 @@
 
 				t->active_run = NULL;
 				t->idle_since_ms = 0;
-				if (t->state == JST_ASSIGNED)
-					jrun_new(jl, t->worker->session, st, k,
-					    t->run, RUN_INHERITED);
+				if (t->state != JST_ASSIGNED)
+					continue;
+				jrun_new(jl, t->worker->session, st, k, t->run,
+				    RUN_INHERITED);
+				n++;
 			}
 		}
 	}
+	return n;
 }
 
 /* Starts to lead. Nothing is assigned to a worker before it has been polled. */
@@ -169,6 +190,7 @@
 jlead_begin(
     struct jlead *jl, struct timespec now, int64_t wall_ms, uint64_t token)
 {
+	uint32_t inherited;
 	size_t i;
 
 	jlead_stop(jl);
@@ -180,10 +202,11 @@
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
 		session_new(jl, jl->st->workers[i]);
-	inherit_runs(jl, jl->st->active);
-	inherit_runs(jl, jl->st->ended);
-	log_event(LOG_NOTICE, "job", "event=lead token=%" PRIu64 " workers=%zu",
-	    token, jl->st->nworkers);
+	inherited =
+	    inherit_runs(jl, jl->st->active) + inherit_runs(jl, jl->st->ended);
+	log_event(LOG_NOTICE, "job",
+	    "event=lead token=%" PRIu64 " workers=%zu inherited_runs=%u", token,
+	    jl->st->nworkers, inherited);
 	jlead_tick(jl, now, wall_ms);
 }
 
@@ -411,6 +434,55 @@
 		jrun_free(jl, r);
 }
 
+/* Counts an end that a session has reported as committed, and acknowledges all
+ * of them once none is left. */
+static void
+ack_end(struct jlead *jl, struct wsess *ws)
+{
+	if (--ws->ends_pending > 0)
+		return;
+	ws->acked_end = ws->last_end;
+	if (!ws->poll_pending && !ws->silent && !ws->restarted)
+		jl_poll(jl, ws);
+}
+
+/* Tells whether a late end is the one of a command. */
+static bool
+is_end_of(const struct late_end *l, const Job__End *e)
+{
+	return l->run == e->run && e->how == JOB__HOW__DONE &&
+	    l->task.job == e->task->job &&
+	    l->task.occurrence == e->task->occurrence &&
+	    l->task.step == e->task->step && l->task.index == e->task->index;
+}
+
+/* Acknowledges the late ends that a committed command records. */
+static void
+ack_late_ends(struct jlead *jl, const Job__End *e)
+{
+	struct late_end **p = &jl->late_ends, *l;
+
+	while ((l = *p) != NULL) {
+		if (!is_end_of(l, e)) {
+			p = &l->next;
+			continue;
+		}
+		*p = l->next;
+		ack_end(jl, l->ws);
+		free(l);
+	}
+}
+
+/* Ends the run of a task that an earlier run has done. */
+static void
+drop_later_run(struct jlead *jl, struct jrun *r)
+{
+	if (r->phase == RUN_PROPOSED)
+		jrun_free(jl, r);
+	else
+		jrun_stop(jl, r, JL_STOP_TASK_DONE);
+}
+
 /* Frees a run whose end has been committed, and acknowledges the end once all
  * those reported with it are committed too. */
 static void
@@ -419,16 +491,19 @@
 	struct jrun *r = res->task == NULL ? NULL : res->task->active_run;
 	struct wsess *ws;
 
-	if (r == NULL || r->run != e->run)
+	ack_late_ends(jl, e);
+	if (r == NULL)
 		return;
+	if (r->run != e->run) {
+		if (res->status == STATUS_OK)
+			drop_later_run(jl, r);
+		return;
+	}
 	ws = r->end_session;
 	r->end_session = NULL;
 	jrun_free(jl, r);
-	if (ws == NULL || --ws->ends_pending > 0)
-		return;
-	ws->acked_end = ws->last_end;
-	if (!ws->poll_pending && !ws->silent && !ws->restarted)
-		jl_poll(jl, ws);
+	if (ws != NULL)
+		ack_end(jl, ws);
 }
 
 /* Starts a session for a new incarnation; earlier ones under its id are
@@ -478,6 +553,9 @@
 	if (!jl->leading)
 		return;
 	jl->plan_needed = true;
+	if ((c->assign != NULL || c->end != NULL) &&
+	    res->status == STATUS_STALE)
+		jl_log_stale(jl, c, res);
 	if (c->assign != NULL)
 		handle_assign(jl, res, c->assign);
 	else if (c->end != NULL)
@@ -497,22 +575,18 @@
 end_lost_runs(struct jlead *jl, struct wsess *ws)
 {
 	struct jrun *r, *next;
-	bool any = false;
+	uint32_t n = 0;
 
 	for (r = ws->runs; r != NULL; r = next) {
 		next = r->next;
 		if (r->phase == RUN_PROPOSED || r->phase == RUN_ENDING)
 			continue;
-		any = true;
+		n++;
 		ctr_add(jl->ctr, JCTR_ENDS_GONE, 1);
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
 	}
-	if (!any)
-		return;
-	ctr_add(jl->ctr, JCTR_WORKERS_LOST, 1);
-	log_event(LOG_NOTICE, "job",
-	    "event=worker_lost worker=%s silent_ms=%" PRId64, ws->w->info->id,
-	    clk_diff_ms(jl->now, ws->last_heard_at));
+	if (n > 0)
+		jl_log_worker_lost(jl, ws, n);
 }
 
 /* Sends the orders that are due. Clears orders_due if no run needs an order, so
