Wait for leases that reach a worker's next incarnation

What callers saw: a task ran on two workers at once.

Cause: a worker that starts again under its id has a new clock. A call that was sent to it by the clock of before gives the new incarnation a lease of up to 10 s, the longest that a worker accepts. The leader counted on its own leases of 6 s: when the new incarnation fell silent, its runs were given up after 6.1 s and started elsewhere, up to 4 s before they ended there.

A worker whose poll has failed may have restarted, so it gets no more leases until it answers; before, it got them for another 0.8 s. For a lease that was on its way at the restart, the first answer of an incarnation that follows another one counts as if it held the longest lease.

Evidence: JobTwice.ALeaseMeantForTheEarlierIncarnationIsWaitedFor and ALeaseOnItsWayAtTheRestartIsWaitedFor ran tasks twice at once before.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -210,12 +210,23 @@
 	jlead_tick(jl, now, wall_ms);
 }
 
+/* Tells whether a worker has been silent since a poll failed. An order without
+ * an answer makes it silent too, but the poll in flight may still be
+ * answered. */
+bool
+jl_has_failed_poll(const struct wsess *ws)
+{
+	return ws->silent && ws->backoff_ms > JLEAD_RETRY_MS;
+}
+
 /* Returns the end of a lease granted now, on the worker's clock; 0 if none may
- * be granted. */
+ * be granted. A worker whose poll failed may have restarted, and its next
+ * incarnation has another clock. */
 int64_t
 jl_lease_until(const struct jlead *jl, const struct wsess *ws)
 {
 	if (!ws->contacted || !jl->ops.is_sole_leader(jl->ops.arg) ||
+	    jl_has_failed_poll(ws) ||
 	    (ws->silent &&
 		clk_diff_ms(jl->now, ws->last_heard_at) >
 		    JLEAD_SILENT_LEASE_MS))
@@ -511,13 +522,19 @@
 static void
 handle_registration(struct jlead *jl, struct jst_worker *w)
 {
+	bool is_restart = false;
 	struct wsess *ws;
 
 	for (ws = jl->sessions; ws != NULL; ws = ws->next) {
-		if (!ws->restarted && strcmp(ws->w->info->id, w->info->id) == 0)
+		if (strcmp(ws->w->info->id, w->info->id) != 0)
+			continue;
+		is_restart = true;
+		if (!ws->restarted)
 			jl_handle_restart(jl, ws, w->info->born);
 	}
-	jl_poll(jl, session_new(jl, w));
+	ws = session_new(jl, w);
+	ws->follows_restart = is_restart;
+	jl_poll(jl, ws);
 }
 
 /* Adds a submitted job to the average demand. Every replica does so, so that a
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -90,6 +90,9 @@
 	uint32_t failed_polls;
 	/* another incarnation answered under this worker's id */
 	bool restarted;
+	/* an earlier incarnation was called: a lease by its clock may have
+	 * reached this one */
+	bool follows_restart;
 	/* the worker has said that it is about to exit */
 	bool leave_announced;
 	bool removal_proposed; /* its removal is being replicated */
@@ -121,6 +124,7 @@
 int64_t jl_lease_until(const struct jlead *, const struct wsess *);
 void jl_call_run(struct jlead *, struct jrun *, enum jl_call_kind);
 void jl_poll(struct jlead *, struct wsess *);
+bool jl_has_failed_poll(const struct wsess *);
 bool jl_leases_expired(const struct jlead *, const struct wsess *);
 /* jlead_run.c */
 struct jrun *jrun_new(struct jlead *, struct wsess *, struct jst_step *,
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -142,8 +142,10 @@
 	mark_answered(jl, ws, rep);
 	if (!ws->contacted) {
 		ws->contacted = true;
-		/* Leases of an earlier leader may still be in force. */
-		ws->lease_until_max_ms = ws->clock_ms + JLEAD_LEASE_MS;
+		/* Leases of an earlier leader, or ones meant for an earlier
+		 * incarnation, may be in force. */
+		ws->lease_until_max_ms = ws->clock_ms +
+		    (ws->follows_restart ? JLEAD_LEASE_MAX_MS : JLEAD_LEASE_MS);
 		jl->plan_needed = true;
 	}
 	jl_handle_poll(jl, ws, rep);
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -182,15 +182,6 @@
 		clk_diff_ms(jl->now, r->starting_at) > JLEAD_START_MS);
 }
 
-/* Tells whether a worker has been silent since a poll failed. An order without
- * an answer makes it silent too, but the poll in flight may still be
- * answered. */
-static bool
-has_failed_poll(const struct wsess *ws)
-{
-	return ws->silent && ws->backoff_ms > JLEAD_RETRY_MS;
-}
-
 /*
  * Gives up a start, so that the task goes to another worker. If a copy of the
  * order may be in flight, the run is stopped first. A worker that answers no
@@ -199,7 +190,7 @@
 static void
 give_up_start(struct jlead *jl, struct jrun *r)
 {
-	if (r->unconfirmed && has_failed_poll(r->ws))
+	if (r->unconfirmed && jl_has_failed_poll(r->ws))
 		return;
 	ctr_add(jl->ctr, JCTR_STARTS_GIVEN_UP, 1);
 	if (!r->ws->w->draining)
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -58,11 +58,11 @@
 	EXPECT_EQ(2, s.starts[TASK]);
 }
 
-/* Guards against a run that is given up while it is under a lease that was
- * meant for the worker's earlier incarnation, by the clock of that one. */
-TEST(JobTwice, ALeaseMeantForTheEarlierIncarnationIsWaitedFor)
+/* Lets a worker run a task under leases by a clock that is far ahead, with
+ * calls that take 300 ms; returns the worker. */
+uint64_t
+run_by_an_advanced_clock(JobSim &s)
 {
-	JobSim s(3);
 	uint64_t a = s.add_worker(8000);
 
 	s.workers[a].clock_start_ms = s.now_ms - 60000;
@@ -72,12 +72,15 @@
 	s.run(500);
 	s.call_ms = 300;
 	s.run(2500);
-	s.crash(a);
-	s.restart_worker(a);
-	s.run(600);
+	return a;
+}
+
+/* Registers the worker's next incarnation, starts a task there and cuts it
+ * off; the simulation checks that nothing runs twice. */
+void
+cut_off_next_incarnation(JobSim &s, uint64_t a)
+{
 	s.call_ms = 2;
-	ASSERT_GT(s.workers[a].lease_until_ms, JLEAD_LEASE_MS + 500)
-	    << "no poll crossed the restart";
 	s.submit(2, "batch", { JobSim::step(1, 1000) });
 	s.heartbeat(a);
 	s.run(200);
@@ -89,4 +92,35 @@
 	    << "given up and started again";
 }
 
+/* Guards against a lease by the clock of a worker's earlier incarnation that is
+ * sent to the next one, which then runs on when its runs are given up. */
+TEST(JobTwice, ALeaseMeantForTheEarlierIncarnationIsWaitedFor)
+{
+	JobSim s(3);
+	uint64_t a = run_by_an_advanced_clock(s);
+
+	s.crash(a);
+	s.restart_worker(a);
+	s.run(600);
+	cut_off_next_incarnation(s, a);
+}
+
+/* Guards against the same when that lease was on its way as the worker
+ * restarted. */
+TEST(JobTwice, ALeaseOnItsWayAtTheRestartIsWaitedFor)
+{
+	JobSim s(4);
+	uint64_t a = run_by_an_advanced_clock(s);
+	auto *ws = (struct wsess *)jst_find_worker(&s.st, a)->session;
+	uint64_t serial = ws->poll_serial;
+
+	while (ws->poll_serial == serial)
+		s.run(1);
+	s.crash(a);
+	s.restart_worker(a);
+	s.run(310);
+	ASSERT_GT(s.workers[a].lease_until_ms, JLEAD_LEASE_MS + 2000);
+	cut_off_next_incarnation(s, a);
+}
+
 } // namespace
