Damage the byte in question in a test of the log

Wal.RefusesFlippedBitsInTheMiddle wrote 0x55 over byte 25 of the file replica. That byte is random and held 0x55 already in 1 of 256 runs, so that nothing was damaged and the test failed.

--- a/src/control/tests/wal_test.cc
+++ b/src/control/tests/wal_test.cc
@@ -267,8 +267,10 @@
 		fs::remove_all(root / "c");
 		fs::copy(root / "d", root / "c");
 		std::fstream f(root / "c" / name, std::ios::in | std::ios::out);
+		f.seekg(25);
+		char b = (char)f.get();
 		f.seekp(25);
-		f.put('\x55');
+		f.put((char)(b ^ 0x55));
 		f.close();
 		EXPECT_FALSE(open("c")) << name;
 		EXPECT_EQ(STATUS_CORRUPT, e.status) << name;
