Tell a replaced leader so before it applies entries of the next one

A leader that is cut off and then hears of the next leader by a message that also advances the commit index got COMMIT first and ROLE after it, in the same step. It applied those entries as a leader. As read in the code, it could then take an end that the next leader had committed for the one that it had proposed itself, acknowledge what the worker reported, and begin to lead a second time in its old term.

The ROLE of a newer term now comes directly after the check of the term. Before, RaftStep.AReplacedLeaderIsToldBeforeItAppliesEntriesOfTheNext failed.

--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -232,6 +232,27 @@
 	return true;
 }
 
+/*
+ * Emits a ROLE action if role, term or leader differ from those last reported.
+ */
+static void
+emit_role_change(struct raft *r)
+{
+	struct raft_act *a;
+
+	if (r->role == r->reported_role && r->term == r->reported_term &&
+	    r->leader == r->reported_leader)
+		return;
+	r->reported_role = r->role;
+	r->reported_term = r->term;
+	r->reported_leader = r->leader;
+	a = raft_act_add(r, RAFT_ACT_ROLE);
+	a->u.role.role = r->role;
+	a->u.role.term = r->term;
+	a->u.role.leader = r->leader;
+	a->u.role.leader_instance = r->leader_instance;
+}
+
 /*
  * Dispatches a message by its kind. Returns STATUS_REFUSED if it is addressed
  * to another replica or comes from this one, STATUS_STALE if its term makes it
@@ -246,6 +267,10 @@
 		return STATUS_REFUSED;
 	if (!check_term(r, m))
 		return STATUS_STALE;
+	/* A replaced leader has to stop before it gets what the next one has
+	 * committed, or its snapshot. */
+	if (r->term != r->reported_term)
+		emit_role_change(r);
 	switch (m->kind) {
 	case CONTROL__RAFT_KIND__RAFT_PREVOTE:
 		raft_on_prevote(r, m);
@@ -381,27 +406,6 @@
 	r->ndeferred = k;
 }
 
-/*
- * Emits a ROLE action if role, term or leader differ from those last reported.
- */
-static void
-emit_role_change(struct raft *r)
-{
-	struct raft_act *a;
-
-	if (r->role == r->reported_role && r->term == r->reported_term &&
-	    r->leader == r->reported_leader)
-		return;
-	r->reported_role = r->role;
-	r->reported_term = r->term;
-	r->reported_leader = r->leader;
-	a = raft_act_add(r, RAFT_ACT_ROLE);
-	a->u.role.role = r->role;
-	a->u.role.term = r->term;
-	a->u.role.leader = r->leader;
-	a->u.role.leader_instance = r->leader_instance;
-}
-
 /*
  * Does the leader's work after each event: advances the commit index, promotes
  * learners, continues a transfer and replicates. Steps down once its own
@@ -430,7 +434,8 @@
 /*
  * Handles one event at time now and appends the resulting actions, which the
  * caller has to carry out in order: the PERSIST of an entry comes before its
- * COMMIT, and that before a LEADERSHIP_CONFIRMED that relies on it. Leaves the
+ * COMMIT, and that before a LEADERSHIP_CONFIRMED that relies on it; the ROLE of
+ * a newer term comes before what its leader has committed. Leaves the
  * state unchanged on STATUS_NOT_LEADER, STATUS_UNAVAILABLE (leadership is being
  * transferred), STATUS_FULL, STATUS_LIMIT (record too large) and the errors
  * of the membership functions. Returns STATUS_STALE, STATUS_REFUSED or
--- a/src/control/tests/raft_test.cc
+++ b/src/control/tests/raft_test.cc
@@ -230,6 +230,36 @@
 	EXPECT_EQ(3u, raft_commit_index(r));
 }
 
+/* Guards against a replaced leader that handles what the next one committed as
+ * its own decisions. */
+TEST_F(RaftStep, AReplacedLeaderIsToldBeforeItAppliesEntriesOfTheNext)
+{
+	start(1, 0, { 1 });
+	win_election();
+	std::vector<Control__Entry> e(2, CONTROL__ENTRY__INIT);
+	Control__Entry *p[2] = { &e[0], &e[1] };
+	for (uint64_t i = 0; i < 2; i++) {
+		e[i].index = 2 + i;
+		e[i].term = 3;
+		e[i].kind = CONTROL__ENTRY_KIND__ENTRY_DATA;
+	}
+	Control__RaftMsg m = msg(CONTROL__RAFT_KIND__RAFT_APPEND, 3, 2, 1, 1);
+	m.has_commit = 1;
+	m.commit = 3;
+	m.n_entries = 2;
+	m.entries = p;
+	EXPECT_EQ(STATUS_OK, receive(m));
+	bool told = false, applied = false;
+	for (size_t i = 0; i < acts.n; i++) {
+		told |= acts.v[i].kind == RAFT_ACT_ROLE;
+		if (acts.v[i].kind != RAFT_ACT_COMMIT)
+			continue;
+		applied = true;
+		EXPECT_TRUE(told);
+	}
+	EXPECT_TRUE(applied);
+}
+
 /* Guards against a replica that deposes a working leader: no vote may be
  * granted while followers hear from the leader. */
 TEST_F(RaftStep, VotesAreRefusedWhileALeaderIsHeard)
