Open a log whose first segment begins with a truncation below its base

A replica did not start any more: "record at offset 68 does not continue the log". A segment starts after the last entry of the log, committed or not.

--- a/src/control/tests/wal_test.cc
+++ b/src/control/tests/wal_test.cc
@@ -373,6 +373,24 @@
 	}
 }
 
+/* Guards against refusing to start after a segment began with the removal of
+ * entries of the one before, which a snapshot has removed since. */
+TEST_F(Wal, TruncationBelowTheFirstSegmentIsRead)
+{
+	ASSERT_TRUE(open());
+	ASSERT_EQ(STATUS_OK, append(1, 25, 1));
+	ASSERT_EQ(STATUS_OK, snapshot(7, 1, false));
+	ASSERT_EQ(STATUS_OK, wal_truncate(w, 23, &e));
+	ASSERT_EQ(STATUS_OK, append(23, 30, 2));
+	ASSERT_EQ(STATUS_OK, snapshot(26, 2, false));
+	ASSERT_TRUE(open()) << e.msg;
+	struct raft_initial_state c = {};
+	wal_initial_state(w, &c);
+	EXPECT_EQ(26u, c.snap_index);
+	EXPECT_EQ(30u, last());
+	EXPECT_EQ(2u, c.entries[0].term);
+}
+
 /* Guards against entries lost between segments, and a missing segment that is
  * not noticed. */
 TEST_F(Wal, RollsSegments)
--- a/src/control/wal_open.c
+++ b/src/control/wal_open.c
@@ -139,6 +139,30 @@
 	en->data = str_mem(r->p + 17, r->len - 17);
 }
 
+/*
+ * Removes all entries from an index on. The first segment may begin with the
+ * removal of entries of an earlier one, which is gone because the snapshot
+ * covers it. Returns false if there is no such snapshot.
+ */
+static bool
+replay_truncation(struct wal *w, uint64_t from)
+{
+	if (from == 0 ||
+	    (from <= w->base_index && w->base_index > w->snap_index))
+		return false;
+	if (from <= w->base_index) {
+		w->base_index = w->last = from - 1;
+		w->base_term = 0;
+		w->nterm_runs = 0;
+		w->nentries = 0;
+		return true;
+	}
+	wal_record_truncation(w, from);
+	while (w->nentries > 0 && w->entries[w->nentries - 1].index >= from)
+		w->nentries--;
+	return true;
+}
+
 /* Applies one record. Returns false if it does not continue the log. */
 static bool
 replay_record(struct wal *w, const struct wal_rec *r)
@@ -151,14 +175,7 @@
 		w->voted_for = wal_get64(r->p + 8);
 		return true;
 	case WAL_REC_TRUNCATE:
-		index = wal_get64(r->p);
-		if (index <= w->base_index)
-			return false;
-		wal_record_truncation(w, index);
-		while (w->nentries > 0 &&
-		    w->entries[w->nentries - 1].index >= index)
-			w->nentries--;
-		return true;
+		return replay_truncation(w, wal_get64(r->p));
 	case WAL_REC_ENTRY:
 		index = wal_get64(r->p);
 		if (index != w->last + 1)
