Count the age of relayed calls from when the leader made them

A leader that is paused between queueing a call for another replica and sending it stamped the message after the pause. The replica took the call for new and made it, seconds after the leader had checked that it leads. A worker that has heard of the next leader refuses it; one that has restarted carries it out.

The message now bears the time of its oldest call, so that the replica judges it as it judges one that was held up on its way, and answers that it made none of the calls.

Relay.CallsHeldUpBeforeTheyAreSentAreNotMade failed before: the replica called the worker twice.

--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -44,6 +44,7 @@
 	TALLOC_CTX *calls_ctx; /* owns the queued calls */
 	GPtrArray *calls;      /* of this leader, for that instance to make */
 	GPtrArray *answers;    /* to calls of that instance's leader */
+	struct timespec calls_since; /* when the oldest queued call was made */
 	uint64_t calls_token, answers_token; /* of what is queued */
 };
 
@@ -512,15 +513,18 @@
 {
 	struct rpeer *p = get_rpeer(rl, peer);
 	struct relayed_call *rc = calloc(1, sizeof(*rc));
+	struct timespec now = clk_now(&rl->conf.clk);
 
 	if (rc == NULL)
 		abort();
+	if (p->calls->len == 0)
+		p->calls_since = now;
 	rc->serial = call->serial;
 	rc->token = call->token;
 	rc->peer = peer;
 	init_reply(&rc->reply, call);
-	rc->deadline = clk_add_ms(
-	    clk_now(&rl->conf.clk), call->timeout_ms + RELAY_TIMEOUT_MARGIN_MS);
+	rc->deadline =
+	    clk_add_ms(now, call->timeout_ms + RELAY_TIMEOUT_MARGIN_MS);
 	if (clk_before(rc->deadline, rl->next_sweep_at))
 		rl->next_sweep_at = rc->deadline;
 	g_hash_table_insert(rl->relayed, &rc->serial, rc);
@@ -543,8 +547,9 @@
 		forward_call(rl, peer, call);
 }
 
-/* Sends the calls that are queued for an instance. Adds the serials of those
- * that can't be sent to unsent. */
+/* Sends the calls that are queued for an instance. Their age counts from when
+ * the oldest was queued, as this process may have been paused since. Adds the
+ * serials of those that can't be sent to unsent. */
 static void
 send_calls(struct relay *rl, struct rpeer *p, GArray *unsent)
 {
@@ -554,7 +559,7 @@
 
 	m.worker_calls = &c;
 	c.token = p->calls_token;
-	c.sent_ms = clk_ns(clk_now(&rl->conf.clk)) / CLK_NS_PER_MS;
+	c.sent_ms = clk_ns(p->calls_since) / CLK_NS_PER_MS;
 	c.has_clock_told = c.clock_told = 1;
 	for (first = 0; first < n; first += c.n_calls) {
 		c.calls = (Job__WorkerCall **)p->calls->pdata + first;
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -207,6 +207,28 @@
 	EXPECT_EQ(JL_RELAY_DROPPED, leader.replies[0].kind);
 }
 
+/* Guards against orders of a leader that was paused between giving and sending
+ * them, and that count as new as soon as it goes on. */
+TEST_F(Relay, CallsHeldUpBeforeTheyAreSentAreNotMade)
+{
+	struct jl_call c = make_poll(1);
+	server->steps = { { http("{\"clockMs\":77}"), false } };
+	relay_call(leader.rl, &c, 500);
+	now_ms += 4000;
+	c.serial = 2;
+	relay_call(leader.rl, &c, 500);
+	relay_flush(leader.rl);
+	ASSERT_TRUE(loop_until(ev, &got_reply));
+	EXPECT_EQ(0U, server->requests.size());
+	ASSERT_EQ(2U, leader.replies.size());
+	EXPECT_EQ(JL_RELAY_DROPPED, leader.replies[0].kind);
+	EXPECT_EQ(JL_RELAY_DROPPED, leader.replies[1].kind);
+	got_reply = false;
+	call(make_poll(3), 500);
+	ASSERT_TRUE(loop_until(ev, &got_reply));
+	EXPECT_EQ(JL_OK, leader.replies[2].kind);
+}
+
 /* Guards against an order that is sent long after it was given, as the process
  * was paused in between, without a line in the log. */
 TEST_F(Relay, AnOrderSentLateIsLogged)
