Take no clock from an answer that outlived its connection

A replica judges the age of another one's calls by the difference of their clocks, and forgets it when the connection fails, as the next incarnation may run on another clock. An answer to a ping that was in transit then set it again, to the clock of the earlier incarnation. Until the next answer, calls of the new one were judged by it.

The ping in flight is now forgotten with the connection.

Caller.AnAnswerToAPingBeforeADisconnectSetsNoClock failed before.

--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -354,9 +354,12 @@
 {
 	struct member *m = find_member(c, instance);
 
-	/* Its next incarnation may run on another clock. */
-	if (m != NULL)
+	/* Its next incarnation may run on another clock; answers of this one
+	 * may still arrive. */
+	if (m != NULL) {
 		m->clock_known = false;
+		m->ping_seq = 0;
+	}
 	if (instance == c->leader)
 		set_leader(c, now, 0);
 }
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -276,4 +276,22 @@
 	EXPECT_FALSE(caller_clock_ahead(f.c, 2, &ahead));
 }
 
+/* Guards against a clock difference of an earlier incarnation, whose answer was
+ * in transit when the connection to it failed. */
+TEST(Caller, AnAnswerToAPingBeforeADisconnectSetsNoClock)
+{
+	fixture f;
+	int64_t ahead;
+	Job__Pong p = JOB__PONG__INIT;
+	while (f.sent.empty())
+		f.advance(50);
+	for (auto &x : f.sent)
+		p.seq = x.to == 2 ? x.id : p.seq;
+	p.has_at_ms = 1;
+	p.at_ms = 40;
+	caller_on_disconnect(f.c, f.now, 2);
+	caller_on_pong(f.c, f.now, 2, &p);
+	EXPECT_FALSE(caller_clock_ahead(f.c, 2, &ahead));
+}
+
 } // namespace
