Ignore an impossible time in the answer to a ping

The difference to a time that is negative or beyond any clock was computed with an overflow, which is undefined, and was then used to judge the age of calls. Such an answer now sets no clock, as a batch of calls with such a time is refused already.

Caller.AnImpossibleTimeSetsNoClock failed before, for all three times.

--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -295,7 +295,8 @@
 {
 	struct member *m = find_member(c, from);
 
-	if (m == NULL || !p->has_at_ms || p->seq != m->ping_seq ||
+	if (m == NULL || !p->has_at_ms || p->at_ms < 0 ||
+	    p->at_ms > CALLER_CLOCK_MAX_MS || p->seq != m->ping_seq ||
 	    clk_diff_ms(now, m->pinged_at) > CALLER_CLOCK_MAX_RTT_MS)
 		return;
 	m->clock_known = true;
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -26,6 +26,8 @@
 #define CALLER_ELECTION_WAIT_MS 2300
 /* The answer to a ping that takes longer isn't used to compare clocks. */
 #define CALLER_CLOCK_MAX_RTT_MS 300
+/* Greatest time on the clock of a replica. */
+#define CALLER_CLOCK_MAX_MS (INT64_C(1) << 52)
 /* An unanswered call is sent again after this. A commit takes about 20 ms, a
  * change of leader 1 to 2 s. */
 #define CALLER_RESEND_MS 700
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -294,4 +294,22 @@
 	EXPECT_FALSE(caller_clock_ahead(f.c, 2, &ahead));
 }
 
+/* Guards against a difference of clocks that overflows. */
+TEST(Caller, AnImpossibleTimeSetsNoClock)
+{
+	for (int64_t at_ms : { INT64_MIN, INT64_C(-1), INT64_MAX }) {
+		fixture f;
+		int64_t ahead;
+		Job__Pong p = JOB__PONG__INIT;
+		while (f.sent.empty())
+			f.advance(50);
+		for (auto &x : f.sent)
+			p.seq = x.to == 2 ? x.id : p.seq;
+		p.has_at_ms = 1;
+		p.at_ms = at_ms;
+		caller_on_pong(f.c, f.now, 2, &p);
+		EXPECT_FALSE(caller_clock_ahead(f.c, 2, &ahead)) << at_ms;
+	}
+}
+
 } // namespace
