Check that an idle connection to a worker is quiet before its use

A call was written to an idle connection without a look at what had arrived there. If the worker had closed it, as all do at a restart, and the call was sent before that event was handled, such as after a pause of this process, it ended as possibly sent: the leader took the worker for silent and the run for one that may be running. Bytes that answer no call were taken for the answer to the new one, so that a start counted as confirmed.

A connection with an end or bytes to read is now closed, and the call takes another one.

Wcon.AClosedIdleConnectionIsNotReused and Wcon.StrayBytesOnAnIdleConnectionAnswerNothing failed before.

--- a/src/node/tests/script_server.h
+++ b/src/node/tests/script_server.h
@@ -33,6 +33,8 @@
 
 	explicit script_server(struct tevent_context *);
 	~script_server();
+	/* Writes bytes that answer no request to each open connection. */
+	void write_stray(const std::string &);
 };
 
 /* Runs the event loop until *done is set or 10 s have passed; returns *done. */
--- a/src/node/tests/script_server_test.cc
+++ b/src/node/tests/script_server_test.cc
@@ -87,6 +87,15 @@
 	close(fd);
 }
 
+void
+script_server::write_stray(const std::string &bytes)
+{
+	for (struct script_conn *c : conns) {
+		if (write(c->fd, bytes.data(), bytes.size()) < 0)
+			abort();
+	}
+}
+
 static void
 on_limit(
     struct tevent_context *, struct tevent_timer *, struct timeval, void *arg)
--- a/src/node/tests/wcon_test.cc
+++ b/src/node/tests/wcon_test.cc
@@ -147,6 +147,40 @@
 	EXPECT_EQ(2U, server->accepted);
 }
 
+/* Guards against bytes that have arrived on an idle connection and are taken
+ * for the answer to the next call, which the worker may not have got. */
+TEST_F(Wcon, StrayBytesOnAnIdleConnectionAnswerNothing)
+{
+	server->steps = { { OK, false }, { "", false } };
+	open(10);
+	call(1, server->addr);
+	wait();
+	ASSERT_EQ(1U, server->conns.size());
+	server->write_stray(
+	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+	call(2, server->addr);
+	for (int i = 0; i < 100 && server->requests.size() < 2; i++)
+		tevent_loop_once(ev);
+	EXPECT_EQ((std::vector<std::string>{ "hi" }), bodies);
+	EXPECT_EQ(2U, server->accepted);
+}
+
+/* Guards against a call on an idle connection that the worker has closed, which
+ * ends as possibly sent. */
+TEST_F(Wcon, AClosedIdleConnectionIsNotReused)
+{
+	server->steps = { { OK, true }, { OK, false } };
+	open(10);
+	call(1, server->addr);
+	wait();
+	while (server->closed == 0)
+		tevent_loop_once(ev);
+	call(2, server->addr);
+	wait();
+	EXPECT_EQ(0U, failures.size());
+	EXPECT_EQ(2U, bodies.size());
+}
+
 /* Guards against a call that is reported as possibly sent although its
  * connection was refused, and against a callback from within wcon_start. */
 TEST_F(Wcon, ARefusedConnectionSentNothing)
--- a/src/node/wcon_conn.c
+++ b/src/node/wcon_conn.c
@@ -280,8 +280,19 @@
 	return c;
 }
 
-/* Returns a connection of a host that is idle for less than WCON_IDLE_MS, or
- * NULL. */
+/* Tells whether an idle connection can take a call: the worker hasn't closed it
+ * and has sent nothing that would be taken for the answer. */
+static bool
+is_quiet(const struct wconn *c)
+{
+	char byte;
+
+	return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	    errno == EAGAIN;
+}
+
+/* Returns a usable connection of a host that is idle for less than
+ * WCON_IDLE_MS, or NULL. */
 struct wconn *
 wconn_find_idle(struct wcon_host *h)
 {
@@ -292,7 +303,7 @@
 		next = c->next;
 		if (c->call != NULL)
 			continue;
-		if (clk_diff_ms(now, c->used_at) < WCON_IDLE_MS)
+		if (clk_diff_ms(now, c->used_at) < WCON_IDLE_MS && is_quiet(c))
 			return c;
 		wconn_close(c);
 	}
