Test what the leader is told of calls that were lost on their way

They pass on the code as it is: calls of a message that was sent don't end as not made, messages lost with their connection are reported, and a process that leads again drops answers to its calls of before.

--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -358,6 +358,33 @@
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
 }
 
+/* Guards against the answer to a poll of an earlier term of the same process,
+ * which lost the leadership and got it back at once. */
+TEST(JobLead, AnAnswerToAnEarlierTermOfThisProcessIsDropped)
+{
+	JobSim s(24);
+	uint64_t a = s.add_worker(4000);
+	struct jl_reply r = {};
+
+	s.lead();
+	s.run(100);
+	struct wsess *ws = s.jl.sessions;
+	ASSERT_TRUE(ws->poll_pending);
+	r.call = JL_POLL;
+	r.worker = a;
+	r.serial = ws->poll_serial;
+	r.has_clock = true;
+	r.clock_ms = 1;
+	r.incarnation = s.workers[a].incarnation;
+	s.lead();
+	jlead_reply(&s.jl, s.now(), &r);
+	ws = s.jl.sessions;
+	EXPECT_GT(s.jl.first_serial, r.serial);
+	EXPECT_TRUE(ws->poll_pending);
+	EXPECT_FALSE(ws->contacted);
+	EXPECT_FALSE(ws->silent);
+}
+
 /* Guards against orders to a draining worker. */
 TEST(JobLead, ADrainingWorkerGetsNothingNew)
 {
--- a/src/node/tests/peer_test.cc
+++ b/src/node/tests/peer_test.cc
@@ -4,6 +4,7 @@
 
 #include "node/tests/wall_clock.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <netinet/in.h>
 #include <arpa/inet.h>
@@ -26,6 +27,7 @@
 	std::string addr;
 	size_t messages = 0;
 	bool got_message = false, accepts_hello = true;
+	std::vector<uint32_t> lost; /* instances whose connection failed */
 
 	static void on_message(void *arg, const Control__PeerMsg *m)
 	{
@@ -35,8 +37,9 @@
 		EXPECT_EQ(2u, m->from);
 	}
 
-	static void on_down(void *, uint32_t)
+	static void on_down(void *arg, uint32_t instance)
 	{
+		((Peer *)arg)->lost.push_back(instance);
 	}
 
 	static bool on_hello(void *arg, uint64_t, uint64_t, uint64_t)
@@ -257,6 +260,27 @@
 	EXPECT_EQ(STATUS_LIMIT, peer_send(peer, 2, &m));
 }
 
+/* Guards against messages that wait for a connection and are lost with it,
+ * while their sender takes them for sent. */
+TEST_F(Peer, MessagesLostWithTheirConnectionAreReported)
+{
+	script_server *other = new script_server(ev);
+	struct node_peer node = { 3, str_from(other->addr.c_str()) };
+	Control__PeerMsg m = CONTROL__PEER_MSG__INIT;
+	Control__BeatReply b = CONTROL__BEAT_REPLY__INIT;
+
+	m.group = m.from = 1;
+	m.beat_reply = &b;
+	peer_add(peer, &node);
+	ASSERT_TRUE(loop_until(ev, &other->has_accepted));
+	EXPECT_EQ(STATUS_OK, peer_send(peer, 3, &m)); /* no HELLO has come */
+	EXPECT_EQ(0, std::count(lost.begin(), lost.end(), 3U));
+	delete other;
+	for (int i = 0; i < 1000 && count(NCTR_PEER_CLOSED) == 0; i++)
+		tevent_loop_once(ev);
+	EXPECT_EQ(1, std::count(lost.begin(), lost.end(), 3U));
+}
+
 /* Guards against an instance that is not connected to for as long as the time
  * of day was set back. */
 TEST_F(Peer, ConnectsAfterTheTimeOfDayWasSetBack)
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "script_server.h"
 
 #include "base/log.h"
@@ -39,6 +41,7 @@
 	side leader = { this, 1, NULL, {} }, other = { this, 2, NULL, {} };
 	bool got_reply = false, sent_message = false, hold_messages = false;
 	bool refuse_messages = false;
+	size_t accept_messages = SIZE_MAX; /* later ones are refused */
 	std::vector<std::pair<uint32_t, std::vector<uint8_t>>> in_transit;
 
 	static struct timespec clock(void *arg)
@@ -60,10 +63,11 @@
 	{
 		side *s = (side *)arg;
 		std::vector<uint8_t> buf(job__msg__get_packed_size(m));
-		if (s->t->refuse_messages ||
+		if (s->t->refuse_messages || s->t->accept_messages == 0 ||
 		    buf.size() > FRAME_PAYLOAD_MAX_BYTES)
 			return false;
 		job__msg__pack(m, buf.data());
+		s->t->accept_messages--;
 		s->t->sent_message = true;
 		s->t->in_transit.push_back({ to, buf });
 		if (!s->t->hold_messages)
@@ -318,6 +322,36 @@
 	EXPECT_EQ(JL_OK, leader.replies[1].kind);
 }
 
+/* Guards against calls that are reported as not made although their message was
+ * sent, when a later message with the rest of them was not. */
+TEST_F(Relay, OnlyTheCallsOfAnUnsentMessageEndAsNotMade)
+{
+	std::string spec(4000, 'x');
+	struct jl_call c = make_poll(0);
+	c.kind = JL_START;
+	c.spec = spec.c_str();
+	job__task__init(&c.task);
+	hold_messages = true;
+	accept_messages = 1;
+	for (c.serial = 1; c.serial <= JLEAD_ASSIGN_MAX; c.serial++)
+		relay_call(leader.rl, &c, 500);
+	relay_flush(leader.rl);
+	ASSERT_EQ(1U, in_transit.size());
+	auto &buf = in_transit[0].second;
+	Job__Msg *m = job__msg__unpack(NULL, buf.size(), buf.data());
+	std::set<uint64_t> handed;
+	for (size_t i = 0; i < m->worker_calls->n_calls; i++)
+		handed.insert(m->worker_calls->calls[i]->serial);
+	job__msg__free_unpacked(m, NULL);
+	ASSERT_GT(handed.size(), 0U);
+	ASSERT_LT(handed.size(), (size_t)JLEAD_ASSIGN_MAX);
+	EXPECT_EQ(JLEAD_ASSIGN_MAX - handed.size(), leader.replies.size());
+	for (auto &r : leader.replies) {
+		EXPECT_EQ(JL_RELAY_DROPPED, r.kind);
+		EXPECT_EQ(0U, handed.count(r.serial));
+	}
+}
+
 /* Guards against one batch with an impossible time after which all batches of
  * its leader count as late. */
 TEST_F(Relay, ABatchFromTheFutureDoesNotMakeLaterOnesStale)
