--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -5,6 +5,7 @@
 #include "script_server.h"
 
 #include "base/log.h"
+#include "base/rng.h"
 #include "node/frame.h"
 #include "node/nctr.h"
 #include "node/relay.h"
@@ -93,6 +94,54 @@
 		}
 	}
 
+	/* Returns a packed answer to a call, with a run and an end. */
+	static std::vector<uint8_t> pack_answer(const struct jl_call &c)
+	{
+		TALLOC_CTX *ctx = talloc_new(NULL);
+		Job__Msg m = JOB__MSG__INIT;
+		Job__WorkerAnswers a = JOB__WORKER_ANSWERS__INIT;
+		struct jl_reply r = {};
+		struct jl_running row = {};
+		struct jl_ended ended = {};
+		r.serial = c.serial;
+		row.task = ended.task = c.task;
+		row.checkpoint = ended.checkpoint = "00ff";
+		r.running = &row;
+		r.ended = &ended;
+		r.nrunning = r.nended = 1;
+		Job__WorkerAnswer *one = relay_msg_answer(ctx, &r);
+		a.token = c.token;
+		a.answers = &one;
+		a.n_answers = 1;
+		m.worker_answers = &a;
+		std::vector<uint8_t> buf(job__msg__get_packed_size(&m));
+		job__msg__pack(&m, buf.data());
+		talloc_free(ctx);
+		return buf;
+	}
+
+	/* Delivers a message if it can be read. No address in it is called but
+	 * that of the scripted worker. */
+	void deliver_altered(const std::vector<uint8_t> &buf, side &to)
+	{
+		Job__Msg *m = job__msg__unpack(NULL, buf.size(), buf.data());
+		std::vector<char *> addrs;
+		if (m == NULL)
+			return;
+		Job__WorkerCalls *calls = m->worker_calls;
+		for (size_t i = 0; calls != NULL && i < calls->n_calls; i++) {
+			addrs.push_back(calls->calls[i]->addr);
+			calls->calls[i]->addr = server->addr.data();
+		}
+		if (calls != NULL)
+			relay_on_calls(to.rl, 1, calls);
+		else if (m->worker_answers != NULL)
+			relay_on_answers(to.rl, 2, m->worker_answers);
+		for (size_t i = 0; i < addrs.size(); i++)
+			calls->calls[i]->addr = addrs[i];
+		job__msg__free_unpacked(m, NULL);
+	}
+
 	/* All instances have the same clock here. */
 	static bool clock_ahead(void *, uint32_t, int64_t *ms)
 	{
@@ -510,6 +559,41 @@
 	EXPECT_EQ(JL_RELAY_LOST, leader.replies[0].kind);
 }
 
+/* Guards against a message that ends the process, or that gives a reply to a
+ * call that was not made. */
+TEST_F(Relay, AlteredMessagesEndNoProcess)
+{
+	struct rng rng;
+	struct jl_call c = make_poll(1);
+	rng_init(&rng, 1);
+	c.kind = JL_START;
+	c.spec = "text";
+	c.checkpoint = "00ff";
+	job__task__init(&c.task);
+	for (int i = 0; i < 20000; i++) {
+		hold_messages = true;
+		c.serial++;
+		call(c, 500);
+		ASSERT_EQ(1U, in_transit.size());
+		auto buf = std::move(in_transit[0].second);
+		in_transit.clear();
+		if (i % 2 == 0)
+			buf = pack_answer(c);
+		for (uint64_t n = rng_below(&rng, 4) + 1; n > 0; n--)
+			buf[rng_below(&rng, buf.size())] =
+			    (uint8_t)rng_below(&rng, 256);
+		deliver_altered(buf, i % 2 == 0 ? leader : other);
+		now_ms++;
+		relay_tick(leader.rl);
+		relay_tick(other.rl);
+		relay_on_peer(leader.rl, 2, "a");
+		for (auto &r : leader.replies)
+			EXPECT_LE(r.serial, c.serial);
+		leader.replies.clear();
+		in_transit.clear();
+	}
+}
+
 /* Guards against fields lost between instances: without its occurrence, step
  * and index a task would be started as another one of its job. */
 TEST(RelayMsg, KeepsEveryFieldOfACall)
