Check in the simulation that no lease lasts into a later leader's term

Whether a former leader may still order work was only checked by its read barriers. A lease of 1,400 ms, with 1,000 ms of silence before an election, they don't find.

--- a/src/control/tests/raft_sim.h
+++ b/src/control/tests/raft_sim.h
@@ -144,6 +144,7 @@
 	void schedule_on(
 	    uint32_t instance, int64_t when, std::function<void()> fn);
 	void run_actions(uint32_t instance);
+	void check_lease(const SimNode &);
 	void send(uint32_t from, uint32_t to, const Control__RaftMsg *);
 	void deliver(uint32_t from, uint32_t to, uint64_t incarnation,
 	    const std::string &);
@@ -429,10 +430,31 @@
 	n.acts.n = 0;
 	enum status st = raft_step(n.raft, local_time(n), &ev, &n.acts);
 	run_actions(instance);
+	check_lease(n);
 	schedule_tick(instance);
 	return st;
 }
 
+/* Checks that nobody holds the leader lease of a term once another replica
+ * leads in a later one. The state of n has changed. */
+inline void
+RaftSim::check_lease(const SimNode &n)
+{
+	if (raft_role(n.raft) != RAFT_LEADER)
+		return;
+	for (auto &other : nodes) {
+		if (!other->up() || other.get() == &n ||
+		    raft_role(other->raft) != RAFT_LEADER)
+			continue;
+		const SimNode &earlier =
+		    raft_term(n.raft) < raft_term(other->raft) ? n : *other;
+		if (raft_has_leader_lease(earlier.raft, local_time(earlier)))
+			report_violation("a lease of term " +
+			    std::to_string(raft_term(earlier.raft)) +
+			    " beside a later leader");
+	}
+}
+
 inline void
 RaftSim::run_actions(uint32_t instance)
 {
