--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -295,7 +295,8 @@
 {
 	struct member *m = find_member(c, from);
 
-	if (m == NULL || !p->has_at_ms || p->seq != m->ping_seq ||
+	if (m == NULL || !p->has_at_ms || p->at_ms < 0 ||
+	    p->at_ms > CALLER_CLOCK_MAX_MS || p->seq != m->ping_seq ||
 	    clk_diff_ms(now, m->pinged_at) > CALLER_CLOCK_MAX_RTT_MS)
 		return;
 	m->clock_known = true;
@@ -354,9 +355,12 @@
 {
 	struct member *m = find_member(c, instance);
 
-	/* Its next incarnation may run on another clock. */
-	if (m != NULL)
+	/* Its next incarnation may run on another clock; answers of this one
+	 * may still arrive. */
+	if (m != NULL) {
 		m->clock_known = false;
+		m->ping_seq = 0;
+	}
 	if (instance == c->leader)
 		set_leader(c, now, 0);
 }
