Refuse a relayed clock of a worker that is out of range

A replica that makes calls for the leader checks the clock in a worker's answer, but the leader took any clock from a replica's message, and computed leases from it: near the greatest number they overflow. Such an answer counts as lost now.

Evidence: RelayMsg.RefusesAClockOutOfRange failed before.

--- a/src/node/relay_msg.c
+++ b/src/node/relay_msg.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/relay.h"
+
 /* Returns p; ends the process if it is NULL. */
 static void *
 check_alloc(void *p)
@@ -251,7 +253,9 @@
 relay_msg_to_reply(
     TALLOC_CTX *ctx, const Job__WorkerAnswer *m, struct jl_reply *r)
 {
-	if (m->kind > JL_CONN_REFUSED)
+	if (m->kind > JL_CONN_REFUSED ||
+	    (m->has_clock_ms &&
+		(m->clock_ms < 0 || m->clock_ms > RELAY_TIME_MAX_MS)))
 		return false;
 	r->kind = (enum jl_reply_kind)m->kind;
 	r->has_clock = m->has_clock_ms;
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -503,6 +503,30 @@
 	talloc_free(ctx);
 }
 
+/* Guards against a worker's clock near the greatest number in another
+ * instance's message: leases that are computed from it overflow. */
+TEST(RelayMsg, RefusesAClockOutOfRange)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct jl_reply r = {}, d = {};
+	r.kind = JL_OK;
+	r.has_clock = true;
+	for (int64_t clock :
+	    { INT64_MIN, (int64_t)-1, RELAY_TIME_MAX_MS + 1, INT64_MAX }) {
+		r.clock_ms = clock;
+		EXPECT_FALSE(
+		    relay_msg_to_reply(ctx, relay_msg_answer(ctx, &r), &d))
+		    << clock;
+	}
+	for (int64_t clock : { (int64_t)0, RELAY_TIME_MAX_MS }) {
+		r.clock_ms = clock;
+		EXPECT_TRUE(
+		    relay_msg_to_reply(ctx, relay_msg_answer(ctx, &r), &d))
+		    << clock;
+	}
+	talloc_free(ctx);
+}
+
 /* Guards against rows of a poll's answer that are lost or mixed up on their
  * way, and against reading past the end of columns of different lengths. */
 TEST(RelayMsg, KeepsEveryRowOfAnAnswer)
