Refuse the announcement of a worker at port 0

The interface for workers of "serve" took an address with port 0, at which no worker can be reached. Other odd ports, addresses and nesting were refused before; the process test checks them too.

Evidence: tests/peer_input.sh failed before (address 127.0.0.1:0 gave 200).

--- a/src/node/api.c
+++ b/src/node/api.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/ini.h"
 #include "node/pjson.h"
 #include "node/sock.h"
 
@@ -372,9 +373,11 @@
 	Control__WorkerUp *up;
 	struct sockaddr_storage ss;
 	socklen_t len;
+	struct err port;
 	enum status st;
 	size_t i;
 
+	err_clear(&port);
 	up = create_message(in->ctx, &control__worker_up__descriptor);
 	in->op->worker_up = up;
 	st = fill_worker_message(in, &up->base, e);
@@ -383,6 +386,10 @@
 	st = check_capacity(up, e);
 	if (st == STATUS_OK)
 		st = sock_parse_addr(str_from(up->addr), &ss, &len, e);
+	/* Only addresses to listen at may have port 0. */
+	if (st == STATUS_OK && !ini_parse_addr(str_from(up->addr), &port))
+		st = err_set(
+		    e, STATUS_INVALID, "addr: expected a port from 1 to 65535");
 	for (i = 0; st == STATUS_OK && i < up->n_serves; i++)
 		st = check_name("serves", up->serves[i], e);
 	if (st == STATUS_OK && up->rack != NULL)
--- a/tests/peer_input.sh
+++ b/tests/peer_input.sh
@@ -51,6 +51,15 @@
 	grep -q INVALID "$work/out" ||
 	    fail "the refusal has no type: $(cat "$work/out")"
 done
+for addr in 127.0.0.1 127.0.0.1:0 127.0.0.1:65536 127.0.0.1:99999 \
+    127.0.0.1:-9 127.0.0.1:9x 127.0.0.1:99999999999999999999 :9 host:9; do
+	code=$(announce w1 "{${body/127.0.0.1:9/$addr},\"cpu_milli\":1000}")
+	[ "$code" = 400 ] || fail "address $addr gave $code"
+done
+for odd in "$(printf '[%.0s' $(seq 50000))" '{"a":[[[[[[[[[1]]]]]]]]]}'; do
+	code=$(announce w1 "$odd")
+	[ "$code" = 400 ] || fail "deep nesting gave $code"
+done
 [ "$(announce w1 "{$body,\"cpu_milli\":1000}")" = 200 ] ||
     fail "a valid announcement was refused"
 first=$(grep -o '"epoch":[0-9]*' "$work/out")
