Simulate slow clocks, stops that take time, and late polls and answers

The simulation of the job leader was kinder than the platform: clocks ran at the leader's speed, a stop took effect at once, polls were never carried out late, no answer took longer than the leader waits, and an answer listed all ends. All of these can be set now; none is on by default, but the limit of 500 ends. Workers have the time of their start as their incarnation, as on the platform.

Every 25 ms the simulation counts what the state and the leader keep counts of: waiting, done and proposed tasks of each step, assigned tasks of each worker, and for each session the runs, what they have allocated, and the ends that are being committed.

--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -43,6 +43,7 @@
 	/* started by an order that was sent to an earlier incarnation */
 	bool stale_order;
 	uint32_t throttle_percent = 100;
+	int64_t stopped_ms = 0; /* when a stop takes effect; 0: none */
 };
 
 struct SimWorker {
@@ -54,6 +55,7 @@
 	bool unreachable = false;
 	/* simulated time when its clock was 0 */
 	int64_t clock_start_ms = 0;
+	int64_t clock_permille = 1000; /* speed of its clock */
 	uint64_t token = 0, next_end = 1;
 	int64_t lease_until_ms = 0;
 	int64_t cpu = 0;
@@ -103,6 +105,10 @@
 	 * if nothing failed for CALM_MS: 4 s until the leader counts as in
 	 * touch, 4 s and 3 s. */
 	static const int64_t IDLE_MS = 9000, CALM_MS = 11000;
+	/* Age of a worker that is added. */
+	static const int64_t AGE_MS = 60000;
+	/* Most ends in an answer to a poll. */
+	static const size_t ENDS_MAX = 500;
 
 	struct jst st;
 	struct jlead jl;
@@ -116,6 +122,16 @@
 	int64_t commit_delay_max_ms = 0;
 	/* share of calls lost, and of calls carried out late */
 	double loss_rate = 0, late_rate = 0;
+	/* share of polls carried out late */
+	double late_poll_rate = 0;
+	/* share of answers that take up to this much longer */
+	double slow_answer_rate = 0;
+	int64_t slow_answer_max_ms = 2000;
+	/* A stop takes up to this long; the task may end before. */
+	int64_t stop_max_ms = 0;
+	/* How much slower than real time the clocks of workers that are added
+	 * from now on may run. */
+	int64_t clock_drift_permille = 0;
 	/* Share of calls whose relaying instance is lost after it made the
 	 * call, and of calls that it doesn't make. */
 	double relay_lost_rate = 0, relay_dropped_rate = 0;
@@ -268,10 +284,20 @@
 		w.mem_mb = new_mem_mb;
 		w.accel = new_accel;
 		w.clock_start_ms = now_ms - 5000;
+		w.incarnation = (uint64_t)(now_ms - AGE_MS);
+		if (clock_drift_permille > 0)
+			w.clock_permille -= (int64_t)rng_below(
+			    &rng, (uint64_t)clock_drift_permille + 1);
 		heartbeat(num);
 		return num;
 	}
 
+	/* Returns what a worker's clock shows. */
+	int64_t clock_ms(const SimWorker &w) const
+	{
+		return (now_ms - w.clock_start_ms) * w.clock_permille / 1000;
+	}
+
 	/* Registers the current incarnation of a worker, as a heartbeat
 	 * does. */
 	void heartbeat(uint64_t num)
@@ -532,6 +558,8 @@
 			if (now_ms % 25 == 0)
 				jlead_tick(&jl, now(), wall_ms());
 			jlead_plan(&jl);
+			if (now_ms % 25 == 0)
+				check_counts();
 			if (check_lasting && now_ms % 25 == 0)
 				check_kept();
 		}
@@ -573,7 +601,7 @@
 		SimWorker &w = workers[num];
 		last_fault_ms = w.reachable_since_ms = now_ms;
 		w.draining = false;
-		w.incarnation++;
+		w.incarnation = std::max(w.incarnation + 1, (uint64_t)now_ms);
 		w.up = true;
 		w.token = 0;
 		w.next_end = 1;
@@ -775,8 +803,9 @@
 			    [=]() { s->no_answer(k, ep); });
 			return;
 		}
-		bool late = !lost && c->kind != JL_POLL &&
-		    rng_chance(&s->rng, s->late_rate);
+		bool late = !lost &&
+		    rng_chance(&s->rng,
+			c->kind == JL_POLL ? s->late_poll_rate : s->late_rate);
 		uint64_t epoch = l->epoch;
 		if (late)
 			s->last_fault_ms = s->now_ms;
@@ -890,6 +919,8 @@
 			rows->push_back(row);
 		}
 		for (auto &x : w.ended) {
+			if (ends->size() == ENDS_MAX)
+				break;
 			jl_ended e = {};
 			e.number = x.n;
 			ref(x.task, e.task);
@@ -900,10 +931,20 @@
 			ends->push_back(e);
 		}
 		r.has_clock = true;
-		r.clock_ms = now_ms - w.clock_start_ms;
+		r.clock_ms = clock_ms(w);
 		r.incarnation = w.incarnation;
 		jl_reply copy = r;
-		events.emplace(now_ms + call_ms, [=]() {
+		int64_t at = now_ms + call_ms;
+		if (rng_chance(&rng, slow_answer_rate)) {
+			at += (int64_t)rng_below(
+			    &rng, (uint64_t)slow_answer_max_ms);
+			last_fault_ms = now_ms;
+		}
+		if (at > timeout) {
+			events.emplace(timeout, [=]() { no_answer(k, ep); });
+			return;
+		}
+		events.emplace(at, [=]() {
 			jl_reply rep = copy;
 			if (rep.call == JL_POLL) {
 				rep.running = rows->data();
@@ -969,8 +1010,8 @@
 			return false;
 		w.token = c.token;
 		w.lease_until_ms = std::max(w.lease_until_ms,
-		    std::min(c.lease_until_ms,
-			now_ms - w.clock_start_ms + JLEAD_LEASE_MAX_MS));
+		    std::min(
+			c.lease_until_ms, clock_ms(w) + JLEAD_LEASE_MAX_MS));
 		return true;
 	}
 
@@ -1002,7 +1043,7 @@
 			w.refused_up_to[k] =
 			    std::max(w.refused_up_to[k], c.run);
 			if (w.running.count(k) && w.running[k].run <= c.run)
-				end(w, k, JOB__HOW__STOPPED);
+				stop(w, k);
 			break;
 		case JL_THROTTLE:
 			if (w.running.count(k) && w.running[k].run == c.run)
@@ -1037,7 +1078,7 @@
 		ref(k, t);
 		if (w.running.count(k) && w.running[k].run == c.run)
 			return;
-		if (c.lease_until_ms <= now_ms - w.clock_start_ms) {
+		if (c.lease_until_ms <= clock_ms(w)) {
 			r.kind = JL_LEASE_OVER;
 			return;
 		}
@@ -1139,6 +1180,90 @@
 		    << " without a run there";
 	}
 
+	/* Adds the assigned tasks of a list of jobs to those of their workers,
+	 * and checks the counts of each step. */
+	void check_steps(const struct jst_job *j,
+	    std::map<const struct jst_worker *, uint32_t> &assigned)
+	{
+		for (; j != NULL; j = j->next) {
+			uint32_t n =
+			    j->occurrences * (uint32_t)j->spec->n_steps;
+			for (uint32_t i = 0; i < n; i++)
+				check_step(j->steps[i], assigned);
+		}
+	}
+
+	/* Checks the counts of a step. */
+	void check_step(const struct jst_step &sp,
+	    std::map<const struct jst_worker *, uint32_t> &assigned)
+	{
+		uint32_t waiting = 0, finished = 0, proposed = 0;
+
+		for (uint32_t i = 0; i < sp.spec->count; i++) {
+			const struct jst_task &t = sp.tasks[i];
+			waiting += t.state == JST_WAITING;
+			finished += t.state == JST_DONE;
+			if (t.state == JST_ASSIGNED)
+				assigned[t.worker]++;
+			else
+				EXPECT_EQ(nullptr, t.worker);
+			proposed += jl.leading && t.active_run != NULL &&
+			    t.active_run->phase == RUN_PROPOSED;
+		}
+		EXPECT_EQ(waiting, sp.nwaiting) << "job " << sp.job->id;
+		EXPECT_EQ(finished, sp.ndone) << "job " << sp.job->id;
+		if (jl.leading) {
+			EXPECT_EQ(proposed, sp.nproposed)
+			    << "job " << sp.job->id;
+		}
+	}
+
+	/* Checks the counts that the state and the leader keep against what
+	 * they count. */
+	void check_counts()
+	{
+		std::map<const struct jst_worker *, uint32_t> assigned;
+		std::map<const struct wsess *, uint32_t> ends;
+
+		check_steps(st.active, assigned);
+		check_steps(st.ended, assigned);
+		for (size_t i = 0; i < st.nworkers; i++)
+			EXPECT_EQ(
+			    assigned[st.workers[i]], st.workers[i]->nassigned)
+			    << st.workers[i]->info->id;
+		if (!jl.leading)
+			return;
+		for (auto *ws = jl.sessions; ws != NULL; ws = ws->next)
+			check_session(ws, ends);
+		for (auto *l = jl.late_ends; l != NULL; l = l->next)
+			ends[l->ws]++;
+		for (auto *ws = jl.sessions; ws != NULL; ws = ws->next)
+			EXPECT_EQ(ends[ws], ws->ends_pending)
+			    << ws->w->info->id;
+	}
+
+	/* Checks what a session has allocated, and counts the ends of its runs
+	 * that are being replicated. */
+	void check_session(const struct wsess *ws,
+	    std::map<const struct wsess *, uint32_t> &ends)
+	{
+		int64_t cpu = 0, mem = 0, accel = 0;
+		uint32_t n = 0;
+
+		for (auto *r = ws->runs; r != NULL; r = r->next, n++) {
+			const Job__Step *sp = r->step->spec;
+			cpu += sp->fills ? 0 : sp->cpu_milli;
+			mem += sp->mem_mb;
+			accel += sp->accel;
+			if (r->end_session != NULL)
+				ends[r->end_session]++;
+		}
+		EXPECT_EQ(n, ws->nruns) << ws->w->info->id;
+		EXPECT_EQ(cpu, ws->cpu_allocated) << ws->w->info->id;
+		EXPECT_EQ(mem, ws->mem_allocated) << ws->w->info->id;
+		EXPECT_EQ(accel, ws->accel_allocated) << ws->w->info->id;
+	}
+
 	/* Checks that a long-running task is running, or has not been idle for
 	 * too long while nothing failed. */
 	void check_idle(const SimTask &k)
@@ -1221,6 +1346,16 @@
 		}
 	}
 
+	/* Stops a run, at once or after a random time. */
+	void stop(SimWorker &w, const SimTask &k)
+	{
+		if (stop_max_ms == 0)
+			end(w, k, JOB__HOW__STOPPED);
+		else if (w.running[k].stopped_ms == 0)
+			w.running[k].stopped_ms = now_ms + 1 +
+			    (int64_t)rng_below(&rng, (uint64_t)stop_max_ms);
+	}
+
 	/* Ends a run; the worker lists the end until it is acknowledged. */
 	void end(SimWorker &w, const SimTask &k, Job__How how)
 	{
@@ -1240,14 +1375,13 @@
 			std::vector<std::pair<SimTask, Job__How>> ended;
 			if (!w.up)
 				continue;
-			if (now_ms - w.clock_start_ms >= w.lease_until_ms)
+			if (clock_ms(w) >= w.lease_until_ms)
 				w.last_lapse_ms = now_ms;
 			for (auto &y : w.running) {
 				check_cancelled(w, y.first, y.second);
 				if (now_ms % 100 == 0)
 					save(y.first, y.second);
-				if (now_ms - w.clock_start_ms >=
-				    w.lease_until_ms)
+				if (clock_ms(w) >= w.lease_until_ms)
 					ended.push_back(
 					    { y.first, JOB__HOW__LAPSED });
 				else if (y.second.throttle_percent > 0 &&
@@ -1256,6 +1390,10 @@
 					ended.push_back({ y.first,
 					    y.second.fails ? JOB__HOW__FAILED
 							   : JOB__HOW__DONE });
+				else if (y.second.stopped_ms > 0 &&
+				    now_ms >= y.second.stopped_ms)
+					ended.push_back(
+					    { y.first, JOB__HOW__STOPPED });
 			}
 			for (auto &o : ended)
 				end(w, o.first, o.second);
