Stop inherited runs of a restarted worker before they start elsewhere

What callers saw: a task ran on two workers at once after a change of leader.

Cause: when a worker had restarted, a new leader gave its inherited runs up at once, as if the earlier incarnation had confirmed them. The order of the earlier leader may have reached the new incarnation, which then ran the task while it was started elsewhere. The leader that sent such an order stops the run there first; the next one now does so, too.

Evidence: JobTwice.AnInheritedRunOfARestartedWorkerIsStoppedFirst failed before with "task of job 1 runs twice at once", whether the new incarnation registered before or after the change of leader.

--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -58,8 +58,9 @@
  * old one had confirmed ended with it. An order that is still in flight may
  * reach the new incarnation, which carries it out as it knows nothing of the
  * old one; such a run is stopped there before its task is given to another
- * worker. This session polls the worker no more: the ends of the new
- * incarnation belong to its own registration.
+ * worker. So is an inherited run, of which the order of the earlier leader may
+ * have reached the new incarnation. This session polls the worker no more: the
+ * ends of the new incarnation belong to its own registration.
  *
  * incarnation is 0 if another instance answers at the worker's address; then no
  * order can have been accepted.
@@ -88,10 +89,13 @@
 		if (r->phase == RUN_PROPOSED || r->phase == RUN_ENDING)
 			continue;
 		if (incarnation == 0 ||
-		    (!r->order_pending && !r->unconfirmed)) {
+		    (!r->order_pending && !r->unconfirmed &&
+			r->phase != RUN_INHERITED)) {
 			jrun_end(jl, r, JOB__HOW__GONE, NULL);
 			continue;
 		}
+		if (r->phase == RUN_INHERITED)
+			r->phase = RUN_STARTING;
 		r->unconfirmed = true;
 		r->stop_confirmed = false;
 		jrun_stop(jl, r, JL_STOP_RESTARTED);
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -123,4 +123,36 @@
 	cut_off_next_incarnation(s, a);
 }
 
+/* Guards against a run that the next leader takes for over, because its worker
+ * has restarted, although the order has reached the new incarnation. */
+TEST(JobTwice, AnInheritedRunOfARestartedWorkerIsStoppedFirst)
+{
+	for (bool is_registered : { false, true }) {
+		JobSim s(6);
+		SCOPED_TRACE(is_registered);
+		uint64_t a = s.add_worker(8000);
+		s.run_time_ms = [](const SimTask &) { return 60000; };
+		s.lead();
+		s.run(100);
+		s.call_ms = 40;
+		s.submit(1, "batch", { JobSim::step(1, 1000) });
+		s.run(30);
+		s.crash(a);
+		s.restart_worker(a);
+		while (s.workers[a].running.empty())
+			s.run(1);
+		if (is_registered)
+			s.heartbeat(a);
+		s.call_ms = 2;
+		s.stop_max_ms = 900;
+		s.add_worker(8000);
+		s.lead();
+		s.run(300);
+		if (!is_registered)
+			s.heartbeat(a);
+		s.run(15000);
+		EXPECT_EQ(2, s.starts[TASK]);
+	}
+}
+
 } // namespace
