Hear the ends of a worker's next incarnation before a run is given up

What callers saw: a task was started again after its end as done, and that end was acknowledged afterwards.

Cause: an order that reaches a worker's next incarnation is stopped there, and the run was given up 1.1 s after the stop was answered. It may have ended as done before the stop. That is known once the incarnation has registered and answered a poll, which takes longer when its registration is late; until then the task was started elsewhere.

Now the run is given up once that incarnation has answered a poll that was sent after the stop, or when the longest lease has expired.

Evidence: JobTwice.ARunInTheNextIncarnationIsKeptUntilItsEndsAreKnown failed before with "a task of job 1 was started after the end that is noted".

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -606,6 +606,36 @@
 		jl_log_worker_lost(jl, ws, n);
 }
 
+/* Tells whether a worker's clock has advanced by this many ms since a time,
+ * however slow it is. */
+static bool
+has_passed(const struct jlead *jl, struct timespec since, int64_t ms)
+{
+	return clk_diff_ms(jl->now, since) *
+	    (1000 - JLEAD_CLOCK_DRIFT_PERMILLE) / 1000 >
+	    ms;
+}
+
+/*
+ * Tells whether a run that was stopped in its worker's next incarnation is
+ * over, and its end known if it had one: that incarnation has answered a poll
+ * that was sent after the stop, or the longest lease has expired.
+ */
+static bool
+is_over_after_restart(const struct jlead *jl, const struct jrun *r)
+{
+	const struct jst_worker *w =
+	    jst_find_worker_by_id(jl->st, r->ws->w->info->id);
+	const struct wsess *next = w == NULL ? NULL : w->session;
+
+	if (!r->stop_confirmed ||
+	    clk_diff_ms(jl->now, r->stopped_at) <= JLEAD_STOP_MAX_MS)
+		return false;
+	return (next != NULL && next != r->ws &&
+		   next->answered_poll > r->confirmed_serial) ||
+	    has_passed(jl, r->stopped_at, JLEAD_LEASE_MAX_MS);
+}
+
 /* Sends the orders that are due. Clears orders_due if no run needs an order, so
  * that the session is skipped until one does. */
 static void
@@ -617,8 +647,7 @@
 	for (r = ws->runs; r != NULL; r = next) {
 		next = r->next;
 		jrun_send_due(jl, r);
-		if (ws->restarted && r->stop_confirmed &&
-		    clk_diff_ms(jl->now, r->stopped_at) > JLEAD_STOP_MAX_MS)
+		if (ws->restarted && is_over_after_restart(jl, r))
 			jrun_end(jl, r, JOB__HOW__GONE, NULL);
 		needs_order |= r->phase == RUN_STARTING || r->must_stop;
 	}
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -99,6 +99,7 @@
 	uint64_t incarnation;  /* of the worker that answers */
 	bool poll_pending;     /* a long poll is in flight */
 	uint64_t poll_serial;
+	uint64_t answered_poll; /* serial of the last poll that was answered */
 	struct timespec poll_deadline; /* end of the poll's time limit */
 	struct timespec next_poll_at, last_heard_at, clock_at, paused_until,
 	    failure_score_at;
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -144,6 +144,7 @@
 		return;
 	}
 	mark_answered(jl, ws, rep);
+	ws->answered_poll = rep->serial;
 	if (!ws->contacted) {
 		ws->contacted = true;
 		/* Leases of an earlier leader, or ones meant for an earlier
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -155,4 +155,28 @@
 	}
 }
 
+/* Guards against an end as done in a worker's next incarnation that is
+ * acknowledged after the task was started elsewhere, because that incarnation
+ * registered late. */
+TEST(JobTwice, ARunInTheNextIncarnationIsKeptUntilItsEndsAreKnown)
+{
+	JobSim s(7);
+	uint64_t a = s.add_worker(8000);
+
+	s.run_time_ms = [](const SimTask &) { return 60; };
+	s.lead();
+	s.run(100);
+	s.call_ms = 40;
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(30);
+	s.crash(a);
+	s.restart_worker(a);
+	s.add_worker(8000);
+	s.run(3000);
+	s.heartbeat(a);
+	s.run(3000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_EQ(1, s.starts[TASK]);
+}
+
 } // namespace
