Keep leases within 6 s on the clock of a slow worker

What callers saw: nothing known. A run could be given up up to 60 ms before the worker's lease ended, and be started elsewhere.

Cause: a lease was granted by the worker's last known clock and the time since then, by the leader's clock. A worker's clock may be 2% slow, so the lease ended up to 56 ms later there than 6 s from now, which is what the next leader counts on for a worker that falls silent after its first answer, or never answers.

Evidence: JobTwice.ALeaseByASlowClockIsNoLongerThanTheNextLeaderExpects failed before (the lease ended at 12810, the next leader counted on 12784).

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -219,9 +219,17 @@
 	return ws->silent && ws->backoff_ms > JLEAD_RETRY_MS;
 }
 
+/* Returns how far a worker's clock advances at least in this many ms. */
+static int64_t
+least_advance_ms(int64_t ms)
+{
+	return ms * (1000 - JLEAD_CLOCK_DRIFT_PERMILLE) / 1000;
+}
+
 /* Returns the end of a lease granted now, on the worker's clock; 0 if none may
- * be granted. A worker whose poll failed may have restarted, and its next
- * incarnation has another clock. */
+ * be granted. However slow that clock is, the lease is no longer than
+ * JLEAD_LEASE_MS, which the next leader counts on. A worker whose poll failed
+ * may have restarted, and its next incarnation has another clock. */
 int64_t
 jl_lease_until(const struct jlead *jl, const struct wsess *ws)
 {
@@ -231,14 +239,14 @@
 		clk_diff_ms(jl->now, ws->last_heard_at) >
 		    JLEAD_SILENT_LEASE_MS))
 		return 0;
-	return ws->clock_ms + clk_diff_ms(jl->now, ws->clock_at) +
+	return ws->clock_ms +
+	    least_advance_ms(clk_diff_ms(jl->now, ws->clock_at)) +
 	    JLEAD_LEASE_MS;
 }
 
 /*
  * Tells whether all leases of a silent worker have expired, so that nothing
- * runs there any more. Its clock runs at least 1 - JLEAD_CLOCK_DRIFT_PERMILLE /
- * 1000 as fast as ours. If its clock was never read, the leases of earlier
+ * runs there any more. If its clock was never read, the leases of earlier
  * leaders are the bound.
  */
 bool
@@ -254,7 +262,7 @@
 		left = ws->lease_until_max_ms - ws->clock_ms;
 		passed = clk_diff_ms(jl->now, ws->clock_at);
 	}
-	return passed * (1000 - JLEAD_CLOCK_DRIFT_PERMILLE) / 1000 > left + 1;
+	return least_advance_ms(passed) > left + 1;
 }
 
 /* Fills the fields that every call to a worker has. */
@@ -606,16 +614,6 @@
 		jl_log_worker_lost(jl, ws, n);
 }
 
-/* Tells whether a worker's clock has advanced by this many ms since a time,
- * however slow it is. */
-static bool
-has_passed(const struct jlead *jl, struct timespec since, int64_t ms)
-{
-	return clk_diff_ms(jl->now, since) *
-	    (1000 - JLEAD_CLOCK_DRIFT_PERMILLE) / 1000 >
-	    ms;
-}
-
 /*
  * Tells whether a run that was stopped in its worker's next incarnation is
  * over, and its end known if it had one: that incarnation has answered a poll
@@ -633,7 +631,8 @@
 		return false;
 	return (next != NULL && next != r->ws &&
 		   next->answered_poll > r->confirmed_serial) ||
-	    has_passed(jl, r->stopped_at, JLEAD_LEASE_MAX_MS);
+	    least_advance_ms(clk_diff_ms(jl->now, r->stopped_at)) >
+	    JLEAD_LEASE_MAX_MS;
 }
 
 /* Sends the orders that are due. Clears orders_due if no run needs an order, so
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -123,6 +123,28 @@
 	cut_off_next_incarnation(s, a);
 }
 
+/* Guards against a lease of an earlier leader that ends later than the next one
+ * counts on, because the worker's clock is slow. */
+TEST(JobTwice, ALeaseByASlowClockIsNoLongerThanTheNextLeaderExpects)
+{
+	JobSim s(5);
+	uint64_t a = s.add_worker(8000);
+
+	s.workers[a].clock_permille = 1000 - JLEAD_CLOCK_DRIFT_PERMILLE;
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.run(1900); /* the last answer is as old */
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(1);
+	while (s.workers[a].running.empty())
+		s.run(1);
+	s.lead();
+	s.run(10);
+	auto *ws = (struct wsess *)jst_find_worker(&s.st, a)->session;
+	ASSERT_TRUE(ws->contacted);
+	EXPECT_GE(ws->lease_until_max_ms, s.workers[a].lease_until_ms);
+}
+
 /* Guards against a run that the next leader takes for over, because its worker
  * has restarted, although the order has reached the new incarnation. */
 TEST(JobTwice, AnInheritedRunOfARestartedWorkerIsStoppedFirst)
