Count on leases of an earlier incarnation also after a change of leader

What callers saw: a task ran on two workers at once.

Cause: a lease by the clock of a worker's earlier incarnation that reaches the next one lasts up to 10 s. The leader that sees the restart waits for that; the next leader knew nothing of it and gave the runs of a silent worker up after 6.1 s. It also didn't know when the earlier registration had been removed.

Now the longest lease counts, from the first answer and without one, if the worker has another registration or its incarnation has started in the last 20 s.

Evidence: JobTwice.ALeaseMeantForTheEarlierIncarnationIsKnownToTheNextLeader failed before with "task of job 2 runs twice at once".

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -60,6 +60,14 @@
 	jl->plan_sessions[last->plan_index] = last;
 }
 
+/* Tells whether a worker's incarnation has started recently. Its start is a
+ * time of day, which may be ahead of ours. */
+static bool
+is_young(const struct jlead *jl, const struct jst_worker *w)
+{
+	return jl->wall_ms - (int64_t)w->info->born < JLEAD_YOUNG_WORKER_MS;
+}
+
 /* Starts a session for a registered worker. */
 static struct wsess *
 session_new(struct jlead *jl, struct jst_worker *w)
@@ -70,6 +78,7 @@
 		abort();
 	ws->w = w;
 	ws->incarnation = w->info->born;
+	ws->follows_restart = is_young(jl, w);
 	ws->last_heard_at = ws->next_poll_at = ws->paused_until =
 	    ws->failure_score_at = jl->now;
 	ws->backoff_ms = JLEAD_RETRY_MS;
@@ -185,6 +194,21 @@
 	return n;
 }
 
+/* Notes which workers have an earlier registration that is not removed yet. */
+static void
+find_restarted_workers(struct jlead *jl)
+{
+	struct jst_worker *latest;
+	struct wsess *ws;
+
+	for (ws = jl->sessions; ws != NULL; ws = ws->next) {
+		latest = jst_find_worker_by_id(jl->st, ws->w->info->id);
+		if (latest != ws->w)
+			((struct wsess *)latest->session)->follows_restart =
+			    true;
+	}
+}
+
 /* Starts to lead. Nothing is assigned to a worker before it has been polled. */
 void
 jlead_begin(
@@ -202,6 +226,7 @@
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
 		session_new(jl, jl->st->workers[i]);
+	find_restarted_workers(jl);
 	inherited =
 	    inherit_runs(jl, jl->st->active) + inherit_runs(jl, jl->st->ended);
 	log_event(LOG_NOTICE, "job",
@@ -255,7 +280,8 @@
 	int64_t left, passed;
 
 	if (!ws->contacted) {
-		left = JLEAD_LEASE_MS;
+		left =
+		    ws->follows_restart ? JLEAD_LEASE_MAX_MS : JLEAD_LEASE_MS;
 		passed = clk_diff_ms(jl->now, jl->leading_since) -
 		    JLEAD_OLD_LEADER_LEASE_MS;
 	} else {
@@ -541,7 +567,7 @@
 			jl_handle_restart(jl, ws, w->info->born);
 	}
 	ws = session_new(jl, w);
-	ws->follows_restart = is_restart;
+	ws->follows_restart |= is_restart;
 	jl_poll(jl, ws);
 }
 
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -31,6 +31,10 @@
 /* Longest lease that a worker accepts, whatever the order says; a limit of the
  * platform. */
 #define JLEAD_LEASE_MAX_MS 10000
+/* A call that was sent to a worker's earlier incarnation may reach one that
+ * started this recently, or have given it a lease by the earlier clock that is
+ * still in force. */
+#define JLEAD_YOUNG_WORKER_MS 20000
 /* Longest time that a worker needs to stop a task; above the platform's limit
  * of 900 ms. */
 #define JLEAD_STOP_MAX_MS 1100
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -90,8 +90,8 @@
 	uint32_t failed_polls;
 	/* another incarnation answered under this worker's id */
 	bool restarted;
-	/* an earlier incarnation was called: a lease by its clock may have
-	 * reached this one */
+	/* An earlier incarnation may have been called, and a lease by its clock
+	 * may have reached this one. */
 	bool follows_restart;
 	/* the worker has said that it is about to exit */
 	bool leave_announced;
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -201,4 +201,27 @@
 	EXPECT_EQ(1, s.starts[TASK]);
 }
 
+/* Guards against the same lease when the leader changes before the worker is
+ * cut off. */
+TEST(JobTwice, ALeaseMeantForTheEarlierIncarnationIsKnownToTheNextLeader)
+{
+	JobSim s(8);
+	uint64_t a = run_by_an_advanced_clock(s);
+	auto *ws = (struct wsess *)jst_find_worker(&s.st, a)->session;
+	uint64_t serial = ws->poll_serial;
+
+	while (ws->poll_serial == serial)
+		s.run(1);
+	s.crash(a);
+	s.restart_worker(a);
+	s.run(310);
+	ASSERT_GT(s.workers[a].lease_until_ms, JLEAD_LEASE_MS + 2000);
+	s.call_ms = 2;
+	s.heartbeat(a);
+	s.run(100);
+	s.lead();
+	s.run(100);
+	cut_off_next_incarnation(s, a);
+}
+
 } // namespace
