Start no task while an earlier run's end as done is committed

What callers saw: a task was started after an earlier run of it had reported that it was done.

Cause: such an end counts once it is committed, which takes seconds when the log is slow. An assignment that was committed before it was still carried out, and a run that was starting was repeated. Both are now stopped as soon as the end is reported.

Evidence: JobTwice.NothingIsStartedWhileAnEndAsDoneIsCommitted (2 starts before, 1 now).

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -437,6 +437,21 @@
 	    r->ws->w->num == a->worker;
 }
 
+/* Tells whether a late end of this task is being replicated. */
+static bool
+has_late_end(const struct jlead *jl, const Job__Task *t)
+{
+	const struct late_end *l;
+
+	for (l = jl->late_ends; l != NULL; l = l->next) {
+		if (l->task.job == t->job &&
+		    l->task.occurrence == t->occurrence &&
+		    l->task.step == t->step && l->task.index == t->index)
+			return true;
+	}
+	return false;
+}
+
 /* Starts the run of a committed assignment. If the leader has given that run
  * up, or has proposed another one, the committed one replaces it. */
 static void
@@ -458,6 +473,8 @@
 	r->assigned_at = r->starting_at = jl->now;
 	if (r->ws->restarted || r->ws->leave_announced)
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
+	else if (has_late_end(jl, a->task))
+		jrun_stop(jl, r, JL_STOP_TASK_DONE);
 	else
 		jrun_send_due(jl, r);
 }
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -93,10 +93,13 @@
 	    e->run > 0 && e->run <= t->run;
 }
 
-/* Replicates the end as done of a run that was given up. */
+/* Replicates the end as done of a run that was given up, and stops a later run
+ * of the task. */
 static void
 propose_late_end(struct jlead *jl, struct wsess *ws, const struct jl_ended *e)
 {
+	struct jst_step *st = NULL;
+	struct jst_task *t = jst_find_task(jl->st, &e->task, &st);
 	Job__Command c = JOB__COMMAND__INIT;
 	Job__End end = JOB__END__INIT;
 	struct late_end *l = calloc(1, sizeof(*l));
@@ -120,6 +123,8 @@
 	c.end = &end;
 	jl_log_late_end(jl, ws, e);
 	jl->ops.propose(jl->ops.arg, &c);
+	if (t->active_run != NULL)
+		jrun_stop(jl, t->active_run, JL_STOP_TASK_DONE);
 }
 
 /* Replicates a reported end; ends reported before are skipped. */
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -224,4 +224,27 @@
 	cut_off_next_incarnation(s, a);
 }
 
+/* Guards against a start that is ordered although an earlier run is known to
+ * have done the task, because that end isn't committed yet. */
+TEST(JobTwice, NothingIsStartedWhileAnEndAsDoneIsCommitted)
+{
+	JobSim s(9);
+	uint64_t a = s.add_worker(8000);
+
+	s.run_time_ms = [](const SimTask &) { return 5500; };
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(300);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	s.set_unreachable(a, true);
+	s.run(8000);
+	s.commit_ms = 2000;
+	s.add_worker(8000);
+	s.run(100); /* the second run is being assigned */
+	s.set_unreachable(a, false);
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_EQ(1, s.starts[TASK]);
+}
+
 } // namespace
