Stop all later runs of a gang whose step an earlier run has done

What callers saw: members of a gang went on, and could be started again, after a run of the gang that had been given up was reported as done.

Cause: that end completes the tasks of all members, but only the later run of the member that reported it was stopped, unless the job was complete.

Evidence: JobTwice.ALaterRunOfAGangEndsWithItsStep failed before: the other member's later run went on beside the next step.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -545,6 +545,22 @@
 		jrun_stop(jl, r, JL_STOP_TASK_DONE);
 }
 
+/* Ends the later runs of a task that an earlier run has done. In a gang that
+ * run has done the tasks of all members. */
+static void
+drop_later_runs(struct jlead *jl, const struct jst_step *st, const Job__End *e)
+{
+	struct jrun *r;
+	uint32_t i;
+
+	for (i = 0; i < st->spec->count; i++) {
+		r = st->tasks[i].active_run;
+		if (r != NULL && r->run > e->run &&
+		    (st->spec->gang || i == e->task->index))
+			drop_later_run(jl, r);
+	}
+}
+
 /* Frees a run whose end has been committed, and acknowledges the end once all
  * those reported with it are committed too. */
 static void
@@ -554,13 +570,10 @@
 	struct wsess *ws;
 
 	ack_late_ends(jl, e);
-	if (r == NULL)
+	if (res->status == STATUS_OK && e->how == JOB__HOW__DONE)
+		drop_later_runs(jl, res->step, e);
+	if (r == NULL || r->run != e->run)
 		return;
-	if (r->run != e->run) {
-		if (res->status == STATUS_OK)
-			drop_later_run(jl, r);
-		return;
-	}
 	ws = r->end_session;
 	r->end_session = NULL;
 	jrun_free(jl, r);
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -247,4 +247,38 @@
 	EXPECT_EQ(1, s.starts[TASK]);
 }
 
+/* Guards against members of a gang that run again, or are started again, after
+ * a run that was given up has done the gang's step. */
+TEST(JobTwice, ALaterRunOfAGangEndsWithItsStep)
+{
+	JobSim s(10);
+	uint64_t a = s.add_worker(1000), b = s.add_worker(1000);
+	Job__Step gang = JobSim::step(2, 1000), next = JobSim::step(1, 1000);
+	uint32_t after[1] = { 0 };
+
+	gang.has_gang = gang.gang = 1;
+	next.after = after;
+	next.n_after = 1;
+	s.run_time_ms = [&s](const SimTask &k) {
+		return k.step == 0 && s.now_ms < 1005000 ? 5500 : 60000;
+	};
+	s.lead();
+	s.submit(1, "batch", { gang, next });
+	s.run(500);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	ASSERT_EQ(1U, s.workers[b].running.size());
+	s.set_unreachable(a, true);
+	s.set_unreachable(b, true);
+	uint64_t c = s.add_worker(1000), d = s.add_worker(1000);
+	s.run(7500);
+	ASSERT_EQ(1U, s.workers[c].running.size());
+	ASSERT_EQ(1U, s.workers[d].running.size());
+	s.set_unreachable(a, false);
+	s.run(3000);
+	for (auto &x : s.workers) {
+		for (auto &y : x.second.running)
+			EXPECT_EQ(1U, y.first.step) << x.second.id;
+	}
+}
+
 } // namespace
