--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -60,6 +60,14 @@
 	jl->plan_sessions[last->plan_index] = last;
 }
 
+/* Tells whether a worker's incarnation has started recently. Its start is a
+ * time of day, which may be ahead of ours. */
+static bool
+is_young(const struct jlead *jl, const struct jst_worker *w)
+{
+	return jl->wall_ms - (int64_t)w->info->born < JLEAD_YOUNG_WORKER_MS;
+}
+
 /* Starts a session for a registered worker. */
 static struct wsess *
 session_new(struct jlead *jl, struct jst_worker *w)
@@ -70,6 +78,7 @@
 		abort();
 	ws->w = w;
 	ws->incarnation = w->info->born;
+	ws->follows_restart = is_young(jl, w);
 	ws->last_heard_at = ws->next_poll_at = ws->paused_until =
 	    ws->failure_score_at = jl->now;
 	ws->backoff_ms = JLEAD_RETRY_MS;
@@ -185,6 +194,21 @@
 	return n;
 }
 
+/* Notes which workers have an earlier registration that is not removed yet. */
+static void
+find_restarted_workers(struct jlead *jl)
+{
+	struct jst_worker *latest;
+	struct wsess *ws;
+
+	for (ws = jl->sessions; ws != NULL; ws = ws->next) {
+		latest = jst_find_worker_by_id(jl->st, ws->w->info->id);
+		if (latest != ws->w)
+			((struct wsess *)latest->session)->follows_restart =
+			    true;
+	}
+}
+
 /* Starts to lead. Nothing is assigned to a worker before it has been polled. */
 void
 jlead_begin(
@@ -202,6 +226,7 @@
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
 		session_new(jl, jl->st->workers[i]);
+	find_restarted_workers(jl);
 	inherited =
 	    inherit_runs(jl, jl->st->active) + inherit_runs(jl, jl->st->ended);
 	log_event(LOG_NOTICE, "job",
@@ -219,9 +244,17 @@
 	return ws->silent && ws->backoff_ms > JLEAD_RETRY_MS;
 }
 
+/* Returns how far a worker's clock advances at least in this many ms. */
+static int64_t
+least_advance_ms(int64_t ms)
+{
+	return ms * (1000 - JLEAD_CLOCK_DRIFT_PERMILLE) / 1000;
+}
+
 /* Returns the end of a lease granted now, on the worker's clock; 0 if none may
- * be granted. A worker whose poll failed may have restarted, and its next
- * incarnation has another clock. */
+ * be granted. However slow that clock is, the lease is no longer than
+ * JLEAD_LEASE_MS, which the next leader counts on. A worker whose poll failed
+ * may have restarted, and its next incarnation has another clock. */
 int64_t
 jl_lease_until(const struct jlead *jl, const struct wsess *ws)
 {
@@ -231,14 +264,14 @@
 		clk_diff_ms(jl->now, ws->last_heard_at) >
 		    JLEAD_SILENT_LEASE_MS))
 		return 0;
-	return ws->clock_ms + clk_diff_ms(jl->now, ws->clock_at) +
+	return ws->clock_ms +
+	    least_advance_ms(clk_diff_ms(jl->now, ws->clock_at)) +
 	    JLEAD_LEASE_MS;
 }
 
 /*
  * Tells whether all leases of a silent worker have expired, so that nothing
- * runs there any more. Its clock runs at least 1 - JLEAD_CLOCK_DRIFT_PERMILLE /
- * 1000 as fast as ours. If its clock was never read, the leases of earlier
+ * runs there any more. If its clock was never read, the leases of earlier
  * leaders are the bound.
  */
 bool
@@ -247,14 +280,15 @@
 	int64_t left, passed;
 
 	if (!ws->contacted) {
-		left = JLEAD_LEASE_MS;
+		left =
+		    ws->follows_restart ? JLEAD_LEASE_MAX_MS : JLEAD_LEASE_MS;
 		passed = clk_diff_ms(jl->now, jl->leading_since) -
 		    JLEAD_OLD_LEADER_LEASE_MS;
 	} else {
 		left = ws->lease_until_max_ms - ws->clock_ms;
 		passed = clk_diff_ms(jl->now, ws->clock_at);
 	}
-	return passed * (1000 - JLEAD_CLOCK_DRIFT_PERMILLE) / 1000 > left + 1;
+	return least_advance_ms(passed) > left + 1;
 }
 
 /* Fills the fields that every call to a worker has. */
@@ -403,6 +437,21 @@
 	    r->ws->w->num == a->worker;
 }
 
+/* Tells whether a late end of this task is being replicated. */
+static bool
+has_late_end(const struct jlead *jl, const Job__Task *t)
+{
+	const struct late_end *l;
+
+	for (l = jl->late_ends; l != NULL; l = l->next) {
+		if (l->task.job == t->job &&
+		    l->task.occurrence == t->occurrence &&
+		    l->task.step == t->step && l->task.index == t->index)
+			return true;
+	}
+	return false;
+}
+
 /* Starts the run of a committed assignment. If the leader has given that run
  * up, or has proposed another one, the committed one replaces it. */
 static void
@@ -424,6 +473,8 @@
 	r->assigned_at = r->starting_at = jl->now;
 	if (r->ws->restarted || r->ws->leave_announced)
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
+	else if (has_late_end(jl, a->task))
+		jrun_stop(jl, r, JL_STOP_TASK_DONE);
 	else
 		jrun_send_due(jl, r);
 }
@@ -494,6 +545,22 @@
 		jrun_stop(jl, r, JL_STOP_TASK_DONE);
 }
 
+/* Ends the later runs of a task that an earlier run has done. In a gang that
+ * run has done the tasks of all members. */
+static void
+drop_later_runs(struct jlead *jl, const struct jst_step *st, const Job__End *e)
+{
+	struct jrun *r;
+	uint32_t i;
+
+	for (i = 0; i < st->spec->count; i++) {
+		r = st->tasks[i].active_run;
+		if (r != NULL && r->run > e->run &&
+		    (st->spec->gang || i == e->task->index))
+			drop_later_run(jl, r);
+	}
+}
+
 /* Frees a run whose end has been committed, and acknowledges the end once all
  * those reported with it are committed too. */
 static void
@@ -503,13 +570,10 @@
 	struct wsess *ws;
 
 	ack_late_ends(jl, e);
-	if (r == NULL)
+	if (res->status == STATUS_OK && e->how == JOB__HOW__DONE)
+		drop_later_runs(jl, res->step, e);
+	if (r == NULL || r->run != e->run)
 		return;
-	if (r->run != e->run) {
-		if (res->status == STATUS_OK)
-			drop_later_run(jl, r);
-		return;
-	}
 	ws = r->end_session;
 	r->end_session = NULL;
 	jrun_free(jl, r);
@@ -533,7 +597,7 @@
 			jl_handle_restart(jl, ws, w->info->born);
 	}
 	ws = session_new(jl, w);
-	ws->follows_restart = is_restart;
+	ws->follows_restart |= is_restart;
 	jl_poll(jl, ws);
 }
 
@@ -606,6 +670,27 @@
 		jl_log_worker_lost(jl, ws, n);
 }
 
+/*
+ * Tells whether a run that was stopped in its worker's next incarnation is
+ * over, and its end known if it had one: that incarnation has answered a poll
+ * that was sent after the stop, or the longest lease has expired.
+ */
+static bool
+is_over_after_restart(const struct jlead *jl, const struct jrun *r)
+{
+	const struct jst_worker *w =
+	    jst_find_worker_by_id(jl->st, r->ws->w->info->id);
+	const struct wsess *next = w == NULL ? NULL : w->session;
+
+	if (!r->stop_confirmed ||
+	    clk_diff_ms(jl->now, r->stopped_at) <= JLEAD_STOP_MAX_MS)
+		return false;
+	return (next != NULL && next != r->ws &&
+		   next->answered_poll > r->confirmed_serial) ||
+	    least_advance_ms(clk_diff_ms(jl->now, r->stopped_at)) >
+	    JLEAD_LEASE_MAX_MS;
+}
+
 /* Sends the orders that are due. Clears orders_due if no run needs an order, so
  * that the session is skipped until one does. */
 static void
@@ -617,8 +702,7 @@
 	for (r = ws->runs; r != NULL; r = next) {
 		next = r->next;
 		jrun_send_due(jl, r);
-		if (ws->restarted && r->stop_confirmed &&
-		    clk_diff_ms(jl->now, r->stopped_at) > JLEAD_STOP_MAX_MS)
+		if (ws->restarted && is_over_after_restart(jl, r))
 			jrun_end(jl, r, JOB__HOW__GONE, NULL);
 		needs_order |= r->phase == RUN_STARTING || r->must_stop;
 	}
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -90,8 +90,8 @@
 	uint32_t failed_polls;
 	/* another incarnation answered under this worker's id */
 	bool restarted;
-	/* an earlier incarnation was called: a lease by its clock may have
-	 * reached this one */
+	/* An earlier incarnation may have been called, and a lease by its clock
+	 * may have reached this one. */
 	bool follows_restart;
 	/* the worker has said that it is about to exit */
 	bool leave_announced;
@@ -99,6 +99,7 @@
 	uint64_t incarnation;  /* of the worker that answers */
 	bool poll_pending;     /* a long poll is in flight */
 	uint64_t poll_serial;
+	uint64_t answered_poll; /* serial of the last poll that was answered */
 	struct timespec poll_deadline; /* end of the poll's time limit */
 	struct timespec next_poll_at, last_heard_at, clock_at, paused_until,
 	    failure_score_at;
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -123,4 +123,162 @@
 	cut_off_next_incarnation(s, a);
 }
 
+/* Guards against a lease of an earlier leader that ends later than the next one
+ * counts on, because the worker's clock is slow. */
+TEST(JobTwice, ALeaseByASlowClockIsNoLongerThanTheNextLeaderExpects)
+{
+	JobSim s(5);
+	uint64_t a = s.add_worker(8000);
+
+	s.workers[a].clock_permille = 1000 - JLEAD_CLOCK_DRIFT_PERMILLE;
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.run(1900); /* the last answer is as old */
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(1);
+	while (s.workers[a].running.empty())
+		s.run(1);
+	s.lead();
+	s.run(10);
+	auto *ws = (struct wsess *)jst_find_worker(&s.st, a)->session;
+	ASSERT_TRUE(ws->contacted);
+	EXPECT_GE(ws->lease_until_max_ms, s.workers[a].lease_until_ms);
+}
+
+/* Guards against a run that the next leader takes for over, because its worker
+ * has restarted, although the order has reached the new incarnation. */
+TEST(JobTwice, AnInheritedRunOfARestartedWorkerIsStoppedFirst)
+{
+	for (bool is_registered : { false, true }) {
+		JobSim s(6);
+		SCOPED_TRACE(is_registered);
+		uint64_t a = s.add_worker(8000);
+		s.run_time_ms = [](const SimTask &) { return 60000; };
+		s.lead();
+		s.run(100);
+		s.call_ms = 40;
+		s.submit(1, "batch", { JobSim::step(1, 1000) });
+		s.run(30);
+		s.crash(a);
+		s.restart_worker(a);
+		while (s.workers[a].running.empty())
+			s.run(1);
+		if (is_registered)
+			s.heartbeat(a);
+		s.call_ms = 2;
+		s.stop_max_ms = 900;
+		s.add_worker(8000);
+		s.lead();
+		s.run(300);
+		if (!is_registered)
+			s.heartbeat(a);
+		s.run(15000);
+		EXPECT_EQ(2, s.starts[TASK]);
+	}
+}
+
+/* Guards against an end as done in a worker's next incarnation that is
+ * acknowledged after the task was started elsewhere, because that incarnation
+ * registered late. */
+TEST(JobTwice, ARunInTheNextIncarnationIsKeptUntilItsEndsAreKnown)
+{
+	JobSim s(7);
+	uint64_t a = s.add_worker(8000);
+
+	s.run_time_ms = [](const SimTask &) { return 60; };
+	s.lead();
+	s.run(100);
+	s.call_ms = 40;
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(30);
+	s.crash(a);
+	s.restart_worker(a);
+	s.add_worker(8000);
+	s.run(3000);
+	s.heartbeat(a);
+	s.run(3000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_EQ(1, s.starts[TASK]);
+}
+
+/* Guards against the same lease when the leader changes before the worker is
+ * cut off. */
+TEST(JobTwice, ALeaseMeantForTheEarlierIncarnationIsKnownToTheNextLeader)
+{
+	JobSim s(8);
+	uint64_t a = run_by_an_advanced_clock(s);
+	auto *ws = (struct wsess *)jst_find_worker(&s.st, a)->session;
+	uint64_t serial = ws->poll_serial;
+
+	while (ws->poll_serial == serial)
+		s.run(1);
+	s.crash(a);
+	s.restart_worker(a);
+	s.run(310);
+	ASSERT_GT(s.workers[a].lease_until_ms, JLEAD_LEASE_MS + 2000);
+	s.call_ms = 2;
+	s.heartbeat(a);
+	s.run(100);
+	s.lead();
+	s.run(100);
+	cut_off_next_incarnation(s, a);
+}
+
+/* Guards against a start that is ordered although an earlier run is known to
+ * have done the task, because that end isn't committed yet. */
+TEST(JobTwice, NothingIsStartedWhileAnEndAsDoneIsCommitted)
+{
+	JobSim s(9);
+	uint64_t a = s.add_worker(8000);
+
+	s.run_time_ms = [](const SimTask &) { return 5500; };
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(300);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	s.set_unreachable(a, true);
+	s.run(8000);
+	s.commit_ms = 2000;
+	s.add_worker(8000);
+	s.run(100); /* the second run is being assigned */
+	s.set_unreachable(a, false);
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_EQ(1, s.starts[TASK]);
+}
+
+/* Guards against members of a gang that run again, or are started again, after
+ * a run that was given up has done the gang's step. */
+TEST(JobTwice, ALaterRunOfAGangEndsWithItsStep)
+{
+	JobSim s(10);
+	uint64_t a = s.add_worker(1000), b = s.add_worker(1000);
+	Job__Step gang = JobSim::step(2, 1000), next = JobSim::step(1, 1000);
+	uint32_t after[1] = { 0 };
+
+	gang.has_gang = gang.gang = 1;
+	next.after = after;
+	next.n_after = 1;
+	s.run_time_ms = [&s](const SimTask &k) {
+		return k.step == 0 && s.now_ms < 1005000 ? 5500 : 60000;
+	};
+	s.lead();
+	s.submit(1, "batch", { gang, next });
+	s.run(500);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	ASSERT_EQ(1U, s.workers[b].running.size());
+	s.set_unreachable(a, true);
+	s.set_unreachable(b, true);
+	uint64_t c = s.add_worker(1000), d = s.add_worker(1000);
+	s.run(7500);
+	ASSERT_EQ(1U, s.workers[c].running.size());
+	ASSERT_EQ(1U, s.workers[d].running.size());
+	s.set_unreachable(a, false);
+	s.run(3000);
+	for (auto &x : s.workers) {
+		for (auto &y : x.second.running)
+			EXPECT_EQ(1U, y.first.step) << x.second.id;
+	}
+}
+
 } // namespace
