Test that ends are heard in whatever order a worker lists them

In descending order all but the first are acknowledged and lost; one end at a time hides this, so it shows after a time without a leader, when many are listed at once.

--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -146,6 +146,8 @@
 	 * are lost */
 	bool drop_throttle_answers = false;
 	int64_t throttle_delay_ms = 0;
+	/* Workers list their ends with the newest first. */
+	bool list_ends_backwards = false;
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
 	/* of workers that are added from now on */
@@ -930,6 +932,8 @@
 			e.checkpoint = texts_of->back().c_str();
 			ends->push_back(e);
 		}
+		if (list_ends_backwards)
+			std::reverse(ends->begin(), ends->end());
 		r.has_clock = true;
 		r.clock_ms = clock_ms(w);
 		r.incarnation = w.incarnation;
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -281,4 +281,40 @@
 	}
 }
 
+/* Guards against ends that are acknowledged and lost because the worker lists
+ * them in another order than that of their numbers. */
+TEST(JobTwice, EndsAreHeardInWhateverOrderTheyAreListed)
+{
+	JobSim s(11);
+	s.list_ends_backwards = true;
+	for (int i = 0; i < 3; i++)
+		s.add_worker(8000);
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(18, 1000) });
+	s.run(300);
+	s.dark(2500);
+	s.lead();
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	for (auto &x : s.starts)
+		EXPECT_EQ(1, x.second) << "task " << x.first.index;
+}
+
+/* Guards against runs that are stopped and started again because their ends
+ * don't fit into one answer of their worker. */
+TEST(JobTwice, RunsWhoseEndsAreListedLaterAreKept)
+{
+	JobSim s(12);
+	s.add_worker(800000);
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(700, 1000) });
+	s.run(500);
+	s.dark(2500);
+	s.lead();
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	for (auto &x : s.starts)
+		EXPECT_EQ(1, x.second) << "task " << x.first.index;
+}
+
 } // namespace
