Hear the ends of a worker in whatever order it lists them

What callers saw: after a time in which no replica led, many tasks that were done ran again, the first after over a second. Their jobs completed in the end.

Cause: the leader skipped each listed end whose number was not above that of the last one it had seen, also within one answer, and acknowledged the highest one. When a worker lists its ends in another order than that of their numbers, those behind a higher number were never recorded, and the worker forgot them. The leader started the run there again, was told that it had ended, stopped it, and assigned the task to another worker. As long as a leader polls, ends come one at a time and their order makes no difference; after a time without one each worker lists several.

Now each listed end above the last acknowledged one is recorded, whatever was listed before it, unless it is being replicated already. The highest number of a complete answer is acknowledged then; of a full one, which may lack some, only numbers up to the first gap.

Evidence: JobTwice.EndsAreHeardInWhateverOrderTheyAreListed failed before, 15 of its 18 tasks ran two or three times.

--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -38,6 +38,8 @@
 /* Longest time that a worker needs to stop a task; above the platform's limit
  * of 900 ms. */
 #define JLEAD_STOP_MAX_MS 1100
+/* Most ends that a worker lists in one answer; a limit of the platform. */
+#define JLEAD_ENDS_PER_ANSWER 500
 /* How much slower than real time a worker's clock may run; a limit of the
  * platform. */
 #define JLEAD_CLOCK_DRIFT_PERMILLE 20
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -107,7 +107,9 @@
 	int64_t clock_ms; /* the worker's clock at the time clock_at */
 	/* latest end of a lease granted, on the worker's clock */
 	int64_t lease_until_max_ms;
-	uint64_t acked_end, last_end;
+	/* ends are acknowledged up to this number */
+	uint64_t acked_end;
+	uint64_t last_end; /* acked_end once those pending are replicated */
 	uint32_t ends_pending;
 	int64_t cpu_allocated, mem_allocated, accel_allocated,
 	    best_effort_cpu; /* allocated to runs */
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -68,7 +68,8 @@
  * to another session of the same id: an order sent to an earlier incarnation
  * may have been carried out by this one. */
 static struct jrun *
-find_ended_run(struct jlead *jl, struct wsess *ws, const struct jl_ended *e)
+find_ended_run(
+    struct jlead *jl, const struct wsess *ws, const struct jl_ended *e)
 {
 	struct jst_step *st = NULL;
 	struct jst_task *t = jst_find_task(jl->st, &e->task, &st);
@@ -127,15 +128,75 @@
 		jrun_stop(jl, t->active_run, JL_STOP_TASK_DONE);
 }
 
+/* Tells whether an end that this session has reported before is still being
+ * replicated. */
+static bool
+is_being_replicated(
+    struct jlead *jl, const struct wsess *ws, const struct jl_ended *e)
+{
+	const struct jrun *r = find_ended_run(jl, ws, e);
+	const struct late_end *l;
+
+	if (r != NULL && r->phase == RUN_ENDING && r->end_session == ws)
+		return true;
+	for (l = jl->late_ends; l != NULL; l = l->next) {
+		if (l->ws == ws && l->run == e->run &&
+		    l->task.job == e->task.job &&
+		    l->task.occurrence == e->task.occurrence &&
+		    l->task.step == e->task.step &&
+		    l->task.index == e->task.index)
+			return true;
+	}
+	return false;
+}
+
+/* Orders the numbers of ends for qsort. */
+static int
+compare_numbers(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * Returns the number up to which the ends in an answer may be acknowledged once
+ * they are replicated. Workers may list them in any order. A full answer may
+ * lack ends with lower numbers, so that only numbers without a gap count
+ * there.
+ */
+static uint64_t
+last_listed_end(const struct wsess *ws, const struct jl_reply *rep)
+{
+	uint64_t *v = calloc(rep->nended + 1, sizeof(*v));
+	uint64_t last = ws->acked_end;
+	size_t i, n = 0;
+
+	if (v == NULL)
+		abort();
+	for (i = 0; i < rep->nended; i++) {
+		if (rep->ended[i].number > last)
+			v[n++] = rep->ended[i].number;
+	}
+	qsort(v, n, sizeof(*v), compare_numbers);
+	for (i = 0; i < n; i++) {
+		if (i > 0 && rep->nended >= JLEAD_ENDS_PER_ANSWER &&
+		    v[i] > v[i - 1] + 1)
+			break;
+		last = v[i];
+	}
+	free(v);
+	return last;
+}
+
 /* Replicates a reported end; ends reported before are skipped. */
 static void
 handle_ended(struct jlead *jl, struct wsess *ws, const struct jl_ended *e)
 {
 	struct jrun *r;
 
-	if (e->number <= ws->last_end)
+	if (e->number <= ws->acked_end || is_being_replicated(jl, ws, e))
 		return;
-	ws->last_end = e->number;
 	r = find_ended_run(jl, ws, e);
 	if (r == NULL || r->phase == RUN_ENDING) {
 		if (is_late_end(jl, e))
@@ -184,6 +245,7 @@
 
 	for (i = 0; i < rep->nended; i++)
 		handle_ended(jl, ws, &rep->ended[i]);
+	ws->last_end = last_listed_end(ws, rep);
 	for (i = 0; i < rep->nrunning; i++)
 		update_running(jl, ws, &rep->running[i]);
 	for (r = ws->runs; r != NULL; r = next) {
