Don't acknowledge an end with an impossible number

What callers saw: after one odd row among the ends of a worker, its later ends were lost and their tasks started again and again.

Cause: the leader acknowledges ends up to the highest number that is listed. One far above the others made the worker forget all later ends before it had listed them.

An end above 2^31, or over a million above those acknowledged so far, is never acknowledged now; the others count.

A first row alone below 2^31 can't be told from the end of an old incarnation and is still taken.

--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -40,6 +40,11 @@
 #define JLEAD_STOP_MAX_MS 1100
 /* Most ends that a worker lists in one answer; a limit of the platform. */
 #define JLEAD_ENDS_PER_ANSWER 500
+/* An end with a higher number, or one that is further above those that were
+ * acknowledged, is malformed and never acknowledged: the worker would forget
+ * all ends before it unheard. */
+#define JLEAD_END_NUMBER_MAX	  (UINT64_C(1) << 31)
+#define JLEAD_END_NUMBER_STEP_MAX UINT64_C(1000000)
 /* How much slower than real time a worker's clock may run; a limit of the
  * platform. */
 #define JLEAD_CLOCK_DRIFT_PERMILLE 20
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -150,6 +150,16 @@
 	return false;
 }
 
+/* Tells whether a worker may number an end so, given those that it has
+ * numbered before. */
+static bool
+is_plausible_number(const struct wsess *ws, uint64_t number)
+{
+	return number <= JLEAD_END_NUMBER_MAX &&
+	    (ws->acked_end == 0 ||
+		number <= ws->acked_end + JLEAD_END_NUMBER_STEP_MAX);
+}
+
 /* Orders the numbers of ends for qsort. */
 static int
 compare_numbers(const void *a, const void *b)
@@ -175,7 +185,8 @@
 	if (v == NULL)
 		abort();
 	for (i = 0; i < rep->nended; i++) {
-		if (rep->ended[i].number > last)
+		if (rep->ended[i].number > last &&
+		    is_plausible_number(ws, rep->ended[i].number))
 			v[n++] = rep->ended[i].number;
 	}
 	qsort(v, n, sizeof(*v), compare_numbers);
