Poll workers for the first time although others don't answer

What callers saw: nothing known. After a change of leader beside thousands of registrations that never answer, a worker wasn't polled for over 8 s, so that its leases expired.

Cause: the number of first polls in a tick is limited, and polls repeated because there was no answer counted among them. They have a limit of their own now.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -709,6 +709,20 @@
 	ws->orders_due = needs_order;
 }
 
+/* Takes a worker's first poll, or its repetition, from the number that may be
+ * sent in this tick; false if that is used up. */
+static bool
+take_first_poll(struct jlead *jl, const struct wsess *ws)
+{
+	uint32_t *left = ws->poll_serial == 0 ? &jl->first_polls_left
+					      : &jl->first_repeats_left;
+
+	if (*left == 0)
+		return false;
+	(*left)--;
+	return true;
+}
+
 /* Handles the timeouts of one session and polls its worker if it is time. */
 static void
 session_tick(struct jlead *jl, struct wsess *ws)
@@ -729,10 +743,8 @@
 	if (ws->restarted || ws->poll_pending || ws->ends_pending > 0 ||
 	    clk_before(jl->now, ws->next_poll_at))
 		return;
-	if (!ws->contacted && jl->first_polls_left == 0)
+	if (!ws->contacted && !take_first_poll(jl, ws))
 		return;
-	if (!ws->contacted)
-		jl->first_polls_left--;
 	jl_poll(jl, ws);
 }
 
@@ -747,7 +759,8 @@
 	jl->wall_ms = wall_ms;
 	if (!jl->leading || !jl->ops.is_sole_leader(jl->ops.arg))
 		return;
-	jl->first_polls_left = JLEAD_FIRST_POLLS_PER_TICK +
+	jl->first_polls_left = jl->first_repeats_left =
+	    JLEAD_FIRST_POLLS_PER_TICK +
 	    jl->nrelays * JLEAD_FIRST_POLLS_PER_RELAY;
 	for (ws = jl->sessions; ws != NULL; ws = ws->next)
 		session_tick(jl, ws);
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -216,8 +216,10 @@
 	uint64_t token;
 	struct timespec now, leading_since;
 	int64_t wall_ms;
-	bool plan_needed;	      /* a plan may find something to assign */
-	uint32_t first_polls_left;    /* may still be sent in this tick */
+	bool plan_needed; /* a plan may find something to assign */
+	/* May still be sent in this tick: first polls, and those repeated that
+	 * had no answer. Workers that never answer must not delay others. */
+	uint32_t first_polls_left, first_repeats_left;
 	struct timespec plan_at;      /* earliest time of the next plan */
 	struct timespec fleet_log_at; /* next log line about the fleet */
 	uint64_t nplans;	      /* since the last such line */
