Don't take an uncommitted promotion for a repair in the schedules of raft

The schedule counted a replica as repaired when the leader's member list had it as a voter, though that entry was not committed (13 of 20); a later leader undid it. The schedule then destroyed the disk of one of the two voters that were left, which no group of two survives. The fault is the test's.

A replica now counts as repaired once the leader's log is committed to its end, so that no schedule destroys more than a group can lose; everything else is checked as before, and a missing leader ends the schedule with its seed printed.

--- a/src/control/tests/raft_sim_test.cc
+++ b/src/control/tests/raft_sim_test.cc
@@ -167,6 +167,15 @@
 		return false;
 	}
 
+	/* Tells whether a leader's log is committed up to its end, and with it
+	 * the member list in force. */
+	bool is_all_committed(uint32_t leader)
+	{
+		struct raft *l = s.node(leader).raft;
+
+		return raft_commit_index(l) == raft_last_index(l);
+	}
+
 	/* Adds replicas that are not members, as the cell does. It repeats
 	 * this because a later leader can undo an uncommitted addition. */
 	void add_missing_members()
@@ -190,7 +199,8 @@
 			else
 				member = m.voter;
 		}
-		if (member && !old && s.node(l).applied > 0) {
+		if (member && !old && s.node(l).applied > 0 &&
+		    is_all_committed(l)) {
 			replaced_instance = 0;
 			repairs++;
 		}
@@ -274,7 +284,7 @@
 			add_missing_members();
 			s.run(500 * kMs);
 		}
-		EXPECT_TRUE(
+		ASSERT_TRUE(
 		    s.run_until([&] { return s.leader() != 0; }, 20 * kSecond));
 		size_t before = s.history.size();
 		EXPECT_EQ(STATUS_OK, s.propose(s.leader(), "last"));
