--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -435,8 +435,8 @@
  * Handles one event at time now and appends the resulting actions, which the
  * caller has to carry out in order: the PERSIST of an entry comes before its
  * COMMIT, and that before a LEADERSHIP_CONFIRMED that relies on it; the ROLE of
- * a newer term comes before what its leader has committed. Leaves the
- * state unchanged on STATUS_NOT_LEADER, STATUS_UNAVAILABLE (leadership is being
+ * a newer term comes before what its leader has committed. Leaves the state
+ * unchanged on STATUS_NOT_LEADER, STATUS_UNAVAILABLE (leadership is being
  * transferred), STATUS_FULL, STATUS_LIMIT (record too large) and the errors
  * of the membership functions. Returns STATUS_STALE, STATUS_REFUSED or
  * STATUS_PROTOCOL for a message that was ignored.
