--- a/src/control/tests/raft_sim_test.cc
+++ b/src/control/tests/raft_sim_test.cc
@@ -406,13 +406,8 @@
 	    (unsigned long long)barriers);
 }
 
-/*
- * Guards against entries that are lost, or applied twice, when all replicas
- * restart from snapshots, and when followers that lag get a snapshot instead
- * of entries: snapshots are taken after a few entries, and leaders keep few
- * entries before them. A tenth of the schedules has real files. RAFT_SEED and
- * RAFT_SCHEDULES as above.
- */
+/* Guards against entries that are lost or applied twice when all replicas
+ * restart from snapshots and when followers that lag get one. */
 TEST(RaftSim, RestartsOfAllFromSnapshots)
 {
 	const char *only = getenv("RAFT_SEED");
@@ -428,7 +423,7 @@
 		SimConf c;
 		c.seed = seed;
 		c.snapshot_every = 3 + seed % 20;
-		if (seed % 10 == 0) {
+		if (seed % 10 == 0) { /* with real files */
 			c.wal_dir = dir + "/" + std::to_string(seed);
 			std::filesystem::create_directory(c.wal_dir);
 		}
--- a/src/control/tests/wal_crash_test.cc
+++ b/src/control/tests/wal_crash_test.cc
@@ -95,7 +95,7 @@
 	{
 		reopen();
 		for (int i = 0; i < kOps && !::testing::Test::HasFailure(); i++)
-			one();
+			do_operation();
 	}
 
       private:
@@ -270,7 +270,7 @@
 
 	/* Does one operation. A content is listed as possible before the call
 	 * that makes it. */
-	void one()
+	void do_operation()
 	{
 		struct err e = {};
 		uint64_t k = below(100);
@@ -382,9 +382,8 @@
 	}
 };
 
-/* Guards against synced entries, terms or snapshots that are lost, and a
- * directory that can't be opened, after a crash at any write or sync.
- * WAL_SEED=N plays that seed, WAL_SEEDS=N sets their number. */
+/* Guards against synced data that is lost, and a directory that can't be
+ * opened, after a crash. WAL_SEED=N plays that seed, WAL_SEEDS=N so many. */
 TEST(WalCrash, WhatWasSyncedIsKept)
 {
 	const char *only = getenv("WAL_SEED");
--- a/src/job/tests/jst_snapshot_test.cc
+++ b/src/job/tests/jst_snapshot_test.cc
@@ -82,7 +82,7 @@
 			Buffers b;
 			Job__Command c = JOB__COMMAND__INIT;
 			struct jst_result x, y;
-			size_t before = g_jobs(kept);
+			size_t before = count_jobs(kept);
 
 			if (rng_chance(&r, 0.04))
 				rebuild();
@@ -106,7 +106,7 @@
 	int64_t now_ms = 1000000;
 	uint64_t version = 0;
 
-	static size_t g_jobs(const struct jst &s)
+	static size_t count_jobs(const struct jst &s)
 	{
 		size_t n = 0;
 
@@ -371,7 +371,7 @@
 		    x.step->spec->gang && x.step->spec->count > 1 &&
 		    x.task->state == JST_DONE)
 			seen["gang done"]++;
-		if (g_jobs(kept) < njobs_before)
+		if (count_jobs(kept) < njobs_before)
 			seen["ended jobs removed"]++;
 		for (size_t i = 0;
 		     c.config != NULL && i < kept.config->n_queues; i++)
@@ -448,8 +448,8 @@
 	}
 };
 
-/* Guards against replicas that diverge after one of them has started from a
- * snapshot. JST_SEED=N plays that seed, JST_SEEDS=N sets their number. */
+/* Guards against replicas that diverge after one has started from a snapshot.
+ * JST_SEED=N plays that seed, JST_SEEDS=N so many. */
 TEST(JobSnapshot, AReplicaRebuiltFromASnapshotStaysEqual)
 {
 	const char *only = getenv("JST_SEED");
