Compare a lease with the clock of the incarnation that holds it

What callers saw: tasks ran on two workers at once, or were started again after their end as done.

Cause: when a worker has restarted, the leader counts on the longest lease there, 10 s, by a clock that starts at 0. The next answer replaced that clock by the one that the worker reports, and left the bound as it was. Where the clock of an incarnation doesn't start near 0, the bound was in the past, and all runs were given up the first time that the worker was silent.

The bound is now computed from each clock that the new incarnation reports.

Evidence: JobTwice.TheClockOfTheNextIncarnationEndsNoLease failed before.

--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -31,10 +31,14 @@
 	ws->silent = false;
 	ws->last_heard_at = jl->now;
 	ws->backoff_ms = JLEAD_RETRY_MS;
-	if (rep->has_clock) {
-		ws->clock_ms = rep->clock_ms;
-		ws->clock_at = jl->now;
-	}
+	if (!rep->has_clock)
+		return;
+	ws->clock_ms = rep->clock_ms;
+	ws->clock_at = jl->now;
+	/* Nothing is known of the leases of this incarnation, only that they
+	 * end by its own clock. */
+	if (ws->restarted)
+		ws->lease_until_max_ms = ws->clock_ms + JLEAD_LEASE_MAX_MS;
 }
 
 /* Proposes to remove a registration; nothing may be running under it any
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -317,4 +317,30 @@
 		EXPECT_EQ(1, x.second) << "task " << x.first.index;
 }
 
+/* Guards against a run that is given up while it is under a lease, because the
+ * bound of that lease is compared with the clock of another incarnation. */
+TEST(JobTwice, TheClockOfTheNextIncarnationEndsNoLease)
+{
+	const int64_t hour_ms = 3600000;
+	JobSim s(15);
+	uint64_t a = s.add_worker(8000);
+
+	s.workers[a].clock_start_ms = s.now_ms - 2 * hour_ms;
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.run(300);
+	s.call_ms = 300;
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(100);
+	s.crash(a);
+	s.restart_worker(a);
+	s.workers[a].clock_start_ms = s.now_ms - hour_ms;
+	s.run(500);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	s.add_worker(8000);
+	s.set_unreachable(a, true);
+	s.run(20000);
+	EXPECT_EQ(2, s.starts[TASK]) << "given up and started again";
+}
+
 } // namespace
