--- a/Makefile
+++ b/Makefile
@@ -24,12 +24,17 @@
 TESTC	:= $(sort $(wildcard src/*/tests/*.c))
 BENCHSRC := $(sort $(wildcard bench/*.c))
 FAKESRC	:= $(sort $(wildcard fakes/*.c))
-EMUSRC	:= $(sort $(wildcard platform/emulator/*.c))
+# Files named emu_* are linked into every emulator; any other is a program.
+EMULIBSRC := $(sort $(wildcard platform/emulator/emu_*.c))
+EMUSRC	:= $(filter-out $(EMULIBSRC),$(sort $(wildcard platform/emulator/*.c)))
 FORMATTED := $(filter-out %.pb-c.c %.pb-c.h,$(SRC) $(HDR) $(TESTSRC) \
-	     $(TESTC) $(BENCHSRC) $(FAKESRC) $(EMUSRC) $(wildcard src/*/tests/*.h \
-	     bench/*.h fakes/*.h))
-LINTED	:= $(filter-out %.pb-c.c,$(SRC) $(BENCHSRC) $(FAKESRC) $(EMUSRC))
+	     $(TESTC) $(BENCHSRC) $(FAKESRC) $(EMUSRC) $(EMULIBSRC) \
+	     $(wildcard src/*/tests/*.h bench/*.h fakes/*.h \
+	     platform/emulator/*.h))
+LINTED	:= $(filter-out %.pb-c.c,$(SRC) $(BENCHSRC) $(FAKESRC) $(EMUSRC) \
+	   $(EMULIBSRC))
 
+EMULIBOBJ := $(EMULIBSRC:%.c=$(BUILD)/%.o)
 LIBOBJ	:= $(LIBSRC:%.c=$(BUILD)/%.o)
 TESTOBJ	:= $(TESTSRC:%.cc=$(BUILD)/%.o) $(TESTC:%.c=$(BUILD)/%.o)
 BENCHES	:= $(BENCHSRC:bench/%.c=$(BUILD)/bench_%)
@@ -72,7 +77,8 @@
 $(BUILD)/%: $(BUILD)/fakes/%.o $(BUILD)/libcicadabay.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/%: $(BUILD)/platform/emulator/%.o $(BUILD)/libcicadabay.a
+$(BUILD)/%: $(BUILD)/platform/emulator/%.o $(EMULIBOBJ) \
+    $(BUILD)/libcicadabay.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
