--- a/scripts/fleet_faults.sh
+++ b/scripts/fleet_faults.sh
@@ -15,9 +15,10 @@
 #   mixed        each of these at random
 # Settings in the environment: FLEET_EMULATOR, the emulator to run instead of
 # that in BUILD; FLEET_WORKERS, FLEET_GATES, FLEET_SECONDS and FLEET_SCALE, the
-# size and length of the run; FLEET_OPTIONS, further options of the emulator;
-# FLEET_NET and FLEET_PORT, where it listens; FLEET_KEEP, a folder that receives
-# settings, data and logs.
+# size and length of the run; FLEET_FIRST_FAULT and FLEET_RECOVERY, the seconds
+# of load before the first fault and after the last; FLEET_OPTIONS, further
+# options of the emulator; FLEET_NET and FLEET_PORT, where it listens;
+# FLEET_KEEP, a folder that receives settings, data and logs.
 set -eu
 build=$1
 fault=$2
@@ -29,8 +30,9 @@
 port=${FLEET_PORT:-19000}
 emulator=${FLEET_EMULATOR:-$build/fleet}
 replicas=5
-first_fault_s=${FLEET_FIRST_FAULT:-15} # after the load has begun
-warmup_s=8			       # before the load, in the emulator
+first_fault_s=${FLEET_FIRST_FAULT:-15}
+recovery_s=${FLEET_RECOVERY:-15}
+warmup_s=8 # before the load, in the emulator
 dir=${FLEET_KEEP:-$(mktemp -d)}
 mkdir -p "$dir"
 pids=()
@@ -187,8 +189,7 @@
 pids+=($fleet_pid)
 end_s=$((SECONDS + warmup_s + seconds))
 sleep $((warmup_s + first_fault_s))
-# The last fault leaves time to recover from it.
-while [ $((SECONDS + 15)) -lt $end_s ]; do
+while [ $((SECONDS + recovery_s)) -lt $end_s ]; do
 	strike "$fault"
 	random_ms 4000 9000
 	sleep_ms "$ms"
