Don't wait 10 s for a silent worker that has left or just started

A run that was stopped in the next incarnation is also over when that one has left: no end is taken from it any more. For a worker that has answered no poll of a new leader, leases of 6 s count again. A lease by an earlier clock isn't covered there.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -119,6 +119,9 @@
 		jrun_free(jl, ws->runs);
 	drop_late_ends(jl, ws);
 	for (other = jl->sessions; other != NULL; other = other->next) {
+		if (other->restarted && other->w->num < ws->w->num &&
+		    strcmp(other->w->info->id, ws->w->info->id) == 0)
+			other->next_removed = true;
 		for (r = other->runs; r != NULL; r = r->next) {
 			if (r->end_session == ws)
 				r->end_session = NULL;
@@ -280,8 +283,7 @@
 	int64_t left, passed;
 
 	if (!ws->contacted) {
-		left =
-		    ws->follows_restart ? JLEAD_LEASE_MAX_MS : JLEAD_LEASE_MS;
+		left = JLEAD_LEASE_MS;
 		passed = clk_diff_ms(jl->now, jl->leading_since) -
 		    JLEAD_OLD_LEADER_LEASE_MS;
 	} else {
@@ -673,7 +675,7 @@
 /*
  * Tells whether a run that was stopped in its worker's next incarnation is
  * over, and its end known if it had one: that incarnation has answered a poll
- * that was sent after the stop, or the longest lease has expired.
+ * that was sent after the stop, or has left, or the longest lease has expired.
  */
 static bool
 is_over_after_restart(const struct jlead *jl, const struct jrun *r)
@@ -685,8 +687,9 @@
 	if (!r->stop_confirmed ||
 	    clk_diff_ms(jl->now, r->stopped_at) <= JLEAD_STOP_MAX_MS)
 		return false;
-	return (next != NULL && next != r->ws &&
-		   next->answered_poll > r->confirmed_serial) ||
+	return r->ws->next_removed ||
+	    (next != NULL && next != r->ws &&
+		next->answered_poll > r->confirmed_serial) ||
 	    least_advance_ms(clk_diff_ms(jl->now, r->stopped_at)) >
 	    JLEAD_LEASE_MAX_MS;
 }
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -90,6 +90,9 @@
 	uint32_t failed_polls;
 	/* another incarnation answered under this worker's id */
 	bool restarted;
+	/* The next incarnation was registered, and that registration has been
+	 * removed: no end is taken from it any more. */
+	bool next_removed;
 	/* An earlier incarnation may have been called, and a lease by its clock
 	 * may have reached this one. */
 	bool follows_restart;
