--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -382,6 +382,18 @@
 		run(ms);
 	}
 
+	/* Rebuilds the state from a snapshot while nobody leads. */
+	void reload()
+	{
+		struct err e;
+		TALLOC_CTX *tmp = talloc_new(ctx);
+		struct str image = jst_pack(&st, tmp);
+
+		ASSERT_FALSE(jl.leading);
+		ASSERT_EQ(STATUS_OK, jst_unpack(&st, image, &e));
+		talloc_free(tmp);
+	}
+
 	/* Delivers the notice to leave of a worker that nobody has seen drain;
 	 * its process ends after linger_ms. */
 	void leave_at_once(uint64_t num, int64_t linger_ms)
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -1,5 +1,7 @@
 #include "job/tests/job_sim.h"
 
+#include <cstdlib>
+
 /* Tests of what keeps a task from running a second time. */
 
 namespace {
@@ -281,4 +283,149 @@
 	}
 }
 
+/* Failures that happen while a fleet runs short tasks; one bit each. */
+enum mix {
+	MIX_LEADERS = 1,      /* leaders change */
+	MIX_DARK = 2,	      /* nobody leads for up to 8 s */
+	MIX_SLOW_LOG = 4,     /* commits take up to 2 s */
+	MIX_SLOW_ANSWERS = 8, /* answers take up to 2 s and overtake others */
+	MIX_LATE = 16,	      /* orders and polls are carried out late */
+	MIX_CUTS = 32,	      /* workers are cut off and come back */
+	MIX_CRASH = 64,	      /* workers restart under their ids */
+	MIX_CANCEL = 128,     /* jobs are cancelled */
+	MIX_RELAYS = 256      /* instances that relay calls are lost */
+};
+
+/* Submits a job with a random mix of steps. */
+void
+submit_some(JobSim &s, uint64_t id, uint32_t count)
+{
+	Job__Step first = JobSim::step(count, 1000);
+	Job__Step second = JobSim::step(2, 500);
+	uint32_t after[1] = { 0 };
+	bool is_gang = rng_chance(&s.rng, 0.2);
+
+	first.has_gang = first.gang = is_gang;
+	first.count = is_gang ? 2 : count;
+	second.after = after;
+	second.n_after = rng_chance(&s.rng, 0.5);
+	s.submit(id, id % 2 == 0 ? "fast" : "batch", { first, second },
+	    rng_chance(&s.rng, 0.2) ? 2 : 0);
+}
+
+/* Replaces the leader, at times by a replica that loaded a snapshot. */
+void
+change_leader(JobSim &s, unsigned mixes)
+{
+	if ((mixes & MIX_DARK) && rng_chance(&s.rng, 0.3)) {
+		s.dark(500 + (int64_t)rng_below(&s.rng, 7500));
+		s.reload();
+		s.lead();
+	} else if ((mixes & MIX_LEADERS) && rng_chance(&s.rng, 0.3)) {
+		s.lead();
+	}
+}
+
+/* Causes some of the failures of a mix. */
+void
+disturb(JobSim &s, unsigned mixes)
+{
+	size_t n = 1 + s.workers.size() / 20;
+
+	for (size_t i = 0; i < n; i++) {
+		uint64_t w = 1 + rng_below(&s.rng, s.workers.size());
+
+		if ((mixes & MIX_CUTS) && rng_chance(&s.rng, 0.4))
+			s.set_unreachable(w, !s.workers[w].unreachable);
+		if ((mixes & MIX_CRASH) && rng_chance(&s.rng, 0.2)) {
+			s.crash(w);
+			s.restart_worker(w);
+			s.events.emplace(
+			    s.now_ms + (int64_t)rng_below(&s.rng, 2500),
+			    [&s, w]() { s.heartbeat(w); });
+		}
+	}
+	change_leader(s, mixes);
+}
+
+/* Runs one mix of failures with this many workers; the simulation does the
+ * checks. */
+void
+run_mix(uint64_t seed, unsigned mixes, int nworkers)
+{
+	JobSim s(seed);
+	uint64_t job = 0;
+
+	SCOPED_TRACE(
+	    "mix " + std::to_string(mixes) + " seed " + std::to_string(seed));
+	s.clock_drift_permille = JLEAD_CLOCK_DRIFT_PERMILLE;
+	s.stop_max_ms = 900;
+	for (int i = 0; i < nworkers; i++)
+		s.add_worker(4000);
+	s.run_time_ms = [&s](const SimTask &) {
+		return 200 + (int64_t)rng_below(&s.rng, 4000);
+	};
+	s.task_fails = [&s](const SimTask &, uint64_t) {
+		return rng_chance(&s.rng, 0.02);
+	};
+	s.commit_delay_max_ms = mixes & MIX_SLOW_LOG ? 2000 : 0;
+	s.slow_answer_rate = mixes & MIX_SLOW_ANSWERS ? 0.1 : 0;
+	s.late_rate = s.late_poll_rate = mixes & MIX_LATE ? 0.05 : 0;
+	s.relay_lost_rate = mixes & MIX_RELAYS ? 0.05 : 0;
+	s.tolerate_stale_orders = getenv("JOB_STRICT") == NULL &&
+	    (mixes & (MIX_RELAYS | MIX_CRASH)) == (MIX_RELAYS | MIX_CRASH);
+	s.lead();
+	for (int i = 0; i < 12; i++) {
+		submit_some(s, ++job, (uint32_t)nworkers * 2);
+		submit_some(s, ++job, 3);
+		s.run((int64_t)rng_below(&s.rng, 1500));
+		if ((mixes & MIX_CANCEL) && rng_chance(&s.rng, 0.3))
+			s.cancel(1 + rng_below(&s.rng, job));
+		disturb(s, mixes);
+	}
+	s.late_rate = s.late_poll_rate = s.slow_answer_rate =
+	    s.relay_lost_rate = 0;
+	s.commit_delay_max_ms = 0;
+	for (auto &x : s.workers) {
+		if (x.second.unreachable)
+			s.set_unreachable(x.first, false);
+	}
+	for (int i = 0; i < 60 && s.st.active != NULL; i++)
+		s.run(1000);
+	for (uint64_t j = 1; j <= job; j++)
+		EXPECT_NE(JST_ACTIVE, s.state(j)) << "job " << j;
+}
+
+class JobTwiceMixes : public testing::TestWithParam<unsigned> {};
+
+/* Guards against tasks that run twice, or start after they were done, on a
+ * small fleet. */
+TEST_P(JobTwiceMixes, SmallFleet)
+{
+	const char *more = getenv("JOB_SEEDS");
+	uint64_t seeds = more == NULL ? 3 : strtoull(more, NULL, 10);
+
+	for (uint64_t seed = 1; seed <= seeds && !HasFailure(); seed++)
+		run_mix(seed, GetParam(), 5);
+}
+
+/* Guards against the same on a fleet whose workers are not all polled at once
+ * by a new leader. */
+TEST(JobTwiceLarge, NoTaskRunsTwice)
+{
+	const char *more = getenv("JOB_SEEDS_LARGE");
+	uint64_t seeds = more == NULL ? 1 : strtoull(more, NULL, 10);
+
+	for (uint64_t seed = 1; seed <= seeds && !HasFailure(); seed++) {
+		run_mix(seed, MIX_DARK | MIX_SLOW_LOG, 200);
+		run_mix(seed, 63, 200);
+		run_mix(seed, 511, 200);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Mixes, JobTwiceMixes,
+    testing::Values(MIX_DARK | MIX_SLOW_LOG, MIX_SLOW_ANSWERS, MIX_LATE,
+	MIX_SLOW_LOG | MIX_CUTS, MIX_LEADERS | MIX_CRASH, 63, 63 | MIX_CANCEL,
+	127, 511));
+
 } // namespace
