--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -148,6 +148,8 @@
 	int64_t throttle_delay_ms = 0;
 	/* Workers list their ends with the newest first. */
 	bool list_ends_backwards = false;
+	/* A full answer lists the newest ends instead of the oldest. */
+	bool list_newest_ends = false;
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
 	/* of workers that are added from now on */
@@ -920,9 +922,13 @@
 			row.metric = metric(x.first, x.second);
 			rows->push_back(row);
 		}
-		for (auto &x : w.ended) {
+		size_t first = list_newest_ends && w.ended.size() > ENDS_MAX
+		    ? w.ended.size() - ENDS_MAX
+		    : 0;
+		for (size_t i = first; i < w.ended.size(); i++) {
 			if (ends->size() == ENDS_MAX)
 				break;
+			auto &x = w.ended[i];
 			jl_ended e = {};
 			e.number = x.n;
 			ref(x.task, e.task);
