Don't read a run that was freed when an earlier one was done

What callers saw: nothing known; the leader read freed memory.

Cause: when the end as done of an earlier run is committed, a later run of the task that is only proposed is freed, and its number was read after that.

Evidence: with the address sanitizer JobTwiceReview.AProposedRunIsDroppedWhenAnEarlierOneIsDone and JobTwice.AnEndReportedWhileItsRunIsGivenUpCounts failed before.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -568,12 +568,13 @@
 static void
 handle_end(struct jlead *jl, const struct jst_result *res, const Job__End *e)
 {
-	struct jrun *r = res->task == NULL ? NULL : res->task->active_run;
+	struct jrun *r;
 	struct wsess *ws;
 
 	ack_late_ends(jl, e);
 	if (res->status == STATUS_OK && e->how == JOB__HOW__DONE)
 		drop_later_runs(jl, res->step, e);
+	r = res->task == NULL ? NULL : res->task->active_run;
 	if (r == NULL || r->run != e->run)
 		return;
 	ws = r->end_session;
