Conclude nothing from a full list of ends about runs that it lacks

What callers saw: a worker with over a thousand ends that were not acknowledged had tasks started again elsewhere, and their ends as done heard afterwards.

Cause: a run that a worker lists neither as running nor as ended counts as gone. An answer holds 500 ends at most, so the end may come in a later one.

Evidence: JobTwiceReview.RunsWhoseEndsFillManyAnswersAreKept failed before, 1,000 of 3,000 tasks were started again.

--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -251,6 +251,7 @@
 void
 jl_handle_poll(struct jlead *jl, struct wsess *ws, const struct jl_reply *rep)
 {
+	bool is_full = rep->nended >= JLEAD_ENDS_PER_ANSWER;
 	struct jrun *r, *next;
 	size_t i;
 
@@ -263,6 +264,8 @@
 		next = r->next;
 		if (r->confirmed_serial == UINT64_MAX)
 			r->confirmed_serial = rep->serial;
+		else if (is_full)
+			continue; /* its end may be among those not listed */
 		else if (r->phase == RUN_CONFIRMED ||
 		    r->phase == RUN_INHERITED ||
 		    (r->phase == RUN_STARTING && r->must_stop))
