Poll a worker less often whose ends can't be acknowledged

Cause: a worker with an end that is never acknowledged, because its number is impossible, answers each poll at once, and the next one was sent at once: 400 in 10 s instead of 4.

Evidence: JobTwiceReview.AnEndThatIsNeverAcknowledgedCausesNoStreamOfPolls failed before.

--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -271,6 +271,13 @@
 		    (r->phase == RUN_STARTING && r->must_stop))
 			handle_unlisted(jl, ws, r, rep->serial);
 	}
+	if (ws->ends_pending == 0 && rep->nended > 0 &&
+	    ws->last_end == ws->acked_end) {
+		/* No listed end may be acknowledged, so the worker answers the
+		 * next poll at once. */
+		ws->next_poll_at =
+		    clk_add_ms(jl->now, JLEAD_SERVING_POLL_WAIT_MS);
+	}
 	if (ws->ends_pending == 0)
 		ws->acked_end = ws->last_end;
 	jl_update_throttle(jl, ws);
