Start no member of a gang while its end as done is committed

What callers saw: a member of a gang was started again although the gang was done.

Cause: the check that no run starts while the end as done of an earlier one is committed looked at that task only; the end of one member is that of all.

Evidence: JobTwiceReview.NoMemberOfAGangIsStartedWhileItsEndAsDoneIsCommitted failed before, member 1 had 2 starts.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -439,16 +439,19 @@
 	    r->ws->w->num == a->worker;
 }
 
-/* Tells whether a late end of this task is being replicated. */
+/* Tells whether a late end of this task is being replicated; that of one member
+ * of a gang is that of all. */
 static bool
-has_late_end(const struct jlead *jl, const Job__Task *t)
+has_late_end(
+    const struct jlead *jl, const struct jst_step *st, const Job__Task *t)
 {
 	const struct late_end *l;
 
 	for (l = jl->late_ends; l != NULL; l = l->next) {
 		if (l->task.job == t->job &&
 		    l->task.occurrence == t->occurrence &&
-		    l->task.step == t->step && l->task.index == t->index)
+		    l->task.step == t->step &&
+		    (st->spec->gang || l->task.index == t->index))
 			return true;
 	}
 	return false;
@@ -475,7 +478,7 @@
 	r->assigned_at = r->starting_at = jl->now;
 	if (r->ws->restarted || r->ws->leave_announced)
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
-	else if (has_late_end(jl, a->task))
+	else if (has_late_end(jl, res->step, a->task))
 		jrun_stop(jl, r, JL_STOP_TASK_DONE);
 	else
 		jrun_send_due(jl, r);
