Log why a run outlives its job, and what keeps a task from workers with room

New: event=stop_answer, outlived, unanswered and late_tick, the counters runs_outlived, worker_calls_reused_silent and ticks_late, and in event=idle the numbers of workers with room that are reserved, silent, paused or draining. Tests: JobLog.LogsARun*, JobLog.LogsWhyWorkers*, Wcon.CountsUnansweredCalls*.

--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -66,4 +66,6 @@
 	    "Each second, assigned tasks without a run; must stay 0." },
 	[JCTR_UNHEARD] = { "workers_unheard",
 	    "Each second, workers whose answers don't arrive, not silent." },
+	[JCTR_OUTLIVED] = { "runs_outlived",
+	    "Runs of jobs that ended over 3 s ago, counted each second." },
 };
--- a/src/job/jlead_idle.c
+++ b/src/job/jlead_idle.c
@@ -4,8 +4,8 @@
 #include "base/log.h"
 #include "job/jlead_impl.h"
 
-/* Finds tasks that should run and don't, counts and logs them. Nothing here
- * decides anything. */
+/* Finds tasks that should run and don't, and runs that outlive their job;
+ * counts and logs them. Nothing here decides anything. */
 
 /* Idle tasks of one scan. */
 struct idle_scan {
@@ -58,21 +58,40 @@
 	return false;
 }
 
-/* Counts the usable workers that have the processors and memory for a task, by
- * the input of the last plan. */
-static uint32_t
-count_fitting(const struct jlead *jl, const Job__Step *s)
+/* Workers that have room for a task, by what keeps the plan from using them. */
+struct fitting_workers {
+	uint32_t usable, reserved, silent, paused, draining, others;
+};
+
+/* Counts the workers that have the processors and memory for a task, by the
+ * input of the last plan. */
+static void
+count_fitting(
+    const struct jlead *jl, const Job__Step *s, struct fitting_workers *f)
 {
-	uint32_t n = 0;
 	size_t i;
 
+	memset(f, 0, sizeof(*f));
 	for (i = 0; i < jl->nsessions; i++) {
 		const struct jplan_worker *p = &jl->plan_workers[i];
+		const struct wsess *ws = jl->plan_sessions[i];
 
-		n += p->usable && p->free_cpu >= (int64_t)s->cpu_milli &&
-		    p->free_mem >= (int64_t)s->mem_mb;
+		if (p->free_cpu < (int64_t)s->cpu_milli ||
+		    p->free_mem < (int64_t)s->mem_mb)
+			continue;
+		if (p->usable && p->reserved)
+			f->reserved++;
+		else if (p->usable)
+			f->usable++;
+		else if (ws->w->draining || ws->leave_announced)
+			f->draining++;
+		else if (ws->silent || !ws->contacted)
+			f->silent++;
+		else if (clk_before(jl->now, ws->paused_until))
+			f->paused++;
+		else
+			f->others++;
 	}
-	return n;
 }
 
 /* Logs a task that isn't assigned: whether its step and queue let the plan see
@@ -82,17 +101,21 @@
     int64_t idle_ms)
 {
 	const struct jst_task *t = &st->tasks[index];
+	struct fitting_workers f;
 
+	count_fitting(jl, st->spec, &f);
 	log_event(LOG_NOTICE, "job",
 	    "event=idle job=%016" PRIx64 " task=%u.%u.%u run=%u state=waiting "
 	    "idle_ms=%" PRId64 " proposed=%d step_waiting=%u step_proposed=%u "
 	    "queue=%d cpu=%" PRId64 " mem_mb=%" PRId64
-	    " long_running=%d best_effort=%d spread=%u fitting=%u of=%zu",
+	    " long_running=%d best_effort=%d spread=%u fitting=%u of=%zu"
+	    " reserved=%u silent=%u paused=%u draining=%u others=%u",
 	    st->job->id, st->occurrence, st->number, index, t->run, idle_ms,
 	    t->active_run != NULL, st->nwaiting, st->nproposed,
 	    st->job->queue_cfg != NULL, (int64_t)st->spec->cpu_milli,
 	    (int64_t)st->spec->mem_mb, st->spec->lasting, st->spec->fills,
-	    st->spec->spread, count_fitting(jl, st->spec), jl->nsessions);
+	    st->spec->spread, f.usable, jl->nsessions, f.reserved, f.silent,
+	    f.paused, f.draining, f.others);
 }
 
 /* Logs a task that is assigned: the phase of its run and what its worker's
@@ -194,6 +217,52 @@
 	ctr_add(jl->ctr, JCTR_UNHEARD, n);
 }
 
+/* Logs a run of a job that has ended: its phase, the stops sent so far, and
+ * what the session of its worker waits for. */
+static void
+log_outlived(const struct jlead *jl, const struct jrun *r, int64_t since_end_ms)
+{
+	const struct wsess *ws = r->ws;
+
+	log_event(LOG_NOTICE, "job",
+	    "event=outlived job=%016" PRIx64 " task=%u.%u.%u run=%u "
+	    "since_end_ms=%" PRId64
+	    " phase=%s order_pending=%d retry_in_ms=%" PRId64
+	    " backoff_ms=%" PRId64 " stop=%d stopped=%d starts=%u stops=%u "
+	    "worker=%s contacted=%d silent=%d heard_ms=%" PRId64
+	    " poll_pending=%d failed_polls=%u ends_pending=%u restarted=%d "
+	    "leaving=%d removal=%d draining=%d sole_leader=%d",
+	    r->step->job->id, r->step->occurrence, r->step->number, r->index,
+	    r->run, since_end_ms, phase_name(r), r->order_pending,
+	    clk_diff_ms(r->retry_at, jl->now), r->backoff_ms, r->must_stop,
+	    r->stop_confirmed, r->nstarts, r->nstops, ws->w->info->id,
+	    ws->contacted, ws->silent, clk_diff_ms(jl->now, ws->last_heard_at),
+	    ws->poll_pending, ws->failed_polls, ws->ends_pending, ws->restarted,
+	    ws->leave_announced, ws->removal_proposed, ws->w->draining,
+	    jl->ops.is_sole_leader(jl->ops.arg));
+}
+
+/* Counts and logs the runs of jobs that ended over JLEAD_IDLE_MS ago. */
+static void
+scan_outlived(struct jlead *jl)
+{
+	const struct wsess *ws;
+	const struct jrun *r;
+	uint32_t n = 0;
+	int64_t ms;
+
+	for (ws = jl->sessions; ws != NULL; ws = ws->next) {
+		for (r = ws->runs; r != NULL; r = r->next) {
+			if (r->step->job->state == JST_ACTIVE)
+				continue;
+			ms = jl->wall_ms - r->step->job->ended_ms;
+			if (ms >= JLEAD_IDLE_MS && n++ < JLEAD_IDLE_LINES_MAX)
+				log_outlived(jl, r, ms);
+		}
+	}
+	ctr_add(jl->ctr, JCTR_OUTLIVED, n);
+}
+
 /* Counts and logs the tasks that should run and have not done so for
  * JLEAD_IDLE_MS. */
 void
@@ -211,6 +280,7 @@
 		}
 	}
 	scan_unheard(jl);
+	scan_outlived(jl);
 	if (scan.nlogged == 0)
 		return;
 	ctr_add(jl->ctr, JCTR_IDLE_WAITING, scan.nwaiting);
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -147,6 +147,7 @@
 /* jlead_log.c */
 void jl_log_start(struct jlead *, struct jrun *, const struct jl_call *);
 void jl_log_stop(struct jlead *, struct jrun *, const struct jl_call *);
+void jl_log_stop_answer(const struct jrun *, const struct jl_reply *);
 void jl_log_cancel_done(struct jlead *, const struct jst_job *);
 void jl_log_orphan(
     struct jlead *, const struct wsess *, const struct jl_running *);
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -104,6 +104,18 @@
 	    ms_since_end(jl, j));
 }
 
+/* Logs a worker's answer to a stop, or that there was none. */
+void
+jl_log_stop_answer(const struct jrun *r, const struct jl_reply *rep)
+{
+	log_event(rep->kind == JL_OK ? LOG_DEBUG : LOG_INFO, "job",
+	    "event=stop_answer job=%016" PRIx64 " task=%u.%u.%u run=%u "
+	    "worker=%s answer=%d serial=%" PRIu64 " stops=%u",
+	    rep->task.job, rep->task.occurrence, rep->task.step,
+	    rep->task.index, rep->run, r->ws->w->info->id, rep->kind,
+	    rep->serial, r->nstops);
+}
+
 /* Logs how long a cancel took, once the job's last run is gone. */
 void
 jl_log_cancel_done(struct jlead *jl, const struct jst_job *j)
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -255,6 +255,7 @@
 static void
 handle_stop_reply(struct jlead *jl, struct jrun *r, const struct jl_reply *rep)
 {
+	jl_log_stop_answer(r, rep);
 	if (rep->kind == JL_OK) {
 		r->stop_confirmed = true;
 		r->stopped_at = jl->now;
--- a/src/job/tests/jobs_log_test.cc
+++ b/src/job/tests/jobs_log_test.cc
@@ -76,6 +76,48 @@
 	}
 }
 
+/* Guards against a run that outlives its cancelled job, and stops without an
+ * answer, that leave no line. */
+TEST_F(JobLog, LogsARunThatOutlivesItsJob)
+{
+	uint64_t a = s.add_worker(4000);
+	s.run_time_ms = [](const SimTask &) { return 60000; };
+	s.lead();
+	s.submit(0xabc, "batch", { JobSim::step(1, 500) });
+	s.run(500);
+	s.drop_starts_to = a;
+	s.drop_stops = true;
+	s.cancel(0xabc);
+	s.run(5000);
+	auto runs = lines("event=outlived ");
+	ASSERT_LE(1U, runs.size());
+	EXPECT_TRUE(has(runs[0], "job=0000000000000abc task=0.0.0 run=1"));
+	EXPECT_TRUE(has(runs[0], "phase=confirmed")) << runs[0];
+	EXPECT_TRUE(has(runs[0], "stop=1 stopped=0")) << runs[0];
+	EXPECT_LE(1U, ctr_get(&s.ctr, JCTR_OUTLIVED));
+	EXPECT_LE(2U, lines("event=stop_answer ").size());
+}
+
+/* Guards against room that is hidden from the plan without a line that says by
+ * what. */
+TEST_F(JobLog, LogsWhyWorkersWithRoomAreNotUsed)
+{
+	uint64_t a = s.add_worker(4000);
+	uint64_t b = s.add_worker(4000);
+	s.lead();
+	s.run(500);
+	s.drain(a);
+	s.set_unreachable(b, true);
+	s.run(4000);
+	s.submit(0xabc, "batch", { JobSim::step(1, 500) });
+	s.run(5000);
+	auto idle = lines("event=idle ");
+	ASSERT_LE(1U, idle.size());
+	EXPECT_TRUE(has(idle[0],
+	    "fitting=0 of=2 reserved=0 silent=1 paused=0 draining=1 others=0"))
+	    << idle[0];
+}
+
 /* Guards against a cancel that is logged as done while its worker is
  * unreachable. */
 TEST_F(JobLog, WaitsForTheRunOfASilentWorker)
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -14,6 +14,9 @@
 #include "node/sock.h"
 
 #define TICK_MS 25
+/* A tick that comes this much later is logged: the process was suspended, had
+ * no processor time, or was busy with one event. */
+#define TICK_LATE_MS 250
 /* The id of a founding replica is derived from its address, so that all
  * founders write the same member list; other replicas draw a random one. */
 #define FOUNDER_ID_MIX UINT64_C(0x9e3779b97f4a7c15)
@@ -267,6 +270,23 @@
 	caller_on_pong(caller, now, c->inst->instance, &p);
 }
 
+/* Counts and logs a tick that comes late. */
+static void
+check_tick(struct core *c, struct timespec now)
+{
+	int64_t late_ms = c->ticked_at.tv_sec == 0
+	    ? 0
+	    : clk_diff_ms(now, c->ticked_at) - TICK_MS;
+
+	c->ticked_at = now;
+	if (late_ms < TICK_LATE_MS)
+		return;
+	ctr_add(&c->nctr, NCTR_TICKS_LATE, 1);
+	log_event(LOG_NOTICE, "core",
+	    "event=late_tick late_ms=%" PRId64 " leading=%d commands=%zu",
+	    late_ms, c->leading, c->ncmds);
+}
+
 /* Runs the timers of all parts, each TICK_MS. */
 static void
 on_tick(void *arg)
@@ -275,6 +295,7 @@
 	struct raft_ev ev = { .kind = RAFT_EV_TICK };
 	struct timespec now = mesh_now(c->mesh);
 
+	check_tick(c, now);
 	c->propose_blocked = false;
 	core_disk_tick(c);
 	if (!c->disk_failed && !clk_before(now, raft_next_tick(c->raft)))
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -67,6 +67,7 @@
 	struct front *control;
 	struct relay *relay; /* calls to workers */
 	struct ticker *ticker;
+	struct timespec ticked_at; /* last tick; zero before the first */
 	struct fdplan fds;
 	struct tevent_immediate *flush_event;
 	bool flush_scheduled, in_flush;
--- a/src/node/nctr.c
+++ b/src/node/nctr.c
@@ -83,4 +83,10 @@
 	    "calls that found all connections in use; raise descriptors" },
 	[NCTR_WCON_LATE] = { "worker_calls_late",
 	    "calls to workers not sent, as their deadline had passed" },
+	[NCTR_WCON_REUSED_SILENT] = { "worker_calls_reused_silent",
+	    "calls to workers without an answer on a connection that had been "
+	    "used before" },
+	[NCTR_TICKS_LATE] = { "ticks_late",
+	    "ticks over 250 ms late: the process was suspended or lacked "
+	    "processor time" },
 };
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -631,6 +631,23 @@
 
 /* ---- time ---- */
 
+/* Logs a start or stop that got no answer: whether it was sent, and on a
+ * connection that had been used before. */
+static void
+log_unanswered(const struct wcall *w)
+{
+	if (w->worker_id == NULL)
+		return;
+	log_event(LOG_NOTICE, "relay",
+	    "event=unanswered kind=%s job=%016" PRIx64
+	    " task=%u.%u.%u run=%u worker=%s from=%u token=%" PRIu64
+	    " serial=%" PRIu64 " sent=%d reused=%d",
+	    w->reply.call == JL_START ? "start" : "stop", w->reply.task.job,
+	    w->reply.task.occurrence, w->reply.task.step, w->reply.task.index,
+	    w->reply.run, w->worker_id, w->from, w->token, w->reply.serial,
+	    wcon_was_sent(w->call), wcon_was_reused(w->call));
+}
+
 /* Ends calls past their deadline and stops using instances that are silent or
  * behind. */
 void
@@ -644,6 +661,7 @@
 		next = w->next;
 		if (clk_before(now, w->deadline))
 			continue;
+		log_unanswered(w);
 		w->reply.kind = get_reply_kind(wcon_abort(w->call));
 		end_wcall(w);
 	}
--- a/src/node/tests/wcon_test.cc
+++ b/src/node/tests/wcon_test.cc
@@ -165,6 +165,27 @@
 	EXPECT_EQ(2U, server->accepted);
 }
 
+/* Guards against connections that went silent, which can't be told from workers
+ * that don't answer. */
+TEST_F(Wcon, CountsUnansweredCallsOnUsedConnections)
+{
+	struct script_server other(ev);
+	server->steps = { { OK, false }, { "", false } };
+	other.steps = { { "", false } };
+	open(10);
+	call(1, server->addr);
+	wait();
+	struct wcon_call *used = call(2, server->addr);
+	struct wcon_call *fresh = call(3, other.addr);
+	while (server->requests.size() < 2 || other.requests.empty())
+		tevent_loop_once(ev);
+	EXPECT_TRUE(wcon_was_reused(used));
+	EXPECT_FALSE(wcon_was_reused(fresh));
+	wcon_abort(used);
+	wcon_abort(fresh);
+	EXPECT_EQ(1U, ctr_get(&ctr, NCTR_WCON_REUSED_SILENT));
+}
+
 /* Guards against a call on an idle connection that the worker has closed, which
  * ends as possibly sent. */
 TEST_F(Wcon, AClosedIdleConnectionIsNotReused)
--- a/src/node/wcon.c
+++ b/src/node/wcon.c
@@ -74,6 +74,13 @@
 	return k->has_sent;
 }
 
+/* Tells whether a call was sent on a connection that had carried another. */
+bool
+wcon_was_reused(const struct wcon_call *k)
+{
+	return k->has_sent && k->conn != NULL && k->conn->ncalls > 1;
+}
+
 /* Reports the calls for which no connection could be opened, or whose
  * connection failed at once. */
 static void
@@ -252,6 +259,8 @@
 	enum wcon_failure failure = wcon_call_failure(k);
 
 	ctr_add(w->conf.ctr, NCTR_BACK_ABORTED, 1);
+	if (wcon_was_reused(k))
+		ctr_add(w->conf.ctr, NCTR_WCON_REUSED_SILENT, 1);
 	if (c != NULL)
 		wconn_close(c);
 	wcon_call_free(k);
--- a/src/node/wcon.h
+++ b/src/node/wcon.h
@@ -73,6 +73,8 @@
 enum wcon_failure wcon_abort(struct wcon_call *);
 /* Returns whether a byte of a call may have been sent. */
 bool wcon_was_sent(const struct wcon_call *);
+/* Tells whether a call was sent on a connection that had carried another. */
+bool wcon_was_reused(const struct wcon_call *);
 /* Returns the number of open connections. */
 size_t wcon_count_open(const struct wcon *);
 
--- a/src/node/wcon_conn.c
+++ b/src/node/wcon_conn.c
@@ -240,6 +240,7 @@
 wconn_assign(struct wconn *c, struct wcon_call *k)
 {
 	c->call = k;
+	c->ncalls++;
 	k->conn = c;
 	c->sent_bytes = 0;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
--- a/src/node/wcon_impl.h
+++ b/src/node/wcon_impl.h
@@ -15,6 +15,7 @@
 	int fd;
 	struct tevent_fd *fde;
 	bool connected;
+	unsigned ncalls;	/* assigned so far */
 	struct wcon_call *call; /* NULL: idle */
 	size_t sent_bytes;	/* of the call's request */
 	struct timespec used_at;
