--- a/soak/world.py
+++ b/soak/world.py
@@ -268,12 +268,17 @@
             if len(self.runs) >= 16:
                 return 409, {"reason": "room"}
             self.ledger.record_start(task, self.id)
-            how = "failed" if self.rng.random() < 0.02 else "done"
+            seconds, how = self.draw_end(task)
             timer = asyncio.get_running_loop().call_later(
-                self.rng.uniform(0.1, 1.5), self.end_run, task, how)
+                seconds, self.end_run, task, how)
             self.runs[task] = (run, timer)
         return 200, {}
 
+    def draw_end(self, task):
+        """Returns after how many seconds a run of a task ends, and how."""
+        how = "failed" if self.rng.random() < 0.02 else "done"
+        return self.rng.uniform(0.1, 1.5), how
+
     async def send_leave(self, body):
         """Announces the leave to a replica; tells whether it was taken."""
         status, _ = await call(
