Distrust a worker's other connections after a call got no answer

Connections to a worker that went silent without a reset were found out one at a time: each call that took one waited 0.8 s, and its repetition took the next idle connection. A stop reached the worker late, its task ran on after the cancel, and the worker counted as silent.

When a call that was sent gets no answer, the idle connections to its worker that haven't answered since it was sent are now closed too, so that the repetition opens a new one. A connection that has answered since is kept.

--- a/src/node/nctr.c
+++ b/src/node/nctr.c
@@ -86,6 +86,9 @@
 	[NCTR_WCON_REUSED_SILENT] = { "worker_calls_reused_silent",
 	    "calls to workers without an answer on a connection that had been "
 	    "used before" },
+	[NCTR_WCON_DISTRUSTED] = { "worker_connections_distrusted",
+	    "idle connections to workers that were closed after a call to the "
+	    "same worker got no answer" },
 	[NCTR_TICKS_LATE] = { "ticks_late",
 	    "ticks over 250 ms late: the process was suspended or lacked "
 	    "processor time" },
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -39,6 +39,7 @@
 	struct script_server *server = new script_server(ev);
 	struct ctr_set ctr;
 	int64_t now_ms = 5000;
+	uint64_t newest = 0; /* of the newest call of the helpers below */
 	side leader = { this, 1, NULL, {} }, other = { this, 2, NULL, {} };
 	bool got_reply = false, sent_message = false, hold_messages = false;
 	bool refuse_messages = false;
@@ -195,6 +196,66 @@
 		relay_call(leader.rl, &c, workers);
 		relay_flush(leader.rl);
 	}
+	/* Advances the clock, runs the event loop for 2 ms, then the timers of
+	 * the relay. */
+	void advance(int64_t ms)
+	{
+		bool done = false;
+		tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, 2000),
+		    set_flag, &done);
+		loop_until(ev, &done);
+		now_ms += ms;
+		relay_tick(leader.rl);
+	}
+	static void set_flag(struct tevent_context *, struct tevent_timer *,
+	    struct timeval, void *arg)
+	{
+		*(bool *)arg = true;
+	}
+	/* Opens as many connections to the worker as are allowed; all are idle
+	 * then. */
+	void open_all_connections()
+	{
+		leader.replies.clear();
+		for (int i = 0; i < RELAY_WORKER_CONNECTIONS; i++)
+			call(make_poll(++newest), 1);
+		while (leader.replies.size() < RELAY_WORKER_CONNECTIONS)
+			tevent_loop_once(ev);
+	}
+	/* Tells whether a call has ended without an answer. */
+	bool has_failed(uint64_t n)
+	{
+		for (auto &r : leader.replies) {
+			if (r.serial == n)
+				return r.kind != JL_OK;
+		}
+		return false;
+	}
+	/* Sends a stop, again 150 ms after each failure as the leader does,
+	 * until the worker gets it. Returns how long that took, 5000 at
+	 * most. */
+	int64_t repeat_stop()
+	{
+		size_t served = server->requests.size();
+		int64_t began_ms = now_ms, retry_ms = now_ms;
+		bool pending = false;
+		while (server->requests.size() == served &&
+		    now_ms < began_ms + 5000) {
+			if (!pending && now_ms >= retry_ms) {
+				struct jl_call stop = make_poll(++newest);
+				stop.kind = JL_STOP;
+				job__task__init(&stop.task);
+				call(stop, 1);
+				pending = true;
+			}
+			advance(10);
+			if (pending && has_failed(newest)) {
+				retry_ms = now_ms + 150;
+				pending = false;
+			}
+		}
+		return now_ms - began_ms;
+	}
 };
 
 /* Guards against a leader that makes the calls to a large fleet itself, and
@@ -311,6 +372,27 @@
 	    << out;
 }
 
+/* Guards against a stop that takes seconds because its repetitions use one
+ * connection after the other that went silent, while a long poll and orders
+ * hold the rest. */
+TEST_F(Relay, AStopPassesSilentConnectionsWithinASecond)
+{
+	server->steps.assign(20, { http("{\"clockMs\":77}"), false });
+	for (size_t nheld = 0; nheld <= RELAY_WORKER_CONNECTIONS; nheld++) {
+		open_all_connections();
+		server->mute();
+		now_ms += 100;
+		for (size_t i = 0; i < nheld; i++) {
+			struct jl_call held = make_poll(++newest);
+			held.timeout_ms = i == 0 ? 2800 : 800;
+			call(held, 1);
+			now_ms += 10;
+		}
+		EXPECT_LE(repeat_stop(), 1000) << "connections held: " << nheld;
+		advance(3000);
+	}
+}
+
 /* Guards against a call that can't be decoded and for whose reply the leader
  * waits until its deadline. */
 TEST_F(Relay, AMalformedCallIsAnsweredAsNotMade)
--- a/src/node/tests/script_server.h
+++ b/src/node/tests/script_server.h
@@ -33,6 +33,8 @@
 
 	explicit script_server(struct tevent_context *);
 	~script_server();
+	/* From now on, what arrives on the open connections is discarded. */
+	void mute();
 	/* Writes bytes that answer no request to each open connection. */
 	void write_stray(const std::string &);
 };
--- a/src/node/tests/script_server_test.cc
+++ b/src/node/tests/script_server_test.cc
@@ -11,6 +11,7 @@
 	int fd;
 	std::string in;
 	struct tevent_fd *fde;
+	bool is_muted;
 };
 
 static void
@@ -34,6 +35,8 @@
 		conn_end(c);
 		return;
 	}
+	if (c->is_muted)
+		return;
 	c->in.append(buf, (size_t)n);
 	if (c->in.find("\r\n\r\n") == std::string::npos)
 		return;
@@ -58,7 +61,7 @@
 		return;
 	s->accepted++;
 	s->has_accepted = true;
-	struct script_conn *c = new script_conn{ s, fd, "", NULL };
+	struct script_conn *c = new script_conn{ s, fd, "", NULL, false };
 	c->fde = tevent_add_fd(ev, ev, fd, TEVENT_FD_READ, on_data, c);
 	s->conns.insert(c);
 }
@@ -87,6 +90,13 @@
 	close(fd);
 }
 
+void
+script_server::mute()
+{
+	for (struct script_conn *c : conns)
+		c->is_muted = true;
+}
+
 void
 script_server::write_stray(const std::string &bytes)
 {
--- a/src/node/tests/wcon_test.cc
+++ b/src/node/tests/wcon_test.cc
@@ -186,6 +186,47 @@
 	EXPECT_EQ(1U, ctr_get(&ctr, NCTR_WCON_REUSED_SILENT));
 }
 
+/* Guards against calls that are lost one after the other on connections that
+ * all went silent at once. */
+TEST_F(Wcon, AnUnansweredCallEndsTheTrustInOlderConnections)
+{
+	server->steps.assign(4, { OK, false });
+	open(10);
+	for (int i = 1; i <= 3; i++)
+		call(i, server->addr, 3);
+	while (bodies.size() < 3)
+		wait();
+	ASSERT_EQ(3U, server->accepted);
+	server->mute();
+	struct wcon_call *lost = call(4, server->addr, 3);
+	EXPECT_EQ(WCON_MAYBE_SENT, wcon_abort(lost));
+	EXPECT_EQ(0U, wcon_count_open(w));
+	EXPECT_EQ(2U, ctr_get(&ctr, NCTR_WCON_DISTRUSTED));
+	call(5, server->addr, 3);
+	wait();
+	EXPECT_EQ((std::vector<int>{ 1, 2, 3, 5 }), order);
+	EXPECT_EQ(4U, server->accepted);
+}
+
+/* Guards against closing a connection that has answered since the call that got
+ * no answer was sent. */
+TEST_F(Wcon, AnUnansweredCallLeavesConnectionsThatHaveAnsweredSince)
+{
+	server->steps = { { "", false }, { OK, false }, { OK, false } };
+	open(10);
+	struct wcon_call *lost = call(1, server->addr, 3);
+	while (server->requests.empty())
+		tevent_loop_once(ev);
+	call(2, server->addr, 3);
+	wait();
+	wcon_abort(lost);
+	EXPECT_EQ(1U, wcon_count_open(w));
+	call(3, server->addr, 3);
+	wait();
+	EXPECT_EQ((std::vector<int>{ 2, 3 }), order);
+	EXPECT_EQ(2U, server->accepted);
+}
+
 /* Guards against a call on an idle connection that the worker has closed, which
  * ends as possibly sent. */
 TEST_F(Wcon, AClosedIdleConnectionIsNotReused)
--- a/src/node/wcon.c
+++ b/src/node/wcon.c
@@ -249,7 +249,8 @@
 }
 
 /* Ends a call without a callback. Its connection is closed, as the answer may
- * still arrive there. Returns what is known of the call. */
+ * still arrive there. If the call was sent, so are the idle connections to its
+ * worker that haven't answered since. Returns what is known of the call. */
 enum wcon_failure
 wcon_abort(struct wcon_call *k)
 {
@@ -263,6 +264,8 @@
 		ctr_add(w->conf.ctr, NCTR_WCON_REUSED_SILENT, 1);
 	if (c != NULL)
 		wconn_close(c);
+	if (k->has_sent)
+		wconn_close_older(h, k->sent_at);
 	wcon_call_free(k);
 	wcon_host_dispatch(h);
 	wcon_dispatch_blocked(w);
--- a/src/node/wcon.h
+++ b/src/node/wcon.h
@@ -68,8 +68,8 @@
 struct wcon *wcon_new(TALLOC_CTX *, const struct wcon_conf *);
 /* Starts a call; the request is copied. */
 struct wcon_call *wcon_start(struct wcon *, const struct wcon_req *);
-/* Ends a call without a callback; its connection is closed. Returns what is
- * known of the call. */
+/* Ends a call without a callback; its connection is closed, and idle ones that
+ * may have failed with it. Returns what is known of the call. */
 enum wcon_failure wcon_abort(struct wcon_call *);
 /* Returns whether a byte of a call may have been sent. */
 bool wcon_was_sent(const struct wcon_call *);
--- a/src/node/wcon_conn.c
+++ b/src/node/wcon_conn.c
@@ -135,8 +135,11 @@
 		return false;
 	}
 	while (k != NULL && c->sent_bytes < k->len) {
-		if (!k->has_sent && w->conf.on_sending != NULL)
-			w->conf.on_sending(w->conf.arg, k->user);
+		if (!k->has_sent) {
+			k->sent_at = clk_now(&w->conf.clk);
+			if (w->conf.on_sending != NULL)
+				w->conf.on_sending(w->conf.arg, k->user);
+		}
 		k->has_sent = true;
 		n = send(c->fd, k->request + c->sent_bytes,
 		    k->len - c->sent_bytes, MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -310,3 +313,19 @@
 	}
 	return NULL;
 }
+
+/* Closes the idle connections of a host that haven't answered since a moment.
+ * Connections that fail without a reset often fail together. */
+void
+wconn_close_older(struct wcon_host *h, struct timespec t)
+{
+	struct wconn *c, *next;
+
+	for (c = h->conns; c != NULL; c = next) {
+		next = c->next;
+		if (c->call != NULL || clk_before(t, c->used_at))
+			continue;
+		ctr_add(h->pool->conf.ctr, NCTR_WCON_DISTRUSTED, 1);
+		wconn_close(c);
+	}
+}
--- a/src/node/wcon_impl.h
+++ b/src/node/wcon_impl.h
@@ -40,7 +40,7 @@
 	GList link; /* in host.waiting_calls or wcon.failed_calls */
 	bool is_waiting, is_failed;
 	bool has_sent, is_complete, is_late, is_refused;
-	struct timespec send_by;
+	struct timespec send_by, sent_at;
 	void *user;
 	char *request;
 	size_t len;
@@ -72,5 +72,6 @@
 bool wconn_assign(struct wconn *, struct wcon_call *);
 void wconn_remove_idle(struct wconn *);
 void wconn_close(struct wconn *);
+void wconn_close_older(struct wcon_host *, struct timespec);
 
 #endif
