Notice silent connections between instances after 1.2 s

Connections between instances that went silent without a reset were closed when nothing had arrived for 3 s, so that for 3 s no replica heard another, no leader led, and relays and callers waited. After that an election could follow. A connection that carried data only towards its client was noticed by its listener alone.

An accepted connection now answers what arrives by a heartbeat within 250 ms and sends none otherwise; the other side closes a connection on which nothing answers for 1.2 s, or a connection attempt that takes as long. Time for which the process was held up doesn't count, as it has not read what came meanwhile. Instances of earlier versions send a heartbeat every second, which is within the limit.

--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -42,6 +42,9 @@
 	struct out_frame *head, **tail;
 	size_t head_offset, queued;
 	struct timespec received_at, sent_at; /* of the newest bytes */
+	bool owes_answer;		      /* has read since it sent */
+	bool awaits_answer; /* nothing has arrived since unanswered_since */
+	struct timespec unanswered_since;
 };
 
 /* Another instance as a destination. */
@@ -62,6 +65,7 @@
 	struct rng rng;
 	struct tevent_fd *listen_fde;
 	struct mtimer timer;
+	struct timespec ticked_at;
 	struct link **links;
 	size_t nlinks;
 	struct conn *accepted_conns;
@@ -113,6 +117,16 @@
 	tevent_fd_set_flags(c->fde, flags);
 }
 
+/* Records that bytes are sent which the other side has to answer. */
+static void
+conn_await_answer(struct conn *c, struct timespec now)
+{
+	if (c->link == NULL || c->awaits_answer)
+		return;
+	c->awaits_answer = true;
+	c->unanswered_since = now;
+}
+
 /* Writes what the socket accepts; false if the connection was closed. */
 static bool
 conn_flush(struct conn *c)
@@ -132,6 +146,8 @@
 			return false;
 		}
 		c->sent_at = clk_now(&c->peer->clk);
+		c->owes_answer = false;
+		conn_await_answer(c, c->sent_at);
 		c->head_offset += (size_t)n;
 		if (c->head_offset < o->len)
 			continue;
@@ -382,6 +398,8 @@
 			return false;
 		}
 		c->received_at = clk_now(&c->peer->clk);
+		c->awaits_answer = false;
+		c->owes_answer = true;
 		c->in_len += (size_t)n;
 		if (!conn_parse(c))
 			return false;
@@ -435,6 +453,7 @@
 	c->connected = connected;
 	c->tail = &c->head;
 	c->received_at = c->sent_at = clk_now(&p->clk);
+	conn_await_answer(c, c->sent_at);
 	c->fde = tevent_add_fd(p->ev, c, fd, TEVENT_FD_READ, on_conn_event, c);
 	conn_update_events(c);
 	return c;
@@ -551,18 +570,46 @@
 	ctr_add(p->conf.ctr, NCTR_PEER_ACCEPTED, 1);
 }
 
-/* Closes a silent connection, or sends a heartbeat if one is due. */
+/* Tells whether the other side has left what was sent unanswered for too long,
+ * or has sent nothing at all. */
+static bool
+conn_is_silent(const struct conn *c, struct timespec now)
+{
+	return (c->awaits_answer &&
+		   clk_diff_ms(now, c->unanswered_since) >=
+		       PEER_ANSWER_TIMEOUT_MS) ||
+	    clk_diff_ms(now, c->received_at) >= PEER_SILENCE_TIMEOUT_MS;
+}
+
+/* Tells whether a heartbeat is due. On an accepted connection it is an answer:
+ * none is sent while nothing arrives, so that a connection that carries data
+ * only in the other direction is noticed. */
+static bool
+conn_heartbeat_is_due(const struct conn *c, struct timespec now)
+{
+	if (!c->connected || c->head != NULL)
+		return false;
+	if (c->link != NULL)
+		return clk_diff_ms(now, c->sent_at) >=
+		    PEER_HEARTBEAT_INTERVAL_MS;
+	return c->has_hello && c->owes_answer &&
+	    clk_diff_ms(now, c->sent_at) >= PEER_ANSWER_INTERVAL_MS;
+}
+
+/* Closes a silent connection, or sends a heartbeat if one is due. late_ms is
+ * how long this process was held up: it has not read what may have arrived
+ * meanwhile. */
 static void
-conn_tick(struct conn *c, struct timespec now)
+conn_tick(struct conn *c, struct timespec now, int64_t late_ms)
 {
-	if (clk_diff_ms(now, c->received_at) >= PEER_SILENCE_TIMEOUT_MS) {
+	c->received_at = clk_add_ms(c->received_at, late_ms);
+	c->unanswered_since = clk_add_ms(c->unanswered_since, late_ms);
+	if (conn_is_silent(c, now)) {
 		ctr_add(c->peer->conf.ctr, NCTR_PEER_SILENT, 1);
 		conn_close(c, "silent");
 		return;
 	}
-	if (!c->connected || c->head != NULL ||
-	    (c->link == NULL && !c->has_hello) ||
-	    clk_diff_ms(now, c->sent_at) < PEER_HEARTBEAT_INTERVAL_MS)
+	if (!conn_heartbeat_is_due(c, now))
 		return;
 	conn_queue(c, out_frame_new(FRAME_HEARTBEAT, NULL, 0));
 	conn_flush(c);
@@ -574,17 +621,21 @@
 {
 	struct peer *p = arg;
 	struct timespec now = clk_now(&p->clk);
+	int64_t late_ms = clk_diff_ms(now, p->ticked_at) - PEER_BACKOFF_MIN_MS;
 	struct conn *c, *next;
 	size_t i;
 
+	if (late_ms < PEER_TICK_LATE_MS)
+		late_ms = 0;
+	p->ticked_at = now;
 	mtimer_set_ms(&p->timer, PEER_BACKOFF_MIN_MS);
 	for (c = p->accepted_conns; c != NULL; c = next) {
 		next = c->next;
-		conn_tick(c, now);
+		conn_tick(c, now, late_ms);
 	}
 	for (i = 0; i < p->nlinks; i++) {
 		if (p->links[i]->conn != NULL)
-			conn_tick(p->links[i]->conn, now);
+			conn_tick(p->links[i]->conn, now, late_ms);
 		else if (!clk_before(now, p->links[i]->retry_at))
 			link_connect(p->links[i]);
 	}
@@ -708,6 +759,7 @@
 	p->conf = *conf;
 	p->ev = ev;
 	p->clk = clk_system();
+	p->ticked_at = clk_now(&p->clk);
 	rng_init(&p->rng, conf->seed);
 	for (i = 0; i < conf->npeers; i++)
 		peer_add(p, &conf->peers[i]);
--- a/src/node/peer.h
+++ b/src/node/peer.h
@@ -18,8 +18,17 @@
 #define PEER_QUEUE_MAX_BYTES	   (8 * 1024 * 1024) /* waiting per instance */
 #define PEER_HEARTBEAT_INTERVAL_MS 1000
 #define PEER_SILENCE_TIMEOUT_MS	   3000 /* then the connection is closed */
-#define PEER_BACKOFF_MIN_MS	   50
-#define PEER_BACKOFF_MAX_MS	   1000
+/* What arrives on an accepted connection is answered by a heartbeat, at most
+ * this often. */
+#define PEER_ANSWER_INTERVAL_MS 200
+/* A connection on which nothing answers what was sent is closed after this.
+ * Instances of earlier versions send a heartbeat every
+ * PEER_HEARTBEAT_INTERVAL_MS instead of answers. */
+#define PEER_ANSWER_TIMEOUT_MS 1200
+/* Ticks that come later than this are not held against the other side. */
+#define PEER_TICK_LATE_MS   100
+#define PEER_BACKOFF_MIN_MS 50
+#define PEER_BACKOFF_MAX_MS 1000
 /* Default limit of accepted connections. */
 #define PEER_ACCEPTED_MAX 256
 
--- a/src/node/tests/peer_test.cc
+++ b/src/node/tests/peer_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "forwarder.h"
 #include "script_server.h"
 
 #include "node/tests/wall_clock.h"
@@ -10,6 +11,7 @@
 #include <arpa/inet.h>
 #include <unistd.h>
 
+#include "base/clk.h"
 #include "base/log.h"
 #include "base/rng.h"
 #include "node/frame.h"
@@ -293,3 +295,128 @@
 	WallClockSetBack back(60000);
 	EXPECT_TRUE(loop_until(ev, &other.has_accepted));
 }
+
+/* Two instances; their connections to each other pass through forwarders. */
+class PeerPair : public ::testing::Test {
+      protected:
+	struct side {
+		struct ctr_set ctr;
+		struct peer *peer = NULL;
+		std::string addr;
+		int listen_fd;
+		size_t messages = 0, lost = 0;
+	};
+	struct tevent_context *ev = tevent_context_init(NULL);
+	side sides[2];		    /* instances 1 and 2 */
+	struct forwarder *paths[2]; /* to these */
+	struct clk clk = clk_system();
+
+	static void on_message(void *arg, const Control__PeerMsg *)
+	{
+		((side *)arg)->messages++;
+	}
+	static void on_down(void *arg, uint32_t)
+	{
+		((side *)arg)->lost++;
+	}
+	static bool on_hello(void *, uint64_t, uint64_t, uint64_t)
+	{
+		return true;
+	}
+	void SetUp() override
+	{
+		log_set_level(LOG_ERR);
+		for (int i = 0; i < 2; i++) {
+			struct sockaddr_in sin;
+			socklen_t len = sizeof(sin);
+			struct err e;
+			side &s = sides[i];
+			s.listen_fd =
+			    sock_listen(str_from("127.0.0.1:0"), false, &e);
+			getsockname(s.listen_fd, (struct sockaddr *)&sin, &len);
+			s.addr =
+			    "127.0.0.1:" + std::to_string(ntohs(sin.sin_port));
+			paths[i] = new forwarder(ev, s.addr);
+		}
+		for (int i = 0; i < 2; i++) {
+			side &s = sides[i];
+			struct peer_conf c = {};
+			struct node_peer other = { (uint32_t)(2 - i),
+				str_from(paths[1 - i]->addr.c_str()) };
+			ctr_init(&s.ctr, ev, nctr_desc, NCTR_COUNT);
+			c.cluster = str_from("test");
+			c.group = 1;
+			c.instance = (uint32_t)(i + 1);
+			c.incarnation = 11;
+			c.listen_fd = s.listen_fd;
+			c.peers = &other;
+			c.npeers = 1;
+			c.ctr = &s.ctr;
+			c.on_message = on_message;
+			c.on_disconnect = on_down;
+			c.check_hello = on_hello;
+			c.arg = &s;
+			s.peer = peer_new(ev, ev, &c);
+		}
+	}
+	void TearDown() override
+	{
+		for (int i = 0; i < 2; i++) {
+			delete paths[i];
+			talloc_free(sides[i].peer);
+		}
+		talloc_free(ev);
+		log_set_level(LOG_INFO);
+	}
+	static void set_flag(struct tevent_context *, struct tevent_timer *,
+	    struct timeval, void *arg)
+	{
+		*(bool *)arg = true;
+	}
+	void run_ms(uint32_t ms)
+	{
+		bool done = false;
+		tevent_add_timer(ev, ev,
+		    tevent_timeval_current_ofs(0, ms * 1000), set_flag, &done);
+		loop_until(ev, &done);
+	}
+	void send_message(int from)
+	{
+		Control__PeerMsg m = CONTROL__PEER_MSG__INIT;
+		Control__BeatReply b = CONTROL__BEAT_REPLY__INIT;
+		m.group = 1;
+		m.from = (uint32_t)(from + 1);
+		m.beat_reply = &b;
+		peer_send(sides[from].peer, (uint32_t)(2 - from), &m);
+	}
+	/* Sends a message each 50 ms until one arrives; returns how long that
+	 * took, in ms. */
+	int64_t send_until_received(int from)
+	{
+		struct timespec began = clk_now(&clk);
+		size_t before = sides[1 - from].messages;
+		while (sides[1 - from].messages == before &&
+		    clk_diff_ms(clk_now(&clk), began) < 8000) {
+			send_message(from);
+			run_ms(50);
+		}
+		return clk_diff_ms(clk_now(&clk), began);
+	}
+};
+
+/* Guards against replicas, relays and callers that are out of touch for as long
+ * as a connection may be idle, once all of them go silent at one moment. Only
+ * one side sends. */
+TEST_F(PeerPair, PassesMessagesSoonAfterConnectionsWentSilent)
+{
+	for (int from = 0; from < 2; from++) {
+		for (bool only_client : { false, true }) {
+			send_until_received(from);
+			paths[0]->mute(only_client);
+			paths[1]->mute(only_client);
+			EXPECT_LE(send_until_received(from), 2000)
+			    << "from " << from << " only_client "
+			    << only_client;
+		}
+	}
+}
