Poll a worker anew after an order got no answer

A start that got no answer made its worker silent, and a silent worker is given no lease once it was heard over 0.8 s ago. So neither it nor another start was sent before the poll in flight was answered, and if that had been lost as well, not before its time limit: up to 2.8 s on an idle worker. Ends on the worker were heard as late.

A poll that was sent before an order without an answer is now replaced by one that doesn't wait. Its own reply, if any, is dropped: the worker lists the ends until they are acknowledged, and a poll to a silent worker acknowledges none.

Before, JobLead.AStartThatIsLostWithThePollIsRepeatedSoon failed at 19 of 20 ages of the poll: not started 1 s after the worker was in reach again; JobLead.AnEndIsHeardSoonAfterAnOrderIsLostWithThePoll found the job unfinished.

--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -173,6 +173,20 @@
 		jrun_end(jl, r, JOB__HOW__REFUSED, NULL);
 }
 
+/* Handles an order without an answer. A poll sent before it may be lost as
+ * well: it is replaced by one that doesn't wait, as nothing is started on a
+ * silent worker until it answers. The replies to both are safe to get, or to
+ * miss. */
+static void
+handle_unanswered_order(
+    struct jlead *jl, struct wsess *ws, const struct jl_reply *rep)
+{
+	mark_silent(jl, ws);
+	if (ws->poll_pending && ws->poll_serial < rep->serial &&
+	    ws->contacted && !ws->restarted)
+		jl_poll(jl, ws);
+}
+
 /* Repeats a start after the backoff. */
 static void
 schedule_start_retry(struct jlead *jl, struct jrun *r)
@@ -203,10 +217,13 @@
 		break;
 	case JL_NO_ANSWER:
 		r->unconfirmed = true;
-		mark_silent(jl, r->ws);
+		handle_unanswered_order(jl, r->ws, rep);
 		schedule_start_retry(jl, r);
 		break;
 	case JL_NOT_SENT:
+		handle_unanswered_order(jl, r->ws, rep);
+		schedule_start_retry(jl, r);
+		break;
 	case JL_CONN_REFUSED:
 		mark_silent(jl, r->ws);
 		schedule_start_retry(jl, r);
@@ -266,8 +283,9 @@
 		jl_handle_restart(jl, r->ws, 0);
 		return;
 	}
-	if (rep->kind == JL_NO_ANSWER || rep->kind == JL_NOT_SENT ||
-	    rep->kind == JL_CONN_REFUSED)
+	if (rep->kind == JL_NO_ANSWER || rep->kind == JL_NOT_SENT)
+		handle_unanswered_order(jl, r->ws, rep);
+	else if (rep->kind == JL_CONN_REFUSED)
 		mark_silent(jl, r->ws);
 	ctr_add(jl->ctr, JCTR_STOP_RETRIES, 1);
 	r->retry_at = clk_add_ms(jl->now, r->backoff_ms);
--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -385,6 +385,45 @@
 	EXPECT_FALSE(ws->silent);
 }
 
+/* Guards against a start that gets no answer and is not repeated until the poll
+ * has failed as well, as a silent worker is given no lease. */
+TEST(JobLead, AStartThatIsLostWithThePollIsRepeatedSoon)
+{
+	for (int64_t age_ms = 0; age_ms < 2000; age_ms += 100) {
+		SCOPED_TRACE(age_ms);
+		JobSim s(41);
+		uint64_t a = s.add_worker(8000);
+		s.lead();
+		s.run(100 + age_ms);
+		s.set_unreachable(a, true);
+		s.submit(1, "batch", { JobSim::step(1, 1000) });
+		s.run(100);
+		s.set_unreachable(a, false);
+		EXPECT_TRUE(s.starts.empty());
+		s.run(1000);
+		EXPECT_EQ(1U, s.starts.size());
+	}
+}
+
+/* Guards against an end that is heard only when the poll that was lost has
+ * reached its time limit, although an order got no answer long before. */
+TEST(JobLead, AnEndIsHeardSoonAfterAnOrderIsLostWithThePoll)
+{
+	JobSim s(42);
+	uint64_t a = s.add_worker(8000);
+	s.run_time_ms = [](const SimTask &) { return 700; };
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(200);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	s.submit(2, "batch", { JobSim::step(1, 1000) });
+	s.set_unreachable(a, true);
+	s.run(100);
+	s.set_unreachable(a, false);
+	s.run(1000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
 /* Guards against orders to a draining worker. */
 TEST(JobLead, ADrainingWorkerGetsNothingNew)
 {
