Refuse a job whose queue was forgotten while it was proposed

Callers got an accepted job that never ran. A queue that a configuration removes is kept for the next one, as a submission may have been proposed before. With two configurations in flight the second one forgot it, and a submission proposed after both was still accepted: its queue names no service, so no plan ever placed it. It is now refused when it is applied, and the caller is told that there is no such queue.

JobLost.AJobWhoseQueueIsForgottenIsNotAccepted failed before: "accepted, and never run".

--- a/src/job/jcall.c
+++ b/src/job/jcall.c
@@ -100,5 +100,7 @@
 		return JOB__OUTCOME__BUSY;
 	if (c->cancel != NULL && applied == STATUS_NOT_FOUND)
 		return JOB__OUTCOME__NO_JOB;
+	if (c->submit != NULL && applied == STATUS_NOT_FOUND)
+		return JOB__OUTCOME__NOT_FOUND;
 	return JOB__OUTCOME__OK;
 }
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -233,7 +233,8 @@
 }
 
 /* Adds a job. One whose cancel came first is added as cancelled, with
- * STATUS_STALE. */
+ * STATUS_STALE. One whose queue has been forgotten since it was proposed could
+ * never run and is refused with STATUS_NOT_FOUND. */
 static void
 apply_submit(struct jst *s, const Job__Submit *m, struct jst_result *r)
 {
@@ -245,6 +246,10 @@
 		r->status = STATUS_EXISTS;
 		return;
 	}
+	if (!s->loading && jst_queue(s, m->queue) == NULL) {
+		r->status = STATUS_NOT_FOUND;
+		return;
+	}
 	withdrawn = jst_find_withdrawn(s, m->job);
 	if (withdrawn != NULL)
 		job_forget(s, withdrawn);
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -123,7 +123,9 @@
 	/* Ended jobs that are only the cancel of a job not submitted yet; they
 	 * have no steps. */
 	uint32_t nwithdrawn;
-	bool loading; /* loading a snapshot: ended jobs aren't removed */
+	/* loading a snapshot: ended jobs aren't removed, and jobs of forgotten
+	 * queues aren't refused */
+	bool loading;
 	struct jst_worker **workers;
 	size_t nworkers;
 	void *by_id; /* hash table of the latest registration of each id */
--- a/src/job/tests/jcall_test.cc
+++ b/src/job/tests/jcall_test.cc
@@ -93,7 +93,8 @@
 	}
 }
 
-/* Guards against a cancel without effect that is answered as done. */
+/* Guards against a cancel without effect, or a refused submission, that is
+ * answered as done. */
 TEST(JobCall, TheAnswerTellsWhatACommandDid)
 {
 	Job__Command c = JOB__COMMAND__INIT;
@@ -107,6 +108,7 @@
 	c.submit = &submit;
 	EXPECT_EQ(JOB__OUTCOME__OK, jcall_outcome(&c, STATUS_EXISTS));
 	EXPECT_EQ(JOB__OUTCOME__OK, jcall_outcome(&c, STATUS_STALE));
+	EXPECT_EQ(JOB__OUTCOME__NOT_FOUND, jcall_outcome(&c, STATUS_NOT_FOUND));
 }
 
 } /* namespace */
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -469,7 +469,8 @@
     const Job__Command *cmd, const struct jst_result *r)
 {
 	if (cmd->submit != NULL) {
-		ctr_add(&c->jctr, JCTR_ACCEPTED, 1);
+		if (r->status != STATUS_NOT_FOUND)
+			ctr_add(&c->jctr, JCTR_ACCEPTED, 1);
 		log_event(LOG_INFO, "core",
 		    "event=accepted job=%016" PRIx64 " queue=%s steps=%zu "
 		    "config=%" PRIu64 " status=%s spec=%08x",
