Start a best-effort job whose turn has come where there is memory

While other best-effort tasks had all processors left for such work, a best-effort job waited until they ended, even on a fleet of which most was free. Workers don't count processors for best-effort tasks, so users see room for it, and a job of which nothing runs for 3 s as lost.

If a step has waited for JPLAN_LOW_LOAD_WAIT_MS on a service of which much is free and nothing of its job runs, one of its tasks, or all of a gang, now shares the processors. Its other tasks wait as before, as they would only slow down those that run.

--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -23,6 +23,8 @@
  *
  * Best-effort tasks share workers with serving ones. They go where they slow
  * down the fewest serving jobs, and wait for such a place while they have time.
+ * They wait for processors that others leave unused, but not for long while
+ * nothing of their job runs on a service of which much is free.
  */
 #ifndef JOB_JPLAN_H
 #define JOB_JPLAN_H
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -18,6 +18,8 @@
 	bool best_effort, may_wait;
 	bool displaced; /* it has run before and lost its worker */
 	bool may_use_reserved;
+	/* a best-effort task that needs no processors left for it */
+	bool shares_cpu;
 	size_t image_index;
 	int64_t cpu, mem, accel;
 };
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -252,7 +252,7 @@
 		return d->cpu <= p->free_cpu;
 	/* A task too large for any worker runs where no other best-effort task
 	 * does. */
-	return p->nbest_effort == 0 ||
+	return d->shares_cpu || p->nbest_effort == 0 ||
 	    (double)d->cpu <= best_effort_free_cpu(p);
 }
 
@@ -504,6 +504,24 @@
 	    is_low_load(r, d);
 }
 
+/* Tells whether no task of a step's occurrence is assigned or being
+ * assigned. */
+static bool
+is_occurrence_idle(const struct jst_step *st)
+{
+	const Job__Spec *spec = st->job->spec;
+	const struct jst_step *s =
+	    &st->job->steps[st->occurrence * spec->n_steps];
+	size_t i;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		if (s[i].nproposed > 0 ||
+		    s[i].nwaiting + s[i].ndone < s[i].spec->count)
+			return false;
+	}
+	return true;
+}
+
 /* Tells whether a new long-running task would use processors that short jobs
  * need. */
 static bool
@@ -523,14 +541,19 @@
 	return lost > 0 && s->cpu_in_pieces - lost < s->cpu_reserved;
 }
 
-/* Places as many waiting tasks of a step as fit. */
+/*
+ * Places as many waiting tasks of a step as fit. If none does of an overdue
+ * best-effort step and nothing of its job runs, one task, or a gang, shares
+ * processors that others use already: workers don't count them for best-effort
+ * tasks.
+ */
 size_t
 jplan_place(struct jplan_round *r, struct jst_step *st, bool displaced,
     bool can_wait, struct jplan_choice *out, size_t max)
 {
 	struct jplan_need d = get_need(r, st, displaced);
 	struct jplan_option best;
-	bool found, overdue, met_reserve = false;
+	bool found, overdue, may_share, met_reserve = false;
 	uint32_t t;
 	size_t k = 0, i;
 
@@ -540,9 +563,10 @@
 	d.may_wait = can_wait && d.best_effort && !overdue;
 	d.may_use_reserved = displaced ||
 	    (overdue && st->nwaiting + st->ndone == st->spec->count);
+	may_share = overdue && d.best_effort && is_occurrence_idle(st);
 	if (st->waiting_since_ms == 0)
 		st->waiting_since_ms = r->now_ms;
-	if (known_not_to_fit(r, &d))
+	if (!may_share && known_not_to_fit(r, &d))
 		return 0;
 	count_step_tasks(r, st, 1);
 	heap_fill(r, st, &d);
@@ -556,6 +580,11 @@
 			heap_pop(r);
 			met_reserve = true;
 		}
+		if (!found && may_share && (k == 0 || st->spec->gang)) {
+			d.shares_cpu = true;
+			heap_fill(r, st, &d);
+			found = heap_find_best(r, st, &d, &best);
+		}
 		if (!found) {
 			if (st->spec->spread == 0 && !met_reserve)
 				record_no_fit(r, &d);
@@ -572,6 +601,7 @@
 		out[k].index = t;
 		out[k].worker = best.worker;
 		k++;
+		d.shares_cpu &= st->spec->gang;
 	}
 	count_step_tasks(r, st, -1);
 	for (i = 0; i < k; i++)
--- a/src/job/tests/jplan_property_test.cc
+++ b/src/job/tests/jplan_property_test.cc
@@ -281,9 +281,11 @@
 		return service_of.at(st->job->queue) == w->service && labelled;
 	}
 
-	/* Returns how many more tasks of a step fit on a worker. */
+	/* Returns how many more tasks of a step fit on a worker; with share,
+	 * best-effort tasks need no processors left for them. */
 	uint32_t count_fitting(const struct wsess *ws,
-	    const struct jst_step *st, bool before = false) const
+	    const struct jst_step *st, bool before = false,
+	    bool share = false) const
 	{
 		const Job__Step *x = st->spec;
 		Room free_room = room(ws, before);
@@ -294,7 +296,7 @@
 			if (free_room.mem < x->mem_mb ||
 			    free_room.accel < x->accel)
 				break;
-			if (x->fills && free_room.nbest_effort > 0 &&
+			if (x->fills && !share && free_room.nbest_effort > 0 &&
 			    free_room.cpu + free_room.serving_cpu / 2 -
 				    free_room.best_effort_cpu <
 				x->cpu_milli)
@@ -427,7 +429,7 @@
 			return false;
 		for (struct wsess *ws = s.jl.sessions; ws != NULL;
 		     ws = ws->next)
-			n += count_fitting(ws, st);
+			n += count_fitting(ws, st, false, true);
 		return n >= need &&
 		    is_mostly_free(service_of.at(st->job->queue));
 	}
