Try other workers first after one has refused a start

Callers got a gang that didn't run for as long as one worker was unhealthy. A worker that refuses a start is paused for 0.5 s, but the members of the gang that were started elsewhere wait 3 s for the others before they end. By then the worker was the one with the most free processors again, as nothing ran there, and the gang was placed on it once more.

A refusal as unhealthy or for lack of room now counts for the worker's failure score, so that others come first for some seconds. Starts refused together count once.

JobLost.AGangGoesElsewhereThanToAnUnhealthyWorker failed before: the job was still active after 5.5 s. In the simulation, members of a gang can wait for the others, and workers can be unhealthy.

--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -160,12 +160,23 @@
 	jl_handle_poll(jl, ws, rep);
 }
 
+/* Prefers other workers for some time to one that refuses starts. Those refused
+ * together count once. */
+static void
+record_refusal(struct jlead *jl, struct wsess *ws)
+{
+	if (!clk_before(jl->now, ws->paused_until))
+		jl_add_failure(jl, ws, 1.0);
+}
+
 /* Ends a run whose start was refused. If another copy of the order may be in
  * flight, the run is stopped first. */
 static void
 end_refused_run(struct jlead *jl, struct jrun *r, enum jctr which)
 {
 	ctr_add(jl->ctr, which, 1);
+	if (which == JCTR_START_NO_ROOM || which == JCTR_START_UNHEALTHY)
+		record_refusal(jl, r->ws);
 	r->ws->paused_until = clk_add_ms(jl->now, JLEAD_REFUSED_PAUSE_MS);
 	if (r->unconfirmed)
 		jrun_stop(jl, r, JL_STOP_UNCONFIRMED);
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -44,6 +44,7 @@
 	bool stale_order;
 	uint32_t throttle_percent = 100;
 	int64_t stopped_ms = 0; /* when a stop takes effect; 0: none */
+	bool is_alone = false;	/* waits for other members of its gang */
 };
 
 struct SimWorker {
@@ -75,6 +76,7 @@
 	/* last time at which no lease was in force */
 	int64_t last_lapse_ms = 0;
 	bool draining = false;
+	bool unhealthy = false;		/* it refuses all starts */
 	int64_t reachable_since_ms = 0; /* when it last became reachable */
 };
 
@@ -148,6 +150,9 @@
 	int64_t throttle_delay_ms = 0;
 	/* Workers list their ends with the newest first. */
 	bool list_ends_backwards = false;
+	/* Members of a gang wait this long for the others; 0: they run without
+	 * them. */
+	int64_t gang_timeout_ms = 0;
 	/* A full answer lists the newest ends instead of the oldest. */
 	bool list_newest_ends = false;
 	/* by the number of their first registration */
@@ -1120,6 +1125,10 @@
 		ASSERT_NE(nullptr, jst_find_task(&st, &t, &sp));
 		if (!sp->spec->fills)
 			used += sp->spec->cpu_milli;
+		if (w.unhealthy) {
+			r.kind = JL_UNHEALTHY;
+			return;
+		}
 		if (used > w.cpu) {
 			r.kind = JL_NO_ROOM;
 			return;
@@ -1138,6 +1147,7 @@
 			sp->spec->lasting || task_fails(k, alias[c.worker]),
 			now_ms, order.checkpoint,
 			order.sent_to_incarnation != w.incarnation };
+		w.running[k].is_alone = gang_timeout_ms > 0 && sp->spec->gang;
 	}
 
 	/* Checks that a leader sends orders only while it leads, and only for
@@ -1368,6 +1378,32 @@
 		}
 	}
 
+	/* Tells whether a run waits for other members of its gang. Once all are
+	 * there, it doesn't. */
+	bool is_alone(const SimTask &k, SimRun &run)
+	{
+		struct jst_step *sp = NULL;
+		Job__Task t;
+		uint32_t n = 0;
+		if (!run.is_alone)
+			return false;
+		ref(k, t);
+		if (jst_find_task(&st, &t, &sp) == NULL)
+			return true;
+		for (auto &x : workers) {
+			auto it = x.second.running.lower_bound(
+			    { k.job, k.occurrence, k.step, 0 });
+			for (; it != x.second.running.end() &&
+			     it->first.job == k.job &&
+			     it->first.occurrence == k.occurrence &&
+			     it->first.step == k.step;
+			     ++it)
+				n += x.second.up && it->second.run == run.run;
+		}
+		run.is_alone = n < sp->spec->count;
+		return run.is_alone;
+	}
+
 	/* Stops a run, at once or after a random time. */
 	void stop(SimWorker &w, const SimTask &k)
 	{
@@ -1406,7 +1442,12 @@
 				if (clock_ms(w) >= w.lease_until_ms)
 					ended.push_back(
 					    { y.first, JOB__HOW__LAPSED });
-				else if (y.second.throttle_percent > 0 &&
+				else if (is_alone(y.first, y.second)) {
+					if (now_ms - y.second.started_ms >=
+					    gang_timeout_ms)
+						ended.push_back({ y.first,
+						    JOB__HOW__ALONE });
+				} else if (y.second.throttle_percent > 0 &&
 				    y.second.left_ms >= 0 &&
 				    --y.second.left_ms <= 0)
 					ended.push_back({ y.first,
--- a/src/job/tests/lost_test.cc
+++ b/src/job/tests/lost_test.cc
@@ -64,4 +64,31 @@
 	EXPECT_EQ(10U, s.starts.size());
 }
 
+/* Returns a step of a gang. */
+Job__Step
+gang_step(uint32_t count, uint32_t cpu)
+{
+	Job__Step st = JobSim::step(count, cpu, 1000);
+
+	st.has_gang = st.gang = 1;
+	return st;
+}
+
+/* Guards against a gang that is placed on the same unhealthy worker again and
+ * again, as that is the one with the most room, while others have room. */
+TEST(JobLost, AGangGoesElsewhereThanToAnUnhealthyWorker)
+{
+	JobSim s(4);
+	for (int i = 0; i < 5; i++)
+		s.add_worker(8000);
+	uint64_t bad = s.add_worker(12000);
+	s.workers[bad].unhealthy = true;
+	s.gang_timeout_ms = 3000;
+	s.lead();
+	s.run(100);
+	s.submit(1, "fast", { gang_step(5, 6000) });
+	s.run(3000 + 2500);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
 } // namespace
