Free the tasks of a worker whose address another instance has taken over

Callers saw a task that didn't run for 30 s though there was room (LOST), on real processes with 48 workers, and the leader sent its stop 20,000 times a second. When another instance answers at a worker's address, that answer names the start of the other instance, which was taken for a restart of the worker under its id: runs whose start wasn't confirmed were to be stopped there. The stop is refused by the other instance, a refusal of that kind was ignored for a worker that counts as restarted, and it was repeated at once.

The answer of another instance now says nothing about restarts, and ends what an earlier incarnation ran or a restarted one could have started: a worker's address is taken over only after its process has ended.

--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -66,15 +66,16 @@
  * have reached the new incarnation. This session polls the worker no more: the
  * ends of the new incarnation belong to its own registration.
  *
- * incarnation is 0 if another instance answers at the worker's address; then no
- * order can have been accepted.
+ * incarnation is 0 if another instance answers at the worker's address. Then
+ * every incarnation under the worker's id has ended, with all that it ran.
  */
 void
 jl_handle_restart(struct jlead *jl, struct wsess *ws, uint64_t incarnation)
 {
 	struct jrun *r, *next;
 
-	if (ws->removal_proposed || (ws->restarted && incarnation == 0))
+	if (ws->removal_proposed ||
+	    (ws->restarted && ws->incarnation == 0 && incarnation == 0))
 		return;
 	ctr_add(jl->ctr, JCTR_WORKERS_RESTARTED, 1);
 	log_event(LOG_NOTICE, "job",
@@ -351,6 +352,7 @@
 {
 	struct wsess *ws;
 	struct jrun *r;
+	uint64_t incarnation;
 
 	jl->now = now;
 	if (!jl->leading || rep->serial < jl->first_serial)
@@ -358,10 +360,12 @@
 	ws = jl_session(jl, rep->worker);
 	if (ws == NULL)
 		return;
-	if (rep->incarnation != 0 && ws->incarnation != 0 &&
-	    rep->incarnation > ws->incarnation)
-		jl_handle_restart(jl, ws, rep->incarnation);
-	else if (rep->incarnation != 0 && rep->incarnation < ws->incarnation) {
+	/* Another instance names an incarnation of its own. */
+	incarnation = rep->kind == JL_OTHER_INCARNATION ? 0 : rep->incarnation;
+	if (incarnation != 0 && ws->incarnation != 0 &&
+	    incarnation > ws->incarnation)
+		jl_handle_restart(jl, ws, incarnation);
+	else if (incarnation != 0 && incarnation < ws->incarnation) {
 		handle_outdated_reply(jl, ws, rep);
 		return;
 	}
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -49,6 +49,10 @@
 struct SimWorker {
 	std::string id, addr, rack, service, kind;
 	uint32_t mem_mb, accel;
+	/* Another instance listens at its address; born is 0 if it doesn't
+	 * say. */
+	bool is_replaced = false;
+	uint64_t other_born = 0;
 	uint64_t incarnation = 1;
 	bool up = true;
 	/* calls to it and its answers are lost */
@@ -611,6 +615,14 @@
 		workers[num].ended.clear();
 	}
 
+	/* Ends a worker's process; another instance takes over its address. */
+	void replace(uint64_t num, uint64_t born)
+	{
+		crash(num);
+		workers[num].is_replaced = true;
+		workers[num].other_born = born;
+	}
+
 	/* Restarts a worker under the same id, without its state. */
 	void restart_worker(uint64_t num)
 	{
@@ -868,6 +880,16 @@
 	    const std::shared_ptr<SimCall> &k, uint64_t ep, int64_t timeout)
 	{
 		SimWorker &w = worker_of(k->call.worker);
+		if (w.is_replaced) {
+			jl_reply r = {};
+			init_reply(r, k->call);
+			r.kind = JL_OTHER_INCARNATION;
+			r.incarnation = w.other_born;
+			if (timeout > 0 && may_receive(ep))
+				events.emplace(now_ms + call_ms,
+				    [=]() { deliver_reply(ep, r); });
+			return;
+		}
 		if (!w.up && timeout > 0) {
 			/* Nothing listens on its port. */
 			events.emplace(now_ms + call_ms,
--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -297,6 +297,56 @@
 	EXPECT_EQ(2U, s.st.nworkers);
 }
 
+/* Guards against a task that never runs again, and a leader that repeats its
+ * stop without a pause, because the instance that took over its worker's
+ * address is taken for a restart of that worker. */
+TEST(Restart, AnotherInstanceAtTheAddressIsNoRestart)
+{
+	for (bool says_born : { false, true }) {
+		SCOPED_TRACE(says_born);
+		JobSim s(9);
+		uint64_t a = s.add_worker(8000);
+		s.lead();
+		s.run(100);
+		s.drop_starts_to = a;
+		s.submit(1, "batch", { JobSim::step(1, 1000) });
+		s.run(50);
+		uint64_t calls = s.jl.serial;
+		s.replace(a, says_born ? s.workers[a].incarnation + 1000 : 0);
+		s.drop_starts_to = 0;
+		s.add_worker(8000);
+		s.run(5000);
+		EXPECT_EQ(JST_COMPLETED, s.state(1));
+		EXPECT_GT(calls + 100, s.jl.serial);
+		EXPECT_EQ(1U, s.st.nworkers);
+	}
+}
+
+/* Guards against the same after a restart, if the restarted worker is gone
+ * before its stop is confirmed. */
+TEST(Restart, ARestartedWorkerThatIsReplacedKeepsNoTask)
+{
+	JobSim s(10);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.drop_starts_to = a;
+	s.drop_stops = true;
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(50);
+	s.restart_worker(a);
+	s.run(3000);
+	ASSERT_TRUE(s.jl.sessions->restarted);
+	uint64_t calls = s.jl.serial;
+	s.replace(a, 0);
+	s.drop_starts_to = 0;
+	s.add_worker(8000);
+	s.run(5000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_GT(calls + 100, s.jl.serial);
+	EXPECT_EQ(1U, s.st.nworkers);
+}
+
 /* Guards against a run that outlives its job in the state: a gang is done when
  * its first task is, while runs of the others still point at it. */
 TEST(Restart, AGangsLastRunOutlivesNoJob)
