--- a/src/job/tests/kept_test.cc
+++ b/src/job/tests/kept_test.cc
@@ -263,6 +263,32 @@
 	}
 }
 
+/* Guards against a long-running task that waits for the longest lease after its
+ * run was stopped in its worker's next incarnation, because that has gone
+ * silent. */
+TEST(JobKept, ATaskStoppedInTheNextIncarnationIsStartedSoon)
+{
+	JobSim s(6);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.submit(1, "batch", { lasting_step(1, 1000) });
+	s.run(1000);
+	ASSERT_EQ(1U, s.workers[a].running.size());
+	uint64_t b = s.add_worker(8000);
+	s.run(100);
+	s.crash(a);
+	s.restart_worker(a);
+	s.lead();
+	s.is_late = [b](const jl_call &c) {
+		return c.kind == JL_POLL && c.worker != b;
+	};
+	s.heartbeat(a);
+	s.run(100);
+	s.set_unreachable(a, true);
+	s.run(JLEAD_STOP_MAX_MS + 200);
+	EXPECT_EQ(1U, s.workers[b].running.size());
+}
+
 class JobKeptMixes : public testing::TestWithParam<unsigned> {};
 
 /* Guards against a task that is accepted and not started again after its run
