Repeat the stop of a run every 0.95 s, also after failed starts

A task of a cancelled job worked on for more than 3.9 s if its worker lost the first orders to stop it. The delay between two attempts grew up to 1 s in addition to the time limit of a call, so that stops were sent after 0, 0.95, 2.05 and 3.45 s, or after 0, 1.4, 3.2 and 5 s if two starts of the run had failed: their delays weren't forgotten. A stop also waited up to 0.8 s for the answer to a start in flight, and after it for its delay.

A stop now begins with the shortest delay, is repeated 0.95 s after it was sent, or sooner if the attempt failed early, and doesn't wait for a start in flight: the worker refuses one that comes after the stop. With three orders lost the fourth one arrives after 2.9 s and leaves 0.9 s for the stop itself.

JobCancel.* and the mixes with lost orders failed before ("cancelled 3901 ms ago", 5.0 s with two starts and three stops lost).

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -343,6 +343,7 @@
 	}
 	r->order_pending = true;
 	r->order_serial = r->confirmed_serial = c.serial;
+	r->order_sent_at = jl->now;
 	jl->ops.call(jl->ops.arg, &c);
 }
 
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -76,6 +76,10 @@
 /* Delay before a failed call is repeated; doubles up to the maximum. */
 #define JLEAD_RETRY_MS	   150
 #define JLEAD_RETRY_MAX_MS 1000
+/* A stop without an answer is repeated this long after it was sent, however
+ * often it has failed: a task has to end within 3.9 s of its job's cancel, also
+ * if its worker loses three orders. */
+#define JLEAD_STOP_REPEAT_MS (JLEAD_CALL_TIMEOUT_MS + JLEAD_RETRY_MS)
 /* A silent worker without runs is removed after this time. */
 #define JLEAD_FORGET_SILENT_MS 20000
 /* A start that the worker hasn't confirmed for this long is given up, and the
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -55,7 +55,8 @@
 	/* a poll with a higher serial shows whether the run exists */
 	uint64_t confirmed_serial;
 	struct timespec retry_at, assigned_at;
-	struct timespec starting_at; /* when RUN_STARTING began */
+	struct timespec order_sent_at; /* last start or stop */
+	struct timespec starting_at;   /* when RUN_STARTING began */
 	int64_t backoff_ms;
 	/* progress and metric in the last answer of the worker */
 	uint32_t progress_percent, metric;
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -251,6 +251,25 @@
 	}
 }
 
+/* Repeats a stop after the backoff, but no later than JLEAD_STOP_REPEAT_MS
+ * after it was sent. */
+static void
+schedule_stop_retry(struct jlead *jl, struct jrun *r)
+{
+	int64_t passed = clk_diff_ms(jl->now, r->order_sent_at);
+	int64_t delay = r->backoff_ms;
+
+	if (delay > JLEAD_STOP_REPEAT_MS - passed)
+		delay = JLEAD_STOP_REPEAT_MS - passed;
+	if (delay < JLEAD_RETRY_MS)
+		delay = JLEAD_RETRY_MS;
+	r->retry_at = clk_add_ms(jl->now, delay);
+	r->backoff_ms *= 2;
+	if (r->backoff_ms > JLEAD_RETRY_MAX_MS)
+		r->backoff_ms = JLEAD_RETRY_MAX_MS;
+	ctr_add(jl->ctr, JCTR_STOP_RETRIES, 1);
+}
+
 /* Handles the answer to a stop order. */
 static void
 handle_stop_reply(struct jlead *jl, struct jrun *r, const struct jl_reply *rep)
@@ -269,11 +288,7 @@
 	if (rep->kind == JL_NO_ANSWER || rep->kind == JL_NOT_SENT ||
 	    rep->kind == JL_CONN_REFUSED)
 		mark_silent(jl, r->ws);
-	ctr_add(jl->ctr, JCTR_STOP_RETRIES, 1);
-	r->retry_at = clk_add_ms(jl->now, r->backoff_ms);
-	r->backoff_ms *= 2;
-	if (r->backoff_ms > JLEAD_RETRY_MAX_MS)
-		r->backoff_ms = JLEAD_RETRY_MAX_MS;
+	schedule_stop_retry(jl, r);
 }
 
 /* Tells whether a reply comes from the worker's present incarnation. */
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -160,8 +160,9 @@
 	jl->ops.propose(jl->ops.arg, &c);
 }
 
-/* Stops a run. Its resources stay allocated until the worker reports its
- * end. */
+/* Stops a run. Its resources stay allocated until the worker reports its end. A
+ * start in flight isn't waited for: the worker refuses one that comes after the
+ * stop. */
 void
 jrun_stop(struct jlead *jl, struct jrun *r, enum jl_stop_reason why)
 {
@@ -169,7 +170,12 @@
 		return;
 	r->must_stop = true;
 	r->stop_reason = why;
+	if (r->order_pending) {
+		r->order_pending = false;
+		r->unconfirmed = true;
+	}
 	r->retry_at = jl->now;
+	r->backoff_ms = JLEAD_RETRY_MS;
 	jrun_send_due(jl, r);
 }
 
