Stop a run again that its worker lists after it has confirmed the stop

A confirmed stop was final: if the worker went on to list the run, a task of a cancelled job ran on for good, as the leader sent no further stop and kept its lease. A run that is listed more than JLEAD_STOP_MAX_MS after its stop was confirmed is now stopped again.

--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -19,6 +19,20 @@
 	jl->ops.call(jl->ops.arg, &c);
 }
 
+/* Orders the stop of a run again that was confirmed, and whose worker lists it
+ * longer than a stop takes. */
+static void
+repeat_confirmed_stop(struct jlead *jl, struct jrun *r)
+{
+	if (!r->stop_confirmed || r->phase == RUN_ENDING ||
+	    clk_diff_ms(jl->now, r->stopped_at) <= JLEAD_STOP_MAX_MS)
+		return;
+	r->stop_confirmed = false;
+	r->retry_at = jl->now;
+	r->backoff_ms = JLEAD_RETRY_MS;
+	jrun_send_due(jl, r);
+}
+
 /* Updates a run from its row in the list of running ones. */
 static void
 update_running(struct jlead *jl, struct wsess *ws, const struct jl_running *row)
@@ -40,6 +54,7 @@
 	}
 	if (r->phase == RUN_STARTING || r->phase == RUN_INHERITED)
 		r->phase = RUN_CONFIRMED;
+	repeat_confirmed_stop(jl, r);
 	if (r->step->job->state != JST_ACTIVE)
 		jrun_stop(jl, r, JL_STOP_JOB_ENDED);
 }
--- a/src/job/tests/cancel_test.cc
+++ b/src/job/tests/cancel_test.cc
@@ -68,6 +68,49 @@
 	}
 }
 
+/* Guards against a task of a cancelled job that runs on where the leader has no
+ * run of it, because the orders to stop it are lost. */
+TEST(JobCancel, AnOrphanedRunIsStoppedThoughStopsAreLost)
+{
+	for (int nlost = 0; nlost <= ORDERS_LOST_MAX; nlost++) {
+		JobSim s(3);
+		SCOPED_TRACE(nlost);
+		uint64_t a = s.add_worker(8000);
+		s.run_time_ms = [](const SimTask &) { return -1; };
+		s.lead();
+		s.submit(1, "batch", { JobSim::step(1, 1000) });
+		s.submit(2, "batch", { JobSim::step(1, 1000) });
+		s.run(1000);
+		SimRun run = s.workers[a].running[TASK];
+		s.cancel(1);
+		s.run(1000);
+		ASSERT_EQ(0U, s.workers[a].running.count(TASK));
+		run.started_ms = s.now_ms;
+		s.workers[a].running[TASK] = run;
+		EXPECT_LE(
+		    cancelled_task_ms(s, nlost), JobSim::CANCEL_MS + 1000);
+	}
+}
+
+/* Guards against a task of a cancelled job that runs on because its worker has
+ * confirmed the stop and lists the run all the same. */
+TEST(JobCancel, ARunThatIsListedAfterItsStopIsStoppedAgain)
+{
+	JobSim s(4);
+	uint64_t a = s.add_worker(8000);
+	s.run_time_ms = [](const SimTask &) { return -1; };
+	s.lead();
+	s.submit(1, "batch", { JobSim::step(1, 1000) });
+	s.run(4000);
+	SimRun run = s.workers[a].running[TASK];
+	s.cancel(1);
+	while (s.workers[a].running.count(TASK) > 0)
+		s.run(1);
+	s.workers[a].ended.clear();
+	s.workers[a].running[TASK] = run;
+	EXPECT_LE(cancelled_task_ms(s, 0), JobSim::CANCEL_MS);
+}
+
 /* Failures around the cancels; one bit each. */
 enum mix {
 	MIX_LOSE = 1,	       /* calls are lost until 3 s before the cancels */
