Remember which workers have left, and give them no more work

One that registers again is registered as draining: it gets no work, but is polled while it answers, so that an order which reaches it late is still stopped. A later incarnation of the id is registered as before, and so is a worker that was only forgotten while it was silent. The command that removes a registration says whether the worker has left, or it was registered as draining.

--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -53,6 +53,8 @@
 		return;
 	ws->removal_proposed = true;
 	g.num = ws->w->num;
+	g.has_left = 1;
+	g.left = ws->leave_announced;
 	c.gone = &g;
 	jl->ops.propose(jl->ops.arg, &c);
 }
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -2007,23 +2007,30 @@
 	(ProtobufCMessageInit)job__end__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__worker_gone__field_descriptors[1] = {
+static const ProtobufCFieldDescriptor job__worker_gone__field_descriptors[2] = {
 	{
 	    "num", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
 	    0, /* quantifier_offset */
 	    offsetof(Job__WorkerGone, num), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "left", 2, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_BOOL,
+	    offsetof(Job__WorkerGone, has_left),
+	    offsetof(Job__WorkerGone, left), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__worker_gone__field_indices_by_name[] = {
+	1, /* field[1] = left */
 	0, /* field[0] = num */
 };
 static const ProtobufCIntRange job__worker_gone__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 1 }
+	{ 1, 0 }, { 0, 2 }
 };
 const ProtobufCMessageDescriptor job__worker_gone__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.WorkerGone", "WorkerGone",
-	"Job__WorkerGone", "job", sizeof(Job__WorkerGone), 1,
+	"Job__WorkerGone", "job", sizeof(Job__WorkerGone), 2,
 	job__worker_gone__field_descriptors,
 	job__worker_gone__field_indices_by_name, 1,
 	job__worker_gone__number_ranges,
@@ -2322,7 +2329,7 @@
 	(ProtobufCMessageInit)job__job_image__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__image__field_descriptors[6] = {
+static const ProtobufCFieldDescriptor job__image__field_descriptors[7] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2361,20 +2368,27 @@
 	    0,		  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "left", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(Job__Image, n_left), offsetof(Job__Image, left),
+	    &job__worker__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL		       /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__image__field_indices_by_name[] = {
 	0, /* field[0] = config */
 	1, /* field[1] = jobs */
+	6, /* field[6] = left */
 	3, /* field[3] = next_worker */
 	5, /* field[5] = wave_steps */
 	4, /* field[4] = waves */
 	2, /* field[2] = workers */
 };
 static const ProtobufCIntRange job__image__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 6 } };
+	{ 0, 7 } };
 const ProtobufCMessageDescriptor job__image__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Image", "Image",
-	"Job__Image", "job", sizeof(Job__Image), 6,
+	"Job__Image", "job", sizeof(Job__Image), 7,
 	job__image__field_descriptors, job__image__field_indices_by_name, 1,
 	job__image__number_ranges, (ProtobufCMessageInit)job__image__init, NULL,
 	NULL, NULL /* reserved[123] */
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -423,11 +423,16 @@
 struct Job__WorkerGone {
 	ProtobufCMessage base;
 	uint64_t num;
+	/*
+	 * it has sent its notice to leave
+	 */
+	protobuf_c_boolean has_left;
+	protobuf_c_boolean left;
 };
 #define JOB__WORKER_GONE__INIT                                                 \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__worker_gone__descriptor)         \
-		, 0                                                            \
+		, 0, 0, 0                                                      \
 	}
 
 struct Job__Wave {
@@ -548,11 +553,16 @@
 	Job__Wave **waves;
 	size_t n_wave_steps;
 	Job__WaveStep **wave_steps;
+	/*
+	 * last incarnations, oldest first
+	 */
+	size_t n_left;
+	Job__Worker **left;
 };
 #define JOB__IMAGE__INIT                                                       \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__image__descriptor)               \
-		, NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL                  \
+		, NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL, 0, NULL         \
 	}
 
 struct Job__Call {
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -57,6 +57,7 @@
 	memset(s, 0, sizeof(*s));
 	s->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	s->left = alloc_zeroed(JST_LEFT_MAX, sizeof(*s->left));
 	s->next_worker = 1;
 }
 
@@ -118,6 +119,9 @@
 		free(s->workers[i]);
 	}
 	free(s->workers);
+	for (i = 0; i < s->nleft; i++)
+		free_msg(s->left[i]);
+	free(s->left);
 	free_msg(s->config);
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->by_id);
@@ -420,17 +424,67 @@
 	}
 }
 
-/* Registers a worker. A newer incarnation gets a registration of its own; an
- * older one is refused with STATUS_STALE. */
+/* Removes an entry from the list of workers that have left. */
+static void
+remove_left(struct jst *s, size_t i)
+{
+	free_msg(s->left[i]);
+	s->nleft--;
+	memmove(
+	    &s->left[i], &s->left[i + 1], (s->nleft - i) * sizeof(s->left[0]));
+}
+
+/* Remembers the last incarnation of a worker that has left; the oldest entry
+ * makes room. */
+void
+jst_add_left(struct jst *s, Job__Worker *w)
+{
+	size_t i;
+
+	if (jst_has_left(s, w->id, w->born)) {
+		free_msg(w);
+		return;
+	}
+	for (i = 0; i < s->nleft; i++) {
+		if (strcmp(s->left[i]->id, w->id) == 0) {
+			remove_left(s, i);
+			break;
+		}
+	}
+	if (s->nleft == JST_LEFT_MAX)
+		remove_left(s, 0);
+	s->left[s->nleft++] = w;
+}
+
+/* Tells whether an incarnation, or a later one of its id, has left. */
+bool
+jst_has_left(const struct jst *s, const char *id, uint64_t born)
+{
+	size_t i;
+
+	for (i = 0; i < s->nleft; i++) {
+		if (strcmp(s->left[i]->id, id) == 0)
+			return s->left[i]->born >= born;
+	}
+	return false;
+}
+
+/*
+ * Registers a worker. A newer incarnation gets a registration of its own; an
+ * older one is refused with STATUS_STALE. One that has left is registered as
+ * draining, whatever its heartbeat says: it gets no work, but is still polled,
+ * so that orders which reach it late are stopped.
+ */
 static void
 apply_worker(struct jst *s, const Job__Worker *m, struct jst_result *r)
 {
 	struct jst_worker *w = jst_find_worker_by_id(s, m->id);
+	bool draining = m->draining || jst_has_left(s, m->id, m->born);
 	Job__Worker *info;
 
 	r->worker = w;
 	if (w != NULL && w->info->born == m->born) {
-		w->draining = w->draining || m->draining;
+		w->draining = w->draining || draining;
 		return;
 	}
 	if (w != NULL && w->info->born > m->born) {
@@ -447,7 +501,7 @@
 	info->has_num = 1;
 	info->num = w->num;
 	w->info = info;
-	w->draining = m->draining;
+	w->draining = draining;
 	s->workers = realloc(s->workers, (s->nworkers + 1) * sizeof(w));
 	if (s->workers == NULL)
 		abort();
@@ -463,6 +517,7 @@
 {
 	size_t i = jst_worker_index(s, m->num);
 	struct jst_worker *w = jst_find_worker(s, m->num);
+	Job__Worker *info;
 	struct jst_job *j, *lists[2] = { s->active, s->ended };
 	uint32_t n, k;
 	int l;
@@ -485,7 +540,13 @@
 		}
 	}
 	jst_unindex_worker(s, w);
-	free_msg((void *)(uintptr_t)w->info);
+	info = (Job__Worker *)(uintptr_t)w->info;
+	if (m->left || w->draining) {
+		info->has_draining = info->draining = 1;
+		jst_add_left(s, info);
+	} else {
+		free_msg(info);
+	}
 	free(w);
 	memmove(&s->workers[i], &s->workers[i + 1],
 	    (s->nworkers - i - 1) * sizeof(w));
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -27,6 +27,10 @@
  * refused. Limits their memory, at about 500 bytes each. */
 #define JST_WITHDRAWN_MAX 20000
 
+/* Most workers that have left which are remembered; the oldest are forgotten
+ * first. Limits their memory, at about 500 bytes each. */
+#define JST_LEFT_MAX 1000
+
 enum jst_job_state {
 	JST_ACTIVE,
 	JST_COMPLETED,
@@ -128,6 +132,9 @@
 	size_t nworkers;
 	void *by_id; /* hash table of the latest registration of each id */
 	uint64_t next_worker;
+	/* The last incarnations of workers that have left, oldest first. */
+	Job__Worker **left;
+	size_t nleft;
 	struct jst_wave *waves;
 };
 
@@ -166,6 +173,11 @@
 /* Used only by the commands on workers. */
 void jst_index_worker(struct jst *, struct jst_worker *);
 void jst_unindex_worker(struct jst *, const struct jst_worker *);
+/* Remembers the last incarnation of a worker that has left; takes over the
+ * message. */
+void jst_add_left(struct jst *, Job__Worker *);
+/* Tells whether an incarnation, or a later one of its id, has left. */
+bool jst_has_left(const struct jst *, const char *id, uint64_t born);
 struct jst_wave *jst_find_wave(const struct jst *, uint64_t id);
 const Job__Queue *jst_queue(const struct jst *, const char *name);
 bool jst_queue_removed(const Job__Queue *);
--- a/src/job/jst_snapshot.c
+++ b/src/job/jst_snapshot.c
@@ -140,6 +140,8 @@
 	pack_jobs(tmp, s->active, im.jobs);
 	pack_jobs(tmp, s->ended, im.jobs + n);
 	pack_workers(s, tmp, &im);
+	im.left = s->left;
+	im.n_left = s->nleft;
 	pack_waves(s, tmp, &im);
 	len = job__image__get_packed_size(&im);
 	buf = talloc_size(ctx, len + 1);
@@ -223,7 +225,7 @@
 
 /* Loads everything but the jobs. */
 static void
-load_rest(struct jst *s, const Job__Image *im)
+load_rest(struct jst *s, Job__Image *im)
 {
 	Job__Command c = JOB__COMMAND__INIT;
 	struct jst_result r;
@@ -240,6 +242,12 @@
 	}
 	s->next_worker = im->next_worker;
 	c.worker = NULL;
+	/* After the workers, which are loaded as they were registered. */
+	for (i = 0; i < im->n_left; i++) {
+		jst_add_left(s, im->left[i]);
+		im->left[i] = NULL;
+	}
+	im->n_left = 0;
 	/* The list is newest first, so add the oldest first. */
 	for (i = im->n_waves; i > 0; i--) {
 		c.wave = im->waves[i - 1];
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -700,6 +700,7 @@
 			return;
 		}
 		g.num = w->num;
+		g.has_left = g.left = 1;
 		c.gone = &g;
 		jl.ops.propose(jl.ops.arg, &c);
 	}
--- a/src/job/tests/jst_snapshot_test.cc
+++ b/src/job/tests/jst_snapshot_test.cc
@@ -84,6 +84,8 @@
 			struct jst_result x, y;
 			size_t before = count_jobs(kept);
 
+			next_worker_before = kept.next_worker;
+
 			if (rng_chance(&r, 0.04))
 				rebuild();
 			advance_time();
@@ -105,6 +107,7 @@
 	struct jst kept, rebuilt;
 	int64_t now_ms = 1000000;
 	uint64_t version = 0;
+	uint64_t next_worker_before = 0;
 
 	static size_t count_jobs(const struct jst &s)
 	{
@@ -323,6 +326,8 @@
 		b.gone.num = kept.nworkers > 0 && chance(0.9)
 		    ? kept.workers[below(kept.nworkers)]->num
 		    : below(kept.next_worker + 1);
+		b.gone.has_left = chance(0.5);
+		b.gone.left = b.gone.has_left;
 		c.gone = &b.gone;
 	}
 
@@ -371,6 +376,10 @@
 		    x.step->spec->gang && x.step->spec->count > 1 &&
 		    x.task->state == JST_DONE)
 			seen["gang done"]++;
+		if (c.worker != NULL && x.status == STATUS_OK &&
+		    kept.next_worker > next_worker_before &&
+		    x.worker->draining && !c.worker->draining)
+			seen["worker that has left"]++;
 		if (count_jobs(kept) < njobs_before)
 			seen["ended jobs removed"]++;
 		for (size_t i = 0;
@@ -414,9 +423,12 @@
 			EXPECT_EQ(jst_count_waiting(&kept, q),
 			    jst_count_waiting(&rebuilt, q));
 		for (size_t i = 0; i < kept.nworkers && i < rebuilt.nworkers;
-		     i++)
+		     i++) {
 			EXPECT_EQ(kept.workers[i]->nassigned,
 			    rebuilt.workers[i]->nassigned);
+			EXPECT_EQ(kept.workers[i]->draining,
+			    rebuilt.workers[i]->draining);
+		}
 		for (uint64_t id = 1; id <= kJobs; id++)
 			compare_jobs(id);
 	}
@@ -471,9 +483,10 @@
 	for (auto &k : seen)
 		printf("figure %s: %llu\n", k.first.c_str(),
 		    (unsigned long long)k.second);
-	for (const char *k : { "snapshot", "end of an earlier run",
-		 "job completed", "job failed", "gang done",
-		 "ended jobs removed", "removed queue kept" })
+	for (const char *k :
+	    { "snapshot", "end of an earlier run", "job completed",
+		"job failed", "gang done", "ended jobs removed",
+		"removed queue kept", "worker that has left" })
 		EXPECT_GT(seen[k], 0U) << k;
 }
 
--- a/src/job/tests/jst_test.cc
+++ b/src/job/tests/jst_test.cc
@@ -62,6 +62,32 @@
 	    b, jst_find_worker_by_id(&s.st, s.workers[b].id.c_str())->num);
 }
 
+/* Guards against memory that grows with each worker that leaves, and against
+ * forgetting the latest ones first. */
+TEST(JobState, WorkersThatHaveLeftAreBounded)
+{
+	JobSim s(9);
+	Job__Command c = JOB__COMMAND__INIT;
+	Job__WorkerGone g = JOB__WORKER_GONE__INIT;
+	std::vector<uint64_t> all;
+
+	g.has_left = g.left = 1;
+	for (size_t i = 0; i < JST_LEFT_MAX + 2; i++) {
+		all.push_back(s.add_worker(4000));
+		g.num = all.back();
+		c.gone = &g;
+		s.apply(c);
+	}
+	EXPECT_EQ((size_t)JST_LEFT_MAX, s.st.nleft);
+	for (size_t i : { (size_t)1, (size_t)2, all.size() - 1 }) {
+		s.heartbeat(all[i]);
+		EXPECT_EQ(i >= 2,
+		    jst_find_worker_by_id(&s.st, s.workers[all[i]].id.c_str())
+			->draining)
+		    << i;
+	}
+}
+
 /* Guards against a second job when a submission is repeated. */
 TEST(JobState, AResentJobStaysOne)
 {
--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -13,6 +13,7 @@
 	if (w == NULL || !jlead_leave(&s.jl, s.now(), w))
 		return;
 	g.num = w->num;
+	g.has_left = g.left = 1;
 	c.gone = &g;
 	s.apply(c);
 }
@@ -350,6 +351,77 @@
 	EXPECT_EQ(0U, s.workers[a].running.size());
 }
 
+/* Guards against tasks for a worker that has left after a replica has started
+ * again from a snapshot, and against a next incarnation that gets none. */
+TEST(Leave, AWorkerThatHasLeftStaysSoInASnapshot)
+{
+	JobSim s(12);
+	uint64_t a = s.add_worker(8000);
+	s.run_time_ms = [](const SimTask &) { return -1; };
+	s.lead();
+	s.run(100);
+	s.submit(1, "batch", { JobSim::step(4, 1000) });
+	s.run(1000);
+	leave(s, a, s.workers[a].incarnation);
+	s.run(200);
+	ASSERT_FALSE(registered(s, a));
+	s.dark(100);
+	s.reload();
+	s.lead();
+	s.run(100);
+	s.heartbeat(a);
+	s.run(500);
+	EXPECT_EQ(0U, s.workers[a].running.size());
+	s.crash(a);
+	s.restart_worker(a);
+	s.heartbeat(a);
+	s.run(500);
+	EXPECT_EQ(4U, s.workers[a].running.size());
+}
+
+/* Guards against a worker that gets no work for good although it hasn't left:
+ * its registration was removed while it was cut off. */
+TEST(Leave, AWorkerThatWasForgottenWhileSilentGetsWorkAgain)
+{
+	JobSim s(13);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.set_unreachable(a, true);
+	s.run(2 * JLEAD_FORGET_SILENT_MS);
+	ASSERT_FALSE(registered(s, a));
+	s.set_unreachable(a, false);
+	s.heartbeat(a);
+	s.submit(1, "batch", { JobSim::step(4, 1000) });
+	s.run(3000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
+/* Guards against a task of a cancelled job that runs on where a worker has
+ * left: its order is carried out after the registration was removed, and the
+ * worker goes on for seconds. */
+TEST(Leave, ALateOrderToAWorkerThatHasLeftIsStopped)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		JobSim s(seed);
+		uint64_t a = s.add_worker(8000);
+		s.run_time_ms = [](const SimTask &) { return -1; };
+		s.lead();
+		s.run(100);
+		s.relay_lost_rate = 1;
+		s.submit(1, "batch", { JobSim::step(4, 1000) });
+		s.run((int64_t)rng_below(&s.rng, 600));
+		s.relay_lost_rate = 0;
+		s.cancel(1);
+		leave(s, a, s.workers[a].incarnation);
+		for (int i = 0; i < 14; i++) {
+			s.run(500);
+			s.heartbeat(a);
+		}
+		EXPECT_EQ(0U, s.workers[a].running.size()) << seed;
+	}
+}
+
 /* Removes a registration, as a command that was committed before those in
  * flight. */
 void
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -392,6 +392,7 @@
 		return;
 	}
 	g.num = w->num;
+	g.has_left = g.left = 1;
 	cmd.gone = &g;
 	propose_call(c, from, k, &cmd);
 }
