Wait for no end of a long-running task stopped in the next incarnation

A long-running task waited 10 s where its worker had restarted under its id and then left: its run, inherited by a new leader or with an order in flight, is stopped in the next incarnation, and given up once that has answered another poll, has been removed, or the longest lease of 10 s is over. A worker that is taken away right after it has answered the stop answers no more polls, so the third case applied. The poll is waited for only to learn of an end as done.

A long-running task is never done, so nothing is missed if its run is given up when the stop was answered and has had its time; a run that was stopped can't start there any more. Other tasks wait as before.

Leave.ATaskStoppedInAnIncarnationThatHasEndedIsStartedElsewhere gave 0 running tasks instead of 4 before, 1.6 s after that worker had ended.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -680,6 +680,7 @@
  * Tells whether a run that was stopped in its worker's next incarnation is
  * over, and its end known if it had one: that incarnation has answered a poll
  * that was sent after the stop, or has left, or the longest lease has expired.
+ * A long-running task is never done, so no end of it is waited for.
  */
 static bool
 is_over_after_restart(const struct jlead *jl, const struct jrun *r)
@@ -691,7 +692,7 @@
 	if (!r->stop_confirmed ||
 	    clk_diff_ms(jl->now, r->stopped_at) <= JLEAD_STOP_MAX_MS)
 		return false;
-	return r->ws->next_removed ||
+	return r->step->spec->lasting || r->ws->next_removed ||
 	    (next != NULL && next != r->ws &&
 		next->answered_poll > r->confirmed_serial) ||
 	    least_advance_ms(clk_diff_ms(jl->now, r->stopped_at)) >
--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -422,6 +422,34 @@
 	}
 }
 
+/* Guards against a long-running task that waits 10 s for the end of a run that
+ * was stopped in its worker's next incarnation, which has ended before it
+ * answered another poll. */
+TEST(Leave, ATaskStoppedInAnIncarnationThatHasEndedIsStartedElsewhere)
+{
+	JobSim s(14);
+	uint64_t a = s.add_worker(8000);
+	Job__Step st = JobSim::step(4, 1000);
+
+	st.has_lasting = st.lasting = 1;
+	s.lead();
+	s.run(100);
+	s.submit(1, "batch", { st });
+	s.run(1000);
+	ASSERT_EQ(4U, s.workers[a].running.size());
+	s.crash(a);
+	s.restart_worker(a);
+	s.lead();
+	s.heartbeat(a);
+	s.run(100); /* the stops are answered */
+	uint64_t b = s.add_worker(8000);
+	s.drain(jst_find_worker_by_id(&s.st, s.workers[a].id.c_str())->num);
+	s.set_unreachable(a, true);
+	s.crash(a);
+	s.run(JLEAD_STOP_MAX_MS + 500);
+	EXPECT_EQ(4U, s.workers[b].running.size());
+}
+
 /* Removes a registration, as a command that was committed before those in
  * flight. */
 void
