--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -679,9 +679,9 @@
 
 /*
  * Tells whether a run that was stopped in its worker's next incarnation is
- * over, and its end known if it had one that counts: it is long-running, or
- * that incarnation has answered a poll that was sent after the stop, or has
- * left, or the longest lease has expired.
+ * over, and its end known if it had one: that incarnation has answered a poll
+ * that was sent after the stop, or has left, or the longest lease has expired.
+ * A long-running task is never done, so no end of it is waited for.
  */
 static bool
 is_over_after_restart(const struct jlead *jl, const struct jrun *r)
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -737,6 +737,7 @@
 			return;
 		}
 		g.num = w->num;
+		g.has_left = g.left = 1;
 		c.gone = &g;
 		jl.ops.propose(jl.ops.arg, &c);
 	}
