Don't begin the wait for a place anew when a start is refused

Callers got a best-effort job that didn't run for 3 s on a service of which most was free. A step that waits for a better place is overdue after 1.5 s, but its wait was over as soon as the plan had chosen a worker. If that worker refused the start, the step waited from the beginning, and each unhealthy worker cost 1.5 s.

The wait now ends when a worker has confirmed a start, so that an overdue step tries the next worker at once.

JobLost.ARefusedStartDoesNotProlongTheWaitForAPlace failed before: no start in 2.5 s, with three of four workers unhealthy.

--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -39,7 +39,7 @@
 		r->checkpoint = strdup(row->checkpoint);
 	}
 	if (r->phase == RUN_STARTING || r->phase == RUN_INHERITED)
-		r->phase = RUN_CONFIRMED;
+		jrun_confirm(r);
 	if (r->step->job->state != JST_ACTIVE)
 		jrun_stop(jl, r, JL_STOP_JOB_ENDED);
 }
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -207,7 +207,7 @@
 	switch (rep->kind) {
 	case JL_OK:
 		if (r->phase == RUN_STARTING)
-			r->phase = RUN_CONFIRMED;
+			jrun_confirm(r);
 		r->confirmed_serial = jl->serial;
 		if (r->step->spec->fills)
 			jl_apply_throttle(jl, r->ws);
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -160,6 +160,15 @@
 	jl->ops.propose(jl->ops.arg, &c);
 }
 
+/* Records that a worker has started a run. The wait of its step for a place is
+ * over; a start that is refused doesn't end it. */
+void
+jrun_confirm(struct jrun *r)
+{
+	r->phase = RUN_CONFIRMED;
+	r->step->waiting_since_ms = 0;
+}
+
 /* Stops a run. Its resources stay allocated until the worker reports its
  * end. */
 void
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -326,8 +326,6 @@
 			jplan_undo(&round, chosen + n, k);
 			k = 0;
 		}
-		if (k > 0)
-			st->waiting_since_ms = 0;
 		n += k;
 		round.nchosen = n;
 		if (k < c[i].ndisplaced && n < max)
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -65,8 +65,8 @@
 	uint32_t ndone;
 	uint32_t nwaiting;  /* neither done nor assigned */
 	uint32_t nproposed; /* leader: of nwaiting, being assigned */
-	/* leader: monotonic time since when none of its waiting tasks has been
-	 * chosen, 0: none waits */
+	/* leader: monotonic time since when tasks of it wait and no worker has
+	 * started one, 0: none waits */
 	int64_t waiting_since_ms;
 	double load; /* leader: load of its serving tasks, 0: unknown */
 	/* leader: how many of its tasks miss their target, by the plan */
--- a/src/job/tests/lost_test.cc
+++ b/src/job/tests/lost_test.cc
@@ -64,6 +64,28 @@
 	EXPECT_EQ(10U, s.starts.size());
 }
 
+/* Guards against a wait for a better place that begins anew each time a worker
+ * refuses the start. */
+TEST(JobLost, ARefusedStartDoesNotProlongTheWaitForAPlace)
+{
+	JobSim s(5);
+	for (int i = 0; i < 4; i++)
+		s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.run_time_ms = [](const SimTask &) { return 20000; };
+	Job__Step fill = JobSim::step(8, 4000, 20000);
+	fill.has_fills = fill.fills = 1;
+	s.submit(1, "batch", { fill });
+	s.run(500);
+	for (uint64_t n = 1; n <= 3; n++)
+		s.workers[n].unhealthy = true;
+	fill.count = 1;
+	s.submit(2, "batch", { fill });
+	s.run(2500);
+	EXPECT_EQ(1U, s.starts.count(SimTask{ 2, 0, 0, 0 }));
+}
+
 /* Returns a step of a gang. */
 Job__Step
 gang_step(uint32_t count, uint32_t cpu)
