Give the test of silent connections to workers time under load

Its event loop ran for 2 ms at each step, and a process that is held up longer handles its timer only. It now runs four times for 1 ms. Without the fix it still fails, with 2860 and 1910 ms.

--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -196,14 +196,18 @@
 		relay_call(leader.rl, &c, workers);
 		relay_flush(leader.rl);
 	}
-	/* Advances the clock, runs the event loop for 2 ms, then the timers of
-	 * the relay. */
+	/* Runs the event loop four times for 1 ms, advances the clock and runs
+	 * the timers of the relay. A process that is held up sees its timer
+	 * before the sockets, but hardly so four times. */
 	void advance(int64_t ms)
 	{
-		bool done = false;
-		tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, 2000),
-		    set_flag, &done);
-		loop_until(ev, &done);
+		for (int i = 0; i < 4; i++) {
+			bool done = false;
+			tevent_add_timer(ev, ev,
+			    tevent_timeval_current_ofs(0, 1000), set_flag,
+			    &done);
+			loop_until(ev, &done);
+		}
 		now_ms += ms;
 		relay_tick(leader.rl);
 	}
