Test cancels and waiting tasks where workers leave in calm seconds

It checks that tasks of cancelled jobs end within 3.9 s, and that no task whose turn has come waits over 9 s.

--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -1,5 +1,7 @@
 #include "job/tests/job_sim.h"
 
+#include <cstdlib>
+
 namespace {
 
 /* Does what a leading replica does with a worker's notice to leave. */
@@ -535,4 +537,243 @@
 	EXPECT_EQ(1U, s.workers[b].running.size());
 }
 
+/* Faults of the time before workers leave. */
+enum leave_mix {
+	LOSE_ORDERS = 1,
+	CHANGE_LEADERS = 2,
+	CUT_WORKERS = 4,
+	RESTART_WORKERS = 8,
+	ANSWER_SLOWLY = 16, /* until the end */
+	LEADERS_AMONG_LEAVES = 32
+};
+
+/* Plays a day on which faults are followed by calm seconds in which only jobs
+ * are cancelled and workers leave. */
+class LeaveDay {
+      public:
+	static const int64_t CANCEL_MS = 3000, STOP_MS = 900, NEAR_MS = 3000;
+	static const int64_t IDLE_MS = 9000;
+
+	LeaveDay(uint64_t seed, unsigned m) : s(seed), mix(m)
+	{
+		s.stop_max_ms = STOP_MS;
+		s.commit_delay_max_ms = 20;
+		s.run_time_ms = [this](const SimTask &) {
+			return 300 + (int64_t)below(4000);
+		};
+		for (int i = 0; i < 8; i++)
+			add_worker();
+		s.lead();
+		play(2000, false);
+		play(8000, true);
+		s.late_rate = s.late_poll_rate = s.loss_rate = 0;
+		for (auto &x : s.workers)
+			s.set_unreachable(x.first, false);
+		calm_from_ms = s.now_ms + NEAR_MS;
+		leaves = true;
+		play(12000, false);
+		cancels = false;
+		play(14000, false);
+	}
+
+      private:
+	JobSim s;
+	unsigned mix;
+	bool leaves = false, cancels = true;
+	int64_t calm_from_ms = INT64_MAX / 2;
+	uint64_t jobs = 0;
+	std::vector<uint64_t> staying;
+	std::map<SimTask, int64_t> idle_since_ms;
+	bool failed = false;
+
+	uint64_t below(uint64_t n)
+	{
+		return rng_below(&s.rng, n);
+	}
+
+	void add_worker()
+	{
+		staying.push_back(s.add_worker(100000));
+	}
+
+	/* Submits a job: long-running, best-effort or short. */
+	void submit()
+	{
+		Job__Step st = JobSim::step(1 + (uint32_t)below(6), 1000);
+
+		st.has_lasting = st.lasting = below(2) == 0;
+		st.has_fills = st.fills = !st.lasting && below(2) == 0;
+		if (s.jl.leading)
+			s.submit(++jobs, "batch", { st });
+	}
+
+	/* Lets one of the workers leave, with a notice or without, and another
+	 * come. */
+	void leave_one()
+	{
+		size_t i = (size_t)below(staying.size());
+		uint64_t num = staying[i];
+		uint64_t incarnation = s.workers[num].incarnation;
+
+		staying.erase(staying.begin() + (long)i);
+		switch (below(4)) {
+		case 0:
+			s.leave(num, 2000, 7000, below(2) == 0);
+			break;
+		case 1:
+			s.leave(num, (int64_t)below(3000), (int64_t)below(7000),
+			    true);
+			break;
+		case 2:
+			s.leave_at_once(num, (int64_t)below(7000));
+			break;
+		default:
+			if (!s.workers[num].up || !s.jl.leading)
+				break;
+			if (jst_find_worker_by_id(
+				&s.st, s.workers[num].id.c_str()) != NULL)
+				s.drain(jst_find_worker_by_id(
+				    &s.st, s.workers[num].id.c_str())
+					    ->num);
+			s.events.emplace(s.now_ms + 2000, [=, this]() {
+				if (s.workers[num].incarnation == incarnation)
+					s.crash(num);
+				if (below(2) == 0)
+					s.set_unreachable(num, true);
+			});
+		}
+		add_worker();
+	}
+
+	/* Causes one of the faults of the mix. */
+	void disturb()
+	{
+		uint64_t num = staying[below(staying.size())];
+
+		if (mix & LOSE_ORDERS) {
+			s.late_rate = s.late_poll_rate = 0.4;
+			s.loss_rate = 0.1;
+		}
+		if ((mix & CHANGE_LEADERS) && below(30) == 0)
+			s.lead();
+		if ((mix & CUT_WORKERS) && below(8) == 0)
+			s.set_unreachable(num, !s.workers[num].unreachable);
+		if ((mix & RESTART_WORKERS) && below(20) == 0 &&
+		    s.workers[num].up) {
+			s.crash(num);
+			s.restart_worker(num);
+			s.heartbeat(num);
+		}
+	}
+
+	/* Checks the tasks of cancelled jobs. */
+	void check_cancelled(const SimWorker &w)
+	{
+		for (auto &x : w.running) {
+			auto it = s.cancelled.find(x.first.job);
+			if (it == s.cancelled.end() ||
+			    s.now_ms <=
+				std::max({ it->second, x.second.started_ms,
+				    calm_from_ms }) +
+				    CANCEL_MS + STOP_MS)
+				continue;
+			ADD_FAILURE()
+			    << "job " << x.first.job << " task "
+			    << x.first.index << " runs on at " << w.id
+			    << ", cancelled " << s.now_ms - it->second
+			    << " ms ago, started "
+			    << s.now_ms - x.second.started_ms << " ms ago, at "
+			    << s.now_ms << " calm from " << calm_from_ms
+			    << " draining " << w.draining;
+			failed = true;
+		}
+	}
+
+	/* Checks that tasks whose turn has come run. */
+	void check_idle()
+	{
+		for (auto *j = s.st.active; j != NULL; j = j->next) {
+			for (uint32_t i = 0; i < j->steps[0].spec->count; i++)
+				check_task({ j->id, 0, 0, i }, j);
+		}
+	}
+
+	void check_task(const SimTask &k, const struct jst_job *j)
+	{
+		const struct jst_task &t = j->steps[0].tasks[k.index];
+		bool runs = t.state == JST_DONE;
+
+		for (auto &x : s.workers)
+			runs |= x.second.up && x.second.running.count(k) > 0;
+		if (runs) {
+			idle_since_ms.erase(k);
+			return;
+		}
+		auto it = idle_since_ms.emplace(k, s.now_ms).first;
+		if (s.now_ms <= std::max(it->second, calm_from_ms) + IDLE_MS)
+			return;
+		ADD_FAILURE()
+		    << "job " << j->id << " task " << k.index << " run "
+		    << t.run << " state " << t.state << " doesn't run, for "
+		    << s.now_ms - it->second << " ms";
+		failed = true;
+	}
+
+	/* Simulates this many milliseconds. */
+	void play(int64_t ms, bool faults)
+	{
+		for (int64_t end = s.now_ms + ms; s.now_ms < end && !failed;) {
+			if (mix & ANSWER_SLOWLY)
+				s.slow_answer_rate = 0.2;
+			if (below(150) == 0 && cancels)
+				submit();
+			if (below(200) == 0 && cancels && jobs > 0)
+				s.cancel(1 + below(jobs));
+			if (faults && s.now_ms % 20 == 0)
+				disturb();
+			if (leaves && cancels && below(400) == 0)
+				leave_one();
+			if (leaves && cancels && (mix & LEADERS_AMONG_LEAVES) &&
+			    below(2500) == 0) {
+				s.lead();
+				calm_from_ms = s.now_ms + NEAR_MS;
+			}
+			s.run(1);
+			for (auto &x : s.workers) {
+				if (x.second.up && !x.second.unreachable)
+					check_cancelled(x.second);
+			}
+			if (s.now_ms % 25 == 0)
+				check_idle();
+		}
+	}
+};
+
+class LeaveMixes : public testing::TestWithParam<unsigned> {};
+
+/* Guards against tasks of cancelled jobs that run on, and tasks that wait,
+ * where workers leave in calm seconds after faults. LEAVE_SEEDS=N plays so many
+ * seeds, LEAVE_SEED=N that one. */
+TEST_P(LeaveMixes, LeaversKeepNoCancelledTaskAndHideNoRoom)
+{
+	const char *only = getenv("LEAVE_SEED");
+	const char *many = getenv("LEAVE_SEEDS");
+	uint64_t first = only ? strtoull(only, NULL, 10) : 1;
+	uint64_t n = many ? strtoull(many, NULL, 10) : only ? 1 : 3;
+
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		LeaveDay day(seed, GetParam());
+		if (HasFailure()) {
+			printf("mix %u seed %llu\n", GetParam(),
+			    (unsigned long long)seed);
+			return;
+		}
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Mixes, LeaveMixes,
+    testing::Values(0, LOSE_ORDERS, CHANGE_LEADERS, CUT_WORKERS,
+	RESTART_WORKERS, LOSE_ORDERS | CUT_WORKERS | CHANGE_LEADERS,
+	ANSWER_SLOWLY, LEADERS_AMONG_LEAVES, 63));
+
 } // namespace
