Don't add a pause of the process to times that came after it

Instances kept a silent connection to each other for the length of a pause longer than the 1.2 s allowed. The first tick after a pause, or after syncs of the log that block one after the other, moved the times of the newest bytes ahead by its length, also those of bytes that were read or sent after the pause, and so into the future. They are now moved ahead no further than the present.

PeerPair.PassesMessagesSoonAfterConnectionsWentSilentInAPause failed before: 2703 and 2556 ms after a pause of 3 s, where 2000 ms are allowed.

--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -596,14 +596,24 @@
 	    clk_diff_ms(now, c->sent_at) >= PEER_ANSWER_INTERVAL_MS;
 }
 
+/* Moves a time ahead by how long this process was held up, but not past now:
+ * what was read or sent after that doesn't count for longer. */
+static struct timespec
+skip_pause(struct timespec t, int64_t late_ms, struct timespec now)
+{
+	struct timespec later = clk_add_ms(t, late_ms);
+
+	return clk_before(now, later) ? now : later;
+}
+
 /* Closes a silent connection, or sends a heartbeat if one is due. late_ms is
  * how long this process was held up: it has not read what may have arrived
  * meanwhile. */
 static void
 conn_tick(struct conn *c, struct timespec now, int64_t late_ms)
 {
-	c->received_at = clk_add_ms(c->received_at, late_ms);
-	c->unanswered_since = clk_add_ms(c->unanswered_since, late_ms);
+	c->received_at = skip_pause(c->received_at, late_ms, now);
+	c->unanswered_since = skip_pause(c->unanswered_since, late_ms, now);
 	if (conn_is_silent(c, now)) {
 		ctr_add(c->peer->conf.ctr, NCTR_PEER_SILENT, 1);
 		conn_close(c, "silent");
--- a/src/node/tests/peer_test.cc
+++ b/src/node/tests/peer_test.cc
@@ -420,3 +420,19 @@
 		}
 	}
 }
+
+/* Guards against connections that went silent while the process was paused and
+ * are kept for as long again, as the pause was added to times after it. */
+TEST_F(PeerPair, PassesMessagesSoonAfterConnectionsWentSilentInAPause)
+{
+	for (int from = 0; from < 2; from++) {
+		send_until_received(from);
+		run_ms(400);
+		usleep(3000 * 1000);
+		paths[0]->mute(false);
+		paths[1]->mute(false);
+		send_message(from);
+		peer_flush(sides[from].peer);
+		EXPECT_LE(send_until_received(from), 2000) << "from " << from;
+	}
+}
