Keep two connections to a worker for orders beside a replaced poll

A worker that lost an order without an answer got only one order at a time for up to 2 s. Its poll is then replaced by one that doesn't wait, and the next long poll follows, while the first one still waits at the worker and holds one of three connections. If another order was lost on the last one, a stop of another run waited for its time limit of 0.8 s. A fourth connection is now opened if it is needed.

Relay.AStopPassesAReplacedPollAndALostOrder failed before: 4 of 5 requests had reached the worker.

Relay.AStopPassesSilentConnectionsWithinASecond opens as many connections as are allowed, one round for each number held, and so needs more than the 20 scripted answers: it waited without end for a 21st. It has 40 now; what it checks and allows is the same, with one more connection and one more round.

--- a/src/node/relay.h
+++ b/src/node/relay.h
@@ -23,8 +23,9 @@
 /* A relayed call may take this much longer than its own timeout, for the
  * messages between the instances; above JRELAY_STALE_MS. */
 #define RELAY_TIMEOUT_MARGIN_MS 1000
-/* Connections to one worker: one for a long poll, two for orders. */
-#define RELAY_WORKER_CONNECTIONS 3
+/* Connections to one worker: one for a long poll, one for a poll that the
+ * leader has replaced, two for orders. */
+#define RELAY_WORKER_CONNECTIONS 4
 /* Greatest time on the clock of an instance. */
 #define RELAY_TIME_MAX_MS (INT64_C(1) << 52)
 /* An instance that has sent no ping for this long gets no more calls; three
--- a/src/node/tests/relay_test.cc
+++ b/src/node/tests/relay_test.cc
@@ -381,7 +381,7 @@
  * hold the rest. */
 TEST_F(Relay, AStopPassesSilentConnectionsWithinASecond)
 {
-	server->steps.assign(20, { http("{\"clockMs\":77}"), false });
+	server->steps.assign(40, { http("{\"clockMs\":77}"), false });
 	for (size_t nheld = 0; nheld <= RELAY_WORKER_CONNECTIONS; nheld++) {
 		open_all_connections();
 		server->mute();
@@ -397,6 +397,29 @@
 	}
 }
 
+/* Guards against a stop that waits for the time limit of another order because
+ * a long poll that the leader has replaced still holds a connection. */
+TEST_F(Relay, AStopPassesAReplacedPollAndALostOrder)
+{
+	server->steps.assign(5, { "", false });
+	server->steps[1].reply = server->steps[4].reply =
+	    http("{\"clockMs\":77}");
+	for (uint64_t i = 1; i <= 5; i++) {
+		struct jl_call c = make_poll(i);
+		/* A poll, the one that replaces it, the next one, two stops. */
+		if (i >= 4) {
+			c.kind = JL_STOP;
+			job__task__init(&c.task);
+		}
+		call(c, 1);
+		for (int n = 0; n < 20 && server->requests.size() < i; n++)
+			advance(1);
+		while (i == 2 && leader.replies.empty())
+			tevent_loop_once(ev);
+	}
+	EXPECT_EQ(5U, server->requests.size());
+}
+
 /* Guards against a call that can't be decoded and for whose reply the leader
  * waits until its deadline. */
 TEST_F(Relay, AMalformedCallIsAnsweredAsNotMade)
