Don't take a refused connection for the end of a leaving worker

What callers saw: a task of a worker that had announced its exit ran twice.

Cause: jlead_reply() ended all runs of a worker that had sent its notice as soon as one call to it was refused, as if that showed that its process had ended. A cut may refuse connections as well, and the worker still has a lease.

Change: a refused connection counts as a call that failed. The tasks come back when the worker lists their ends or confirms their stops, when it starts again, or when its lease is over.

--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -158,7 +158,9 @@
 	JL_RELAY_LOST,	  /* no answer from it; as JL_NO_ANSWER */
 	/* Last, because replicas of earlier versions know the values above by
 	 * number. */
-	JL_CONN_REFUSED /* connection refused; as JL_NOT_SENT */
+	/* Connection refused. No sign that the worker's process has ended: a
+	 * broken path may refuse as well. */
+	JL_CONN_REFUSED
 };
 
 /* A running task in the answer to a long poll. */
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -376,22 +376,6 @@
 	jrun_send_due(jl, r);
 }
 
-/* Ends the runs of a worker that announced its exit, once nothing listens at
- * its address any more. */
-static void
-end_all_runs(struct jlead *jl, struct wsess *ws)
-{
-	struct jrun *r, *next;
-
-	for (r = ws->runs; r != NULL; r = next) {
-		next = r->next;
-		if (r->phase == RUN_PROPOSED || r->phase == RUN_ENDING)
-			continue;
-		ctr_add(jl->ctr, JCTR_ENDS_GONE, 1);
-		jrun_end(jl, r, JOB__HOW__GONE, NULL);
-	}
-}
-
 /* Handles the answer to a call of this term, or that there was none. */
 void
 jlead_reply(struct jlead *jl, struct timespec now, const struct jl_reply *rep)
@@ -415,8 +399,6 @@
 		handle_outdated_reply(jl, ws, rep);
 		return;
 	}
-	if (rep->kind == JL_CONN_REFUSED && ws->leave_announced)
-		end_all_runs(jl, ws);
 	if (rep->call == JL_POLL) {
 		handle_poll_reply(jl, ws, rep);
 		return;
