Don't take a late notice to leave for one of the next incarnation

A replica that had been frozen delivered the old notice to leave after the worker had started again.

Cause: the notice has no body and so names no incarnation; jst_find_leaving_worker() took it for one of the latest registration, which was removed and remembered as having left.

Change: such a notice is obeyed only for a registration that has reported that it drains, as a worker does before it leaves. It is answered either way. No clock is involved, as the notice may be late in a socket, on a cut path or in the calls of an instance.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -267,9 +267,11 @@
         await asyncio.gather(*tasks)
 
     async def check_final_state(self):
-        """Checks that every accepted job ends in time and that no refused or
-        unknown one has run."""
+        """Checks that every worker is in use, that every accepted job ends in
+        time, and that no refused or unknown one has run."""
         loop = asyncio.get_running_loop()
+        await asyncio.gather(
+            *[self.client.submit_for(w) for w in self.workers])
         until = loop.time() + RECOVERY_TIMEOUT_S
         left = set(self.ledger.accepted_jobs)
         while left and loop.time() < until:
--- a/soak/world.py
+++ b/soak/world.py
@@ -146,7 +146,7 @@
                 "state": "draining" if self.is_draining else "ready",
                 "born": self.started_unix_ms, "seq": seq,
                 "capacity": {"cpu": 16000, "memMb": 64000},
-                "labels": ["a", "r1"], "clockMs": self.clock_ms(),
+                "labels": ["a", "r1", self.id], "clockMs": self.clock_ms(),
             }
             for core in self.rng.sample(self.cores, len(self.cores)):
                 if self.is_cut_off:
@@ -289,7 +289,10 @@
     async def leave(self, rng):
         """Leaves as planned and restarts. The notice may be repeated after the
         restart, as if it had been delayed."""
-        body, incarnation = {"born": self.started_unix_ms}, self.incarnation
+        incarnation = self.incarnation
+        # The platform promises no body.
+        body = ({"born": self.started_unix_ms} if int(self.id[-1]) % 2
+                else None)
         self.is_draining = True
         await asyncio.sleep(rng.uniform(0.5, 2))
         acks_are_lost = rng.random() < 0.4
@@ -330,6 +333,13 @@
             if self.rng.random() < 0.1:
                 await self.cancel(job)
 
+    async def submit_for(self, worker):
+        """Submits a job that only this worker may run."""
+        job = f"{self.rng.getrandbits(64):016x}"
+        await self.submit(job, {"spec": "soak", "steps": [{
+            "count": 1, "cpu": 1000, "memMb": 10, "estimateMs": 800,
+            "constraints": worker.id}]})
+
     async def submit_and_cancel(self):
         """Submits a job and cancels it during the submission."""
         job = f"{self.rng.getrandbits(64):016x}"
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -92,13 +92,17 @@
 }
 
 /* Returns the registration that a notice to leave removes: the latest of the
- * id, unless the notice is a late one of an earlier incarnation. */
+ * id, unless the notice is, or may be, a late one of an earlier incarnation. A
+ * worker drains before it sends its notice, so that one without an incarnation
+ * can't come from one that is registered as ready. */
 struct jst_worker *
 jst_find_leaving_worker(const struct jst *s, const char *id, uint64_t born)
 {
 	struct jst_worker *w = jst_find_worker_by_id(s, id);
+	bool is_current =
+	    w != NULL && (born == 0 ? w->draining : w->info->born <= born);
 
-	return w == NULL || (born != 0 && w->info->born > born) ? NULL : w;
+	return is_current ? w : NULL;
 }
 
 /* Makes a registration the latest of its id. */
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -370,18 +370,23 @@
 }
 
 /* Handles a worker's notice to leave: its registration ends at once if nothing
- * runs there. */
+ * runs there. A late notice of an earlier incarnation changes nothing. */
 static void
 handle_leave(struct core *c, uint32_t from, const Job__Call *k)
 {
 	Job__Command cmd = JOB__COMMAND__INIT;
 	Job__WorkerGone g = JOB__WORKER_GONE__INIT;
+	const struct jst_worker *latest =
+	    jst_find_worker_by_id(&c->st, k->worker->id);
 	struct jst_worker *w =
 	    jst_find_leaving_worker(&c->st, k->worker->id, k->worker->born);
 
 	log_event(LOG_NOTICE, "core",
-	    "event=worker_leaves id=%s born=%" PRIu64 " registered=%" PRIu64,
-	    k->worker->id, k->worker->born, w == NULL ? 0 : w->info->born);
+	    "event=worker_leaves id=%s born=%" PRIu64 " registered=%" PRIu64
+	    " latest=%" PRIu64 " draining=%d",
+	    k->worker->id, k->worker->born, w == NULL ? 0 : w->info->born,
+	    latest == NULL ? 0 : latest->info->born,
+	    latest != NULL && latest->draining);
 	if (w == NULL) {
 		send_outcome(c, from, k->id, JOB__OUTCOME__OK);
 		return;
