Count a job as started only when a worker has begun a task of it

The jobs were shown as running.

Cause: apply_assign() marked the job as started when an assignment was committed, before the order was sent; nothing took that back when the worker refused, or when the order was lost.

Change: the leader proposes a record, once a job, when a worker confirms a start or lists a task as running or ended. Only that record marks the job as started, so that a change of leader neither forgets a start nor invents one. The histogram first_start ends with it too; it was measured at the assignment.

Evidence: JobState.CountsJobsWhoseStartsAreRefused and CountsJobsWhoseStartsAreLost failed before.

JobLead.ALostRelayDoesNotMakeTheWorkerSilent used the mark to see that a task was assigned, while all answers are lost; it asks that all six are assigned now.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -176,6 +176,7 @@
 
 	for (; j != NULL; j = j->next) {
 		clear_queue_cache(j);
+		j->begun_proposed = false;
 		j->nruns = 0;
 		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
 			struct jst_step *st = &j->steps[i];
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -138,6 +138,7 @@
     uint32_t index, uint32_t run, enum run_phase);
 void jrun_free(struct jlead *, struct jrun *);
 void jrun_end(struct jlead *, struct jrun *, Job__How, const char *checkpoint);
+void jl_note_begun(struct jlead *, struct jst_job *);
 void jrun_confirm(struct jrun *);
 void jrun_stop(struct jlead *, struct jrun *, enum jl_stop_reason);
 void jrun_send_due(struct jlead *, struct jrun *);
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -6,6 +6,17 @@
 /* Handles the answers to long polls: which runs a worker lists, and which have
  * ended. */
 
+/* Records that a worker has listed a task, as running or as ended, so that its
+ * job has started. */
+static void
+note_listed(struct jlead *jl, const Job__Task *task)
+{
+	struct jst_job *j = jst_find_job(jl->st, task->job);
+
+	if (j != NULL)
+		jl_note_begun(jl, j);
+}
+
 /* Stops an orphaned run, so that it doesn't hold resources. */
 static void
 stop_orphan(struct jlead *jl, struct wsess *ws, const struct jl_running *row)
@@ -39,6 +50,7 @@
 {
 	struct jrun *r = jrun_find(jl, ws, &row->task, row->run);
 
+	note_listed(jl, &row->task);
 	if (r == NULL) {
 		stop_orphan(jl, ws, row);
 		return;
@@ -223,6 +235,7 @@
 
 	if (e->number <= ws->acked_end || is_being_replicated(jl, ws, e))
 		return;
+	note_listed(jl, &e->task);
 	r = find_ended_run(jl, ws, e);
 	if (r == NULL || r->phase == RUN_ENDING) {
 		if (is_late_end(jl, e))
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -223,6 +223,7 @@
 	    rep->task.index, rep->run, r->ws->w->info->id, rep->kind);
 	switch (rep->kind) {
 	case JL_OK:
+		jl_note_begun(jl, r->step->job);
 		if (r->phase == RUN_STARTING)
 			jrun_confirm(r);
 		r->confirmed_serial = jl->serial;
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -160,6 +160,22 @@
 	jl->ops.propose(jl->ops.arg, &c);
 }
 
+/* Proposes that a job has started, once; a worker has shown that it has begun a
+ * task of it. */
+void
+jl_note_begun(struct jlead *jl, struct jst_job *j)
+{
+	Job__Command c = JOB__COMMAND__INIT;
+	Job__Begun b = JOB__BEGUN__INIT;
+
+	if (j->started || j->begun_proposed)
+		return;
+	j->begun_proposed = true;
+	b.job = j->id;
+	c.begun = &b;
+	jl->ops.propose(jl->ops.arg, &c);
+}
+
 /* Records that a worker has started a run. The wait of its step for a place is
  * over; a start that is refused doesn't end it. */
 void
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -513,6 +513,48 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+job__begun__init(Job__Begun *message)
+{
+	static const Job__Begun init_value = JOB__BEGUN__INIT;
+	*message = init_value;
+}
+size_t
+job__begun__get_packed_size(const Job__Begun *message)
+{
+	assert(message->base.descriptor == &job__begun__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__begun__pack(const Job__Begun *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__begun__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__begun__pack_to_buffer(const Job__Begun *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__begun__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__Begun *
+job__begun__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__Begun *)protobuf_c_message_unpack(
+	    &job__begun__descriptor, allocator, len, data);
+}
+void
+job__begun__free_unpacked(Job__Begun *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__begun__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 job__worker_gone__init(Job__WorkerGone *message)
 {
 	static const Job__WorkerGone init_value = JOB__WORKER_GONE__INIT;
@@ -2007,6 +2049,26 @@
 	(ProtobufCMessageInit)job__end__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor job__begun__field_descriptors[1] = {
+	{
+	    "job", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_FIXED64,
+	    0,					      /* quantifier_offset */
+	    offsetof(Job__Begun, job), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned job__begun__field_indices_by_name[] = {
+	0, /* field[0] = job */
+};
+static const ProtobufCIntRange job__begun__number_ranges[1 + 1] = { { 1, 0 },
+	{ 0, 1 } };
+const ProtobufCMessageDescriptor job__begun__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Begun", "Begun",
+	"Job__Begun", "job", sizeof(Job__Begun), 1,
+	job__begun__field_descriptors, job__begun__field_indices_by_name, 1,
+	job__begun__number_ranges, (ProtobufCMessageInit)job__begun__init, NULL,
+	NULL, NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor job__worker_gone__field_descriptors[2] = {
 	{
 	    "num", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
@@ -2122,7 +2184,7 @@
 	(ProtobufCMessageInit)job__wave_step__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__command__field_descriptors[9] = {
+static const ProtobufCFieldDescriptor job__command__field_descriptors[10] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2186,9 +2248,17 @@
 	    NULL, 0,	  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "begun", 10, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Command, begun), &job__begun__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__command__field_indices_by_name[] = {
 	3, /* field[3] = assign */
+	9, /* field[9] = begun */
 	2, /* field[2] = cancel */
 	0, /* field[0] = config */
 	4, /* field[4] = end */
@@ -2199,10 +2269,10 @@
 	5, /* field[5] = worker */
 };
 static const ProtobufCIntRange job__command__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 9 } };
+	{ 0, 10 } };
 const ProtobufCMessageDescriptor job__command__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Command", "Command",
-	"Job__Command", "job", sizeof(Job__Command), 9,
+	"Job__Command", "job", sizeof(Job__Command), 10,
 	job__command__field_descriptors, job__command__field_indices_by_name, 1,
 	job__command__number_ranges, (ProtobufCMessageInit)job__command__init,
 	NULL, NULL, NULL /* reserved[123] */
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Job__Cancel Job__Cancel;
 typedef struct Job__Assign Job__Assign;
 typedef struct Job__End Job__End;
+typedef struct Job__Begun Job__Begun;
 typedef struct Job__WorkerGone Job__WorkerGone;
 typedef struct Job__Wave Job__Wave;
 typedef struct Job__WaveStep Job__WaveStep;
@@ -52,11 +53,14 @@
 	JOB__HOW__DONE = 0,
 	JOB__HOW__FAILED = 1,
 	JOB__HOW__STOPPED = 2,
+	/*
+	 * its lease expired on the worker
+	 */
 	JOB__HOW__LAPSED = 3,
 	JOB__HOW__BROKEN = 4,
 	JOB__HOW__ALONE = 5,
 	/*
-	 * its worker is lost, or doesn't have it any more
+	 * its worker is lost, or no longer has it
 	 */
 	JOB__HOW__GONE = 6,
 	/*
@@ -67,7 +71,7 @@
 typedef enum _Job__WaveState {
 	JOB__WAVE_STATE__WAVE_WAITING = 0,
 	/*
-	 * its upkeep may have been ordered
+	 * its maintenance may have been ordered
 	 */
 	JOB__WAVE_STATE__WAVE_BEGUN = 1,
 	JOB__WAVE_STATE__WAVE_DONE =
@@ -99,7 +103,7 @@
 	JOB__OUTCOME__NO_JOB = 3,
 	JOB__OUTCOME__NO_CONFIG = 4,
 	/*
-	 * not accepted; come back later
+	 * not accepted; retry later
 	 */
 	JOB__OUTCOME__BUSY = 5,
 	JOB__OUTCOME__INVALID = 6,
@@ -122,27 +126,27 @@
 	protobuf_c_boolean has_accel;
 	uint32_t accel;
 	/*
-	 * declared, often far off
+	 * declared, often inaccurate
 	 */
 	protobuf_c_boolean has_estimate_ms;
 	uint32_t estimate_ms;
 	/*
-	 * steps to be done first
+	 * steps that must be done first
 	 */
 	size_t n_after;
 	uint32_t *after;
 	/*
-	 * its tasks run only together
+	 * all tasks run at the same time
 	 */
 	protobuf_c_boolean has_gang;
 	protobuf_c_boolean gang;
 	/*
-	 * slower on more than one rack
+	 * runs faster on a single rack
 	 */
 	protobuf_c_boolean has_same_rack;
 	protobuf_c_boolean same_rack;
 	/*
-	 * the worker must have it
+	 * required of the worker
 	 */
 	char *label;
 	/*
@@ -162,23 +166,23 @@
 	protobuf_c_boolean has_speculative;
 	protobuf_c_boolean speculative;
 	/*
-	 * until the job is cancelled
+	 * long-running: until cancelled
 	 */
 	protobuf_c_boolean has_lasting;
 	protobuf_c_boolean lasting;
 	/*
-	 * runs in unused processor time
+	 * best-effort: uses idle processors
 	 */
 	protobuf_c_boolean has_fills;
 	protobuf_c_boolean fills;
 	char *image;
 	/*
-	 * tail latency of a service
+	 * target of a serving task's tail latency
 	 */
 	protobuf_c_boolean has_target_ms;
 	uint32_t target_ms;
 	/*
-	 * may be away by our own orders
+	 * tasks that may be down by our orders
 	 */
 	protobuf_c_boolean has_may_miss;
 	uint32_t may_miss;
@@ -193,7 +197,7 @@
 struct Job__Spec {
 	ProtobufCMessage base;
 	/*
-	 * opaque, given to the worker
+	 * opaque, passed to the worker
 	 */
 	char *text;
 	size_t n_steps;
@@ -206,7 +210,7 @@
 	protobuf_c_boolean has_interval_ms;
 	uint64_t interval_ms;
 	/*
-	 * 0: once, at once
+	 * 0: once, immediately
 	 */
 	protobuf_c_boolean has_repeat;
 	uint32_t repeat;
@@ -221,7 +225,7 @@
 	ProtobufCMessage base;
 	uint32_t decide_ms;
 	/*
-	 * and this for each worker named
+	 * plus this for each worker named
 	 */
 	uint32_t each_ms;
 	/*
@@ -249,7 +253,7 @@
 	protobuf_c_boolean has_max_attempts;
 	uint32_t max_attempts;
 	/*
-	 * beyond the stretched chain
+	 * added to the stretched critical path
 	 */
 	protobuf_c_boolean has_target_ms;
 	uint32_t target_ms;
@@ -267,12 +271,12 @@
 	ProtobufCMessage base;
 	char *name;
 	/*
-	 * workers refuse what doesn't fit
+	 * workers refuse tasks that don't fit
 	 */
 	protobuf_c_boolean has_guarded;
 	protobuf_c_boolean guarded;
 	/*
-	 * its instances are switched off
+	 * its instances are powered off
 	 */
 	protobuf_c_boolean has_spare;
 	protobuf_c_boolean spare;
@@ -330,7 +334,7 @@
 	protobuf_c_boolean has_seq;
 	uint64_t seq;
 	/*
-	 * registration, given by the state
+	 * registration, assigned by the state
 	 */
 	protobuf_c_boolean has_num;
 	uint64_t num;
@@ -420,6 +424,19 @@
 		, NULL, 0, JOB__HOW__DONE, NULL, 0, 0                          \
 	}
 
+/*
+ * A worker has begun the first task of a job.
+ */
+struct Job__Begun {
+	ProtobufCMessage base;
+	uint64_t job;
+};
+#define JOB__BEGUN__INIT                                                       \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__begun__descriptor)               \
+		, 0                                                            \
+	}
+
 struct Job__WorkerGone {
 	ProtobufCMessage base;
 	uint64_t num;
@@ -482,11 +499,12 @@
 	Job__WorkerGone *gone;
 	Job__Wave *wave;
 	Job__WaveStep *wave_step;
+	Job__Begun *begun;
 };
 #define JOB__COMMAND__INIT                                                     \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__command__descriptor)             \
-		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL         \
+		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL   \
 	}
 
 struct Job__Batch {
@@ -613,7 +631,7 @@
 	}
 
 /*
- * Keeps an instance informed about who leads.
+ * Tells an instance which one leads.
  */
 struct Job__Ping {
 	ProtobufCMessage base;
@@ -623,7 +641,7 @@
 	 */
 	char *domain;
 	/*
-	 * it does so for the leader
+	 * relays calls for the leader
 	 */
 	protobuf_c_boolean has_calls_workers;
 	protobuf_c_boolean calls_workers;
@@ -646,7 +664,7 @@
 	size_t n_members;
 	uint32_t *members;
 	/*
-	 * on the clock of batches
+	 * monotonic, as WorkerCalls.sent_ms
 	 */
 	protobuf_c_boolean has_at_ms;
 	int64_t at_ms;
@@ -712,13 +730,13 @@
 	ProtobufCMessage base;
 	uint64_t token;
 	/*
-	 * steady time of the leader
+	 * leader's monotonic time at the oldest call
 	 */
 	int64_t sent_ms;
 	size_t n_calls;
 	Job__WorkerCall **calls;
 	/*
-	 * by the sender's answers to pings
+	 * sender reports its clock in Pong
 	 */
 	protobuf_c_boolean has_clock_told;
 	protobuf_c_boolean clock_told;
@@ -730,7 +748,7 @@
 	}
 
 /*
- * Rows of one look, one entry a row in each field.
+ * Rows of one poll, one entry per row in each field.
  */
 struct Job__WorkerRows {
 	ProtobufCMessage base;
@@ -747,12 +765,12 @@
 	size_t n_saved;
 	char **saved;
 	/*
-	 * of what runs
+	 * of running tasks
 	 */
 	size_t n_percent;
 	uint32_t *percent;
 	/*
-	 * of what runs
+	 * of running tasks
 	 */
 	size_t n_figure;
 	uint32_t *figure;
@@ -947,6 +965,16 @@
 Job__End *job__end__unpack(
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void job__end__free_unpacked(Job__End *message, ProtobufCAllocator *allocator);
+/* Job__Begun methods */
+void job__begun__init(Job__Begun *message);
+size_t job__begun__get_packed_size(const Job__Begun *message);
+size_t job__begun__pack(const Job__Begun *message, uint8_t *out);
+size_t job__begun__pack_to_buffer(
+    const Job__Begun *message, ProtobufCBuffer *buffer);
+Job__Begun *job__begun__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__begun__free_unpacked(
+    Job__Begun *message, ProtobufCAllocator *allocator);
 /* Job__WorkerGone methods */
 void job__worker_gone__init(Job__WorkerGone *message);
 size_t job__worker_gone__get_packed_size(const Job__WorkerGone *message);
@@ -1159,6 +1187,8 @@
 typedef void (*Job__Assign_Closure)(
     const Job__Assign *message, void *closure_data);
 typedef void (*Job__End_Closure)(const Job__End *message, void *closure_data);
+typedef void (*Job__Begun_Closure)(
+    const Job__Begun *message, void *closure_data);
 typedef void (*Job__WorkerGone_Closure)(
     const Job__WorkerGone *message, void *closure_data);
 typedef void (*Job__Wave_Closure)(const Job__Wave *message, void *closure_data);
@@ -1212,6 +1242,7 @@
 extern const ProtobufCMessageDescriptor job__cancel__descriptor;
 extern const ProtobufCMessageDescriptor job__assign__descriptor;
 extern const ProtobufCMessageDescriptor job__end__descriptor;
+extern const ProtobufCMessageDescriptor job__begun__descriptor;
 extern const ProtobufCMessageDescriptor job__worker_gone__descriptor;
 extern const ProtobufCMessageDescriptor job__wave__descriptor;
 extern const ProtobufCMessageDescriptor job__wave_step__descriptor;
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -339,10 +339,22 @@
 	t->worker = w;
 	w->nassigned++;
 	st->nwaiting--;
-	st->job->started = true;
 	r->status = STATUS_OK;
 }
 
+/* Records that a worker has begun a task of a job. */
+static void
+apply_begun(struct jst *s, const Job__Begun *m, struct jst_result *r)
+{
+	r->job = jst_find_job(s, m->job);
+	if (r->job == NULL) {
+		r->status = STATUS_NOT_FOUND;
+		return;
+	}
+	r->status = r->job->started ? STATUS_EXISTS : STATUS_OK;
+	r->job->started = true;
+}
+
 /* Completes the job if all its steps are done. */
 static void
 step_done(
@@ -670,6 +682,8 @@
 		apply_cancel(s, c->cancel, r);
 	else if (c->assign != NULL)
 		apply_assign(s, c->assign, r);
+	else if (c->begun != NULL)
+		apply_begun(s, c->begun, r);
 	else if (c->end != NULL)
 		apply_end(s, c->end, r);
 	else if (c->worker != NULL)
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -84,12 +84,13 @@
 	Job__Submit *submit; /* owns spec */
 	int64_t submitted_ms, ended_ms;
 	enum jst_job_state state;
-	bool started; /* a task has been assigned at least once */
+	bool started; /* a worker has begun a task */
 	uint32_t occurrences;
 	struct jst_step *steps;	     /* by occurrence, n_steps each */
 	uint32_t ndone;		     /* finished steps */
 	struct jst_job *prev, *next; /* list of active or of ended jobs */
-	uint32_t nruns; /* leader: runs that may exist on workers */
+	uint32_t nruns;	     /* leader: runs that may exist on workers */
+	bool begun_proposed; /* leader: that it has started */
 	/* leader: derived from the configuration; cleared when it changes. When
 	 * the job should be complete; 0: not computed yet. */
 	int64_t deadline_ms;
@@ -189,7 +190,7 @@
  * none. */
 const Job__Queue *jst_route(
     const struct jst *, struct str host, struct str path);
-/* Counts the jobs of a queue of which no task has been assigned yet. */
+/* Counts the active jobs of a queue of which no worker has begun a task. */
 uint32_t jst_count_waiting(const struct jst *, const char *queue);
 /* Tells whether all steps that this one depends on are done in its
  * occurrence. */
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -200,7 +200,8 @@
 	return best;
 }
 
-/* Counts the jobs of a queue of which no task has been assigned yet. */
+/* Counts the active jobs of a queue of which no worker has begun a task. An
+ * assignment alone doesn't count: the worker may refuse it. */
 uint32_t
 jst_count_waiting(const struct jst *s, const char *queue)
 {
--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -538,7 +538,7 @@
 	s.run(3000); /* pending long polls end first */
 	s.submit(1, "fast", { JobSim::step(6, 2000) });
 	s.run(100);
-	EXPECT_TRUE(jst_find_job(&s.st, 1)->started);
+	EXPECT_EQ(0U, jst_find_job(&s.st, 1)->steps[0].nwaiting);
 	s.relay_lost_rate = 0;
 	s.run(4000);
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -1322,6 +1322,7 @@
 
 		check_steps(st.active, assigned);
 		check_steps(st.ended, assigned);
+		check_started();
 		for (size_t i = 0; i < st.nworkers; i++)
 			EXPECT_EQ(
 			    assigned[st.workers[i]], st.workers[i]->nassigned)
@@ -1337,6 +1338,19 @@
 			    << ws->w->info->id;
 	}
 
+	/* Checks that no job counts as started of which no worker has begun a
+	 * task. */
+	void check_started() const
+	{
+		std::set<uint64_t> begun;
+
+		for (auto &x : starts)
+			begun.insert(x.first.job);
+		for (auto *j = st.active; j != NULL; j = j->next)
+			EXPECT_TRUE(!j->started || begun.count(j->id) > 0)
+			    << "job " << j->id << " counts as started";
+	}
+
 	/* Checks what a session has allocated, and counts the ends of its runs
 	 * that are being replicated. */
 	void check_session(const struct wsess *ws,
--- a/src/job/tests/jst_test.cc
+++ b/src/job/tests/jst_test.cc
@@ -230,6 +230,111 @@
 	EXPECT_EQ(0U, jst_count_waiting(&s.st, "fast"));
 }
 
+/* Submits four jobs of one task. */
+void
+submit_four(JobSim &s)
+{
+	for (uint64_t j = 1; j <= 4; j++)
+		s.submit(j, "batch", { JobSim::step(1, 1000) });
+}
+
+/* Guards against jobs that are left out of the waiting ones because they were
+ * assigned, while unhealthy workers refuse every start. */
+TEST(JobState, CountsJobsWhoseStartsAreRefused)
+{
+	JobSim s(11);
+	uint64_t a = s.add_worker(8000);
+	s.lead();
+	s.run(100);
+	s.workers[a].unhealthy = true;
+	submit_four(s);
+	for (int i = 0; i < 65; i++) {
+		s.run(100);
+		ASSERT_EQ(4U, jst_count_waiting(&s.st, "batch")) << i;
+	}
+	s.lead();
+	s.run(1000);
+	EXPECT_EQ(4U, jst_count_waiting(&s.st, "batch"));
+	s.workers[a].unhealthy = false;
+	s.run(2000);
+	EXPECT_EQ(0U, jst_count_waiting(&s.st, "batch"));
+	for (uint64_t j = 1; j <= 4; j++)
+		EXPECT_EQ(JST_COMPLETED, s.state(j));
+}
+
+/* Guards against the same where the orders to start are lost, or the worker
+ * that they are meant for can't be reached any more. */
+TEST(JobState, CountsJobsWhoseStartsAreLost)
+{
+	JobSim s(12);
+	uint64_t a = s.add_worker(8000);
+	s.run_time_ms = [](const SimTask &) { return -1; };
+	s.lead();
+	s.run(100);
+	s.drop_starts_to = a;
+	submit_four(s);
+	s.run(2000);
+	EXPECT_EQ(4U, jst_count_waiting(&s.st, "batch"));
+	s.set_unreachable(a, true);
+	s.lead();
+	s.run(5000);
+	EXPECT_EQ(4U, jst_count_waiting(&s.st, "batch"));
+	s.set_unreachable(a, false);
+	s.drop_starts_to = 0;
+	s.run(5000);
+	EXPECT_EQ(0U, jst_count_waiting(&s.st, "batch"));
+}
+
+/* Guards against a started job that counts as waiting: the answer to its start
+ * was lost, or its worker and the leader were lost since. */
+TEST(JobState, AStartedJobNeverWaitsAgain)
+{
+	JobSim s(13);
+	uint64_t a = s.add_worker(8000);
+	s.run_time_ms = [](const SimTask &) { return -1; };
+	s.lead();
+	s.run(100);
+	s.relays_losing_answers = 1;
+	submit_four(s);
+	s.run(100);
+	ASSERT_EQ(4U, s.workers[a].running.size());
+	s.relays_losing_answers = 0;
+	s.run(3000);
+	EXPECT_EQ(0U, jst_count_waiting(&s.st, "batch"));
+	s.crash(a);
+	s.dark(200);
+	s.reload();
+	s.lead();
+	s.run(JLEAD_LEASE_MS + 2000);
+	for (uint64_t j = 1; j <= 4; j++)
+		EXPECT_EQ(JST_WAITING,
+		    jst_find_job(&s.st, j)->steps[0].tasks[0].state);
+	EXPECT_EQ(0U, jst_count_waiting(&s.st, "batch"));
+}
+
+/* Guards against a job that counts as waiting though its task has ended: the
+ * start had no answer, and the first poll that has one lists the end. */
+TEST(JobState, AListedEndShowsThatAJobHasStarted)
+{
+	JobSim s(14);
+	uint64_t a = s.add_worker(8000);
+	s.run_time_ms = [](const SimTask &) { return 300; };
+	s.task_fails = [](const SimTask &, uint64_t) { return true; };
+	s.lead();
+	s.run(100);
+	submit_four(s);
+	s.run(5);
+	for (int i = 0; i < 100 && s.workers[a].running.empty(); i++)
+		s.run(1);
+	ASSERT_EQ(4U, s.workers[a].running.size());
+	s.lead();
+	s.workers[a].unhealthy = true;
+	s.run(2000);
+	EXPECT_EQ(0U, jst_count_waiting(&s.st, "batch"));
+	for (uint64_t j = 1; j <= 4; j++)
+		EXPECT_EQ(1, s.starts[SimTask{ j }]);
+}
+
 /* Guards against a state that differs between a replica that applied the log
  * and one that loaded a snapshot of it. */
 TEST(JobState, LoadingForgetsNoJobThatTheLogKeeps)
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -97,26 +97,16 @@
 	c->inflight_tail = &c->inflight;
 }
 
-/* Tells whether a command assigns the first task of a job. */
-static bool
-starts_job(struct core *c, const Job__Command *cmd)
-{
-	struct jst_job *j = cmd->assign == NULL
-	    ? NULL
-	    : jst_find_job(&c->st, cmd->assign->task->job);
-
-	return j != NULL && !j->started;
-}
-
 /* Records the durations that end with a committed command: from proposal to
  * commit, from submission to first start and to completion. */
 static void
 record_latency(struct core *c, const struct core_waiter *w,
-    const struct jst_result *r, bool first, struct timespec now, int64_t wall)
+    const Job__Command *cmd, const struct jst_result *r, struct timespec now,
+    int64_t wall)
 {
 	if (w != NULL)
 		hist_add(&c->commit_ms, clk_diff_ms(now, w->since));
-	if (first && r->status == STATUS_OK)
+	if (cmd->begun != NULL && r->status == STATUS_OK)
 		hist_add(&c->first_start_ms, wall - r->job->submitted_ms);
 	if (r->job_ended && r->job->state == JST_COMPLETED)
 		hist_add(&c->complete_ms, wall - r->job->submitted_ms);
@@ -135,12 +125,10 @@
 	size_t i;
 
 	for (i = 0; b != NULL && i < b->n_commands; i++) {
-		bool first = starts_job(c, b->commands[i]);
-
 		jlead_apply(&c->jl, now, wall, b->commands[i], &r);
 		if (c->leading)
-			record_latency(c, f == NULL ? NULL : &f->waiters[i], &r,
-			    first, now, wall);
+			record_latency(c, f == NULL ? NULL : &f->waiters[i],
+			    b->commands[i], &r, now, wall);
 		if (f != NULL && i < f->nwaiters)
 			core_on_applied(c, &f->waiters[i], b->commands[i], &r);
 		if (b->commands[i]->gone != NULL)
