Let a restarted worker of the soak report that it is ready

A worker that has reported that it drains gets no more work in that incarnation, so the job that only it may run waited. The platform's workers drain before a planned end and don't come back from it in one incarnation: the stand-in was wrong.

--- a/soak/world.py
+++ b/soak/world.py
@@ -110,6 +110,7 @@
         """Starts a new incarnation under the same id, without any state."""
         for task in list(getattr(self, "runs", {})):
             self.ledger.record_end(task)
+        self.is_draining = False
         self.started_unix_ms = int(time.time() * 1000)
         self.clock_zero_s = time.monotonic()
         self.fencing_token = self.lease_end_ms = self.last_end_number = 0
@@ -301,7 +302,6 @@
             if await self.send_leave(body) and not acks_are_lost:
                 break
             await asyncio.sleep(0.5)
-        self.is_draining = False
         if incarnation == self.incarnation:
             self.crash()
         await asyncio.sleep(rng.uniform(0.5, 3))
