Start all members of a gang from one checkpoint

Cause: checkpoints were kept for each task, and each member was started with its own. Members that had listed their end had a newer one than the lost member, of which only the last answer was known; the platform asks for the same value in all.

Change: the state keeps one checkpoint a gang, from the latest run; in it, values that members listed count before the last one known of a lost member.

job.pb-c.c and .h are generated by make proto.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -335,7 +335,7 @@
 			return;
 		record_lease(r->ws, c.lease_until_ms);
 		c.spec = r->step->job->spec->text;
-		c.checkpoint = r->task->checkpoint;
+		c.checkpoint = jst_checkpoint(r->step, r->task);
 		ctr_add(jl->ctr, JCTR_STARTS, 1);
 		jl_log_start(jl, r, &c);
 	} else {
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -2297,7 +2297,7 @@
 	job__batch__number_ranges, (ProtobufCMessageInit)job__batch__init, NULL,
 	NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__task_image__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor job__task_image__field_descriptors[6] = {
 	{
 	    "run", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_UINT32,
 	    offsetof(Job__TaskImage, has_run), offsetof(Job__TaskImage, run),
@@ -2328,20 +2328,27 @@
 	    offsetof(Job__TaskImage, saved), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "saved_run", 6, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_UINT32,
+	    offsetof(Job__TaskImage, has_saved_run),
+	    offsetof(Job__TaskImage, saved_run), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__task_image__field_indices_by_name[] = {
 	2, /* field[2] = done */
 	1, /* field[1] = fails */
 	0, /* field[0] = run */
 	4, /* field[4] = saved */
+	5, /* field[5] = saved_run */
 	3, /* field[3] = worker */
 };
 static const ProtobufCIntRange job__task_image__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
+	{ 1, 0 }, { 0, 6 }
 };
 const ProtobufCMessageDescriptor job__task_image__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.TaskImage", "TaskImage",
-	"Job__TaskImage", "job", sizeof(Job__TaskImage), 5,
+	"Job__TaskImage", "job", sizeof(Job__TaskImage), 6,
 	job__task_image__field_descriptors,
 	job__task_image__field_indices_by_name, 1,
 	job__task_image__number_ranges,
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -531,12 +531,20 @@
 	 */
 	protobuf_c_boolean has_worker;
 	uint64_t worker;
+	/*
+	 * of a gang: the same in each task
+	 */
 	char *saved;
+	/*
+	 * of a gang: the run that saved it
+	 */
+	protobuf_c_boolean has_saved_run;
+	uint32_t saved_run;
 };
 #define JOB__TASK_IMAGE__INIT                                                  \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__task_image__descriptor)          \
-		, 0, 0, 0, 0, 0, 0, 0, 0, NULL                                 \
+		, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0                           \
 	}
 
 struct Job__JobImage {
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -77,6 +77,7 @@
 	for (i = 0; i < job_steps(j); i++) {
 		for (k = 0; k < j->steps[i].spec->count; k++)
 			free(j->steps[i].tasks[k].checkpoint);
+		free(j->steps[i].checkpoint);
 		free(j->steps[i].tasks);
 	}
 	free(j->steps);
@@ -404,6 +405,29 @@
 	    m->run > 0 && m->run <= t->run;
 }
 
+/*
+ * Keeps the checkpoint of an ended run. In a gang, the ends of several members
+ * name different ones: those that members have listed count before the last one
+ * known of a member that was lost, and none counts before those of a later run.
+ */
+static void
+save_checkpoint(struct jst_step *st, struct jst_task *t, const Job__End *m)
+{
+	char **checkpoint = &t->checkpoint;
+
+	if (m->saved == NULL || m->saved[0] == '\0')
+		return;
+	if (st->spec->gang) {
+		if (m->run < st->checkpoint_run ||
+		    (m->run == st->checkpoint_run && m->how == JOB__HOW__GONE))
+			return;
+		st->checkpoint_run = m->run;
+		checkpoint = &st->checkpoint;
+	}
+	free(*checkpoint);
+	*checkpoint = copy_text(m->saved);
+}
+
 /* Ends a run. The task is done, waits again, or fails its job. */
 static void
 apply_end(struct jst *s, const Job__End *m, struct jst_result *r)
@@ -422,10 +446,7 @@
 	r->status = STATUS_OK;
 	r->worker = t->worker;
 	task_unassign(st, t);
-	if (m->saved != NULL && m->saved[0] != '\0') {
-		free(t->checkpoint);
-		t->checkpoint = copy_text(m->saved);
-	}
+	save_checkpoint(st, t, m);
 	if (m->how == JOB__HOW__DONE && !st->spec->lasting) {
 		if (st->spec->gang) {
 			gang_done(s, st, m->at_ms, r);
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -53,7 +53,7 @@
 	uint32_t run;	  /* number of the latest run, 0: none */
 	uint32_t nfailed; /* runs that failed */
 	struct jst_worker *worker;
-	char *checkpoint; /* newest checkpoint, or NULL */
+	char *checkpoint; /* newest checkpoint, or NULL; not of a gang's task */
 	/* leader: the run, while proposed or assigned */
 	struct jrun *active_run;
 	struct jst_worker *run_worker; /* leader: worker of active_run */
@@ -67,6 +67,10 @@
 	uint32_t occurrence, number;
 	struct jst_task *tasks; /* spec->count */
 	uint32_t ndone;
+	/* A gang's newest checkpoint, which any member has saved and all resume
+	 * from, or NULL; and the run that saved it. */
+	char *checkpoint;
+	uint32_t checkpoint_run;
 	uint32_t nwaiting;  /* neither done nor assigned */
 	uint32_t nproposed; /* leader: of nwaiting, being assigned */
 	/* leader: monotonic time since when tasks of it wait and no worker has
@@ -166,6 +170,8 @@
     const struct jst *, const Job__Task *, struct jst_step **);
 struct jst_step *jst_find_step(
     const struct jst_job *, uint32_t occurrence, uint32_t step);
+/* Returns the checkpoint that the next run of a task resumes from, or NULL. */
+const char *jst_checkpoint(const struct jst_step *, const struct jst_task *);
 size_t jst_worker_index(const struct jst *, uint64_t num);
 struct jst_worker *jst_find_worker(const struct jst *, uint64_t num);
 struct jst_worker *jst_find_worker_by_id(const struct jst *, const char *id);
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -56,6 +56,14 @@
 	return &st->tasks[ref->index];
 }
 
+/* Returns the checkpoint that the next run of a task resumes from, NULL if
+ * there is none. All members of a gang have to resume from the same one. */
+const char *
+jst_checkpoint(const struct jst_step *st, const struct jst_task *t)
+{
+	return st->spec->gang ? st->checkpoint : t->checkpoint;
+}
+
 /* Returns the index of a registration in the list of workers, or where it would
  * be inserted. */
 size_t
--- a/src/job/jst_snapshot.c
+++ b/src/job/jst_snapshot.c
@@ -39,7 +39,8 @@
 		abort();
 	for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
 		for (k = 0; k < j->steps[i].spec->count; k++, at++) {
-			const struct jst_task *t = &j->steps[i].tasks[k];
+			const struct jst_step *st = &j->steps[i];
+			const struct jst_task *t = &st->tasks[k];
 
 			job__task_image__init(&v[at]);
 			v[at].has_run = t->run > 0;
@@ -49,7 +50,9 @@
 			v[at].has_done = v[at].done = t->state == JST_DONE;
 			v[at].has_worker = t->worker != NULL;
 			v[at].worker = t->worker == NULL ? 0 : t->worker->num;
-			v[at].saved = t->checkpoint;
+			v[at].saved = (char *)(uintptr_t)jst_checkpoint(st, t);
+			v[at].has_saved_run = st->checkpoint_run > 0;
+			v[at].saved_run = st->checkpoint_run;
 			im->tasks[at] = &v[at];
 		}
 	}
@@ -152,6 +155,22 @@
 	return str_mem(buf, len);
 }
 
+/* Loads the checkpoint of a task, or of a gang. Snapshots of earlier versions
+ * have one for each member; all members then resume from the first. */
+static void
+load_checkpoint(
+    struct jst_step *st, struct jst_task *t, const Job__TaskImage *ti)
+{
+	char **checkpoint = st->spec->gang ? &st->checkpoint : &t->checkpoint;
+
+	st->checkpoint_run = ti->saved_run;
+	if (ti->saved == NULL || *checkpoint != NULL)
+		return;
+	*checkpoint = strdup(ti->saved);
+	if (*checkpoint == NULL)
+		abort();
+}
+
 /* Loads the tasks of a job. */
 static void
 load_tasks(struct jst *s, struct jst_job *j, const Job__JobImage *im)
@@ -167,8 +186,7 @@
 
 			t->run = ti->run;
 			t->nfailed = ti->fails;
-			t->checkpoint =
-			    ti->saved == NULL ? NULL : strdup(ti->saved);
+			load_checkpoint(st, t, ti);
 			t->worker = jst_find_worker(s, ti->worker);
 			if (ti->done) {
 				t->state = JST_DONE;
