Members: a voter that is gone stops counting, whoever leads

Cause: a successor became a voter beside the dead one, and that was removed only when the present leader hadn't heard from it for 4 s, a time that each change of leader started anew. Three of six voters were left.

Change: raft knows how many voters are needed. A silent voter (1 s) is removed before a learner takes its place; a learner that isn't needed waits 2 s and until all voters have answered the leader; the leader names silent voters to its followers; a voter that stops asks to be removed if it isn't needed. Silence counts only while the process runs.

Evidence: Members.* simulate replacements, kills, wipes, freezes and cuts within the tolerance and check each 20 ms that whatever may still be lost leaves a majority.

Tried and dropped: additional voters at once (the majority grows before the old voter is gone); replicas that tell their age when they join (no gain that the simulation shows).

--- a/src/control/control.pb-c.c
+++ b/src/control/control.pb-c.c
@@ -2089,7 +2089,7 @@
   (ProtobufCMessageInit) control__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__raft_msg__field_descriptors[16] =
+static const ProtobufCFieldDescriptor control__raft_msg__field_descriptors[17] =
 {
   {
     "kind",
@@ -2283,6 +2283,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Control__RaftMsg, n_silent),
+    offsetof(Control__RaftMsg, silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__raft_msg__field_indices_by_name[] = {
   11,   /* field[11] = chunk */
@@ -2298,6 +2310,7 @@
   12,   /* field[12] = offset */
   7,   /* field[7] = ok */
   9,   /* field[9] = round */
+  16,   /* field[16] = silent */
   1,   /* field[1] = term */
   3,   /* field[3] = to */
   14,   /* field[14] = transfer */
@@ -2305,7 +2318,7 @@
 static const ProtobufCIntRange control__raft_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor control__raft_msg__descriptor =
 {
@@ -2315,7 +2328,7 @@
   "Control__RaftMsg",
   "control",
   sizeof(Control__RaftMsg),
-  16,
+  17,
   control__raft_msg__field_descriptors,
   control__raft_msg__field_indices_by_name,
   1,  control__raft_msg__number_ranges,
--- a/src/control/control.pb-c.h
+++ b/src/control/control.pb-c.h
@@ -94,7 +94,7 @@
    */
   CONTROL__TASK_EVENT_KIND__TASK_CHECKPOINTED = 3,
   /*
-   * ended by an order, progress is the checkpoint
+   * ended by an order; progress is the checkpoint
    */
   CONTROL__TASK_EVENT_KIND__TASK_STOPPED = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CONTROL__TASK_EVENT_KIND)
@@ -139,11 +139,11 @@
 } Control__OrderKind;
 typedef enum _Control__KeyState {
   /*
-   * the caller may dispatch
+   * the caller may forward the request
    */
   CONTROL__KEY_STATE__KEY_STATE_CLAIMED = 0,
   /*
-   * another claim is running
+   * another request runs with the key
    */
   CONTROL__KEY_STATE__KEY_STATE_RUNNING = 1,
   /*
@@ -210,7 +210,7 @@
 
 
 /*
- * One message of the consensus protocol; unused fields are absent.
+ * A message of the Raft protocol; unused fields are absent.
  */
 struct  Control__RaftMsg
 {
@@ -245,7 +245,7 @@
   protobuf_c_boolean has_hint;
   uint64_t hint;
   /*
-   * identifies a heartbeat round
+   * identifies a round of Raft heartbeats
    */
   protobuf_c_boolean has_round;
   uint64_t round;
@@ -258,7 +258,7 @@
   protobuf_c_boolean has_last;
   protobuf_c_boolean last;
   /*
-   * vote without pre-vote, on hand-over
+   * vote without pre-vote, on transfer
    */
   protobuf_c_boolean has_transfer;
   protobuf_c_boolean transfer;
@@ -267,10 +267,18 @@
    */
   protobuf_c_boolean has_instance;
   uint32_t instance;
+  /*
+   * has no member list to find it in
+   */
+  /*
+   * APPEND: replicas of silent voters
+   */
+  size_t n_silent;
+  uint64_t *silent;
 };
 #define CONTROL__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__raft_msg__descriptor) \
-    , CONTROL__RAFT_KIND__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , CONTROL__RAFT_KIND__RAFT_PREVOTE, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Control__Class
@@ -287,17 +295,17 @@
   protobuf_c_boolean has_percentile_x10;
   uint32_t percentile_x10;
   /*
-   * of answers at the percentile
+   * target at the percentile
    */
   protobuf_c_boolean has_bound_ms;
   uint32_t bound_ms;
   /*
-   * longest a request may take
+   * of a request
    */
   protobuf_c_boolean has_timeout_ms;
   uint32_t timeout_ms;
   /*
-   * batch tasks finished
+   * target for batch tasks
    */
   protobuf_c_boolean has_finish_per_hour;
   uint32_t finish_per_hour;
@@ -377,7 +385,7 @@
   char *rack;
   char *domain;
   /*
-   * classes of requests
+   * request classes it handles
    */
   size_t n_serves;
   char **serves;
@@ -394,7 +402,7 @@
   uint32_t attempt;
   Control__TaskEventKind kind;
   /*
-   * of the checkpoint, unit of the job
+   * at the checkpoint, unit of the job
    */
   protobuf_c_boolean has_progress;
   uint64_t progress;
@@ -425,7 +433,7 @@
   uint64_t incarnation;
   uint64_t epoch;
   /*
-   * resent until acked
+   * resent until acknowledged
    */
   size_t n_events;
   Control__TaskEvent **events;
@@ -435,7 +443,7 @@
   protobuf_c_boolean has_event_seq;
   uint64_t event_seq;
   /*
-   * requests past their timeout
+   * still running past timeout
    */
   protobuf_c_boolean has_overdue;
   uint32_t overdue;
@@ -453,12 +461,12 @@
   protobuf_c_boolean has_mem_used_mb;
   uint64_t mem_used_mb;
   /*
-   * tasks the worker holds
+   * tasks on the worker
    */
   size_t n_running;
   uint64_t *running;
   /*
-   * highest order carried out
+   * last order executed
    */
   protobuf_c_boolean has_order_seq;
   uint64_t order_seq;
@@ -484,7 +492,7 @@
   ProtobufCMessage base;
   char *name;
   /*
-   * absent: whichever is current
+   * absent: the current one
    */
   protobuf_c_boolean has_incarnation;
   uint64_t incarnation;
@@ -514,7 +522,7 @@
   protobuf_c_boolean has_run_ms;
   uint64_t run_ms;
   /*
-   * handed to the worker as it is
+   * passed to the worker unchanged
    */
   char *payload;
 };
@@ -563,7 +571,7 @@
    */
   uint64_t request;
   /*
-   * wall clock; running until then
+   * wall clock; runs until then
    */
   protobuf_c_boolean has_deadline_ms;
   uint64_t deadline_ms;
@@ -742,7 +750,7 @@
   protobuf_c_boolean has_evictions;
   uint32_t evictions;
   /*
-   * name of the scheduler's wait reason
+   * why it waits, named by the scheduler
    */
   char *reason;
 };
@@ -799,7 +807,7 @@
   Control__JobInfo **jobs;
   Control__Members *members;
   /*
-   * why JOB, one item a line
+   * for QUERY_WHY, one item per line
    */
   char *text;
   /*
@@ -898,7 +906,7 @@
   uint64_t task;
   uint32_t attempt;
   /*
-   * of the worker; names it
+   * of the worker
    */
   uint64_t epoch;
 };
@@ -927,14 +935,14 @@
   size_t n_task_events;
   Control__TaskEvent **task_events;
   /*
-   * worker the events are from
+   * worker that reported them
    */
   protobuf_c_boolean has_events_epoch;
   uint64_t events_epoch;
   Control__KeyClaim *key_claim;
   Control__KeyDone *key_done;
   /*
-   * drop keys older than retention
+   * drop keys that have expired
    */
   protobuf_c_boolean has_key_expire;
   protobuf_c_boolean key_expire;
@@ -964,12 +972,12 @@
    */
   uint64_t epoch;
   /*
-   * granted slots this instance relies on
+   * granted slots it still relies on
    */
   uint32_t held;
   uint32_t used;
   /*
-   * newest grant seen for this worker
+   * newest grant received for this worker
    */
   protobuf_c_boolean has_grant_seq;
   uint64_t grant_seq;
@@ -1001,8 +1009,8 @@
 
 
 /*
- * Answer times of one worker and class since the last beat: counts in
- * logarithmic buckets, so that summaries can be added.
+ * Answer times of one worker and class since the last heartbeat, as counts in
+ * logarithmic buckets, which can be added up.
  */
 struct  Control__Latency
 {
@@ -1019,6 +1027,9 @@
     , 0, NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Heartbeat of an instance.
+ */
 struct  Control__Beat
 {
   ProtobufCMessage base;
@@ -1035,7 +1046,7 @@
   size_t n_latency;
   Control__Latency **latency;
   /*
-   * has a data directory
+   * absent or 0: no data directory
    */
   protobuf_c_boolean has_replica;
   uint64_t replica;
@@ -1048,7 +1059,7 @@
   protobuf_c_boolean has_replica_index;
   uint64_t replica_index;
   /*
-   * newest term a reply was taken from;
+   * newest term of an accepted reply;
    */
   protobuf_c_boolean has_term;
   uint64_t term;
@@ -1079,39 +1090,39 @@
 {
   ProtobufCMessage base;
   /*
-   * of the beat
+   * of the heartbeat
    */
   uint64_t seq;
   uint64_t term;
   uint32_t leader;
   uint64_t config_version;
   /*
-   * when newer than the beat's
+   * when newer than that of the instance
    */
   Control__Config *config;
   protobuf_c_boolean has_worker_version;
   uint64_t worker_version;
   /*
-   * workers is the whole table
+   * workers is the complete table
    */
   protobuf_c_boolean has_workers_full;
   protobuf_c_boolean workers_full;
   size_t n_workers;
   Control__WorkerInfo **workers;
   /*
-   * epochs
+   * epochs that have ended
    */
   size_t n_workers_gone;
   uint64_t *workers_gone;
   size_t n_grants;
   Control__Grant **grants;
   /*
-   * from when the beat was sent
+   * from the heartbeat's sending
    */
   protobuf_c_boolean has_grant_ttl_ms;
   uint64_t grant_ttl_ms;
   /*
-   * leader and term name the new one
+   * leader and term are those it knows
    */
   protobuf_c_boolean has_not_leader;
   protobuf_c_boolean not_leader;
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -113,7 +113,7 @@
 	rng_init(&r->rng, c->seed);
 	r->term = c->term;
 	r->voted_for = c->voted_for;
-	r->now = now;
+	r->now = r->running_since = now;
 	/* The leader's lease may rest on a reply sent before this restart. */
 	r->leader_contact_at = now;
 	r->up_to_date_at = r->resumed_at =
@@ -121,6 +121,7 @@
 	r->base_index = r->snap_index = c->snap_index;
 	r->base_term = r->snap_term = c->snap_term;
 	r->commit = r->applied = c->snap_index;
+	r->voters_needed = c->voters_needed;
 	if (c->snap_data.p != NULL)
 		r->snap_data = str_dup(r, c->snap_data);
 	raft_member_list_copy(
@@ -421,7 +422,7 @@
 		self->acked_round = r->round;
 	}
 	raft_advance_commit(r);
-	raft_promote_learner(r);
+	raft_update_voters(r);
 	raft_transfer_check(r);
 	raft_replicate(r);
 	self = raft_self(r);
@@ -448,6 +449,8 @@
 	enum status st = STATUS_OK;
 
 	talloc_free_children(r->scratch);
+	if (clk_diff_ms(now, r->now) > RAFT_PAUSE_MS)
+		r->running_since = now;
 	r->now = now;
 	r->acts = acts;
 	r->proposing = ev->kind == RAFT_EV_PROPOSE;
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -57,6 +57,11 @@
 	size_t nmembers;
 	const struct raft_entry *entries; /* after the snapshot */
 	size_t nentries;
+	/* Voters that the group needs. With as many, a learner takes the place
+	 * of a silent one, and becomes an additional one only after a while;
+	 * with more, a silent one is removed. 0: learners become voters as
+	 * soon as they can, and only the caller removes voters. */
+	size_t voters_needed;
 };
 
 enum raft_ev_kind {
--- a/src/control/raft_elect.c
+++ b/src/control/raft_elect.c
@@ -86,6 +86,9 @@
 		p->ninflight = p->inflight_bytes = 0;
 		p->acked_round = 0;
 		p->last_reply_at = r->now;
+		if (p->found_silent)
+			p->last_reply_at = clk_add_ms(r->now,
+			    RAFT_VOTER_STILL_SILENT_MS - RAFT_VOTER_SILENT_MS);
 	}
 	r->round = 0;
 	r->awaited_round = 0;
--- a/src/control/raft_member.c
+++ b/src/control/raft_member.c
@@ -23,15 +23,22 @@
 	return raft_peer_find(r, r->self);
 }
 
-/* Returns the number of voters that make a majority. */
-size_t
-raft_quorum(const struct raft *r)
+/* Returns the number of voters. */
+static size_t
+count_voters(const struct raft *r)
 {
 	size_t i, n = 0;
 
 	for (i = 0; i < r->npeers; i++)
 		n += r->peers[i].voter;
-	return n / 2 + 1;
+	return n;
+}
+
+/* Returns the number of voters that make a majority. */
+size_t
+raft_quorum(const struct raft *r)
+{
+	return count_voters(r) / 2 + 1;
 }
 
 /*
@@ -199,7 +206,7 @@
 			v[i] = *old;
 		} else {
 			v[i].next = raft_log_last(r) + 1;
-			v[i].last_reply_at = r->now;
+			v[i].last_reply_at = v[i].known_at = r->now;
 		}
 		v[i].replica = m->replica;
 		v[i].instance = m->instance;
@@ -336,42 +343,119 @@
 	return 0;
 }
 
-/*
- * Proposes to make a learner a voter once it has all entries that were
- * committed at the last heartbeat. Another member on the same instance is the
- * replica that lost its disk there; it is removed first, because a dead voter
- * would raise the size of the majority.
- */
-void
-raft_promote_learner(struct raft *r)
+/* Tells whether a voter has been silent for RAFT_VOTER_SILENT_MS, or the
+ * previous leader has found it so and it hasn't answered this one. */
+bool
+raft_is_silent(const struct raft *r, const struct raft_peer *p)
 {
-	struct raft_member *v;
+	return p->voter && p->replica != r->self &&
+	    (p->found_silent ||
+		clk_diff_ms(r->now, p->last_reply_at) >= RAFT_VOTER_SILENT_MS);
+}
+
+/* Returns the voter that has been silent for longest, 0 if none has been for
+ * RAFT_VOTER_SILENT_MS. */
+static uint64_t
+find_silent_voter(const struct raft *r)
+{
+	int64_t longest = RAFT_VOTER_SILENT_MS - 1;
+	uint64_t replica = 0;
 	size_t i;
 
-	if (check_change_allowed(r) != STATUS_OK)
-		return;
+	if (clk_diff_ms(r->now, r->running_since) < RAFT_VOTER_SILENT_MS)
+		return 0;
+
 	for (i = 0; i < r->npeers; i++) {
 		const struct raft_peer *p = &r->peers[i];
-		uint64_t old;
+		int64_t silent = clk_diff_ms(r->now, p->last_reply_at);
 
-		if (p->voter || p->flow != FLOW_REPLICATE ||
-		    p->match < r->commit_at_heartbeat ||
-		    clk_diff_ms(r->now, p->last_reply_at) >=
-			RAFT_ELECTION_MIN_MS)
+		if (!p->voter || p->replica == r->self || silent <= longest)
 			continue;
-		old = find_replaced_replica(r, p);
-		if (old != 0) {
-			raft_member_remove(r, old);
-			return;
-		}
-		v = talloc_memdup(
-		    r->scratch, r->members.v, r->members.n * sizeof(*v));
-		if (v == NULL)
-			abort();
-		v[i].voter = true;
-		propose_members(r, v, r->members.n);
-		return;
+		longest = silent;
+		replica = p->replica;
+	}
+	return replica;
+}
+
+/* Returns a learner that answers and has all entries that were committed at the
+ * last heartbeat, or NULL. */
+static const struct raft_peer *
+find_caught_up_learner(const struct raft *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->npeers; i++) {
+		const struct raft_peer *p = &r->peers[i];
+
+		if (!p->voter && p->flow == FLOW_REPLICATE &&
+		    p->match >= r->commit_at_heartbeat &&
+		    clk_diff_ms(r->now, p->last_reply_at) <
+			RAFT_ELECTION_MIN_MS)
+			return p;
+	}
+	return NULL;
+}
+
+/* Tells whether a learner that has caught up may become a voter now. One that
+ * isn't needed waits for a while, and until all voters have answered this
+ * leader: it may have come to replace one that is lost. */
+static bool
+may_promote(const struct raft *r, const struct raft_peer *learner)
+{
+	size_t i;
+
+	if (r->voters_needed == 0 || count_voters(r) < r->voters_needed)
+		return true;
+	for (i = 0; i < r->npeers; i++) {
+		if (r->peers[i].voter &&
+		    !has_answered_recently(r, r->peers[i].replica))
+			return false;
 	}
+	return clk_diff_ms(r->now, learner->known_at) >=
+	    RAFT_ADDITIONAL_VOTER_MS;
+}
+
+/* Proposes to make a member a voter. */
+static void
+promote(struct raft *r, uint64_t replica)
+{
+	struct raft_member *v =
+	    talloc_memdup(r->scratch, r->members.v, r->members.n * sizeof(*v));
+	size_t i;
+
+	if (v == NULL)
+		abort();
+	for (i = 0; i < r->members.n; i++)
+		v[i].voter |= v[i].replica == replica;
+	propose_members(r, v, r->members.n);
+}
+
+/*
+ * Proposes the next change of the voters, if one is due: a learner that has
+ * caught up becomes one, and a voter that can't be reached is removed while
+ * voters_needed remain with that learner. The removal comes first, because a
+ * dead voter raises the size of the majority, and so would a learner that is
+ * lost before it was needed. Another member on the learner's instance is the
+ * replica that lost its disk there and needn't be silent.
+ */
+void
+raft_update_voters(struct raft *r)
+{
+	const struct raft_peer *learner;
+	uint64_t dead = 0;
+
+	if (check_change_allowed(r) != STATUS_OK)
+		return;
+	learner = find_caught_up_learner(r);
+	if (learner != NULL)
+		dead = find_replaced_replica(r, learner);
+	if (dead == 0 && r->voters_needed > 0 &&
+	    count_voters(r) + (learner != NULL) > r->voters_needed)
+		dead = find_silent_voter(r);
+	if (dead != 0)
+		raft_member_remove(r, dead);
+	else if (learner != NULL && may_promote(r, learner))
+		promote(r, learner->replica);
 }
 
 /*
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -25,6 +25,19 @@
  * RAFT_ELECTION_MIN_MS by more than the clock-rate error of 1 % on each side,
  * so that no follower votes for another leader while it lasts. */
 #define RAFT_LEASE_MS 900
+/* A voter that has not answered for this long may be replaced. Short, because a
+ * new leader starts to count anew and a second replica may be lost meanwhile.
+ */
+#define RAFT_VOTER_SILENT_MS RAFT_ELECTION_MIN_MS
+/* The same for one that the previous leader has found silent. */
+#define RAFT_VOTER_STILL_SILENT_MS (3 * RAFT_HEARTBEAT_MS)
+/* A longer time between two events means that this process was paused: answers
+ * of voters that seem silent may wait to be read. */
+#define RAFT_PAUSE_MS (2 * RAFT_HEARTBEAT_MS)
+/* How long a learner that isn't needed as a voter waits before it becomes an
+ * additional one. Long enough that a voter which it replaces is found silent,
+ * and removed, first. */
+#define RAFT_ADDITIONAL_VOTER_MS 2000
 /* Rounds whose send times are kept; they cover RAFT_LEASE_MS. */
 #define RAFT_ROUND_HISTORY 64
 /* Stands for the PERSIST number of the current step until it is known. */
@@ -55,6 +68,8 @@
 	size_t ninflight, inflight_bytes;
 	uint64_t acked_round; /* last heartbeat round it answered */
 	struct timespec last_reply_at;
+	bool found_silent;	  /* by the leader that was last heard */
+	struct timespec known_at; /* to this replica, as a member */
 	uint64_t snap_index, snap_offset; /* snapshot being sent */
 	bool vote_granted;
 };
@@ -107,6 +122,7 @@
 	struct raft_member_list snap_members, members;
 	struct raft_peer *peers;
 	size_t npeers;
+	size_t voters_needed; /* 0: the caller removes voters */
 
 	/* Snapshot being received. */
 	uint64_t recv_index, recv_term;
@@ -126,6 +142,7 @@
 	size_t ndeferred;
 
 	struct timespec now;
+	struct timespec running_since; /* start, or end of the last pause */
 	struct timespec election_at, heartbeat_at, leader_contact_at;
 	/* When all that the leader reported as committed was here. */
 	struct timespec up_to_date_at;
@@ -220,7 +237,8 @@
 void raft_peers_rebuild(struct raft *);
 enum status raft_member_add(struct raft *, const struct raft_member *);
 enum status raft_member_remove(struct raft *, uint64_t replica);
-void raft_promote_learner(struct raft *);
+void raft_update_voters(struct raft *);
+bool raft_is_silent(const struct raft *, const struct raft_peer *);
 enum status raft_transfer(struct raft *);
 void raft_transfer_check(struct raft *);
 
--- a/src/control/raft_repl.c
+++ b/src/control/raft_repl.c
@@ -57,6 +57,36 @@
 	p->paused = false;
 }
 
+/* Lists the silent voters in a message, so that the next leader needn't find
+ * them anew. */
+static void
+add_silent(struct raft *r, Control__RaftMsg *m)
+{
+	size_t i;
+
+	m->silent = talloc_array(r->scratch, uint64_t, r->npeers);
+	if (m->silent == NULL)
+		abort();
+	for (i = 0; i < r->npeers; i++) {
+		if (raft_is_silent(r, &r->peers[i]))
+			m->silent[m->n_silent++] = r->peers[i].replica;
+	}
+}
+
+/* Takes over which voters the leader has found silent. */
+static void
+update_silent(struct raft *r, const Control__RaftMsg *m)
+{
+	size_t i, k;
+
+	for (i = 0; i < r->npeers; i++) {
+		r->peers[i].found_silent = false;
+		for (k = 0; k < m->n_silent; k++)
+			r->peers[i].found_silent |=
+			    m->silent[k] == r->peers[i].replica;
+	}
+}
+
 /*
  * Sends one APPEND from p->next on. Returns the number of entries in it. If
  * they were compacted, starts sending a snapshot instead and returns 0.
@@ -79,6 +109,7 @@
 	m->commit = r->commit;
 	m->round = r->round;
 	n = add_entries(r, m, p->next, bytes);
+	add_silent(r, m);
 	raft_send(r, m, p->instance);
 	return n;
 }
@@ -287,6 +318,7 @@
 
 	if (r->loading || !entries_are_valid(m))
 		return;
+	update_silent(r, m);
 	if (m->index < r->commit) {
 		/* Every later leader has all committed entries. */
 		verified = r->commit;
@@ -337,6 +369,7 @@
 	if (p == NULL || r->role != RAFT_LEADER)
 		return;
 	p->last_reply_at = r->now;
+	p->found_silent = false;
 	if (m->round > p->acked_round && m->round <= r->round)
 		p->acked_round = m->round;
 	if (m->ok) {
--- a/src/control/tests/raft_sim.h
+++ b/src/control/tests/raft_sim.h
@@ -106,6 +106,7 @@
 	int64_t delay_ns = 1000000, jitter_ns = 0;
 	int64_t sync_ns = 200000;
 	uint64_t snapshot_every = 50;
+	size_t voters_needed = 0; /* as in raft_initial_state */
 	std::string wal_dir;
 };
 
@@ -420,6 +421,7 @@
 	c.nmembers = members.size();
 	c.entries = log.data();
 	c.nentries = log.size();
+	c.voters_needed = conf.voters_needed;
 	n.applied = n.disk.snap_index;
 	n.state = n.disk.state;
 	n.leads_term = n.persist_seq = n.saving = 0;
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -2703,7 +2703,7 @@
 	(ProtobufCMessageInit)job__pong__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__join__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor job__join__field_descriptors[4] = {
 	{
 	    "replica", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_FIXED64,
 	    0,						 /* quantifier_offset */
@@ -2722,17 +2722,24 @@
 	    offsetof(Job__Join, domain), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "leaving", 4, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_BOOL,
+	    offsetof(Job__Join, has_leaving), offsetof(Job__Join, leaving),
+	    NULL, NULL, 0, /* flags */
+	    0, NULL, NULL  /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__join__field_indices_by_name[] = {
 	2, /* field[2] = domain */
 	1, /* field[1] = instance */
+	3, /* field[3] = leaving */
 	0, /* field[0] = replica */
 };
 static const ProtobufCIntRange job__join__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 3 } };
+	{ 0, 4 } };
 const ProtobufCMessageDescriptor job__join__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Join", "Join", "Job__Join",
-	"job", sizeof(Job__Join), 3, job__join__field_descriptors,
+	"job", sizeof(Job__Join), 4, job__join__field_descriptors,
 	job__join__field_indices_by_name, 1, job__join__number_ranges,
 	(ProtobufCMessageInit)job__join__init, NULL, NULL,
 	NULL /* reserved[123] */
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -688,11 +688,16 @@
 	uint64_t replica;
 	uint32_t instance;
 	char *domain;
+	/*
+	 * it stops: remove it if it isn't needed
+	 */
+	protobuf_c_boolean has_leaving;
+	protobuf_c_boolean leaving;
 };
 #define JOB__JOIN__INIT                                                        \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__join__descriptor)                \
-		, 0, 0, NULL                                                   \
+		, 0, 0, NULL, 0, 0                                             \
 	}
 
 struct Job__WorkerCall {
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -192,13 +192,17 @@
 		    c->relay, from, p->domain == NULL ? "" : p->domain);
 }
 
-/* Adds a replica that asks to become a member. Only the leader does. Members
- * ask too while no leader sends them the log. */
+/* Adds a replica that asks to become a member, or removes one that stops. Only
+ * the leader does. Members ask too while no leader sends them the log. */
 static void
 on_join(struct core *c, const Job__Join *j)
 {
 	struct raft_ev ev = { .kind = RAFT_EV_MEMBER_ADD };
 
+	if (j->leaving) {
+		core_on_leaving(c, j);
+		return;
+	}
 	if (!c->leading || core_has_member(c, j->replica))
 		return;
 	ev.u.member.replica = j->replica;
@@ -328,6 +332,9 @@
 	log_event(LOG_NOTICE, "core", "event=stop leading=%d", c->leading);
 	c->stopping = true;
 	c->stop_deadline = clk_add_ms(mesh_now(c->mesh), c->inst->grace_ms / 2);
+	c->leave_deadline =
+	    clk_add_ms(mesh_now(c->mesh), c->inst->grace_ms * 3 / 4);
+	c->next_join_at = mesh_now(c->mesh);
 	front_drain(c->control);
 	core_step(c, &rev);
 }
@@ -337,7 +344,7 @@
 static bool
 is_shutdown_done(struct core *c)
 {
-	if (!c->stopping)
+	if (!c->stopping || core_waits_to_leave(c))
 		return false;
 	if (!clk_before(mesh_now(c->mesh), c->stop_deadline))
 		return true;
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -30,9 +30,8 @@
 #define CORE_DISK_STABLE_MS 30000
 /* Interval at which a replica asks to be added until it is a member. */
 #define CORE_JOIN_INTERVAL_MS 300
-/* A voter that is silent for this long is removed if another replica can take
- * its place. */
-#define CORE_REPLACE_AFTER_MS 4000
+/* A learner that is silent for this long is removed. */
+#define CORE_FORGET_LEARNER_MS 4000
 /* Timeout of calls by workers, which ask the next instance after 1 s. */
 #define CORE_WORKER_TIMEOUT_MS 900
 /* A worker that leaves is answered after this even if it may still run tasks;
--- a/src/node/core_disk.c
+++ b/src/node/core_disk.c
@@ -90,6 +90,7 @@
 	memset(&rc, 0, sizeof(rc));
 	wal_initial_state(c->wal, &rc);
 	rc.seed = wal_replica(c->wal) ^ wal_generation(c->wal);
+	rc.voters_needed = core_voters_needed(c);
 	if (rc.snap_data.len > 0 &&
 	    jst_unpack(&c->st, rc.snap_data, e) != STATUS_OK)
 		return e->status;
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -113,6 +113,9 @@
 	struct timespec next_join_at;
 	bool stopping;
 	struct timespec stop_deadline;
+	/* No longer waits to be removed from the group after this. */
+	struct timespec leave_deadline;
+	bool has_left; /* the leader has removed this stopping replica */
 };
 
 /* core.c */
@@ -123,6 +126,9 @@
 void core_step(struct core *, const struct raft_ev *);
 bool core_log_flush(struct core *);
 void core_members_tick(struct core *);
+size_t core_voters_needed(const struct core *);
+void core_on_leaving(struct core *, const Job__Join *);
+bool core_waits_to_leave(const struct core *);
 bool core_has_member(const struct core *, uint64_t replica);
 void core_stop_leading(struct core *);
 /* core_disk.c */
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -445,9 +445,10 @@
 
 /* ---- members ---- */
 
-/* Asks the leader, or all seeds if it is unknown, to be added to the group. */
+/* Asks the leader, or all seeds if it is unknown, to be added to the group, or
+ * removed from it. */
 static void
-send_join(struct core *c)
+send_join(struct core *c, bool leaving)
 {
 	Job__Msg m = JOB__MSG__INIT;
 	Job__Join j = JOB__JOIN__INIT;
@@ -455,6 +456,8 @@
 
 	j.replica = c->replica;
 	j.instance = c->inst->instance;
+	j.has_leaving = leaving;
+	j.leaving = leaving;
 	m.join = &j;
 	if (caller_leader(mesh_caller(c->mesh)) != 0) {
 		mesh_send(c->mesh, caller_leader(mesh_caller(c->mesh)), &m);
@@ -466,26 +469,108 @@
 	}
 }
 
-/* Removes a member that has been silent for CORE_REPLACE_AFTER_MS; a voter only
- * while there are more than 2 * tolerate + 1 of them. */
+/* Returns how many voters the group needs, so that a majority is left when as
+ * many are lost at once as the settings say. */
+size_t
+core_voters_needed(const struct core *c)
+{
+	return 2 * (size_t)c->inst->tolerate + 1;
+}
+
+/* Counts the members that vote, or that don't yet. */
+static size_t
+count_members(const struct core *c, bool voters)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < c->nmembers; i++)
+		n += c->members[i].voter == voters;
+	return n;
+}
+
+/* Tells whether a replica is a voter as of the applied index. */
+static bool
+is_voter(const struct core *c, uint64_t replica)
+{
+	size_t i;
+
+	for (i = 0; i < c->nmembers; i++) {
+		if (c->members[i].replica == replica)
+			return c->members[i].voter;
+	}
+	return false;
+}
+
+/* Tells a replica that it is no member any more. */
 static void
-remove_dead_member(struct core *c)
+confirm_leave(struct core *c, const Job__Join *leaving)
+{
+	Job__Msg m = JOB__MSG__INIT;
+	Job__Join j = *leaving;
+
+	m.join = &j;
+	mesh_send(c->mesh, j.instance, &m);
+}
+
+/* Handles a voter's message that it is about to stop. It is removed if there
+ * are enough without it: it may not come back, and must not raise the size of
+ * the majority then. One that does come back joins again. A replica that isn't
+ * the leader gets this message as the confirmation. */
+void
+core_on_leaving(struct core *c, const Job__Join *j)
+{
+	struct raft_ev ev = { .kind = RAFT_EV_MEMBER_REMOVE };
+
+	if (j->replica == c->replica) {
+		c->has_left = c->stopping;
+		return;
+	}
+	if (!c->leading)
+		return;
+	if (!core_has_member(c, j->replica)) {
+		confirm_leave(c, j);
+		return;
+	}
+	if (!is_voter(c, j->replica) ||
+	    count_members(c, true) <= core_voters_needed(c))
+		return;
+	log_event(LOG_NOTICE, "core",
+	    "event=member_stops replica=%016" PRIx64 " instance=%u", j->replica,
+	    j->instance);
+	ev.u.member.replica = j->replica;
+	core_step(c, &ev);
+}
+
+/* Tells whether this replica, which is stopping, still waits to be removed: it
+ * votes, and another member can do so in its place. */
+bool
+core_waits_to_leave(const struct core *c)
+{
+	if (c->disk_failed || c->has_left || !is_voter(c, c->replica) ||
+	    !clk_before(mesh_now(c->mesh), c->leave_deadline))
+		return false;
+	return count_members(c, true) > core_voters_needed(c) ||
+	    count_members(c, false) > 0;
+}
+
+/* Removes a learner that has been silent for CORE_FORGET_LEARNER_MS; raft
+ * removes dead voters. */
+static void
+remove_dead_learner(struct core *c)
 {
 	struct raft_ev ev = { .kind = RAFT_EV_MEMBER_REMOVE };
-	size_t i, voters = 0;
 	const struct raft_member *dead = NULL;
+	size_t i;
 
 	for (i = 0; i < c->nmembers; i++) {
 		const struct raft_member *m = &c->members[i];
 
-		voters += m->voter;
-		if (m->replica != c->replica &&
+		if (!m->voter &&
 		    raft_ms_since_reply(c->raft, m->replica) >
-			CORE_REPLACE_AFTER_MS)
+			CORE_FORGET_LEARNER_MS)
 			dead = m;
 	}
-	if (dead == NULL ||
-	    (dead->voter && voters <= 2 * (size_t)c->inst->tolerate + 1))
+	if (dead == NULL)
 		return;
 	log_event(LOG_NOTICE, "core",
 	    "event=member_remove replica=%016" PRIx64 " instance=%u",
@@ -495,9 +580,10 @@
 }
 
 /*
- * Removes a dead member if this replica leads, or asks to be added to the group
- * if it is no member. A replica that was removed while it could not be reached
- * doesn't have the entry that says so: no leader sends it the log.
+ * Removes a dead learner if this replica leads, or asks to be added to the
+ * group if it is no member, or to be removed if it stops. A replica that was
+ * removed while it could not be reached doesn't have the entry that says so: no
+ * leader sends it the log.
  */
 void
 core_members_tick(struct core *c)
@@ -508,8 +594,10 @@
 		return;
 	c->next_join_at = clk_add_ms(now, CORE_JOIN_INTERVAL_MS);
 	if (c->leading)
-		remove_dead_member(c);
-	else if (c->inst->counted &&
+		remove_dead_learner(c);
+	else if (c->stopping && core_waits_to_leave(c))
+		send_join(c, true);
+	else if (c->inst->counted && !c->stopping &&
 	    (c->leader == 0 || !core_has_member(c, c->replica)))
-		send_join(c);
+		send_join(c, false);
 }
