Jobs: a new leader waits for the leases of workers that restarted lately

Cause: the start was carried out by the server's next life, whose clock had begun anew, so that its lease was the longest one, 10 s. The leader knew; it was killed, the server cut off, and the next leader, which never reached it, waited 7 s.

Change: a worker that was registered lately, or has an earlier registration, is given the longest lease from its registration on, and a task that was assigned 4 s before the change of the leader from there on (not long-running ones, which may not be idle for as long). Registrations carry the leader's time of day.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -288,15 +288,44 @@
 	    JLEAD_LEASE_MAX_MS + 1;
 }
 
-/* Tells whether a lease of earlier leaders may be in force on a worker that has
- * answered no poll of this one. */
-static bool
-old_lease_is_valid(const struct jlead *jl)
+/* Returns when a worker was registered at the latest, on this replica's
+ * monotonic clock; a replica that was not there goes by the time of day. */
+static struct timespec
+registration_time(const struct jlead *jl, const struct jst_worker *w)
 {
-	int64_t passed =
-	    clk_diff_ms(jl->now, jl->leading_since) - JLEAD_OLD_LEADER_LEASE_MS;
+	int64_t age =
+	    jl->wall_ms - w->info->registered_ms - JLEAD_WALL_CLOCK_STEP_MS;
+
+	if (w->registered_at.tv_sec != 0)
+		return w->registered_at;
+	return clk_add_ms(jl->now, age > 0 ? -age : 0);
+}
 
-	return least_advance_ms(passed) <= JLEAD_LEASE_MS + 1;
+/*
+ * Tells whether a lease of earlier leaders may be in force on a worker that has
+ * answered no poll of this one. A call that was meant for the incarnation
+ * before may have given it the longest one just when it was registered; later
+ * ones are refused.
+ */
+static bool
+old_lease_is_valid(const struct jlead *jl, const struct jrun *r)
+{
+	const struct jst_worker *latest =
+	    jst_find_worker_by_id(jl->st, r->ws->w->info->id);
+	bool restarted = r->ws->follows_restart || latest != r->ws->w;
+	struct timespec last =
+	    clk_add_ms(jl->leading_since, JLEAD_OLD_LEADER_LEASE_MS);
+	struct timespec registered =
+	    clk_add_ms(registration_time(jl, latest), JLEAD_CALL_TIMEOUT_MS);
+
+	if (clk_before(last, registered))
+		registered = last;
+	if (r->is_recent && longest_lease_is_valid(jl, last))
+		return true;
+	if (restarted && longest_lease_is_valid(jl, registered))
+		return true;
+	return least_advance_ms(clk_diff_ms(jl->now, last)) <=
+	    JLEAD_LEASE_MS + 1;
 }
 
 /* Tells whether a lease by the clock of a session's incarnation may be in
@@ -379,7 +408,7 @@
 	if (ws->restarted)
 		return may_run_after_restart(jl, r);
 	if (!ws->contacted)
-		return old_lease_is_valid(jl);
+		return old_lease_is_valid(jl, r);
 	if (session_lease_is_valid(jl, ws))
 		return true;
 	return r->nstarts > 0 && !r->is_attributed &&
@@ -755,6 +784,11 @@
 	jst_apply(jl->st, c, res);
 	if (c->submit != NULL && res->status == STATUS_OK)
 		count_demand(jl, res->job);
+	if (c->assign != NULL && res->status == STATUS_OK)
+		res->task->assigned_at = now;
+	if (c->worker != NULL && res->worker != NULL &&
+	    res->worker->registered_at.tv_sec == 0)
+		res->worker->registered_at = now;
 	if (!jl->leading)
 		return;
 	jl->plan_needed = true;
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -38,6 +38,12 @@
  * that started this recently a lease by the earlier clock that is still in
  * force. */
 #define JLEAD_YOUNG_WORKER_MS (JLEAD_LATE_CALL_MS + JLEAD_LEASE_MAX_MS + 500)
+/* How far the times of day of two replicas may be apart; a limit of the
+ * platform's deployments is 2.4 s. */
+#define JLEAD_WALL_CLOCK_STEP_MS 2500
+/* A run that was assigned this long before a change of the leader has been
+ * started, and listed by its worker, if it was going to be. */
+#define JLEAD_RECENT_ASSIGNMENT_MS 4000
 /* Ends are acknowledged only this soon after an answer that names its
  * incarnation: a later one can't have ended a run of its own by then. */
 #define JLEAD_ACK_AGE_MS 200
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -48,6 +48,7 @@
 	 * answered its start, as the clock in the answer shows. Until then
 	 * another one may have carried out its start. */
 	bool is_attributed;
+	bool is_recent; /* inherited, and assigned just before */
 	/* when such a start was last sent or answered */
 	struct timespec started_at;
 	/* a start without an answer may be carried out until then */
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -47,6 +47,9 @@
 	r->assigned_at = r->retry_at = r->created = jl->now;
 	r->inherited = phase == RUN_INHERITED;
 	if (r->inherited) {
+		r->is_recent = !st->spec->lasting &&
+		    clk_diff_ms(jl->now, r->task->assigned_at) <
+			JLEAD_RECENT_ASSIGNMENT_MS;
 		r->late_until = clk_add_ms(jl->now, JLEAD_LATE_CALL_MS);
 	}
 	r->backoff_ms = JLEAD_RETRY_MS;
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -1751,7 +1751,7 @@
 	job__config__number_ranges, (ProtobufCMessageInit)job__config__init,
 	NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__worker__field_descriptors[13] = {
+static const ProtobufCFieldDescriptor job__worker__field_descriptors[14] = {
 	{
 	    "id", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
 	    0,					      /* quantifier_offset */
@@ -1830,6 +1830,12 @@
 	    offsetof(Job__Worker, remaining_ms), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "registered_ms", 14, PROTOBUF_C_LABEL_OPTIONAL,
+	    PROTOBUF_C_TYPE_INT64, offsetof(Job__Worker, has_registered_ms),
+	    offsetof(Job__Worker, registered_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__worker__field_indices_by_name[] = {
 	7,  /* field[7] = accel */
@@ -1841,16 +1847,17 @@
 	8,  /* field[8] = labels */
 	6,  /* field[6] = mem_mb */
 	11, /* field[11] = num */
+	13, /* field[13] = registered_ms */
 	12, /* field[12] = remaining_ms */
 	10, /* field[10] = seq */
 	4,  /* field[4] = service */
 	3,  /* field[3] = zone */
 };
 static const ProtobufCIntRange job__worker__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 13 } };
+	{ 0, 14 } };
 const ProtobufCMessageDescriptor job__worker__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Worker", "Worker",
-	"Job__Worker", "job", sizeof(Job__Worker), 13,
+	"Job__Worker", "job", sizeof(Job__Worker), 14,
 	job__worker__field_descriptors, job__worker__field_indices_by_name, 1,
 	job__worker__number_ranges, (ProtobufCMessageInit)job__worker__init,
 	NULL, NULL, NULL /* reserved[123] */
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -343,12 +343,17 @@
 	 */
 	protobuf_c_boolean has_remaining_ms;
 	uint32_t remaining_ms;
+	/*
+	 * leader's time of day
+	 */
+	protobuf_c_boolean has_registered_ms;
+	int64_t registered_ms;
 };
 #define JOB__WORKER__INIT                                                      \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__worker__descriptor)              \
 		, NULL, 0, NULL, NULL, NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,  \
-		    0, 0, 0, 0                                                 \
+		    0, 0, 0, 0, 0, 0                                           \
 	}
 
 struct Job__Task {
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -57,6 +57,9 @@
 	/* leader: the run, while proposed or assigned */
 	struct jrun *active_run;
 	struct jst_worker *run_worker; /* leader: worker of active_run */
+	/* Monotonic time on this replica when it was assigned last; 0: before
+	 * the state was loaded. */
+	struct timespec assigned_at;
 	/* leader: since when it should run and doesn't, 0: it needn't */
 	int64_t idle_since_ms;
 };
@@ -107,7 +110,10 @@
 	const Job__Worker *info;
 	bool draining;
 	uint32_t nassigned;
-	void *session;	     /* leader: struct wsess */
+	void *session; /* leader: struct wsess */
+	/* Monotonic time on this replica when it was registered; 0: before the
+	 * state was loaded. */
+	struct timespec registered_at;
 	uint32_t plan_index; /* leader: index in the current plan */
 };
 
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -348,6 +348,8 @@
 		m.has_accel = 1;
 		m.accel = w.accel;
 		m.labels = labels;
+		m.has_registered_ms = 1;
+		m.registered_ms = wall_ms();
 		m.n_labels = 2;
 		alias[st.next_worker] = num;
 		c.worker = &m;
--- a/src/job/tests/twice_test.cc
+++ b/src/job/tests/twice_test.cc
@@ -436,6 +436,40 @@
 	}
 }
 
+/* Guards against a task that runs twice: the next leader counts on shorter
+ * leases than the one that a call meant for the incarnation before has given a
+ * worker that has restarted, and is cut off before it answers. */
+TEST(JobTwice, ANewLeaderWaitsForTheLeasesOfARestartedWorker)
+{
+	for (bool is_reloaded : { false, true }) {
+		JobSim s(19);
+		SCOPED_TRACE(is_reloaded);
+		s.run_time_ms = [](const SimTask &) { return 60000; };
+		uint64_t a = s.add_worker(8000);
+		s.workers[a].clock_start_ms = s.now_ms - 480000;
+		s.lead();
+		s.run(1500);
+		s.call_ms = 200;
+		s.submit(1, "batch", { JobSim::step(1, 1000) });
+		s.run(100);
+		s.crash(a);
+		s.restart_worker(a);
+		for (int i = 0; i < 500 && s.workers[a].running.empty(); i++)
+			s.run(1);
+		ASSERT_EQ(1U, s.workers[a].running.size());
+		s.call_ms = 2;
+		s.heartbeat(a);
+		s.add_worker(8000);
+		s.set_unreachable(a, true);
+		s.dark(100);
+		if (is_reloaded)
+			s.reload();
+		s.lead();
+		s.run(20000);
+		EXPECT_EQ(2, s.starts[TASK]) << "not given up";
+	}
+}
+
 /* Guards against an end that is acknowledged unheard: a poll that acknowledges
  * ends of a worker's earlier incarnation is delayed and reaches the next one,
  * which has ended a run of the same number. */
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -292,6 +292,8 @@
 	    "draining=%d remaining_ms=%u",
 	    k->worker->id, k->worker->born, k->worker->addr, k->worker->zone,
 	    k->worker->service, k->worker->draining, k->worker->remaining_ms);
+	k->worker->has_registered_ms = 1;
+	k->worker->registered_ms = mesh_wall_ms(c->mesh);
 	cmd.worker = k->worker;
 	propose_call(c, from, k, &cmd);
 }
