Jobs: a job whose route was removed can be cancelled, and isn't denied

Cause: the route was looked up before the job.

Change: at the place of a job's removed queue a cancel ends the job and is answered 410, a resent submission 504; reads stay 404, as no call on a dropped route may succeed.

--- a/src/job/jcall.c
+++ b/src/job/jcall.c
@@ -92,6 +92,24 @@
 	}
 }
 
+/*
+ * Returns the outcome of a call for a job at a place where its queue was, but
+ * isn't any more. Nothing may succeed there; but the job was accepted and runs
+ * on, so that it can be cancelled, and it can't be said that it wasn't taken.
+ */
+Job__Outcome
+jcall_orphan_outcome(Job__CallKind kind)
+{
+	switch (kind) {
+	case JOB__CALL_KIND__CANCEL:
+		return JOB__OUTCOME__NO_JOB;
+	case JOB__CALL_KIND__SUBMIT:
+		return JOB__OUTCOME__UNKNOWN;
+	default:
+		return JOB__OUTCOME__NOT_FOUND;
+	}
+}
+
 /* Returns the outcome of a call from the status of its applied command. */
 Job__Outcome
 jcall_outcome(const Job__Command *c, enum status applied)
--- a/src/job/jcall.h
+++ b/src/job/jcall.h
@@ -16,6 +16,7 @@
 
 /* Returns the outcome of a call from the status of its applied command. */
 Job__Outcome jcall_outcome(const Job__Command *, enum status applied);
+Job__Outcome jcall_orphan_outcome(Job__CallKind);
 /* Returns STATUS_OK, or STATUS_INVALID with the invalid field in the error. */
 enum status jcall_check(const Job__Call *, struct err *);
 /* As jcall_check, for the specification of a job. */
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -197,6 +197,7 @@
 struct jst_wave *jst_find_wave(const struct jst *, uint64_t id);
 const Job__Queue *jst_queue(const struct jst *, const char *name);
 bool jst_queue_removed(const Job__Queue *);
+bool jst_is_orphaned(const struct jst *, uint64_t id, struct str path);
 const Job__Service *jst_service(const struct jst *, const char *name);
 /* Returns the queue of a host and path, by the longest prefix; NULL if there is
  * none. */
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -174,6 +174,22 @@
 	return q->host[0] == '\0';
 }
 
+/* Tells whether a request for a job is at a place where the job's queue was,
+ * but isn't any more. The place of a queue that has no active jobs may be
+ * forgotten. */
+bool
+jst_is_orphaned(const struct jst *s, uint64_t id, struct str path)
+{
+	const struct jst_job *j = jst_find_job(s, id);
+	const Job__Queue *q = j == NULL ? NULL : jst_queue(s, j->queue);
+
+	if (j == NULL || (q != NULL && !jst_queue_removed(q)))
+		return false;
+	return q == NULL ||
+	    (strlen(q->prefix) <= path.len &&
+		memcmp(q->prefix, path.p, strlen(q->prefix)) == 0);
+}
+
 /* Returns a service of the configuration by its name. */
 const Job__Service *
 jst_service(const struct jst *s, const char *name)
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -95,6 +95,14 @@
 	a->document = c->st.config->document;
 }
 
+/* Tells whether a call for a job is at a place where its queue was. */
+static bool
+is_orphaned(const struct core *c, const Job__Call *k)
+{
+	return k->has_job && c->st.config != NULL &&
+	    jst_is_orphaned(&c->st, k->job, str_from(k->path));
+}
+
 /*
  * Handles a SUBMIT or CANCEL again that had been queued as a read, because its
  * queue or job was unknown then, and that can change the state now. Returns
@@ -128,7 +136,12 @@
 		a.outcome = JOB__OUTCOME__NO_CONFIG;
 	} else {
 		q = jst_route(&c->st, str_from(k->host), str_from(k->path));
-		if (q == NULL) {
+		if (q == NULL && is_orphaned(c, k)) {
+			if (k->kind == JOB__CALL_KIND__CANCEL &&
+			    retry_as_change(c, from, k))
+				return;
+			a.outcome = jcall_orphan_outcome(k->kind);
+		} else if (q == NULL) {
 			a.outcome = JOB__OUTCOME__NOT_FOUND;
 		} else if (retry_as_change(c, from, k)) {
 			return;
@@ -207,9 +220,12 @@
 propose_call(
     struct core *c, uint32_t from, const Job__Call *k, const Job__Command *cmd)
 {
-	struct core_waiter w = {
-		.from = from, .call_id = k->id, .kind = k->kind
-	};
+	bool is_orphan = is_orphaned(c, k) &&
+	    jst_route(&c->st, str_from(k->host), str_from(k->path)) == NULL;
+	struct core_waiter w = { .from = from,
+		.call_id = k->id,
+		.kind = k->kind,
+		.is_orphan = is_orphan };
 
 	core_propose(c, cmd, &w);
 }
@@ -249,7 +265,8 @@
 	Job__Cancel m = JOB__CANCEL__INIT;
 
 	if (c->st.config == NULL || !jst_cancel_has_effect(&c->st, k->job) ||
-	    jst_route(&c->st, str_from(k->host), str_from(k->path)) == NULL) {
+	    (jst_route(&c->st, str_from(k->host), str_from(k->path)) == NULL &&
+		!is_orphaned(c, k))) {
 		queue_read(c, from, k);
 		return;
 	}
@@ -503,5 +520,7 @@
 		    cmd->wave->id, cmd->wave->n_machines, cmd->wave->max_down,
 		    cmd->wave->term_ms);
 	}
-	send_outcome(c, w->from, w->call_id, jcall_outcome(cmd, r->status));
+	send_outcome(c, w->from, w->call_id,
+	    w->is_orphan ? jcall_orphan_outcome(w->kind)
+			 : jcall_outcome(cmd, r->status));
 }
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -21,6 +21,8 @@
 	uint32_t from; /* instance; 0: none */
 	uint64_t call_id;
 	Job__CallKind kind;
+	/* at a place where the job's queue was, but isn't any more */
+	bool is_orphan;
 	struct timespec since;
 };
 
