Jobs: record when a worker registered in one place

The records of times move to a function with one branch a kind of command. No change of what is done.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -765,6 +765,21 @@
 		jdemand_add(&jl->demand, q->service, j->spec, j->submitted_ms);
 }
 
+/* Records when a task was assigned or a worker registered, for a later term of
+ * this replica. */
+static void
+record_time(
+    const Job__Command *c, struct timespec now, const struct jst_result *res)
+{
+	if (c->assign != NULL) {
+		if (res->status == STATUS_OK)
+			res->task->assigned_at = now;
+	} else if (c->worker != NULL && res->worker != NULL &&
+	    res->worker->registered_at.tv_sec == 0) {
+		res->worker->registered_at = now;
+	}
+}
+
 /* Applies a committed command to the state; a leader then continues the runs
  * that it concerns. */
 void
@@ -784,11 +799,7 @@
 	jst_apply(jl->st, c, res);
 	if (c->submit != NULL && res->status == STATUS_OK)
 		count_demand(jl, res->job);
-	if (c->assign != NULL && res->status == STATUS_OK)
-		res->task->assigned_at = now;
-	if (c->worker != NULL && res->worker != NULL &&
-	    res->worker->registered_at.tv_sec == 0)
-		res->worker->registered_at = now;
+	record_time(c, now, res);
 	if (!jl->leading)
 		return;
 	jl->plan_needed = true;
