--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -68,8 +68,8 @@
 	while read -r name; do
 		failed_cases=$((failed_cases + 1))
 		record_failure "$name"
-	done < <(grep -E '^\[  FAILED  \] [A-Za-z0-9_/]+\.[A-Za-z0-9_/]+ \(' \
-	    "$out" | awk '{print $4}')
+	done < <(grep -E '^\[  FAILED  \] [A-Za-z0-9_/]+\.[A-Za-z0-9_/]+(, .*)? \([0-9]+ ms' \
+	    "$out" | awk '{sub(/,$/, "", $4); print $4}')
 	grep -E '^(schedules|rounds|seed|figure) ' "$out" | sed 's/^/  /'
 	if [ $rc -ne 0 ]; then
 		grep -vE '^\[ +(OK|RUN) +' "$out" | tail -n 60
