--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -36,6 +36,23 @@
 	}
 }
 
+/* Logs the members that a new list lacks. */
+static void
+log_removed_members(const struct core *c, const struct raft_member *v, size_t n)
+{
+	size_t i, k;
+
+	for (i = 0; i < c->nmembers; i++) {
+		for (k = 0; k < n && v[k].replica != c->members[i].replica; k++)
+			;
+		if (k == n)
+			log_event(LOG_NOTICE, "core",
+			    "event=member_remove replica=%016" PRIx64
+			    " instance=%u",
+			    c->members[i].replica, c->members[i].instance);
+	}
+}
+
 /* Applies a committed member list. */
 static void
 apply_members(struct core *c, struct str data)
@@ -60,6 +77,7 @@
 		    " instance=%u voter=%d",
 		    c->applied, v[i].replica, v[i].instance, v[i].voter);
 	}
+	log_removed_members(c, v, m->n_members);
 	set_members(c, v, m->n_members);
 	talloc_free(v);
 	control__members__free_unpacked(m, NULL);
@@ -572,9 +590,6 @@
 	}
 	if (dead == NULL)
 		return;
-	log_event(LOG_NOTICE, "core",
-	    "event=member_remove replica=%016" PRIx64 " instance=%u",
-	    dead->replica, dead->instance);
 	ev.u.member = *dead;
 	core_step(c, &ev);
 }
