Soak: workers refuse calls that expect another instance

process-odd_entries, and its run with the sanitizers, failed now and then: after the restart of all replicas jobs stayed in state "running".

The platform promises that a worker responds with 421 to a call that expects another instance and does nothing for it; before fencing tokens were per registration the difference did no harm.

Change: the soak's workers answer such calls with 421. The checks of the test are unchanged.

--- a/soak/world.py
+++ b/soak/world.py
@@ -183,12 +183,15 @@
         switched on. A request that outlasts its incarnation has no effect."""
         try:
             while not self.ledger.is_over:
-                first, _, body = await read_message(reader)
+                first, headers, body = await read_message(reader)
                 path, incarnation = first.split()[1], self.incarnation
                 args = json.loads(body or b"{}")
                 if self.is_cut_off:
                     await asyncio.sleep(30)
                     return
+                if headers.get("x-expect-instance", self.id) != self.id:
+                    await self.send_answer(writer, 421, b"")
+                    continue
                 order = path in ("/-/run-start", "/-/run-stop")
                 if order and self.rng.random() < self.late_share:
                     await asyncio.sleep(self.rng.uniform(2, 6))
@@ -204,11 +207,8 @@
                 answer["clockMs"] = self.clock_ms()
                 if path == "/-/hold":
                     answer["born"] = self.started_unix_ms
-                data = json.dumps(answer).encode()
-                writer.write(
-                    b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%b"
-                    % (status, len(data), data))
-                await writer.drain()
+                await self.send_answer(
+                    writer, status, json.dumps(answer).encode())
         except (OSError, asyncio.IncompleteReadError):
             pass
         except asyncio.CancelledError:
@@ -216,6 +216,12 @@
         finally:
             writer.close()
 
+    async def send_answer(self, writer, status, data):
+        """Sends the answer to a request."""
+        writer.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%b"
+                     % (status, len(data), data))
+        await writer.drain()
+
     def renew_lease(self, args):
         """Renews the lease, by at most 10 s, unless the fencing token is
         outdated; tells whether the token was accepted."""
