Jobs: a heartbeat of another service restarts no worker

Cause: a service that isn't configured was only kept from getting tasks. The state took the entry for a later incarnation of the worker whose id it carries.

Change: a heartbeat whose service is neither configured nor that of the registration under its id is answered and changes nothing; a registration of such a service gives way to a heartbeat of a configured one. Related paths: the same start with the state "draining", and an entry that comes before the sound worker's first heartbeat. A worker whose own service leaves the configuration stays known.

The simulation's heartbeat() no longer counts one that isn't registered as a registration.

--- a/soak/odd_entries.py
+++ b/soak/odd_entries.py
@@ -15,6 +15,7 @@
 import os
 import random
 import sys
+import time
 
 from world import Client, Ledger, Operator, Worker
 
@@ -46,8 +47,8 @@
 
 
 def refused_entries(net):
-    """Returns bodies of heartbeats that name no worker, by the suffix of their
-    id. Those with an address name the trap."""
+    """Returns bodies of heartbeats that name no worker, by their id. Those with
+    an address name the trap."""
     trap = f"127.{net}.0.99:{TRAP_PORT}"
     good = {"service": "svc", "address": trap, "zone": "z", "version": "v1",
             "slots": 8, "state": "ready", "coldLeftMs": 0, "born": 7,
@@ -68,19 +69,23 @@
     for port in ("0", "65536", "99999", "-80", "1e3", "80x", str(HUGE), ""):
         address = f"127.{net}.0.99:{port}"
         entries[f"port-{port}"] = json.dumps(dict(good, address=address))
-    return {k: v.encode("latin-1") for k, v in entries.items()}
+    return {"odd-" + k: v.encode("latin-1") for k, v in entries.items()}
 
 
 def accepted_entries(net):
     """Returns heartbeats that are well-formed, but of workers that are none,
-    by the suffix of their id."""
-    entries = {}
+    by their id. One has the id of a good worker, a later start and a service
+    that isn't configured."""
+    entries = {"i-0001": json.dumps({
+        "service": "another", "address": f"127.{net}.1.2:18080", "zone": "z",
+        "slots": 8, "state": "ready", "born": int(time.time() * 1000) + 60000,
+        "labels": [], "capacity": {"cpu": 16000, "memMb": 64000}, "seq": 1})}
     for i, address in enumerate((
             "127.0.0.1:1", f"127.{net}.1.1:18080", f"127.{net}.2.1:8166",
             f"127.{net}.2.1:7720", f"127.{net}.3.1:8161", "224.0.0.1:80",
             "255.255.255.255:80", "0.0.0.0:9", "240.0.0.1:9", "[::1]:9",
             "[ff02::1]:9", "[fe80::1]:9")):
-        entries[f"address-{i}"] = json.dumps({
+        entries[f"odd-address-{i}"] = json.dumps({
             "service": "svc", "address": address, "zone": "z", "slots": 8,
             "state": "ready", "born": 7, "labels": [],
             "capacity": {"cpu": 100000000, "memMb": 100000000}, "seq": 1})
@@ -133,7 +138,7 @@
                 for name, body in entries.items():
                     for core in self.cores:
                         status = await post(
-                            core, f"/-/Instances.Heartbeat/odd-{name}", body)
+                            core, f"/-/Instances.Heartbeat/{name}", body)
                         self.answers[status] = self.answers.get(status, 0) + 1
                         check(name, status)
             await asyncio.sleep(0.5)
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -511,21 +511,27 @@
  * Registers a worker. A newer incarnation gets a registration of its own; an
  * older one is refused with STATUS_STALE. One that has left is registered as
  * draining, whatever its heartbeat says: it gets no work, but is still polled,
- * so that orders which reach it late are stopped.
+ * so that orders which reach it late are stopped. A heartbeat that may be
+ * another writer's says nothing of the worker whose id it carries.
  */
 static void
 apply_worker(struct jst *s, const Job__Worker *m, struct jst_result *r)
 {
 	struct jst_worker *w = jst_find_worker_by_id(s, m->id);
 	bool draining = m->draining || jst_has_left(s, m->id, m->born);
+	bool replaces_other = w != NULL && jst_is_other_writer(s, m, w->info);
 	Job__Worker *info;
 
 	r->worker = w;
-	if (w != NULL && w->info->born == m->born) {
+	if (w != NULL && jst_is_other_writer(s, w->info, m)) {
+		r->status = STATUS_STALE;
+		return;
+	}
+	if (w != NULL && !replaces_other && w->info->born == m->born) {
 		w->draining = w->draining || draining;
 		return;
 	}
-	if (w != NULL && w->info->born > m->born) {
+	if (w != NULL && !replaces_other && w->info->born > m->born) {
 		r->status = STATUS_STALE;
 		return;
 	}
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -184,6 +184,8 @@
 /* Returns the registration that a worker's notice to leave removes, NULL if
  * there is none, or if the notice may be a late one of an earlier incarnation.
  * born 0: incarnation not named in the notice. */
+bool jst_is_other_writer(
+    const struct jst *, const Job__Worker *, const Job__Worker *);
 struct jst_worker *jst_find_leaving_worker(
     const struct jst *, const char *id, uint64_t born);
 /* Used only by the commands on workers. */
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -203,6 +203,31 @@
 	return NULL;
 }
 
+/* Tells whether nothing configured, and no queue kept for its jobs, has workers
+ * of this service. */
+static bool
+is_unknown_service(const struct jst *s, const char *name)
+{
+	size_t i;
+
+	for (i = 0; s->config != NULL && i < s->config->n_queues; i++) {
+		if (strcmp(s->config->queues[i]->service, name) == 0)
+			return false;
+	}
+	return jst_service(s, name) == NULL;
+}
+
+/* Tells whether one of two heartbeats under the same id can't be of the worker
+ * that sent the other: it names another service, which isn't configured. The
+ * platform lets other writers send such heartbeats. */
+bool
+jst_is_other_writer(
+    const struct jst *s, const Job__Worker *worker, const Job__Worker *m)
+{
+	return strcmp(worker->service, m->service) != 0 &&
+	    is_unknown_service(s, m->service);
+}
+
 /* Returns the queue for a request's host and path, by the longest prefix. */
 const Job__Queue *
 jst_route(const struct jst *s, struct str host, struct str path)
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -336,7 +336,8 @@
 		    jst_find_worker_by_id(&st, w.id.c_str());
 		char zone[] = "z";
 		char *labels[2] = { w.kind.data(), w.rack.data() };
-		if (old != NULL && old->info->born == w.incarnation)
+		if (old != NULL && old->info->born == w.incarnation &&
+		    old->info->service == w.service)
 			return;
 		m.id = w.id.data();
 		m.addr = w.addr.data();
@@ -351,9 +352,12 @@
 		m.has_registered_ms = 1;
 		m.registered_ms = wall_ms();
 		m.n_labels = 2;
-		alias[st.next_worker] = num;
+		uint64_t next = st.next_worker;
+		alias[next] = num;
 		c.worker = &m;
 		apply(c);
+		if (st.next_worker == next)
+			alias.erase(next); /* it wasn't registered */
 	}
 
 	/* Returns the worker of a registration. */
--- a/src/job/tests/odd_test.cc
+++ b/src/job/tests/odd_test.cc
@@ -75,4 +75,69 @@
 		EXPECT_EQ(JST_COMPLETED, s.state(1 + cpu)) << cpu;
 }
 
+/* Sends a heartbeat of another writer, with the id of a sound worker, a service
+ * that isn't configured and another start. */
+void
+send_as_another_writer(JobSim &s, uint64_t num, uint64_t born)
+{
+	uint64_t incarnation = s.workers[num].incarnation;
+
+	s.workers[num].service = "another";
+	s.workers[num].incarnation = born;
+	s.heartbeat(num);
+	s.workers[num].service = "svc";
+	s.workers[num].incarnation = incarnation;
+}
+
+/* Guards against a heartbeat of another writer that counts as the restart of a
+ * sound worker, whose tasks are then started elsewhere while they run. */
+TEST(JobOdd, AHeartbeatOfAnotherServiceIsNoRestart)
+{
+	JobSim s(4);
+	uint64_t a = s.add_worker(4000);
+
+	s.run_time_ms = [](const SimTask &) { return 5000; };
+	s.lead();
+	s.run(100);
+	s.submit(1, "batch", { JobSim::step(4, 1000) });
+	s.run(500);
+	ASSERT_EQ(4U, s.workers[a].running.size());
+	s.add_worker(8000);
+	for (int i = 1; i <= 3; i++) {
+		send_as_another_writer(s, a, s.workers[a].incarnation + i);
+		s.run(500);
+	}
+	EXPECT_EQ(4U, s.workers[a].running.size());
+	s.run(6000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	for (auto &x : s.starts)
+		EXPECT_EQ(1, x.second);
+}
+
+/* Guards against a sound worker that isn't used, because another writer's
+ * heartbeat with its id and a later start came first. */
+TEST(JobOdd, AHeartbeatOfAnotherServiceKeepsNoWorkerOut)
+{
+	for (uint64_t later : { 0, 1 }) {
+		JobSim s(5);
+		uint64_t a = s.add_worker(4000);
+		Job__Command c = JOB__COMMAND__INIT;
+		Job__WorkerGone gone = JOB__WORKER_GONE__INIT;
+
+		gone.num = a;
+		c.gone = &gone;
+		s.apply(c);
+		s.restart_worker(a);
+		s.lead();
+		send_as_another_writer(s, a, s.workers[a].incarnation + later);
+		s.run(300);
+		ASSERT_EQ(1U, s.st.nworkers);
+		s.heartbeat(a);
+		s.run(300);
+		s.submit(1, "batch", { JobSim::step(2, 1000) });
+		s.run(8000);
+		EXPECT_EQ(JST_COMPLETED, s.state(1)) << later;
+	}
+}
+
 } // namespace
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -286,7 +286,8 @@
 {
 	struct jst_worker *w = jst_find_worker_by_id(&c->st, heartbeat->id);
 
-	return w != NULL &&
+	return w != NULL && !jst_is_other_writer(&c->st, w->info, heartbeat) &&
+	    !jst_is_other_writer(&c->st, heartbeat, w->info) &&
 	    (w->info->born > heartbeat->born ||
 		(w->info->born == heartbeat->born &&
 		    w->draining >= heartbeat->draining));
@@ -297,7 +298,18 @@
 handle_heartbeat(struct core *c, uint32_t from, const Job__Call *k)
 {
 	Job__Command cmd = JOB__COMMAND__INIT;
+	const struct jst_worker *w =
+	    jst_find_worker_by_id(&c->st, k->worker->id);
 
+	if (w != NULL && jst_is_other_writer(&c->st, w->info, k->worker)) {
+		log_event(LOG_NOTICE, "core",
+		    "event=other_writer id=%s born=%" PRIu64
+		    " addr=%s service=%s registered=%s",
+		    k->worker->id, k->worker->born, k->worker->addr,
+		    k->worker->service, w->info->service);
+		send_outcome(c, from, k->id, JOB__OUTCOME__OK);
+		return;
+	}
 	if (core_is_heartbeat_known(c, k->worker)) {
 		jlead_on_heartbeat(
 		    &c->jl, jst_find_worker_by_id(&c->st, k->worker->id));
