Members: a replaced leader stops counting though the next one is lost

The replaced one still counted as a voter when the tolerance was available again, so that two lost disks would have left a minority.

Cause: between the last message of a lost leader and its own election a follower handles no event for over a second. That counted as a pause of its own process, in which answers may lie unread, so that every newly elected leader removed nobody for a second. And it waited for the leader that it had missed as for any other voter, a second more.

Change: a pause is a tick that is late, not a time without events; who starts an election marks the leader that it missed as silent, which the next leaders then know.

The trace names the leaders.

--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -449,7 +449,7 @@
 	enum status st = STATUS_OK;
 
 	talloc_free_children(r->scratch);
-	if (clk_diff_ms(now, r->now) > RAFT_PAUSE_MS)
+	if (clk_diff_ms(now, raft_next_tick(r)) > RAFT_PAUSE_MS)
 		r->running_since = now;
 	r->now = now;
 	r->acts = acts;
--- a/src/control/raft_elect.c
+++ b/src/control/raft_elect.c
@@ -162,6 +162,17 @@
 	send_vote_requests(r, CONTROL__RAFT_KIND__RAFT_VOTE, r->term, transfer);
 }
 
+/* Records that the leader has been silent, for at least the minimum election
+ * timeout. */
+static void
+note_silent_leader(struct raft *r)
+{
+	struct raft_peer *p = raft_peer_find(r, r->leader);
+
+	if (p != NULL)
+		p->found_silent = true;
+}
+
 /*
  * Starts a pre-vote: asks the voters whether they would grant a vote. The term
  * is raised only if a majority would, so a replica that returns from a
@@ -170,6 +181,7 @@
 void
 raft_pre_campaign(struct raft *r)
 {
+	note_silent_leader(r);
 	r->role = RAFT_PRE_CANDIDATE;
 	r->leader = 0;
 	r->leader_instance = 0;
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -31,8 +31,8 @@
 #define RAFT_VOTER_SILENT_MS RAFT_ELECTION_MIN_MS
 /* The same for one that the previous leader has found silent. */
 #define RAFT_VOTER_STILL_SILENT_MS (3 * RAFT_HEARTBEAT_MS)
-/* A longer time between two events means that this process was paused: answers
- * of voters that seem silent may wait to be read. */
+/* A tick that is late by more than this means that this process was paused:
+ * answers of voters that seem silent may wait to be read. */
 #define RAFT_PAUSE_MS (2 * RAFT_HEARTBEAT_MS)
 /* How long a learner that isn't needed as a voter waits before it becomes an
  * additional one. Long enough that a voter which it replaces is found silent,
--- a/src/control/tests/member_sim_test.cc
+++ b/src/control/tests/member_sim_test.cc
@@ -34,7 +34,8 @@
 	uint32_t instance;
 	bool is_absent = false; /* gone, and its successor hasn't started */
 	bool is_changing = false;
-	int64_t free_at = 0; /* counts as lost until then */
+	bool is_stopping = false; /* by plan; lost until its grace is over */
+	int64_t free_at = 0;	  /* counts as lost until then */
 };
 
 class MemberSim {
@@ -74,7 +75,8 @@
 
 	bool is_lost(const Place &p)
 	{
-		return p.is_absent || !works(p.instance) || s.now < p.free_at;
+		return p.is_absent || p.is_stopping || !works(p.instance) ||
+		    s.now < p.free_at;
 	}
 
 	size_t count_lost()
@@ -98,6 +100,9 @@
 			uint32_t l = s.leader();
 			if (l != 0 && works(l))
 				s.propose(l, "x");
+			if (l != 0 && l != last_leader)
+				note(std::to_string(l) + " leads");
+			last_leader = l == 0 ? last_leader : l;
 			if (s.now >= next_join) {
 				next_join = s.now + JOIN_INTERVAL_NS;
 				join_and_forget();
@@ -147,15 +152,7 @@
 		next.is_changing = true;
 		places[i].is_changing = true;
 		places.push_back(next);
-		later(overlap_ns, [this, old, next] {
-			note("stops " + std::to_string(old));
-			later(
-			    GRACE_NS, [=] { take_place(old, next.instance); });
-			leave(old, s.now + LEAVE_NS, [this, old] {
-				s.crash(old, SIZE_MAX);
-				note(std::to_string(old) + " has stopped");
-			});
-		});
+		later(overlap_ns, [=] { stop_for_good(old, next.instance); });
 	}
 
 	/* Kills a process and starts it again, with an empty disk if wiped. */
@@ -230,20 +227,43 @@
 			ADD_FAILURE() << all;
 	}
 
+	/* Returns the index of a machine's place. */
+	size_t index_of(uint32_t instance)
+	{
+		size_t i = 0;
+
+		while (places.at(i).instance != instance)
+			i++;
+		return i;
+	}
+
       private:
 	Place &place_of(uint32_t instance)
 	{
-		for (auto &p : places) {
-			if (p.instance == instance)
-				return p;
-		}
-		abort();
+		return places[index_of(instance)];
 	}
 
 	std::multimap<int64_t, std::function<void()>> due;
 	int64_t next_join = 0;
+	uint32_t last_leader = 0;
 	bool closing = false;
 
+	/* Stops a machine by plan as soon as another one may be lost. */
+	void stop_for_good(uint32_t old, uint32_t next)
+	{
+		if (count_lost() >= TOLERATE) {
+			later(20 * MS, [=] { stop_for_good(old, next); });
+			return;
+		}
+		note("stops " + std::to_string(old));
+		place_of(old).is_stopping = true;
+		later(GRACE_NS, [=] { take_place(old, next); });
+		leave(old, s.now + LEAVE_NS, [=] {
+			s.crash(old, SIZE_MAX);
+			note(std::to_string(old) + " has stopped");
+		});
+	}
+
 	/* Lets a successor count instead of the machine that it replaces. */
 	void take_place(uint32_t old, uint32_t next)
 	{
@@ -535,12 +555,30 @@
 		ASSERT_NE(0U, l);
 		m.replace(l % GROUP, SECOND);
 		m.run((int64_t)(3300 + 30 * seed) * MS);
-		for (size_t i = 0; i < m.places.size(); i++) {
-			if (m.places[i].instance == m.s.leader()) {
-				m.restart(i, 100 * MS, false);
-				break;
-			}
-		}
+		m.restart(m.index_of(m.s.leader()), 100 * MS, false);
+		ASSERT_TRUE(wait_until_whole(m));
+		m.close(TOLERATE);
+		m.report();
+	}
+}
+
+/* Guards against a lost leader that counts for too long, because the next
+ * leader, which is lost as well, and the one after it start its time anew. */
+TEST(Members, ALeaderThatIsReplacedStopsCountingThoughTheNextOneIsLost)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		MemberSim m(seed);
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		m.run(8 * SECOND);
+		uint32_t first = m.s.leader();
+		ASSERT_NE(0U, first);
+		m.replace(m.index_of(first), 300 * MS);
+		for (int i = 0;
+		     i < 200 && (m.s.leader() == 0 || m.s.leader() == first);
+		     i++)
+			m.run(20 * MS);
+		m.run(between(m, 100, 900));
+		m.restart(m.index_of(m.s.leader()), 100 * MS, false);
 		ASSERT_TRUE(wait_until_whole(m));
 		m.close(TOLERATE);
 		m.report();
