Raft: say in comments which voters count as found silent

The leader that a candidate missed counts as found silent since the last change of elections; the comments named only those that a leader had found. No change of code.

--- a/src/control/raft_member.c
+++ b/src/control/raft_member.c
@@ -343,8 +343,8 @@
 	return 0;
 }
 
-/* Tells whether a voter has been silent for RAFT_VOTER_SILENT_MS, or the
- * previous leader has found it so and it hasn't answered this one. */
+/* Tells whether a voter has been silent for RAFT_VOTER_SILENT_MS, or was the
+ * previous leader or found so by it, and hasn't answered this one. */
 bool
 raft_is_silent(const struct raft *r, const struct raft_peer *p)
 {
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -29,7 +29,8 @@
  * new leader starts to count anew and a second replica may be lost meanwhile.
  */
 #define RAFT_VOTER_SILENT_MS RAFT_ELECTION_MIN_MS
-/* The same for one that the previous leader has found silent. */
+/* The same for one that the previous leader has found silent, and for that
+ * leader. */
 #define RAFT_VOTER_STILL_SILENT_MS (3 * RAFT_HEARTBEAT_MS)
 /* A tick that is late by more than this means that this process was paused:
  * answers of voters that seem silent may wait to be read. */
@@ -68,7 +69,7 @@
 	size_t ninflight, inflight_bytes;
 	uint64_t acked_round; /* last heartbeat round it answered */
 	struct timespec last_reply_at;
-	bool found_silent;	  /* by the leader that was last heard */
+	bool found_silent;	  /* by the last leader, or it was that */
 	struct timespec known_at; /* to this replica, as a member */
 	uint64_t snap_index, snap_offset; /* snapshot being sent */
 	bool vote_granted;
