--- a/src/cli/cmd.c
+++ b/src/cli/cmd.c
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "cli/cls.h"
+#include "cli/evac.h"
 #include "cli/explain.h"
 #include "cli/settings.h"
 #include "cli/show.h"
@@ -602,6 +603,18 @@
 	    .prefix = "/v1/members/",
 	    .suffix = "",
 	    .help = "remove a lost replica from the group" },
+	{ .name = "evacuate",
+	    .args = "DOMAIN [--end]",
+	    .min_args = 1,
+	    .max_args = 1,
+	    .run = evac_run_order,
+	    .help = "start nothing new on the workers of a failure domain" },
+	{ .name = "evacuations",
+	    .args = "",
+	    .run = evac_run_list,
+	    .list = "evacuations",
+	    .columns = evac_columns,
+	    .help = "show the failure domains under evacuation" },
 };
 const size_t ncmds = NELEM(cmds);
 
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -92,6 +92,8 @@
 		    "submit: expected run time of a task", "DURATION" },
 		{ "payload", 0, 0, G_OPTION_ARG_STRING, &opt.payload,
 		    "submit: text passed to the worker", "TEXT" },
+		{ "end", 0, 0, G_OPTION_ARG_NONE, &opt.end,
+		    "evacuate: withdraw the order", NULL },
 		{ NULL, 0, 0, 0, NULL, NULL, NULL },
 	};
 	GOptionContext *ctx = g_option_context_new(cmd->args);
--- a/src/job/jcall.c
+++ b/src/job/jcall.c
@@ -1,5 +1,7 @@
 #include "job/jcall.h"
 
+#include <string.h>
+
 #include "job/jst.h"
 
 /* Checks that steps depend on earlier steps only, and that the number of tasks
@@ -60,6 +62,18 @@
 	return STATUS_OK;
 }
 
+/* Checks an order to begin or end an evacuation. */
+static enum status
+check_evacuation(const Job__Evacuation *m, struct err *e)
+{
+	if (m == NULL || m->domain == NULL || m->domain[0] == '\0')
+		return report_missing(e, "evacuation.domain");
+	if (strlen(m->domain) > JCALL_DOMAIN_BYTES_MAX)
+		return err_set(e, STATUS_INVALID,
+		    "evacuation.domain: over %d bytes", JCALL_DOMAIN_BYTES_MAX);
+	return STATUS_OK;
+}
+
 /* Checks that a call has the fields that its kind needs. */
 enum status
 jcall_check(const Job__Call *c, struct err *e)
@@ -79,7 +93,10 @@
 		return c->config == NULL ? report_missing(e, "config")
 					 : STATUS_OK;
 	case JOB__CALL_KIND__CONFIG_GET:
+	case JOB__CALL_KIND__EVACUATIONS_GET:
 		return STATUS_OK;
+	case JOB__CALL_KIND__EVACUATE:
+		return check_evacuation(c->evacuation, e);
 	case JOB__CALL_KIND__BEAT:
 	case JOB__CALL_KIND__LEAVE:
 		return c->worker == NULL ? report_missing(e, "worker")
--- a/src/job/jcall.h
+++ b/src/job/jcall.h
@@ -14,6 +14,9 @@
 /* Most occurrences of a scheduled job; the platform adapter accepts no more. */
 #define JCALL_REPEAT_MAX 10000
 
+/* Longest name of a failure domain in bytes, as in heartbeats. */
+#define JCALL_DOMAIN_BYTES_MAX 255
+
 /* Returns the outcome of a call from the status of its applied command. */
 Job__Outcome jcall_outcome(const Job__Command *, enum status applied);
 Job__Outcome jcall_orphan_outcome(Job__CallKind);
--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -10,6 +10,8 @@
 	    "Starts sent again because no answer came." },
 	[JCTR_STARTS_GIVEN_UP] = { "starts_given_up",
 	    "Starts given up: not confirmed in time, or the worker drains." },
+	[JCTR_STARTS_EVACUATED] = { "starts_evacuated",
+	    "Starts given up because their domain is under evacuation." },
 	[JCTR_START_NO_ROOM] = { "start_refused_room",
 	    "Starts refused for lack of resources: more is allocated on the "
 	    "worker than the leader knows." },
@@ -68,4 +70,6 @@
 	    "Each second, workers whose answers don't arrive, not silent." },
 	[JCTR_OUTLIVED] = { "runs_outlived",
 	    "Runs of jobs that ended over 3 s ago, counted each second." },
+	[JCTR_EVACUATIONS_LATE] = { "evacuations_late",
+	    "Evacuation orders refused as late copies." },
 };
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -19,6 +19,7 @@
 	hist_init(&jl->cancel_ms);
 	jinterf_init(&jl->interf);
 	jdemand_init(&jl->demand);
+	jevac_init(&jl->evac);
 }
 
 /* Returns the session of a registration, NULL if there is none. */
@@ -80,6 +81,7 @@
 	ws->incarnation = w->info->born;
 	ws->fence = jl->token << JLEAD_FENCE_BITS | jl->nfences;
 	ws->follows_restart = is_young(jl, w);
+	ws->closed = jevac_is_closed(jl->st, w->info->zone);
 	ws->last_heard_at = ws->next_poll_at = ws->paused_until =
 	    ws->failure_score_at = ws->named_at = ws->lease_sent_at = jl->now;
 	ws->backoff_ms = JLEAD_RETRY_MS;
@@ -161,6 +163,7 @@
 	jl->plan_sessions = NULL;
 	jl->plan_cap = 0;
 	jinterf_finish(&jl->interf);
+	jevac_finish(&jl->evac);
 }
 
 /* Drops what was derived from the configuration; the next plan computes it
@@ -586,24 +589,6 @@
 	    r->ws->w->num == a->worker;
 }
 
-/* Tells whether a late end of this task is being replicated; that of one member
- * of a gang is that of all. */
-static bool
-has_late_end(
-    const struct jlead *jl, const struct jst_step *st, const Job__Task *t)
-{
-	const struct late_end *l;
-
-	for (l = jl->late_ends; l != NULL; l = l->next) {
-		if (l->task.job == t->job &&
-		    l->task.occurrence == t->occurrence &&
-		    l->task.step == t->step &&
-		    (st->spec->gang || l->task.index == t->index))
-			return true;
-	}
-	return false;
-}
-
 /* Starts the run of a committed assignment. If the leader has given that run
  * up, or has proposed another one, the committed one replaces it. */
 static void
@@ -625,7 +610,7 @@
 	r->assigned_at = r->starting_at = jl->now;
 	if (r->ws->restarted || r->ws->leave_announced)
 		jrun_end(jl, r, JOB__HOW__GONE, NULL);
-	else if (has_late_end(jl, res->step, a->task))
+	else if (jl_has_late_end(jl, res->step, a->task))
 		jrun_stop(jl, r, JL_STOP_TASK_DONE);
 	else
 		jrun_send_due(jl, r);
@@ -800,6 +785,8 @@
 	if (c->submit != NULL && res->status == STATUS_OK)
 		count_demand(jl, res->job);
 	record_time(c, now, res);
+	if (c->evacuation != NULL)
+		jl_evac_applied(jl, c->evacuation, res->status);
 	if (!jl->leading)
 		return;
 	jl->plan_needed = true;
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -19,6 +19,7 @@
 #include "base/ctr.h"
 #include "base/hist.h"
 #include "job/jdemand.h"
+#include "job/jevac.h"
 #include "job/jplan.h"
 #include "job/jinterf.h"
 #include "job/jst.h"
@@ -254,6 +255,7 @@
 	uint64_t first_serial;	      /* of this term's calls */
 	struct jinterf interf;	      /* kept when the leader changes */
 	struct jdemand demand;
+	struct jevac evac;
 	/* from a cancel to the end of the job's last run */
 	struct hist cancel_ms;
 	struct wsess *sessions; /* linked list */
@@ -286,6 +288,8 @@
  * Otherwise its runs are stopped, and the registration is removed once they
  * have ended. */
 bool jlead_leave(struct jlead *, struct timespec now, struct jst_worker *);
+/* Counts the runs in a failure domain. */
+uint64_t jl_evac_count_runs(const struct jlead *, const char *domain);
 /* Handles timeouts and sends the orders and polls that are due. */
 void jlead_tick(struct jlead *, struct timespec now, int64_t wall_ms);
 /* Assigns tasks that can start now. Called at the end of each round of
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -26,7 +26,8 @@
 	JL_STOP_LEAVING,     /* the worker is about to exit */
 	JL_STOP_UNCONFIRMED, /* refused, but another copy of the start may be in
 				flight */
-	JL_STOP_TASK_DONE    /* an earlier run has done the task */
+	JL_STOP_TASK_DONE,   /* an earlier run has done the task */
+	JL_STOP_EVACUATED    /* another member of its gang isn't started */
 };
 
 /* One start of a task, from its assignment to its replicated end. */
@@ -111,6 +112,7 @@
 	/* the worker has said that it is about to exit */
 	bool leave_announced;
 	bool removal_proposed; /* its removal is being replicated */
+	bool closed;	       /* its domain is under evacuation */
 	uint64_t incarnation;  /* of the worker that answers */
 	uint64_t fence;	       /* fencing token of its calls */
 	bool poll_pending;     /* a long poll is in flight */
@@ -183,6 +185,11 @@
 void jl_log_worker_lost(struct jlead *, const struct wsess *, uint32_t nruns);
 void jl_log_stale(
     struct jlead *, const Job__Command *, const struct jst_result *);
+/* jlead_evac.c */
+bool jl_evac_withholds(const struct jlead *, const struct jrun *);
+void jl_evac_gave_up(struct jlead *, const struct jrun *);
+void jl_evac_applied(struct jlead *, const Job__Evacuation *, enum status);
+void jl_evac_scan(struct jlead *);
 /* jlead_idle.c */
 void jl_scan_idle(struct jlead *);
 /* jlead_throttle.c */
@@ -193,6 +200,8 @@
 void jl_propose_removal(struct jlead *, struct wsess *);
 void jl_handle_restart(struct jlead *, struct wsess *, uint64_t incarnation);
 /* jlead_poll.c */
+bool jl_has_late_end(
+    const struct jlead *, const struct jst_step *, const Job__Task *);
 void jl_handle_poll(struct jlead *, struct wsess *, const struct jl_reply *);
 
 __END_DECLS
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -42,6 +42,8 @@
 		return "unconfirmed";
 	case JL_STOP_TASK_DONE:
 		return "task_done";
+	case JL_STOP_EVACUATED:
+		return "evacuated";
 	}
 	return "invalid";
 }
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -103,9 +103,11 @@
 
 		if (ws->plan_stale || p->changed)
 			fill_plan_worker(jl, ws, p);
+		p->closed = ws->closed;
 		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
-		    !ws->leave_announced && !ws->removal_proposed &&
-		    !ws->w->draining && !clk_before(jl->now, ws->paused_until);
+		    !ws->closed && !ws->leave_announced &&
+		    !ws->removal_proposed && !ws->w->draining &&
+		    !clk_before(jl->now, ws->paused_until);
 		p->failure_score =
 		    ws->failure_score > 0 ? jl_failure_score(jl, ws) : 0;
 	}
@@ -215,6 +217,7 @@
 	    serving / 1000, best_effort / 1000, mem, free_mem, w.others,
 	    w.best_effort, w.long_running, jl->nplans);
 	jl->nplans = 0;
+	jl_evac_scan(jl);
 	jl_scan_idle(jl);
 }
 
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -156,6 +156,24 @@
 		jrun_stop(jl, t->active_run, JL_STOP_TASK_DONE);
 }
 
+/* Tells whether a late end of this task is being replicated; that of one member
+ * of a gang is that of all. */
+bool
+jl_has_late_end(
+    const struct jlead *jl, const struct jst_step *st, const Job__Task *t)
+{
+	const struct late_end *l;
+
+	for (l = jl->late_ends; l != NULL; l = l->next) {
+		if (l->task.job == t->job &&
+		    l->task.occurrence == t->occurrence &&
+		    l->task.step == t->step &&
+		    (st->spec->gang || l->task.index == t->index))
+			return true;
+	}
+	return false;
+}
+
 /* Tells whether an end that this session has reported before is still being
  * replicated. */
 static bool
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -236,7 +236,7 @@
 is_start_overdue(const struct jlead *jl, const struct jrun *r)
 {
 	return r->phase == RUN_STARTING && !r->must_stop &&
-	    (r->ws->w->draining ||
+	    (r->ws->w->draining || jl_evac_withholds(jl, r) ||
 		clk_diff_ms(jl->now, r->starting_at) > JLEAD_START_MS);
 }
 
@@ -251,7 +251,9 @@
 	if (r->unconfirmed && jl_has_failed_poll(r->ws))
 		return;
 	ctr_add(jl->ctr, JCTR_STARTS_GIVEN_UP, 1);
-	if (!r->ws->w->draining)
+	if (jl_evac_withholds(jl, r))
+		jl_evac_gave_up(jl, r);
+	else if (!r->ws->w->draining)
 		jl_add_failure(jl, r->ws, 1.0);
 	if (r->unconfirmed)
 		jrun_stop(jl, r, JL_STOP_UNCONFIRMED);
@@ -264,11 +266,14 @@
 void
 jrun_send_due(struct jlead *jl, struct jrun *r)
 {
+	/* A start that is given up doesn't wait for its repetition. */
+	bool is_due = !clk_before(jl->now, r->retry_at) ||
+	    (r->ws->closed && r->phase == RUN_STARTING && !r->must_stop);
+
 	if (r->phase == RUN_STARTING || r->must_stop)
 		r->ws->orders_due = true;
-	if (r->order_pending || clk_before(jl->now, r->retry_at) ||
-	    r->phase == RUN_PROPOSED || r->phase == RUN_INHERITED ||
-	    r->phase == RUN_ENDING)
+	if (r->order_pending || !is_due || r->phase == RUN_PROPOSED ||
+	    r->phase == RUN_INHERITED || r->phase == RUN_ENDING)
 		return;
 	if (is_start_overdue(jl, r)) {
 		give_up_start(jl, r);
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -685,6 +685,50 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+job__evacuation__init(Job__Evacuation *message)
+{
+	static const Job__Evacuation init_value = JOB__EVACUATION__INIT;
+	*message = init_value;
+}
+size_t
+job__evacuation__get_packed_size(const Job__Evacuation *message)
+{
+	assert(message->base.descriptor == &job__evacuation__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__evacuation__pack(const Job__Evacuation *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__evacuation__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__evacuation__pack_to_buffer(
+    const Job__Evacuation *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__evacuation__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__Evacuation *
+job__evacuation__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__Evacuation *)protobuf_c_message_unpack(
+	    &job__evacuation__descriptor, allocator, len, data);
+}
+void
+job__evacuation__free_unpacked(
+    Job__Evacuation *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__evacuation__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 job__command__init(Job__Command *message)
 {
 	static const Job__Command init_value = JOB__COMMAND__INIT;
@@ -1751,7 +1795,7 @@
 	job__config__number_ranges, (ProtobufCMessageInit)job__config__init,
 	NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__worker__field_descriptors[14] = {
+static const ProtobufCFieldDescriptor job__worker__field_descriptors[15] = {
 	{
 	    "id", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
 	    0,					      /* quantifier_offset */
@@ -1836,11 +1880,18 @@
 	    offsetof(Job__Worker, registered_ms), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "cold_left_ms", 15, PROTOBUF_C_LABEL_OPTIONAL,
+	    PROTOBUF_C_TYPE_UINT32, offsetof(Job__Worker, has_cold_left_ms),
+	    offsetof(Job__Worker, cold_left_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__worker__field_indices_by_name[] = {
 	7,  /* field[7] = accel */
 	2,  /* field[2] = addr */
 	1,  /* field[1] = born */
+	14, /* field[14] = cold_left_ms */
 	5,  /* field[5] = cpu_milli */
 	9,  /* field[9] = draining */
 	0,  /* field[0] = id */
@@ -1854,10 +1905,10 @@
 	3,  /* field[3] = zone */
 };
 static const ProtobufCIntRange job__worker__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 14 } };
+	{ 0, 15 } };
 const ProtobufCMessageDescriptor job__worker__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Worker", "Worker",
-	"Job__Worker", "job", sizeof(Job__Worker), 14,
+	"Job__Worker", "job", sizeof(Job__Worker), 15,
 	job__worker__field_descriptors, job__worker__field_indices_by_name, 1,
 	job__worker__number_ranges, (ProtobufCMessageInit)job__worker__init,
 	NULL, NULL, NULL /* reserved[123] */
@@ -2191,7 +2242,51 @@
 	(ProtobufCMessageInit)job__wave_step__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__command__field_descriptors[10] = {
+static const ProtobufCFieldDescriptor job__evacuation__field_descriptors[4] = {
+	{
+	    "domain", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Evacuation, domain), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "begin", 2, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_BOOL,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Evacuation, begin), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "at_ms", 3, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_INT64,
+	    offsetof(Job__Evacuation, has_at_ms),
+	    offsetof(Job__Evacuation, at_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "received_ms", 4, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_INT64,
+	    offsetof(Job__Evacuation, has_received_ms),
+	    offsetof(Job__Evacuation, received_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned job__evacuation__field_indices_by_name[] = {
+	2, /* field[2] = at_ms */
+	1, /* field[1] = begin */
+	0, /* field[0] = domain */
+	3, /* field[3] = received_ms */
+};
+static const ProtobufCIntRange job__evacuation__number_ranges[1 + 1] = {
+	{ 1, 0 }, { 0, 4 }
+};
+const ProtobufCMessageDescriptor job__evacuation__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Evacuation", "Evacuation",
+	"Job__Evacuation", "job", sizeof(Job__Evacuation), 4,
+	job__evacuation__field_descriptors,
+	job__evacuation__field_indices_by_name, 1,
+	job__evacuation__number_ranges,
+	(ProtobufCMessageInit)job__evacuation__init, NULL, NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor job__command__field_descriptors[11] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2262,24 +2357,32 @@
 	    0,		  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "evacuation", 11, PROTOBUF_C_LABEL_OPTIONAL,
+	    PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
+	    offsetof(Job__Command, evacuation), &job__evacuation__descriptor,
+	    NULL, 0,	  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__command__field_indices_by_name[] = {
-	3, /* field[3] = assign */
-	9, /* field[9] = begun */
-	2, /* field[2] = cancel */
-	0, /* field[0] = config */
-	4, /* field[4] = end */
-	6, /* field[6] = gone */
-	1, /* field[1] = submit */
-	7, /* field[7] = wave */
-	8, /* field[8] = wave_step */
-	5, /* field[5] = worker */
+	3,  /* field[3] = assign */
+	9,  /* field[9] = begun */
+	2,  /* field[2] = cancel */
+	0,  /* field[0] = config */
+	4,  /* field[4] = end */
+	10, /* field[10] = evacuation */
+	6,  /* field[6] = gone */
+	1,  /* field[1] = submit */
+	7,  /* field[7] = wave */
+	8,  /* field[8] = wave_step */
+	5,  /* field[5] = worker */
 };
 static const ProtobufCIntRange job__command__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 10 } };
+	{ 0, 11 } };
 const ProtobufCMessageDescriptor job__command__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Command", "Command",
-	"Job__Command", "job", sizeof(Job__Command), 10,
+	"Job__Command", "job", sizeof(Job__Command), 11,
 	job__command__field_descriptors, job__command__field_indices_by_name, 1,
 	job__command__number_ranges, (ProtobufCMessageInit)job__command__init,
 	NULL, NULL, NULL /* reserved[123] */
@@ -2413,7 +2516,7 @@
 	(ProtobufCMessageInit)job__job_image__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__image__field_descriptors[7] = {
+static const ProtobufCFieldDescriptor job__image__field_descriptors[8] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2458,9 +2561,17 @@
 	    &job__worker__descriptor, NULL, 0, /* flags */
 	    0, NULL, NULL		       /* reserved1,reserved2, etc */
 	},
+	{
+	    "evacuations", 8, PROTOBUF_C_LABEL_REPEATED,
+	    PROTOBUF_C_TYPE_MESSAGE, offsetof(Job__Image, n_evacuations),
+	    offsetof(Job__Image, evacuations), &job__evacuation__descriptor,
+	    NULL, 0,	  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__image__field_indices_by_name[] = {
 	0, /* field[0] = config */
+	7, /* field[7] = evacuations */
 	1, /* field[1] = jobs */
 	6, /* field[6] = left */
 	3, /* field[3] = next_worker */
@@ -2469,15 +2580,15 @@
 	2, /* field[2] = workers */
 };
 static const ProtobufCIntRange job__image__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 7 } };
+	{ 0, 8 } };
 const ProtobufCMessageDescriptor job__image__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Image", "Image",
-	"Job__Image", "job", sizeof(Job__Image), 7,
+	"Job__Image", "job", sizeof(Job__Image), 8,
 	job__image__field_descriptors, job__image__field_indices_by_name, 1,
 	job__image__number_ranges, (ProtobufCMessageInit)job__image__init, NULL,
 	NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__call__field_descriptors[9] = {
+static const ProtobufCFieldDescriptor job__call__field_descriptors[10] = {
 	{
 	    "id", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
 	    0,					    /* quantifier_offset */
@@ -2537,9 +2648,17 @@
 	    0,		  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "evacuation", 10, PROTOBUF_C_LABEL_OPTIONAL,
+	    PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
+	    offsetof(Job__Call, evacuation), &job__evacuation__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__call__field_indices_by_name[] = {
 	6, /* field[6] = config */
+	9, /* field[9] = evacuation */
 	2, /* field[2] = host */
 	0, /* field[0] = id */
 	4, /* field[4] = job */
@@ -2550,10 +2669,10 @@
 	7, /* field[7] = worker */
 };
 static const ProtobufCIntRange job__call__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 9 } };
+	{ 0, 10 } };
 const ProtobufCMessageDescriptor job__call__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Call", "Call", "Job__Call",
-	"job", sizeof(Job__Call), 9, job__call__field_descriptors,
+	"job", sizeof(Job__Call), 10, job__call__field_descriptors,
 	job__call__field_indices_by_name, 1, job__call__number_ranges,
 	(ProtobufCMessageInit)job__call__init, NULL, NULL,
 	NULL /* reserved[123] */
@@ -3235,7 +3354,7 @@
 	job__wave_state__enum_values_by_name, 1, job__wave_state__value_ranges,
 	NULL, NULL, NULL, NULL /* reserved[1234] */
 };
-static const ProtobufCEnumValue job__call_kind__enum_values_by_number[10] = {
+static const ProtobufCEnumValue job__call_kind__enum_values_by_number[12] = {
 	{ "SUBMIT", "JOB__CALL_KIND__SUBMIT", 0 },
 	{ "STATUS", "JOB__CALL_KIND__STATUS", 1 },
 	{ "CANCEL", "JOB__CALL_KIND__CANCEL", 2 },
@@ -3246,15 +3365,19 @@
 	{ "LEAVE", "JOB__CALL_KIND__LEAVE", 7 },
 	{ "WAVE_PUT", "JOB__CALL_KIND__WAVE_PUT", 8 },
 	{ "WAVE_GET", "JOB__CALL_KIND__WAVE_GET", 9 },
+	{ "EVACUATE", "JOB__CALL_KIND__EVACUATE", 10 },
+	{ "EVACUATIONS_GET", "JOB__CALL_KIND__EVACUATIONS_GET", 11 },
 };
 static const ProtobufCIntRange job__call_kind__value_ranges[] = { { 0, 0 },
-	{ 0, 10 } };
-static const ProtobufCEnumValueIndex job__call_kind__enum_values_by_name[10] = {
+	{ 0, 12 } };
+static const ProtobufCEnumValueIndex job__call_kind__enum_values_by_name[12] = {
 	{ "BEAT", 6 },
 	{ "CANCEL", 2 },
 	{ "CONFIG_GET", 5 },
 	{ "CONFIG_PUT", 4 },
 	{ "COUNT", 3 },
+	{ "EVACUATE", 10 },
+	{ "EVACUATIONS_GET", 11 },
 	{ "LEAVE", 7 },
 	{ "STATUS", 1 },
 	{ "SUBMIT", 0 },
@@ -3263,7 +3386,7 @@
 };
 const ProtobufCEnumDescriptor job__call_kind__descriptor = {
 	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "job.CallKind", "CallKind",
-	"Job__CallKind", "job", 10, job__call_kind__enum_values_by_number, 10,
+	"Job__CallKind", "job", 12, job__call_kind__enum_values_by_number, 12,
 	job__call_kind__enum_values_by_name, 1, job__call_kind__value_ranges,
 	NULL, NULL, NULL, NULL /* reserved[1234] */
 };
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Job__WorkerGone Job__WorkerGone;
 typedef struct Job__Wave Job__Wave;
 typedef struct Job__WaveStep Job__WaveStep;
+typedef struct Job__Evacuation Job__Evacuation;
 typedef struct Job__Command Job__Command;
 typedef struct Job__Batch Job__Batch;
 typedef struct Job__TaskImage Job__TaskImage;
@@ -87,8 +88,10 @@
 	JOB__CALL_KIND__BEAT = 6,
 	JOB__CALL_KIND__LEAVE = 7,
 	JOB__CALL_KIND__WAVE_PUT = 8,
-	JOB__CALL_KIND__WAVE_GET =
-	    9 PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB__CALL_KIND)
+	JOB__CALL_KIND__WAVE_GET = 9,
+	JOB__CALL_KIND__EVACUATE = 10,
+	JOB__CALL_KIND__EVACUATIONS_GET =
+	    11 PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB__CALL_KIND)
 } Job__CallKind;
 typedef enum _Job__Outcome {
 	JOB__OUTCOME__OK = 0,
@@ -348,12 +351,17 @@
 	 */
 	protobuf_c_boolean has_registered_ms;
 	int64_t registered_ms;
+	/*
+	 * slow for this much longer
+	 */
+	protobuf_c_boolean has_cold_left_ms;
+	uint32_t cold_left_ms;
 };
 #define JOB__WORKER__INIT                                                      \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__worker__descriptor)              \
 		, NULL, 0, NULL, NULL, NULL, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0,  \
-		    0, 0, 0, 0, 0, 0                                           \
+		    0, 0, 0, 0, 0, 0, 0, 0                                     \
 	}
 
 struct Job__Task {
@@ -487,6 +495,33 @@
 		, 0, NULL, JOB__WAVE_STATE__WAVE_WAITING                       \
 	}
 
+/*
+ * Nothing new starts on the workers of a failure domain until it ends.
+ */
+struct Job__Evacuation {
+	ProtobufCMessage base;
+	char *domain;
+	/*
+	 * false: the order is withdrawn
+	 */
+	protobuf_c_boolean begin;
+	/*
+	 * when it began
+	 */
+	protobuf_c_boolean has_at_ms;
+	int64_t at_ms;
+	/*
+	 * leader's monotonic time
+	 */
+	protobuf_c_boolean has_received_ms;
+	int64_t received_ms;
+};
+#define JOB__EVACUATION__INIT                                                  \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__evacuation__descriptor)          \
+		, NULL, 0, 0, 0, 0, 0                                          \
+	}
+
 /*
  * One change; exactly one field is set.
  */
@@ -505,11 +540,13 @@
 	Job__Wave *wave;
 	Job__WaveStep *wave_step;
 	Job__Begun *begun;
+	Job__Evacuation *evacuation;
 };
 #define JOB__COMMAND__INIT                                                     \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__command__descriptor)             \
-		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL   \
+		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL,  \
+		    NULL                                                       \
 	}
 
 struct Job__Batch {
@@ -589,11 +626,17 @@
 	 */
 	size_t n_left;
 	Job__Worker **left;
+	/*
+	 * those in effect
+	 */
+	size_t n_evacuations;
+	Job__Evacuation **evacuations;
 };
 #define JOB__IMAGE__INIT                                                       \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__image__descriptor)               \
-		, NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL, 0, NULL         \
+		, NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL, 0, NULL, 0,     \
+		    NULL                                                       \
 	}
 
 struct Job__Call {
@@ -608,12 +651,13 @@
 	Job__Config *config;
 	Job__Worker *worker;
 	Job__Wave *wave;
+	Job__Evacuation *evacuation;
 };
 #define JOB__CALL__INIT                                                        \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__call__descriptor)                \
 		, 0, JOB__CALL_KIND__SUBMIT, NULL, NULL, 0, 0, NULL, NULL,     \
-		    NULL, NULL                                                 \
+		    NULL, NULL, NULL                                           \
 	}
 
 struct Job__Answer {
@@ -1028,6 +1072,16 @@
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void job__wave_step__free_unpacked(
     Job__WaveStep *message, ProtobufCAllocator *allocator);
+/* Job__Evacuation methods */
+void job__evacuation__init(Job__Evacuation *message);
+size_t job__evacuation__get_packed_size(const Job__Evacuation *message);
+size_t job__evacuation__pack(const Job__Evacuation *message, uint8_t *out);
+size_t job__evacuation__pack_to_buffer(
+    const Job__Evacuation *message, ProtobufCBuffer *buffer);
+Job__Evacuation *job__evacuation__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__evacuation__free_unpacked(
+    Job__Evacuation *message, ProtobufCAllocator *allocator);
 /* Job__Command methods */
 void job__command__init(Job__Command *message);
 size_t job__command__get_packed_size(const Job__Command *message);
@@ -1217,6 +1271,8 @@
 typedef void (*Job__Wave_Closure)(const Job__Wave *message, void *closure_data);
 typedef void (*Job__WaveStep_Closure)(
     const Job__WaveStep *message, void *closure_data);
+typedef void (*Job__Evacuation_Closure)(
+    const Job__Evacuation *message, void *closure_data);
 typedef void (*Job__Command_Closure)(
     const Job__Command *message, void *closure_data);
 typedef void (*Job__Batch_Closure)(
@@ -1269,6 +1325,7 @@
 extern const ProtobufCMessageDescriptor job__worker_gone__descriptor;
 extern const ProtobufCMessageDescriptor job__wave__descriptor;
 extern const ProtobufCMessageDescriptor job__wave_step__descriptor;
+extern const ProtobufCMessageDescriptor job__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor job__command__descriptor;
 extern const ProtobufCMessageDescriptor job__batch__descriptor;
 extern const ProtobufCMessageDescriptor job__task_image__descriptor;
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -120,6 +120,7 @@
 struct jplan_worker {
 	struct jst_worker *w;
 	bool usable;
+	bool closed; /* not usable: its domain is under evacuation */
 	int64_t free_cpu, free_mem,
 	    free_accel; /* free_cpu ignores best-effort tasks */
 	int64_t cpu_total;
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -81,6 +81,9 @@
 	p->service_index = worker_service(r, p);
 	p->w->plan_index = (uint32_t)i;
 	p->reserved = false;
+	/* What is free in a closed domain is of no use to what waits. */
+	if (p->closed)
+		return;
 	s = &r->services[p->service_index];
 	s->nworkers++;
 	s->cpu_total += p->cpu_total;
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -124,6 +124,7 @@
 		free_msg(s->left[i]);
 	free(s->left);
 	free_msg(s->config);
+	jst_free_evacuations(s);
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->by_id);
 	memset(s, 0, sizeof(*s));
@@ -732,6 +733,8 @@
 		apply_wave(s, c->wave, r);
 	else if (c->wave_step != NULL)
 		apply_wave_step(s, c->wave_step, r);
+	else if (c->evacuation != NULL)
+		jst_apply_evacuation(s, c->evacuation, r);
 	else
 		r->status = STATUS_INVALID;
 }
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -31,6 +31,10 @@
  * first. Limits their memory, at about 500 bytes each. */
 #define JST_LEFT_MAX 1000
 
+/* Most failure domains under evacuation; further ones are refused. Limits their
+ * memory, at about 400 bytes each. */
+#define JST_EVACUATIONS_MAX 256
+
 enum jst_job_state {
 	JST_ACTIVE,
 	JST_COMPLETED,
@@ -149,6 +153,9 @@
 	Job__Worker **left;
 	size_t nleft;
 	struct jst_wave *waves;
+	/* Evacuations in effect, in the order in which they began. */
+	Job__Evacuation **evacuations;
+	size_t nevacuations;
 };
 
 /* Effect of a command, for the caller that waits for it. */
@@ -197,6 +204,13 @@
 /* Tells whether an incarnation, or a later one of its id, has left. */
 bool jst_has_left(const struct jst *, const char *id, uint64_t born);
 struct jst_wave *jst_find_wave(const struct jst *, uint64_t id);
+/* Returns the evacuation of a failure domain, NULL if none is in effect. */
+const Job__Evacuation *jst_find_evacuation(
+    const struct jst *, const char *domain);
+/* Used only by jst_apply and jst_finish. */
+void jst_apply_evacuation(
+    struct jst *, const Job__Evacuation *, struct jst_result *);
+void jst_free_evacuations(struct jst *);
 const Job__Queue *jst_queue(const struct jst *, const char *name);
 bool jst_queue_removed(const Job__Queue *);
 bool jst_is_orphaned(const struct jst *, uint64_t id, struct str path);
--- a/src/job/jst_snapshot.c
+++ b/src/job/jst_snapshot.c
@@ -145,6 +145,8 @@
 	pack_workers(s, tmp, &im);
 	im.left = s->left;
 	im.n_left = s->nleft;
+	im.evacuations = s->evacuations;
+	im.n_evacuations = s->nevacuations;
 	pack_waves(s, tmp, &im);
 	len = job__image__get_packed_size(&im);
 	buf = talloc_size(ctx, len + 1);
@@ -276,6 +278,11 @@
 		c.wave_step = im->wave_steps[i];
 		jst_apply(s, &c, &r);
 	}
+	c.wave_step = NULL;
+	for (i = 0; i < im->n_evacuations; i++) {
+		c.evacuation = im->evacuations[i];
+		jst_apply(s, &c, &r);
+	}
 }
 
 /* Replaces the state by one that jst_pack returned. STATUS_CORRUPT if it can't
--- a/src/job/tests/jcall_test.cc
+++ b/src/job/tests/jcall_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "job/jcall.h"
@@ -17,6 +18,8 @@
 	Job__Config config = JOB__CONFIG__INIT;
 	Job__Worker worker = JOB__WORKER__INIT;
 	Job__Wave wave = JOB__WAVE__INIT;
+	Job__Evacuation evacuation = JOB__EVACUATION__INIT;
+	std::string long_name = std::string(JCALL_DOMAIN_BYTES_MAX + 1, 'z');
 	uint32_t after = 0;
 	char text[2] = "x";
 
@@ -34,6 +37,8 @@
 		c.config = &config;
 		c.worker = &worker;
 		c.wave = &wave;
+		evacuation.domain = text;
+		c.evacuation = &evacuation;
 	}
 	/* Checks the call and returns the status. */
 	enum status check()
@@ -85,6 +90,16 @@
 		    [](ValidCall &w) { w.c.wave = NULL; } },
 		{ JOB__CALL_KIND__WAVE_GET,
 		    [](ValidCall &w) { w.c.wave = NULL; } },
+		{ JOB__CALL_KIND__EVACUATE,
+		    [](ValidCall &w) { w.c.evacuation = NULL; } },
+		{ JOB__CALL_KIND__EVACUATE,
+		    [](ValidCall &w) { w.evacuation.domain = NULL; } },
+		{ JOB__CALL_KIND__EVACUATE,
+		    [](ValidCall &w) { w.evacuation.domain = &w.text[1]; } },
+		{ JOB__CALL_KIND__EVACUATE,
+		    [](ValidCall &w) {
+			    w.evacuation.domain = w.long_name.data();
+		    } },
 	};
 	for (size_t i = 0; i < faults.size(); i++) {
 		ValidCall w(faults[i].first);
@@ -111,4 +126,16 @@
 	EXPECT_EQ(JOB__OUTCOME__NOT_FOUND, jcall_outcome(&c, STATUS_NOT_FOUND));
 }
 
+/* Guards against an order that is refused because it repeats another one: the
+ * operator then gives up. */
+TEST(JobCall, ARepeatedOrderSucceeds)
+{
+	Job__Command c = JOB__COMMAND__INIT;
+	Job__Evacuation m = JOB__EVACUATION__INIT;
+	c.evacuation = &m;
+	EXPECT_EQ(JOB__OUTCOME__OK, jcall_outcome(&c, STATUS_EXISTS));
+	EXPECT_EQ(JOB__OUTCOME__OK, jcall_outcome(&c, STATUS_NOT_FOUND));
+	EXPECT_EQ(JOB__OUTCOME__BUSY, jcall_outcome(&c, STATUS_FULL));
+}
+
 } /* namespace */
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -50,7 +50,7 @@
 };
 
 struct SimWorker {
-	std::string id, addr, rack, service, kind;
+	std::string id, addr, rack, service, kind, zone;
 	uint32_t mem_mb, accel;
 	/* Another instance listens at its address; born is 0 if it doesn't
 	 * say. */
@@ -177,7 +177,7 @@
 	/* by the number of their first registration */
 	std::map<uint64_t, SimWorker> workers;
 	/* of workers that are added from now on */
-	std::string new_kind = "a";
+	std::string new_kind = "a", new_zone = "z";
 	uint32_t new_mem_mb = 1000000, new_accel = 0;
 	/* later registrations of the same worker */
 	std::map<uint64_t, uint64_t> alias;
@@ -308,6 +308,7 @@
 		w.rack = rack;
 		w.service = service;
 		w.kind = new_kind;
+		w.zone = new_zone;
 		w.mem_mb = new_mem_mb;
 		w.accel = new_accel;
 		w.clock_start_ms = now_ms - 5000;
@@ -334,14 +335,13 @@
 		Job__Worker m = JOB__WORKER__INIT;
 		struct jst_worker *old =
 		    jst_find_worker_by_id(&st, w.id.c_str());
-		char zone[] = "z";
 		char *labels[2] = { w.kind.data(), w.rack.data() };
 		if (old != NULL && old->info->born == w.incarnation &&
 		    old->info->service == w.service)
 			return;
 		m.id = w.id.data();
 		m.addr = w.addr.data();
-		m.zone = zone;
+		m.zone = w.zone.data();
 		m.service = w.service.data();
 		m.born = w.incarnation;
 		m.cpu_milli = (uint32_t)w.cpu;
@@ -541,6 +541,30 @@
 		apply(c);
 	}
 
+	/* Applies the order to begin or end an evacuation as committed. */
+	void evacuate(const char *domain, bool begin = true)
+	{
+		Job__Command c = JOB__COMMAND__INIT;
+		Job__Evacuation m = JOB__EVACUATION__INIT;
+		std::string name = domain;
+		m.domain = name.data();
+		m.begin = begin;
+		m.has_at_ms = 1;
+		m.at_ms = wall_ms();
+		c.evacuation = &m;
+		apply(c);
+	}
+
+	/* Counts the running tasks in a domain. */
+	size_t count_running(const char *domain)
+	{
+		size_t n = 0;
+		for (auto &x : workers)
+			n += x.second.zone == domain ? x.second.running.size()
+						     : 0;
+		return n;
+	}
+
 	/* Assigns a task as an earlier leader did. */
 	void assign(const SimTask &k, uint32_t run, uint64_t worker)
 	{
@@ -820,8 +844,10 @@
 		k->checkpoint = c->checkpoint == NULL ? "" : c->checkpoint;
 		k->call.spec = k->call.checkpoint = k->call.id = k->call.addr =
 		    NULL;
-		if (c->kind == JL_START)
+		if (c->kind == JL_START) {
 			s->check_order(l, key(c->task));
+			s->check_open(l, s->worker_of(c->worker).zone);
+		}
 		uint64_t incarnation = s->worker_of(c->worker).incarnation;
 		bool lost = rng_chance(&s->rng, s->loss_rate) ||
 		    (c->worker == s->drop_starts_to &&
@@ -889,6 +915,14 @@
 			    timeout, [=]() { s->no_answer(k, epoch); });
 	}
 
+	/* Checks that no start is sent to a domain under evacuation. */
+	void check_open(const SimLeader *l, const std::string &zone)
+	{
+		EXPECT_FALSE(
+		    l->epoch == epoch && jevac_is_closed(&st, zone.c_str()))
+		    << "a start in evacuated " << zone;
+	}
+
 	/* Reports to the leader that a call had no answer. */
 	void no_answer(const std::shared_ptr<SimCall> &k, uint64_t ep,
 	    enum jl_reply_kind kind = JL_NO_ANSWER)
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -190,19 +190,30 @@
 	done(arg, end, a);
 }
 
-/* Sends a call to the leader, if one is known. */
+/* Sends a call to the leader, if one is known. The time at which an order was
+ * received is given on the leader's clock; until that is known, the order
+ * waits, as the leader could not tell a late copy. */
 static void
 send_call(struct caller *c, struct timespec now, struct caller_call *k)
 {
 	Job__Msg m = JOB__MSG__INIT;
+	Job__Evacuation *order = k->call->evacuation;
+	int64_t ahead_ms = 0;
 
 	if (c->leader == 0)
 		return;
+	k->needs_send = order != NULL && c->leader != c->self &&
+	    !caller_clock_ahead(c, c->leader, &ahead_ms);
+	if (k->needs_send)
+		return;
 	m.call = k->call;
 	k->is_sent = true;
-	k->needs_send = false;
 	k->resend_at = clk_add_ms(now, CALLER_RESEND_MS);
+	if (order != NULL)
+		order->received_ms -= ahead_ms;
 	c->ops.send(c->ops.arg, c->leader, &m);
+	if (order != NULL)
+		order->received_ms += ahead_ms;
 }
 
 /* Starts a call. It is sent at once, or as soon as a leader is known. */
@@ -365,6 +376,19 @@
 		set_leader(c, now, 0);
 }
 
+/* Handles that the machine was suspended: orders that wait are older than the
+ * monotonic clock shows. */
+void
+caller_on_suspension(struct caller *c, int64_t ms)
+{
+	struct caller_call *k;
+
+	for (k = c->calls; k != NULL; k = k->next) {
+		if (k->call->evacuation != NULL)
+			k->call->evacuation->received_ms -= ms;
+	}
+}
+
 /* Asks a replica who leads. */
 static void
 send_ping(struct caller *c, struct timespec now, struct member *to)
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -76,6 +76,9 @@
 /* Handles the failure of the connection to an instance. */
 void caller_on_disconnect(
     struct caller *, struct timespec now, uint32_t instance);
+/* Handles that the machine was suspended, which the monotonic clock doesn't
+ * count. */
+void caller_on_suspension(struct caller *, int64_t ms);
 /* Runs the timers; to be called regularly. */
 void caller_tick(struct caller *, struct timespec now);
 /* Returns the instance that leads; 0: unknown. */
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -282,6 +282,7 @@
 	    ? 0
 	    : clk_diff_ms(now, c->ticked_at) - TICK_MS;
 
+	core_note_tick(c, now);
 	c->ticked_at = now;
 	if (late_ms < TICK_LATE_MS)
 		return;
@@ -496,6 +497,9 @@
 	metrics_add_hist(c->metrics, "first_start", &c->first_start_ms);
 	metrics_add_hist(c->metrics, "job_complete", &c->complete_ms);
 	metrics_add_hist(c->metrics, "cancel_done", &c->jl.cancel_ms);
+	jevac_reset(&c->jl.evac, clk_ns(mesh_now(c->mesh)) / CLK_NS_PER_MS);
+	metrics_add_gauge(c->metrics, "evacuated_domains", &c->st.nevacuations);
+	metrics_add_gauge(c->metrics, "evacuated_runs", &c->jl.evac.nruns);
 	c->next_join_at = mesh_now(c->mesh);
 	c->ticker = ticker_new(c, c->ev, TICK_MS, on_tick, c, e);
 	return c->ticker == NULL ? e->status : STATUS_OK;
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -24,8 +24,8 @@
 }
 
 /* Answers a call with an outcome; NOT_LEADER also names the leader. */
-static void
-send_outcome(struct core *c, uint32_t from, uint64_t id, Job__Outcome o)
+void
+core_send_outcome(struct core *c, uint32_t from, uint64_t id, Job__Outcome o)
 {
 	Job__Answer a = JOB__ANSWER__INIT;
 
@@ -43,7 +43,7 @@
 void
 core_fail_waiter(struct core *c, const struct core_waiter *w, Job__Outcome o)
 {
-	send_outcome(c, w->from, w->call_id, o);
+	core_send_outcome(c, w->from, w->call_id, o);
 }
 
 /* ---- reads ---- */
@@ -126,12 +126,16 @@
 {
 	Job__Answer a = JOB__ANSWER__INIT;
 	const Job__Queue *q = NULL;
+	TALLOC_CTX *ctx = NULL;
 
 	a.id = k->id;
 	if (k->kind == JOB__CALL_KIND__CONFIG_GET) {
 		fill_config(c, &a);
 	} else if (k->kind == JOB__CALL_KIND__WAVE_GET) {
 		fill_wave_state(c, k, &a);
+	} else if (k->kind == JOB__CALL_KIND__EVACUATIONS_GET) {
+		ctx = talloc_new(c);
+		core_fill_evacuations(c, ctx, &a);
 	} else if (c->st.config == NULL) {
 		a.outcome = JOB__OUTCOME__NO_CONFIG;
 	} else {
@@ -156,6 +160,7 @@
 		}
 	}
 	send_answer(c, from, &a);
+	talloc_free(ctx);
 }
 
 /* Queues a read until this replica has confirmed that it still leads. */
@@ -206,7 +211,7 @@
 core_fail_reads(struct core *c)
 {
 	while (c->reads != NULL) {
-		send_outcome(c, c->reads->from, c->reads->call->id,
+		core_send_outcome(c, c->reads->from, c->reads->call->id,
 		    JOB__OUTCOME__NOT_LEADER);
 		pop_read(c, c->reads);
 	}
@@ -216,8 +221,8 @@
 /* ---- changes ---- */
 
 /* Proposes the command of a call, whose sender gets the outcome. */
-static void
-propose_call(
+void
+core_propose_call(
     struct core *c, uint32_t from, const Job__Call *k, const Job__Command *cmd)
 {
 	bool is_orphan = is_orphaned(c, k) &&
@@ -246,7 +251,7 @@
 	}
 	if (jst_find_job(&c->st, k->job) != NULL) {
 		ctr_add(&c->jctr, JCTR_RESENT, 1);
-		send_outcome(c, from, k->id, JOB__OUTCOME__OK);
+		core_send_outcome(c, from, k->id, JOB__OUTCOME__OK);
 		return;
 	}
 	s.job = k->job;
@@ -254,7 +259,7 @@
 	s.spec = k->spec;
 	s.at_ms = mesh_wall_ms(c->mesh);
 	cmd.submit = &s;
-	propose_call(c, from, k, &cmd);
+	core_propose_call(c, from, k, &cmd);
 }
 
 /* Handles a cancellation of a job. */
@@ -273,7 +278,7 @@
 	m.job = k->job;
 	m.at_ms = mesh_wall_ms(c->mesh);
 	cmd.cancel = &m;
-	propose_call(c, from, k, &cmd);
+	core_propose_call(c, from, k, &cmd);
 }
 
 /*
@@ -307,13 +312,13 @@
 		    " addr=%s service=%s registered=%s",
 		    k->worker->id, k->worker->born, k->worker->addr,
 		    k->worker->service, w->info->service);
-		send_outcome(c, from, k->id, JOB__OUTCOME__OK);
+		core_send_outcome(c, from, k->id, JOB__OUTCOME__OK);
 		return;
 	}
 	if (core_is_heartbeat_known(c, k->worker)) {
 		jlead_on_heartbeat(
 		    &c->jl, jst_find_worker_by_id(&c->st, k->worker->id));
-		send_outcome(c, from, k->id, JOB__OUTCOME__OK);
+		core_send_outcome(c, from, k->id, JOB__OUTCOME__OK);
 		return;
 	}
 	log_event(LOG_NOTICE, "core",
@@ -324,7 +329,7 @@
 	k->worker->has_registered_ms = 1;
 	k->worker->registered_ms = mesh_wall_ms(c->mesh);
 	cmd.worker = k->worker;
-	propose_call(c, from, k, &cmd);
+	core_propose_call(c, from, k, &cmd);
 }
 
 /* Keeps a worker's notice to leave until its registration ends, or for
@@ -362,7 +367,7 @@
 			continue;
 		}
 		*p = l->next;
-		send_outcome(c, l->from, l->call_id, o);
+		core_send_outcome(c, l->from, l->call_id, o);
 		free(l);
 	}
 }
@@ -380,7 +385,7 @@
 			continue;
 		}
 		*p = l->next;
-		send_outcome(c, l->from, l->call_id, JOB__OUTCOME__OK);
+		core_send_outcome(c, l->from, l->call_id, JOB__OUTCOME__OK);
 		free(l);
 	}
 }
@@ -419,7 +424,7 @@
 	    latest == NULL ? 0 : latest->info->born,
 	    latest != NULL && latest->draining);
 	if (w == NULL) {
-		send_outcome(c, from, k->id, JOB__OUTCOME__OK);
+		core_send_outcome(c, from, k->id, JOB__OUTCOME__OK);
 		return;
 	}
 	if (!jlead_leave(&c->jl, mesh_now(c->mesh), w)) {
@@ -430,7 +435,7 @@
 	g.num = w->num;
 	g.has_left = g.left = 1;
 	cmd.gone = &g;
-	propose_call(c, from, k, &cmd);
+	core_propose_call(c, from, k, &cmd);
 }
 
 /* Handles a new configuration. */
@@ -440,7 +445,7 @@
 	Job__Command cmd = JOB__COMMAND__INIT;
 
 	cmd.config = k->config;
-	propose_call(c, from, k, &cmd);
+	core_propose_call(c, from, k, &cmd);
 }
 
 /* Handles a new wave of machine restarts. */
@@ -452,7 +457,7 @@
 	k->wave->has_at_ms = 1;
 	k->wave->at_ms = mesh_wall_ms(c->mesh);
 	cmd.wave = k->wave;
-	propose_call(c, from, k, &cmd);
+	core_propose_call(c, from, k, &cmd);
 }
 
 /* Handles a call on the leader. A replica that does not lead answers
@@ -467,11 +472,11 @@
 		log_event(LOG_WARNING, "core",
 		    "event=bad_call from=%u call=%d error=\"%s\"", from,
 		    k->kind, e.msg);
-		send_outcome(c, from, k->id, JOB__OUTCOME__INVALID);
+		core_send_outcome(c, from, k->id, JOB__OUTCOME__INVALID);
 		return;
 	}
 	if (!c->leading) {
-		send_outcome(c, from, k->id, JOB__OUTCOME__NOT_LEADER);
+		core_send_outcome(c, from, k->id, JOB__OUTCOME__NOT_LEADER);
 		return;
 	}
 	switch (k->kind) {
@@ -493,6 +498,9 @@
 	case JOB__CALL_KIND__WAVE_PUT:
 		handle_wave_put(c, from, k);
 		break;
+	case JOB__CALL_KIND__EVACUATE:
+		core_handle_evacuate(c, from, k);
+		break;
 	default:
 		queue_read(c, from, k);
 		break;
@@ -532,7 +540,7 @@
 		    cmd->wave->id, cmd->wave->n_machines, cmd->wave->max_down,
 		    cmd->wave->term_ms);
 	}
-	send_outcome(c, w->from, w->call_id,
+	core_send_outcome(c, w->from, w->call_id,
 	    w->is_orphan ? jcall_orphan_outcome(w->kind)
 			 : jcall_outcome(cmd, r->status));
 }
--- a/src/node/core_http.c
+++ b/src/node/core_http.c
@@ -50,6 +50,7 @@
 
 	switch (k->kind) {
 	case JOB__CALL_KIND__CONFIG_GET:
+	case JOB__CALL_KIND__EVACUATIONS_GET:
 		return str_mem(a->document.data, a->document.len);
 	case JOB__CALL_KIND__BEAT:
 		/* Later heartbeats go straight to the leader, unless there
@@ -119,9 +120,10 @@
 {
 	Job__Worker *w = talloc(ctx, Job__Worker);
 	Job__Wave *wave = talloc(ctx, Job__Wave);
+	Job__Evacuation *ev = talloc(ctx, Job__Evacuation);
 	int64_t id = 0;
 
-	if (w == NULL || wave == NULL)
+	if (w == NULL || wave == NULL || ev == NULL)
 		abort();
 	switch (kind) {
 	case PF_REQ_HEARTBEAT:
@@ -153,6 +155,15 @@
 		wave->id = (uint64_t)id;
 		call->wave = wave;
 		return true;
+	case PF_REQ_EVACUATION_BEGIN:
+	case PF_REQ_EVACUATION_END:
+		call->kind = JOB__CALL_KIND__EVACUATE;
+		call->evacuation = ev;
+		return pf_decode_evacuation(ctx, arg,
+			   kind == PF_REQ_EVACUATION_BEGIN, ev, e) == STATUS_OK;
+	case PF_REQ_EVACUATIONS:
+		call->kind = JOB__CALL_KIND__EVACUATIONS_GET;
+		return true;
 	default:
 		return err_set(e, STATUS_NOT_FOUND, "unknown method or path") ==
 		    STATUS_OK;
@@ -201,6 +212,8 @@
 	    can_answer_heartbeat(c, call.worker))
 		send_reply(req, 200,
 		    pf_format_heartbeat_response(ctx, str_mem("", 0)));
+	else if (call.evacuation != NULL && !core_take_order(c, req, &call))
+		send_reply(req, 503, str_mem("", 0));
 	else
 		start_call(c, req, &call,
 		    from_worker ? CORE_WORKER_TIMEOUT_MS
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -70,6 +70,10 @@
 	struct relay *relay; /* calls to workers */
 	struct ticker *ticker;
 	struct timespec ticked_at; /* last tick; zero before the first */
+	/* The last pause of this process: from its last sign of running to the
+	 * tick that noticed it. */
+	struct timespec pause_began, pause_noticed;
+	int64_t boot_ahead_ms; /* of the monotonic clock, by suspensions */
 	struct fdplan fds;
 	struct tevent_immediate *flush_event;
 	bool flush_scheduled, in_flush;
@@ -139,6 +143,9 @@
 void core_disk_tick(struct core *);
 /* core_call.c */
 void core_on_call(struct core *, uint32_t from, const Job__Call *);
+void core_propose_call(
+    struct core *, uint32_t from, const Job__Call *, const Job__Command *);
+void core_send_outcome(struct core *, uint32_t from, uint64_t id, Job__Outcome);
 void core_on_applied(struct core *, const struct core_waiter *,
     const Job__Command *, const struct jst_result *);
 void core_fail_waiter(struct core *, const struct core_waiter *, Job__Outcome);
@@ -147,6 +154,11 @@
 void core_fail_reads(struct core *);
 void core_answer_leaves(struct core *, uint64_t num, Job__Outcome);
 void core_tick_leaves(struct core *);
+/* core_evac.c */
+bool core_take_order(struct core *, const struct front_req *, Job__Call *);
+void core_handle_evacuate(struct core *, uint32_t from, const Job__Call *);
+void core_fill_evacuations(struct core *, TALLOC_CTX *, Job__Answer *);
+void core_note_tick(struct core *, struct timespec now);
 /* core_http.c */
 void core_on_control(void *arg, struct front_req *);
 
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -231,6 +231,7 @@
 	    "event=snapshot_loaded index=%" PRIu64 " bytes=%zu before=%" PRIu64
 	    " last=%" PRIu64,
 	    s.index, s.data.len, c->applied, raft_last_index(c->raft));
+	jevac_reset(&c->jl.evac, clk_ns(mesh_now(c->mesh)) / CLK_NS_PER_MS);
 	c->applied = s.index;
 	c->applied_term = s.term;
 	set_members(c, s.members, s.nmembers);
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -278,6 +278,21 @@
 	c->req.front->conf.on_client_gone(c->req.front->conf.arg, &c->req);
 }
 
+/* Tells, from within the handler, whether the client closed its connection
+ * before its request was read. */
+bool
+front_is_client_gone(const struct front_req *req)
+{
+	const struct front_conn *c = (const struct front_conn *)req;
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(c->mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+	ssize_t n;
+	char b;
+
+	n = recv(info->connect_fd, &b, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 /* Appends a piece of the body; false if the connection is to be closed. */
 static bool
 conn_append_body(struct front_conn *c, const char *data, size_t len)
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -62,6 +62,8 @@
     const struct front_conf *, struct err *);
 /* Answers a request; copies everything. The request is invalid afterwards. */
 void front_answer(struct front_req *, const struct front_reply *);
+/* Tells, from within the handler, whether the client has closed already. */
+bool front_is_client_gone(const struct front_req *);
 /* Returns the value of a header, empty when absent; sets *nfound to the number
  * of occurrences. */
 struct str front_header_get(
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -14,6 +14,9 @@
 	const struct hist *hist[METRICS_MAX];
 	const char *hist_names[METRICS_MAX];
 	size_t nhist;
+	const size_t *gauge[METRICS_MAX];
+	const char *gauge_names[METRICS_MAX];
+	size_t ngauge;
 	struct front *front;
 };
 
@@ -36,6 +39,16 @@
 	m->hist[m->nhist++] = h;
 }
 
+/* Adds a value that may rise and fall, under a name. */
+void
+metrics_add_gauge(struct metrics *m, const char *name, const size_t *value)
+{
+	if (m->ngauge == METRICS_MAX)
+		abort();
+	m->gauge_names[m->ngauge] = name;
+	m->gauge[m->ngauge++] = value;
+}
+
 /* Appends a histogram to the text t; NULL if there is no memory. */
 static char *
 append_hist(char *t, const char *name, const struct hist *h)
@@ -56,7 +69,7 @@
 	    name, h->count, name, h->sum_ms, name, h->count);
 }
 
-/* Returns all counters and histograms as text. */
+/* Returns all counters, histograms and gauges as text. */
 struct str
 metrics_text(TALLOC_CTX *ctx, const struct metrics *m)
 {
@@ -71,6 +84,9 @@
 	}
 	for (i = 0; i < m->nhist; i++)
 		t = append_hist(t, m->hist_names[i], m->hist[i]);
+	for (i = 0; i < m->ngauge; i++)
+		t = talloc_asprintf_append_buffer(
+		    t, "cicadabay_%s %zu\n", m->gauge_names[i], *m->gauge[i]);
 	if (t == NULL)
 		abort();
 	return str_from(t);
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -25,6 +25,7 @@
  * stay valid. */
 void metrics_add_counters(struct metrics *, const struct ctr_set *);
 void metrics_add_hist(struct metrics *, const char *name, const struct hist *);
+void metrics_add_gauge(struct metrics *, const char *name, const size_t *value);
 /* Returns the text, owned by ctx. */
 struct str metrics_text(TALLOC_CTX *ctx, const struct metrics *);
 
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -12,6 +12,7 @@
 	uint32_t to;
 	bool call;
 	uint64_t id;
+	int64_t received_ms; /* of an order */
 };
 
 struct fixture {
@@ -39,7 +40,10 @@
 		    ->sent.push_back({ to, m->call != NULL,
 			m->call != NULL	      ? m->call->id
 			    : m->ping != NULL ? m->ping->seq
-					      : 0 });
+					      : 0,
+			m->call != NULL && m->call->evacuation != NULL
+			    ? m->call->evacuation->received_ms
+			    : 0 });
 	}
 	static void on_done(
 	    void *arg, enum caller_end end, const Job__Answer *a)
@@ -67,6 +71,31 @@
 		k.kind = JOB__CALL_KIND__STATUS;
 		caller_start(c, now, &k, timeout, on_done, this);
 	}
+	/* Starts the call of an order that was received now. */
+	void order()
+	{
+		Job__Call k = JOB__CALL__INIT;
+		Job__Evacuation m = JOB__EVACUATION__INIT;
+		char domain[] = "a";
+		k.kind = JOB__CALL_KIND__EVACUATE;
+		k.evacuation = &m;
+		m.domain = domain;
+		m.has_received_ms = 1;
+		m.received_ms = clk_ns(now) / CLK_NS_PER_MS;
+		caller_start(c, now, &k, 3000, on_done, this);
+	}
+	/* Answers the last ping to a replica whose clock is behind. */
+	void pong_with_clock(uint32_t from, int64_t behind_ms)
+	{
+		Job__Pong p = JOB__PONG__INIT;
+		for (auto &s : sent) {
+			if (!s.call && s.to == from)
+				p.seq = s.id;
+		}
+		p.leading = p.configured = p.has_at_ms = 1;
+		p.at_ms = clk_ns(now) / CLK_NS_PER_MS - behind_ms;
+		caller_on_pong(c, now, from, &p);
+	}
 	void answer(uint32_t from, uint64_t id, Job__Outcome o)
 	{
 		Job__Answer a = JOB__ANSWER__INIT;
@@ -312,4 +341,28 @@
 	}
 }
 
+/* Guards against a late copy of an order that the leader takes for a new one:
+ * an order tells when it was received on the clock of whoever leads, also when
+ * it is sent again, and isn't sent while that clock is unknown. */
+TEST(Caller, AnOrderTellsItsTimeOnTheLeadersClock)
+{
+	fixture f;
+	f.pong(1, true);
+	f.order();
+	f.advance(50);
+	EXPECT_EQ(0U, f.calls().size());
+	f.pong_with_clock(1, 7000);
+	f.advance(50);
+	ASSERT_EQ(1U, f.calls().size());
+	EXPECT_EQ(93000, f.calls()[0].received_ms);
+	caller_on_disconnect(f.c, f.now, 1);
+	f.advance(200);
+	f.pong_with_clock(2, -20000);
+	ASSERT_EQ(2U, f.calls().size());
+	EXPECT_EQ(120000, f.calls()[1].received_ms);
+	caller_on_suspension(f.c, 4000);
+	f.advance(CALLER_RESEND_MS + 50);
+	EXPECT_EQ(116000, f.calls().back().received_ms);
+}
+
 } // namespace
