Caller: hold calls back from a leader that owes an answer to a ping

Cause: a call that is sent to a leader which was lost a moment before can only be answered 504, and its client can't hand an unsafe request in again. Change: while a ping to the leader has been unanswered for 250 ms, calls that were never sent wait for a sign of it or for the next leader. Until now they were sent for up to 1600 ms.

--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -37,6 +37,9 @@
 	uint32_t leader;
 	bool leader_configured;
 	struct timespec leader_heard_at, next_ping_at;
+	/* a ping to the leader has had no answer since then */
+	struct timespec ping_unanswered_since;
+	bool is_ping_unanswered;
 	uint64_t ping_seq, next_id;
 	const char *domain; /* of this instance, or NULL */
 	bool calls_workers;
@@ -190,13 +193,31 @@
 	done(arg, end, a);
 }
 
-/* Sends a call to the leader, if one is known. */
+/* Records a sign of life of the leader. */
+static void
+note_leader_heard(struct caller *c, struct timespec now)
+{
+	c->leader_heard_at = now;
+	c->is_ping_unanswered = false;
+}
+
+/* Tells whether the leader owes an answer to a ping for so long that it may
+ * have been lost. */
+static bool
+is_leader_suspected(const struct caller *c, struct timespec now)
+{
+	return c->is_ping_unanswered &&
+	    clk_diff_ms(now, c->ping_unanswered_since) >= CALLER_PING_ANSWER_MS;
+}
+
+/* Sends a call to the leader, if one is known. A call that was never sent isn't
+ * sent to one that may have been lost. */
 static void
 send_call(struct caller *c, struct timespec now, struct caller_call *k)
 {
 	Job__Msg m = JOB__MSG__INIT;
 
-	if (c->leader == 0)
+	if (c->leader == 0 || (!k->is_sent && is_leader_suspected(c, now)))
 		return;
 	m.call = k->call;
 	k->is_sent = true;
@@ -259,7 +280,7 @@
 	if (leader == 0)
 		return;
 	add_member(c, leader);
-	c->leader_heard_at = now;
+	note_leader_heard(c, now);
 	for (k = c->calls; k != NULL; k = k->next)
 		send_call(c, now, k);
 }
@@ -282,7 +303,7 @@
 		return;
 	}
 	if (from == c->leader)
-		c->leader_heard_at = now;
+		note_leader_heard(c, now);
 	if (k != NULL)
 		end_call(c, k, CALLER_ANSWERED, a);
 }
@@ -338,7 +359,7 @@
 	if (p->leading) {
 		if (from != c->leader)
 			set_leader(c, now, from);
-		c->leader_heard_at = now;
+		note_leader_heard(c, now);
 		c->leader_configured = p->configured;
 	} else if (c->leader == from) {
 		set_leader(c, now, 0);
@@ -372,6 +393,10 @@
 	Job__Msg m = JOB__MSG__INIT;
 	Job__Ping p = JOB__PING__INIT;
 
+	if (to->instance == c->leader && !c->is_ping_unanswered) {
+		c->is_ping_unanswered = true;
+		c->ping_unanswered_since = now;
+	}
 	to->pinged_at = now;
 	to->ping_seq = p.seq = ++c->ping_seq;
 	p.domain = (char *)(uintptr_t)c->domain;
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -21,6 +21,11 @@
 #define CALLER_SEARCH_MS 150
 /* A leader that has not answered for this long counts as lost: three pings. */
 #define CALLER_LEADER_LOST_MS 1600
+/* While a ping to the leader has been unanswered for this long, calls that were
+ * never sent wait for a sign of it or for the next leader. One that was sent to
+ * a leader that had just been lost could only be answered as unknown. Pings are
+ * answered within some ms, and 250 ms allow for one lost packet. */
+#define CALLER_PING_ANSWER_MS 250
 /* A call that has not been sent waits this long for the next leader, as an
  * election takes 2 s at most; after that it is refused at once. */
 #define CALLER_ELECTION_WAIT_MS 2300
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -158,6 +158,52 @@
 	EXPECT_EQ(CALLER_NOT_SENT, f.ends[0]);
 }
 
+/* Guards against calls that are sent to a leader that was lost a moment before:
+ * their outcome is unknown, though they could have waited for the next
+ * leader. */
+TEST(Caller, ACallIsNotSentToALeaderThatOwesAnAnswer)
+{
+	fixture f;
+	f.pong(1, true);
+	f.advance(50 + CALLER_PING_ANSWER_MS);
+	f.call(10000);
+	EXPECT_EQ(0U, f.calls().size());
+	f.advance(CALLER_LEADER_LOST_MS);
+	EXPECT_EQ(0U, f.calls().size());
+	EXPECT_EQ(0U, f.ends.size());
+	f.pong(2, true);
+	ASSERT_EQ(1U, f.calls().size());
+	EXPECT_EQ(2U, f.calls()[0].to);
+}
+
+/* Guards against a call that isn't sent although its leader, which was only
+ * slow, has answered. */
+TEST(Caller, ACallIsSentOnceASlowLeaderAnswers)
+{
+	fixture f;
+	f.pong(1, true);
+	f.advance(50 + CALLER_PING_ANSWER_MS);
+	f.call(10000);
+	EXPECT_EQ(0U, f.calls().size());
+	f.pong(1, true);
+	f.advance(50);
+	ASSERT_EQ(1U, f.calls().size());
+	EXPECT_EQ(1U, f.calls()[0].to);
+}
+
+/* Guards against a call that is answered as unknown, so that its client can't
+ * hand the job in again, although it was never sent. */
+TEST(Caller, ACallThatWaitedForALostLeaderEndsAsNotSent)
+{
+	fixture f;
+	f.pong(1, true);
+	f.advance(50 + CALLER_PING_ANSWER_MS);
+	f.call(10000);
+	f.advance(CALLER_ELECTION_WAIT_MS + 100);
+	ASSERT_EQ(1U, f.ends.size());
+	EXPECT_EQ(CALLER_NOT_SENT, f.ends[0]);
+}
+
 /* Guards against calls that are refused during an election, 100 ms before the
  * next leader is known, as in the incident inc-bd2c. */
 TEST(Caller, ACallWaitsOutAnElection)
