CLI: check a configuration before it is sent

Cause: an operator learned of a queue that can never match, of limits that contradict each other and of a version that changes nothing only from the replicas' behaviour.

--- a/src/cli/cmd.c
+++ b/src/cli/cmd.c
@@ -7,6 +7,7 @@
 #include <sys/random.h>
 
 #include "base/log.h"
+#include "cli/check_config.h"
 #include "cli/cls.h"
 #include "cli/explain.h"
 #include "cli/settings.h"
@@ -497,6 +498,13 @@
 	    .max_args = 1,
 	    .run = run_check,
 	    .help = "check a settings file" },
+	{ .name = "check-config",
+	    .args = "CONFIG.json [--compare -i IP:PORT]",
+	    .min_args = 1,
+	    .max_args = 1,
+	    .run = check_config_run,
+	    .help = "check a configuration of the job scheduler before it is "
+		    "sent" },
 	{ .name = "settings",
 	    .args = "",
 	    .run = run_settings,
--- a/src/cli/cmd.h
+++ b/src/cli/cmd.h
@@ -28,6 +28,7 @@
 	int accelerators;
 	int gang;
 	int json;
+	int compare;	 /* check-config */
 	int64_t version; /* that apply replaces; -1: the current one */
 	int timeout_ms;
 };
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -70,6 +70,8 @@
 		    "instance to ask; may be repeated", "IP:PORT" },
 		{ "json", 0, 0, G_OPTION_ARG_NONE, &opt.json,
 		    "print the answer as JSON", NULL },
+		{ "compare", 0, 0, G_OPTION_ARG_NONE, &opt.compare,
+		    "check-config: compare with the version in force", NULL },
 		{ "timeout-ms", 0, 0, G_OPTION_ARG_INT, &opt.timeout_ms,
 		    "longest wait for one instance", "MS" },
 		{ "change-id", 0, 0, G_OPTION_ARG_STRING, &opt.change_id,
