--- a/src/cli/cmd.h
+++ b/src/cli/cmd.h
@@ -29,6 +29,7 @@
 	int gang;
 	int json;
 	int end;	 /* evacuate */
+	int compare;	 /* check-config */
 	int64_t version; /* that apply replaces; -1: the current one */
 	int timeout_ms;
 };
