Evacuation: end the whole run of a gang that can't start; keep earlier pauses

Change: a gang's run of which one member is withheld is ended as a whole (withheld_run); the pause logic is a pure module (node/pause); a former leader reports no runs in closed domains. AGangStartsAsAWholeElsewhere never placed a gang in the closed domain; it spans both domains now, and a second test has a new leader.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -148,6 +148,7 @@
 jlead_stop(struct jlead *jl)
 {
 	jl->leading = false;
+	jl->evac.nruns = 0;
 	while (jl->sessions != NULL)
 		session_free(jl, jl->sessions);
 }
--- a/src/job/jlead_evac.c
+++ b/src/job/jlead_evac.c
@@ -39,9 +39,11 @@
 
 	if (r->ws->closed)
 		return true;
-	if (jl->st->nevacuations == 0 || !st->spec->gang)
+	if (!st->spec->gang)
 		return false;
-	for (i = 0; i < st->spec->count; i++) {
+	if (r->run == st->withheld_run)
+		return true;
+	for (i = 0; jl->st->nevacuations > 0 && i < st->spec->count; i++) {
 		o = st->tasks[i].active_run;
 		if (o != NULL && o->run == r->run && o->ws->closed &&
 		    o->nstarts == 0 && !o->inherited)
@@ -50,19 +52,26 @@
 	return false;
 }
 
-/* Stops the members of a gang of which one isn't started. They would wait for
- * it in vain; the gang starts again as a whole. */
+/* Ends the run of a gang of which one member isn't started: the others would
+ * wait for it in vain. Those that aren't sent are given up, also once their
+ * assignment is committed; the others are stopped. The gang starts again as a
+ * whole. */
 static void
-stop_gang(struct jlead *jl, const struct jrun *withheld)
+withhold_gang(struct jlead *jl, const struct jrun *withheld)
 {
-	const struct jst_step *st = withheld->step;
+	struct jst_step *st = withheld->step;
 	struct jrun *r;
 	uint32_t i;
 
+	st->withheld_run = withheld->run;
 	for (i = 0; i < st->spec->count; i++) {
 		r = st->tasks[i].active_run;
-		if (r != NULL && r != withheld && r->run == withheld->run &&
-		    (r->phase == RUN_CONFIRMED || r->nstarts > 0))
+		if (r == NULL || r == withheld || r->run != withheld->run)
+			continue;
+		if (r->phase == RUN_STARTING && r->nstarts == 0 &&
+		    !r->inherited)
+			jrun_send_due(jl, r);
+		else
 			jrun_stop(jl, r, JL_STOP_EVACUATED);
 	}
 }
@@ -73,7 +82,7 @@
 {
 	ctr_add(jl->ctr, JCTR_STARTS_EVACUATED, 1);
 	if (r->step->spec->gang && r->ws->closed)
-		stop_gang(jl, r);
+		withhold_gang(jl, r);
 }
 
 /* Closes a worker to new work, or opens it. Starts there that have no answer
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -78,6 +78,9 @@
 	 * from, or NULL; and the run that saved it. */
 	char *checkpoint;
 	uint32_t checkpoint_run;
+	/* leader: a gang's run of which a member isn't started, because its
+	 * domain is under evacuation */
+	uint32_t withheld_run;
 	uint32_t nwaiting;  /* neither done nor assigned */
 	uint32_t nproposed; /* leader: of nwaiting, being assigned */
 	/* leader: monotonic time since when tasks of it wait and no worker has
--- a/src/job/tests/evac_test.cc
+++ b/src/job/tests/evac_test.cc
@@ -205,24 +205,71 @@
 	for (size_t i = 0; i < s.jl.nsessions; i++)
 		EXPECT_FALSE(s.jl.plan_sessions[i]->closed &&
 		    s.jl.plan_workers[i].reserved);
+	size_t reserved = 0;
+	for (size_t i = 0; i < s.jl.nsessions; i++)
+		reserved += s.jl.plan_workers[i].reserved;
+	EXPECT_LT(0U, reserved);
 }
 
-/* Guards against members of a gang that wait for one whose start isn't sent,
- * and against a gang that begins in a closed domain. */
+/* A gang of which two members are in the closed domain and three are not, and
+ * room for it elsewhere afterwards. */
+class GangSim : public EvacSim {
+      public:
+	explicit GangSim(uint64_t seed) : EvacSim(seed)
+	{
+		gang_timeout_ms = 20000;
+		commit_ms = 200;
+		run_time_ms = [](const SimTask &t) {
+			return t.job == 1 ? 60000 : 800;
+		};
+		submit(1, "batch", { JobSim::step(3, 10000) });
+		run(1000);
+		Job__Step gang = JobSim::step(5, 6000);
+		gang.has_gang = gang.gang = 1;
+		submit(2, "batch", { gang });
+	}
+
+	/* Closes the domain, makes room elsewhere, and expects the gang to be
+	 * done long before its members give up waiting for each other. */
+	void expect_done_elsewhere()
+	{
+		evacuate("a");
+		add("b", 8000, in_b);
+		run(6000);
+		EXPECT_EQ(JST_COMPLETED, state(2));
+		EXPECT_EQ(3U, count_running("a"));
+	}
+};
+
+/* Guards against members of a gang that start and wait in vain for others that
+ * were placed in a domain under evacuation: while all of them are proposed, and
+ * while some are sent and have no answer. */
 TEST(JobEvac, AGangStartsAsAWholeElsewhere)
 {
-	EvacSim s(8);
-	s.gang_timeout_ms = 20000;
-	s.commit_ms = 200;
-	Job__Step gang = JobSim::step(3, 7000);
-	gang.has_gang = gang.gang = 1;
-	s.submit(1, "batch", { JobSim::step(3, 10000) });
-	s.run(500);
-	s.submit(2, "batch", { gang });
+	GangSim proposed(8);
+	proposed.run(100);
+	proposed.expect_done_elsewhere();
+	EXPECT_LT(0U, ctr_get(&proposed.ctr, JCTR_STARTS_EVACUATED));
+
+	GangSim sent(9);
+	for (uint64_t num : sent.in_a)
+		sent.workers[num].unreachable = true;
+	sent.run(300);
+	for (uint64_t num : sent.in_a)
+		sent.workers[num].unreachable = false;
+	sent.expect_done_elsewhere();
+}
+
+/* Guards against the same with a new leader, which has inherited the members
+ * and learns at different times which of them run. */
+TEST(JobEvac, AnInheritedGangStartsAsAWholeElsewhere)
+{
+	GangSim s(10);
 	s.run(100);
 	s.evacuate("a");
-	s.run(6000);
-	EXPECT_EQ(JST_COMPLETED, s.state(2));
+	s.run(150);
+	s.lead();
+	s.expect_done_elsewhere();
 }
 
 /* Guards against a worker that registers in a closed domain and gets work, also
--- a/src/node/core_evac.c
+++ b/src/node/core_evac.c
@@ -9,12 +9,6 @@
 /* Evacuation orders: when they were received, their calls on the leader, and
  * the list of those in effect. */
 
-/* A tick that comes this much late shows a pause of the process. */
-#define PAUSE_MS 250
-/* Requests that waited during a pause are read within this time after it, also
- * by a process that gets a tenth of a processor. */
-#define PAUSE_SETTLE_MS 1000
-
 /* Returns how far a clock that counts suspensions of the machine is ahead of
  * the monotonic one. */
 static int64_t
@@ -34,42 +28,20 @@
 void
 core_note_tick(struct core *c, struct timespec now)
 {
-	int64_t ahead = get_boot_ahead_ms();
-	int64_t suspended = ahead - c->boot_ahead_ms;
-	int64_t passed = c->ticked_at.tv_sec == 0
-	    ? 0
-	    : clk_diff_ms(now, c->ticked_at) + suspended;
+	int64_t suspended = pause_tick(&c->pause, now, get_boot_ahead_ms());
 
-	c->boot_ahead_ms = ahead;
-	if (passed < PAUSE_MS)
-		return;
-	c->pause_noticed = now;
-	c->pause_began = clk_add_ms(now, -passed);
 	if (suspended >= PAUSE_MS)
 		caller_on_suspension(mesh_caller(c->mesh), suspended);
 }
 
-/* Returns the earliest time at which a request that is read now may have
- * arrived: one that was sent during a pause is read after it. */
-static struct timespec
-earliest_arrival(const struct core *c, struct timespec now)
-{
-	if (c->ticked_at.tv_sec != 0 &&
-	    clk_diff_ms(now, c->ticked_at) >= PAUSE_MS)
-		return c->ticked_at;
-	if (c->pause_noticed.tv_sec != 0 &&
-	    clk_diff_ms(now, c->pause_noticed) < PAUSE_SETTLE_MS)
-		return c->pause_began;
-	return now;
-}
-
 /* Notes when an order was received, in ms on this instance's monotonic clock.
  * Returns false if its client has closed the connection: it sends the order
  * again, or has ordered something else since. */
 bool
 core_take_order(struct core *c, const struct front_req *req, Job__Call *call)
 {
-	struct timespec at = earliest_arrival(c, mesh_now(c->mesh));
+	struct timespec at = pause_earliest_arrival(
+	    &c->pause, mesh_now(c->mesh), get_boot_ahead_ms());
 
 	if (front_is_client_gone(req)) {
 		log_event(LOG_NOTICE, "core",
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -13,6 +13,7 @@
 #include "node/front.h"
 #include "node/mesh.h"
 #include "node/metrics.h"
+#include "node/pause.h"
 #include "node/relay.h"
 #include "node/ticker.h"
 
@@ -70,10 +71,7 @@
 	struct relay *relay; /* calls to workers */
 	struct ticker *ticker;
 	struct timespec ticked_at; /* last tick; zero before the first */
-	/* The last pause of this process: from its last sign of running to the
-	 * tick that noticed it. */
-	struct timespec pause_began, pause_noticed;
-	int64_t boot_ahead_ms; /* of the monotonic clock, by suspensions */
+	struct pause pause;
 	struct fdplan fds;
 	struct tevent_immediate *flush_event;
 	bool flush_scheduled, in_flush;
