--- a/soak/soak.py
+++ b/soak/soak.py
@@ -3,7 +3,7 @@
 from outside, and checks the guarantees given to clients and workers.
 
     soak.py BINARY SEED... [--seconds N] [--keep DIR] [--net N] [--gates N]
-            [--workers N] [--leaves]
+            [--workers N] [--leaves] [--evacuations]
 
 Ends only processes that it started, by their ids. Prints one line for each
 seed, then its first findings; the exit status is 1 if a guarantee was
@@ -21,7 +21,7 @@
 import tempfile
 
 from proxy import MODES, Proxy
-from world import Client, Ledger, Operator, Worker
+from world import Client, Ledger, Operator, Worker, ZONES
 
 REPLICA_COUNT = 5
 PEER_PORT, CONTROL_PORT, CLIENT_PORT = 17720, 18166, 18161
@@ -96,10 +96,14 @@
 class Soak:
     """One run of a seed: its cluster, workers, clients and faults."""
 
-    def __init__(self, binary, seed, root, net, gates, workers, leaves):
+    def __init__(self, binary, seed, root, net, gates, workers, leaves,
+                 evacuations=False):
         self.rng = random.Random(seed)
         self.leave_rng = random.Random(f"{seed} leaves")
         self.has_leaves = leaves
+        self.evacuate_rng = random.Random(f"{seed} evacuations")
+        self.has_evacuations = evacuations
+        self.order_times = []  # how long the orders of the operator took
         self.ledger = Ledger()
         seeds = ",".join(f"127.{net}.2.{n}:{CONTROL_PORT}" for n in (1, 2, 3))
         uses_relays = seed % 2 == 1  # calls of the leader are relayed calls
@@ -111,6 +115,8 @@
         cores = [(p.ip, CONTROL_PORT) for p in self.cores]
         self.workers = [Worker(net, n + 1, self.ledger, self.rng, cores)
                         for n in range(workers)]
+        for n, w in enumerate(self.workers if evacuations else []):
+            w.zone = ZONES[n % len(ZONES)]
         self.client = Client(
             self.ledger, self.rng, [(p.ip, CLIENT_PORT) for p in self.gates])
         self.operator = Operator(self.ledger, self.rng, cores)
@@ -266,6 +272,24 @@
                 tasks.append(asyncio.create_task(w.leave(self.leave_rng)))
         await asyncio.gather(*tasks)
 
+    async def inject_evacuations(self, until):
+        """Evacuates a random failure domain and takes it back, every 1 to 4 s;
+        two domains may overlap."""
+        loop, rng, tasks = asyncio.get_running_loop(), self.evacuate_rng, {}
+
+        async def evacuate(zone):
+            self.order_times += await self.operator.evacuate(
+                zone, rng.uniform(0.2, 9), self.workers, rng)
+
+        while loop.time() < until:
+            await asyncio.sleep(rng.uniform(1, 4))
+            busy = [z for z in tasks if not tasks[z].done()]
+            free = [z for z in ZONES if z not in busy]
+            if len(free) > 1:
+                zone = rng.choice(free)
+                tasks[zone] = asyncio.create_task(evacuate(zone))
+        await asyncio.gather(*tasks.values())
+
     async def check_final_state(self):
         """Checks that every worker is in use, that every accepted job ends in
         time, and that no refused or unknown one has run."""
@@ -308,7 +332,9 @@
         try:
             await asyncio.gather(
                 self.generate_load(until), self.inject_faults(until),
-                self.inject_leaves(until if self.has_leaves else 0))
+                self.inject_leaves(until if self.has_leaves else 0),
+                self.inject_evacuations(
+                    until if self.has_evacuations else 0))
             await self.check_final_state()
         finally:
             self.ledger.is_over = True
@@ -324,10 +350,11 @@
                 p.kill()
 
 
-def run_seed(binary, seed, seconds, keep, net, gates, workers, leaves):
+def run_seed(binary, seed, seconds, keep, net, gates, workers, leaves,
+             evacuations):
     """Runs one seed and prints its result; returns True without findings."""
     root = tempfile.mkdtemp(prefix="soak-")
-    soak = Soak(binary, seed, root, net, gates, workers, leaves)
+    soak = Soak(binary, seed, root, net, gates, workers, leaves, evacuations)
     try:
         asyncio.run(soak.run(seconds))
     finally:
@@ -336,6 +363,8 @@
     print(f"seed {seed}: faults {len(soak.faults)} "
           f"jobs {len(ledger.accepted_jobs)} starts {ledger.start_count} "
           f"config {soak.operator.acknowledged_version} "
+          f"orders {len(soak.order_times)} "
+          f"slowest {max(soak.order_times, default=0):.1f} s "
           f"findings {len(ledger.findings)}", flush=True)
     for text in ledger.findings[:10]:
         print("  " + text)
@@ -360,9 +389,11 @@
     p.add_argument("--workers", type=int, default=8)
     p.add_argument("--leaves", action="store_true",
                    help="workers leave as planned and restart")
+    p.add_argument("--evacuations", action="store_true",
+                   help="the operator evacuates failure domains")
     a = p.parse_args()
     good = [run_seed(a.binary, s, a.seconds, a.keep, a.net, a.gates, a.workers,
-                 a.leaves)
+                 a.leaves, a.evacuations)
             for s in a.seeds]
     sys.exit(0 if all(good) else 1)
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,6 +7,12 @@
 
 from proxy import Proxy
 
+# Limits of the platform: an evacuation is in force so long after its
+# acknowledgement; the operator sends an order again after RESEND_S, for at most
+# ACK_S.
+EVACUATE_S, RESEND_S, ACK_S = 5.0, 1.0, 5.0
+ZONES = ("za", "zb", "zc")
+
 
 async def read_message(reader):
     """Reads one HTTP message; returns its first line, headers and body."""
@@ -56,6 +62,8 @@
     REFUSED  a job has run although every submission was refused
     UNASKED  a job has run although its cancel was answered "unknown job"
     CONFIG   a configuration change was refused or has been lost
+    EVACUATE an evacuation was refused, or a start reached a worker of a failure
+             domain too long after its evacuation was acknowledged
     """
 
     def __init__(self):
@@ -68,6 +76,8 @@
         self.racing_jobs = set()  # ids of jobs cancelled during their POST
         self.unknown_jobs = set()  # ids of jobs whose cancel was answered 410
         self.start_count = 0
+        # failure domain -> time of the acknowledgement of its evacuation
+        self.evacuated = {}
         self.is_over = False  # the asyncio tasks of this soak end themselves
 
     def report(self, text):
@@ -86,6 +96,14 @@
                         "acknowledged")
         self.running[task] = worker
 
+    def check_domain(self, task, zone, arrived_at):
+        """Checks that a start that arrived at this time may reach a worker of
+        this failure domain."""
+        since = self.evacuated.get(zone)
+        if since is not None and arrived_at > since + EVACUATE_S:
+            self.report(f"EVACUATE {task} reached {zone} "
+                        f"{arrived_at - since:.3f} s after the acknowledgement")
+
     def record_end(self, task):
         """Records that a task doesn't run any more."""
         self.running.pop(task, None)
@@ -98,6 +116,8 @@
     def __init__(self, net, number, ledger, rng, cores):
         self.id = f"i-{number:04d}"
         self.addr = (f"127.{net}.1.{number}", 18080)
+        self.zone = "z"
+        self.cold_until_s = 0.0
         self.proxy = Proxy(self.addr, (self.addr[0], 18081), rng)
         self.ledger, self.rng, self.cores = ledger, rng, cores
         self.is_cut_off = self.is_draining = False
@@ -143,7 +163,9 @@
         while not self.ledger.is_over:
             seq += 1
             body = {
-                "service": "svc", "address": "%s:%d" % self.addr, "zone": "z",
+                "service": "svc", "address": "%s:%d" % self.addr,
+                "zone": self.zone, "coldLeftMs": max(0, int(
+                    1000 * (self.cold_until_s - time.monotonic()))),
                 "state": "draining" if self.is_draining else "ready",
                 "born": self.started_unix_ms, "seq": seq,
                 "capacity": {"cpu": 16000, "memMb": 64000},
@@ -184,6 +206,7 @@
         try:
             while not self.ledger.is_over:
                 first, headers, body = await read_message(reader)
+                arrived_at = time.monotonic()
                 path, incarnation = first.split()[1], self.incarnation
                 args = json.loads(body or b"{}")
                 if self.is_cut_off:
@@ -196,12 +219,13 @@
                 if order and self.rng.random() < self.late_share:
                     await asyncio.sleep(self.rng.uniform(2, 6))
                     if incarnation == self.incarnation:
-                        self.execute_order(path, args)
+                        self.execute_order(path, args, arrived_at)
                     return
                 if path == "/-/hold":
                     status, answer = await self.answer_poll(args)
                 else:
-                    status, answer = self.execute_order(path, args)
+                    status, answer = self.execute_order(
+                        path, args, arrived_at)
                 if self.is_cut_off or incarnation != self.incarnation:
                     return
                 answer["clockMs"] = self.clock_ms()
@@ -257,7 +281,7 @@
         running = [[t, r[0], "", 100] for t, r in self.runs.items()]
         return 200, {"running": running, "finished": self.ends[:500]}
 
-    def execute_order(self, path, args):
+    def execute_order(self, path, args, arrived_at):
         """Starts or stops a run; returns the status and the answer."""
         task, run = args["task"], args["run"]
         if not self.renew_lease(args):
@@ -276,6 +300,7 @@
             if len(self.runs) >= 16:
                 return 409, {"reason": "room"}
             self.ledger.record_start(task, self.id)
+            self.ledger.check_domain(task, self.zone, arrived_at)
             seconds, how = self.draw_end(task)
             timer = asyncio.get_running_loop().call_later(
                 seconds, self.end_run, task, how)
@@ -450,3 +475,39 @@
             self.ledger.report(
                 f"CONFIG version {acknowledged} was acknowledged, but "
                 f"version {json.loads(body)['version']} was read")
+
+    async def send_order(self, name, zone):
+        """Sends an order about a failure domain, again to any replica until it
+        is acknowledged or given up; tells whether it was acknowledged."""
+        until = time.monotonic() + ACK_S
+        while time.monotonic() < until:
+            sent_at = time.monotonic()
+            status, _ = await call(
+                self.rng.choice(self.cores), "POST", f"/-/{name}/{zone}",
+                timeout=RESEND_S)
+            if status is not None and 200 <= status < 300:
+                return True
+            if status is not None and 400 <= status < 500:
+                self.ledger.report(f"EVACUATE {name} {zone} was refused with "
+                                   f"{status}")
+                return False
+            await asyncio.sleep(max(0, sent_at + RESEND_S - time.monotonic()))
+        return False
+
+    async def evacuate(self, zone, seconds, workers, rng):
+        """Evacuates a failure domain and takes it back, which makes its workers
+        cold; returns how long both orders took."""
+        began_at = time.monotonic()
+        if await self.send_order("Evacuate.Start", zone):
+            self.ledger.evacuated[zone] = time.monotonic()
+        took = [time.monotonic() - began_at]
+        await asyncio.sleep(seconds)
+        self.ledger.evacuated.pop(zone, None)
+        began_at = time.monotonic()
+        while not await self.send_order("Evacuate.Finish", zone):
+            if self.ledger.is_over:
+                return took
+        for w in workers:
+            if w.zone == zone:
+                w.cold_until_s = time.monotonic() + rng.uniform(0, 3)
+        return took + [time.monotonic() - began_at]
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -532,11 +532,16 @@
 /* Polls a silent worker again without waiting for the backoff, as a heartbeat
  * has shown that it is alive. */
 void
-jlead_on_heartbeat(struct jlead *jl, struct jst_worker *w)
+jlead_on_heartbeat(
+    struct jlead *jl, struct jst_worker *w, uint32_t cold_left_ms)
 {
 	struct wsess *ws = w->session;
 
-	if (jl->leading && ws != NULL && ws->silent && !ws->poll_pending)
+	if (!jl->leading || ws == NULL)
+		return;
+	if (cold_left_ms > 0)
+		ws->cold_until = clk_add_ms(jl->now, cold_left_ms);
+	if (ws->silent && !ws->poll_pending)
 		ws->next_poll_at = jl->now;
 }
 
@@ -729,6 +734,7 @@
 	if (jl->nfences + 1 < UINT64_C(1) << JLEAD_FENCE_BITS)
 		jl->nfences++;
 	ws = session_new(jl, w);
+	ws->cold_until = clk_add_ms(jl->now, w->info->cold_left_ms);
 	for (earlier = jl->sessions; earlier != NULL; earlier = earlier->next) {
 		if (earlier == ws ||
 		    strcmp(earlier->w->info->id, w->info->id) != 0)
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -281,8 +281,10 @@
 void jlead_apply(struct jlead *, struct timespec now, int64_t wall_ms,
     const Job__Command *, struct jst_result *);
 void jlead_reply(struct jlead *, struct timespec now, const struct jl_reply *);
-/* Records a heartbeat of a registered worker. */
-void jlead_on_heartbeat(struct jlead *, struct jst_worker *);
+/* Records a heartbeat of a registered worker, which says for how much longer
+ * the worker is slow; 0: it isn't. */
+void jlead_on_heartbeat(
+    struct jlead *, struct jst_worker *, uint32_t cold_left_ms);
 /* Handles a worker's notice that it is about to exit. Returns true if nothing
  * can run there: the caller then proposes the removal of its registration.
  * Otherwise its runs are stopped, and the registration is removed once they
--- a/src/job/jlead_evac.c
+++ b/src/job/jlead_evac.c
@@ -76,23 +76,8 @@
 		stop_gang(jl, r);
 }
 
-/* Closes a worker to new work, or opens it. Starts there that have no answer
- * yet are given up. */
-static void
-set_closed(struct jlead *jl, struct wsess *ws, bool closed)
-{
-	struct jrun *r, *next;
-
-	if (ws->closed == closed)
-		return;
-	ws->closed = closed;
-	for (r = ws->runs; closed && r != NULL; r = next) {
-		next = r->next;
-		jrun_send_due(jl, r);
-	}
-}
-
-/* Handles a committed order, on every replica. */
+/* Handles a committed order, on every replica. Starts without an answer are
+ * given up when they would be sent again. */
 void
 jl_evac_applied(struct jlead *jl, const Job__Evacuation *m, enum status status)
 {
@@ -114,7 +99,7 @@
 	    ev == NULL ? 0 : ev->at_ms, jl_evac_count_runs(jl, m->domain),
 	    jl->st->nevacuations);
 	for (ws = jl->sessions; ws != NULL; ws = ws->next)
-		set_closed(jl, ws, jevac_is_closed(jl->st, ws->w->info->zone));
+		ws->closed = jevac_is_closed(jl->st, ws->w->info->zone);
 }
 
 /* Counts what still runs in the domains under evacuation, and logs when nothing
--- a/src/job/jlead_idle.c
+++ b/src/job/jlead_idle.c
@@ -60,7 +60,7 @@
 
 /* Workers that have room for a task, by what keeps the plan from using them. */
 struct fitting_workers {
-	uint32_t usable, reserved, silent, paused, draining, others;
+	uint32_t usable, reserved, silent, paused, draining, evacuated, others;
 };
 
 /* Counts the workers that have the processors and memory for a task, by the
@@ -85,6 +85,8 @@
 			f->usable++;
 		else if (ws->w->draining || ws->leave_announced)
 			f->draining++;
+		else if (ws->closed)
+			f->evacuated++;
 		else if (ws->silent || !ws->contacted)
 			f->silent++;
 		else if (clk_before(jl->now, ws->paused_until))
@@ -109,13 +111,14 @@
 	    "idle_ms=%" PRId64 " proposed=%d step_waiting=%u step_proposed=%u "
 	    "queue=%d cpu=%" PRId64 " mem_mb=%" PRId64
 	    " long_running=%d best_effort=%d spread=%u fitting=%u of=%zu"
-	    " reserved=%u silent=%u paused=%u draining=%u others=%u",
+	    " reserved=%u silent=%u paused=%u draining=%u others=%u "
+	    "evacuated=%u",
 	    st->job->id, st->occurrence, st->number, index, t->run, idle_ms,
 	    t->active_run != NULL, st->nwaiting, st->nproposed,
 	    st->job->queue_cfg != NULL, (int64_t)st->spec->cpu_milli,
 	    (int64_t)st->spec->mem_mb, st->spec->lasting, st->spec->fills,
 	    st->spec->spread, f.usable, jl->nsessions, f.reserved, f.silent,
-	    f.paused, f.draining, f.others);
+	    f.paused, f.draining, f.others, f.evacuated);
 }
 
 /* Logs a task that is assigned: the phase of its run and what its worker's
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -113,9 +113,11 @@
 	bool leave_announced;
 	bool removal_proposed; /* its removal is being replicated */
 	bool closed;	       /* its domain is under evacuation */
-	uint64_t incarnation;  /* of the worker that answers */
-	uint64_t fence;	       /* fencing token of its calls */
-	bool poll_pending;     /* a long poll is in flight */
+	/* The worker is slow until then, as its heartbeats say. */
+	struct timespec cold_until;
+	uint64_t incarnation; /* of the worker that answers */
+	uint64_t fence;	      /* fencing token of its calls */
+	bool poll_pending;    /* a long poll is in flight */
 	uint64_t poll_serial;
 	uint64_t answered_poll; /* serial of the last poll that was answered */
 	struct timespec poll_deadline; /* end of the poll's time limit */
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -104,6 +104,7 @@
 		if (ws->plan_stale || p->changed)
 			fill_plan_worker(jl, ws, p);
 		p->closed = ws->closed;
+		p->cold = clk_before(jl->now, ws->cold_until);
 		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
 		    !ws->closed && !ws->leave_announced &&
 		    !ws->removal_proposed && !ws->w->draining &&
@@ -185,7 +186,7 @@
 {
 	int64_t cpu = 0, allocated = 0, serving = 0, best_effort = 0, mem = 0,
 		free_mem = 0;
-	uint32_t usable = 0, silent = 0;
+	uint32_t usable = 0, silent = 0, closed = 0, cold = 0;
 	struct waiting_tasks w;
 	size_t i;
 
@@ -196,6 +197,8 @@
 		const struct jplan_worker *p = &jl->plan_workers[i];
 
 		silent += jl->plan_sessions[i]->silent;
+		closed += p->closed;
+		cold += p->cold;
 		if (!p->usable)
 			continue;
 		usable++;
@@ -212,10 +215,10 @@
 	    " allocated=%" PRId64 " serving=%" PRId64 " best_effort=%" PRId64
 	    " mem_mb=%" PRId64 " free_mem_mb=%" PRId64
 	    " waiting=%u waiting_best_effort=%u waiting_long_running=%u "
-	    "plans=%" PRIu64,
+	    "plans=%" PRIu64 " evacuated=%u cold=%u",
 	    jl->nsessions, usable, silent, cpu / 1000, allocated / 1000,
 	    serving / 1000, best_effort / 1000, mem, free_mem, w.others,
-	    w.best_effort, w.long_running, jl->nplans);
+	    w.best_effort, w.long_running, jl->nplans, closed, cold);
 	jl->nplans = 0;
 	jl_evac_scan(jl);
 	jl_scan_idle(jl);
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -266,14 +266,11 @@
 void
 jrun_send_due(struct jlead *jl, struct jrun *r)
 {
-	/* A start that is given up doesn't wait for its repetition. */
-	bool is_due = !clk_before(jl->now, r->retry_at) ||
-	    (r->ws->closed && r->phase == RUN_STARTING && !r->must_stop);
-
 	if (r->phase == RUN_STARTING || r->must_stop)
 		r->ws->orders_due = true;
-	if (r->order_pending || !is_due || r->phase == RUN_PROPOSED ||
-	    r->phase == RUN_INHERITED || r->phase == RUN_ENDING)
+	if (r->order_pending || clk_before(jl->now, r->retry_at) ||
+	    r->phase == RUN_PROPOSED || r->phase == RUN_INHERITED ||
+	    r->phase == RUN_ENDING)
 		return;
 	if (is_start_overdue(jl, r)) {
 		give_up_start(jl, r);
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -102,6 +102,12 @@
 #define JPLAN_SAME_JOB_GAIN 3000.0
 /* A worker that isn't on the rack of the task's data. */
 #define JPLAN_OTHER_RACK_COST 5000.0
+/* A cold worker for a task that is to meet an objective: chosen after every
+ * warm one that hasn't failed tasks lately. */
+#define JPLAN_COLD_COST 50000.0
+/* At most one of this many cold workers of a domain takes tasks in one plan,
+ * rounded up, so that a domain that comes back isn't filled all at once. */
+#define JPLAN_COLD_WORKERS_PER_USED 2
 /* Share of their processors that serving tasks use at busy times; the rest is
  * for best-effort tasks. */
 #define JPLAN_SERVING_USE 0.5
@@ -121,6 +127,7 @@
 	struct jst_worker *w;
 	bool usable;
 	bool closed; /* not usable: its domain is under evacuation */
+	bool cold;   /* slow for a while */
 	int64_t free_cpu, free_mem,
 	    free_accel; /* free_cpu ignores best-effort tasks */
 	int64_t cpu_total;
@@ -135,6 +142,9 @@
 	uint32_t service_index; /* set by the plan */
 	bool changed;  /* set by the plan when it has placed a task there */
 	bool reserved; /* set by the plan: for displaced tasks only */
+	/* set by the plan, for cold workers: index of its domain, and the tasks
+	 * that were placed there */
+	uint32_t domain_index, ncold_tasks;
 };
 
 /* A task that is to start on a worker. */
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -16,7 +16,8 @@
 	const char *label, *rack;
 	uint32_t service_index; /* JPLAN_NO_SERVICE: no worker has it */
 	bool best_effort, may_wait;
-	bool displaced; /* it has run before and lost its worker */
+	bool prefers_warm; /* it has an objective to meet */
+	bool displaced;	   /* it has run before and lost its worker */
 	bool may_use_reserved;
 	/* a best-effort task that needs no processors left for it */
 	bool shares_cpu;
@@ -46,6 +47,12 @@
 	int64_t piece_cpu, cpu_free, cpu_in_pieces, cpu_reserved;
 };
 
+/* A failure domain with cold workers. */
+struct jplan_cold {
+	const char *domain;
+	size_t nworkers, nused; /* cold ones, and those that took a task */
+};
+
 /* State of one plan; free resources shrink as tasks are placed. */
 struct jplan_round {
 	struct jinterf *interf;
@@ -60,6 +67,8 @@
 	size_t nheap;
 	struct jplan_service *services;
 	uint32_t nservices, services_cap;
+	struct jplan_cold *cold; /* NULL: no worker is cold */
+	uint32_t ncold;
 	int64_t now_ms; /* monotonic */
 	struct jplan_need no_fit[JPLAN_NO_FIT_MAX];
 	size_t nno_fit;
@@ -83,6 +92,15 @@
 /* Undoes choices of jplan_place. */
 void jplan_undo(struct jplan_round *, const struct jplan_choice *, size_t n);
 
+/* jplan_cold.c */
+/* Adds a cold worker to those of its domain. */
+void jplan_cold_add(struct jplan_round *, struct jplan_worker *);
+/* Tells whether a cold worker may take a task in this plan. */
+bool jplan_cold_may_use(
+    const struct jplan_round *, const struct jplan_worker *, bool gang);
+/* Counts a task on a cold worker; sign -1 undoes that. */
+void jplan_cold_count(struct jplan_round *, struct jplan_worker *, int sign);
+
 /* jplan_interf.c */
 /* Estimates for each serving step how many of its tasks miss their target. */
 void jplan_interf_init(struct jplan_worker *, size_t n);
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -81,6 +81,8 @@
 	p->service_index = worker_service(r, p);
 	p->w->plan_index = (uint32_t)i;
 	p->reserved = false;
+	if (p->cold)
+		jplan_cold_add(r, p);
 	/* What is free in a closed domain is of no use to what waits. */
 	if (p->closed)
 		return;
@@ -127,6 +129,7 @@
 	free(r->step_tasks);
 	free(r->heap);
 	free(r->services);
+	free(r->cold);
 }
 
 /* Tells whether a worker has a label. */
@@ -182,6 +185,7 @@
 	d.label = nonempty_or_null(s->label);
 	d.rack = nonempty_or_null(s->rack);
 	d.best_effort = s->fills;
+	d.prefers_warm = !s->fills;
 	d.displaced = displaced;
 	d.image_index = jinterf_image_index(r->interf, s->image);
 	d.cpu = s->cpu_milli;
@@ -317,6 +321,8 @@
 	double total = p->cpu_total > 0 ? (double)p->cpu_total : 1.0;
 	double c = p->failure_score * JPLAN_FAILURE_COST;
 
+	if (p->cold && d->prefers_warm)
+		c += JPLAN_COLD_COST;
 	if (d->rack != NULL && !has_label(p->w->info, d->rack))
 		c += JPLAN_OTHER_RACK_COST;
 	if (d->best_effort)
@@ -390,6 +396,7 @@
 
 	if (!p->usable || (p->reserved && !d->may_use_reserved) ||
 	    !fits(d, p) || !is_eligible(d, p) ||
+	    (p->cold && !jplan_cold_may_use(r, p, st->spec->gang)) ||
 	    (st->spec->spread > 0 && ntasks_there >= st->spec->spread))
 		return false;
 	pl->interference = d->best_effort
@@ -597,6 +604,8 @@
 		out[k].may_wait = d.may_wait;
 		add_free_cpu(r, &r->workers[best.worker], -1);
 		allocate(r->interf, st, &d, &r->workers[best.worker], 1);
+		if (r->workers[best.worker].cold)
+			jplan_cold_count(r, &r->workers[best.worker], 1);
 		add_free_cpu(r, &r->workers[best.worker], 1);
 		r->step_tasks[best.worker]++;
 		heap_update_top(r, st, &d);
@@ -693,6 +702,8 @@
 
 		add_free_cpu(r, p, -1);
 		allocate(r->interf, c[i].step, &d, p, -1);
+		if (p->cold)
+			jplan_cold_count(r, p, -1);
 		add_free_cpu(r, p, 1);
 	}
 	if (n > 0)
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -179,6 +179,8 @@
 	/* of workers that are added from now on */
 	std::string new_kind = "a", new_zone = "z";
 	uint32_t new_mem_mb = 1000000, new_accel = 0;
+	/* in heartbeats that register a worker */
+	uint32_t cold_left_ms = 0;
 	/* later registrations of the same worker */
 	std::map<uint64_t, uint64_t> alias;
 	std::multimap<int64_t, std::function<void()>> events;
@@ -344,6 +346,8 @@
 		m.zone = w.zone.data();
 		m.service = w.service.data();
 		m.born = w.incarnation;
+		m.has_cold_left_ms = 1;
+		m.cold_left_ms = cold_left_ms;
 		m.cpu_milli = (uint32_t)w.cpu;
 		m.mem_mb = w.mem_mb;
 		m.has_accel = 1;
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -316,8 +316,9 @@
 		return;
 	}
 	if (core_is_heartbeat_known(c, k->worker)) {
-		jlead_on_heartbeat(
-		    &c->jl, jst_find_worker_by_id(&c->st, k->worker->id));
+		jlead_on_heartbeat(&c->jl,
+		    jst_find_worker_by_id(&c->st, k->worker->id),
+		    k->worker->cold_left_ms);
 		core_send_outcome(c, from, k->id, JOB__OUTCOME__OK);
 		return;
 	}
--- a/src/node/core_http.c
+++ b/src/node/core_http.c
@@ -174,7 +174,8 @@
  * Tells whether a heartbeat may be answered without the leader: it changes
  * nothing in the replicated state, and this replica is the sole leader, or is
  * in contact with it and has the committed log, so that it would have learned
- * of the end of this worker's registration.
+ * of the end of this worker's registration. Only the leader uses that a worker
+ * is cold, so such a heartbeat has to reach it.
  */
 static bool
 can_answer_heartbeat(struct core *c, const Job__Worker *w)
@@ -183,12 +184,15 @@
 
 	if (c->disk_failed || !core_is_heartbeat_known(c, w))
 		return false;
+	if (!c->leading && w->cold_left_ms > 0)
+		return false;
 	if (!c->leading)
 		return raft_is_up_to_date(c->raft, now) &&
 		    caller_is_ready(mesh_caller(c->mesh), now);
 	if (!raft_has_leader_lease(c->raft, now))
 		return false;
-	jlead_on_heartbeat(&c->jl, jst_find_worker_by_id(&c->st, w->id));
+	jlead_on_heartbeat(
+	    &c->jl, jst_find_worker_by_id(&c->st, w->id), w->cold_left_ms);
 	return true;
 }
 
