node: bound the memory of connections

Cause: an entry instance grew to 514 MB with 1,800 clients that stop short of the end of their bodies, a replica's control address to 7.5 GB.

Change: an account of the memory of connections (memacct), a decision which are closed in a shortage or for too little progress (shed), both used by the HTTP entry points and the connections between instances; documents are counted before objects are built from them (jbound); setting [instance] memory.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -414,6 +414,7 @@
 	mc.inst = c->inst;
 	mc.connections_max = c->fds.peers;
 	mc.ctr = &c->nctr;
+	mc.account = c->account;
 	mc.replica = c->replica;
 	mc.generation = c->generation;
 	mc.on_job = on_job;
@@ -448,6 +449,10 @@
 	fc.body_max = CORE_BODY_MAX;
 	fc.connections_max = c->fds.control;
 	fc.ctr = &c->nctr;
+	fc.account = c->account;
+	fc.use = MEMACCT_REQUESTS;
+	fc.name = "control";
+	fc.body_copies = CORE_BODY_COPIES;
 	fc.on_request = core_on_control;
 	fc.on_client_gone = on_client_gone;
 	fc.arg = c;
@@ -461,8 +466,11 @@
 {
 	struct jlead_ops ops = { lead_propose, lead_call, is_sole_leader, c };
 	struct relay_conf rc;
+	struct memacct_limits limits;
 
 	c->fds = fdplan_split(c->inst->descriptors);
+	limits = memacct_split(MEMACCT_REPLICA, c->inst->memory_mb);
+	c->account = memacct_new(c, &limits);
 	c->cmds_tail = &c->cmds;
 	c->inflight_tail = &c->inflight;
 	c->reads_tail = &c->reads;
@@ -487,7 +495,8 @@
 	c->relay = relay_new(c, &rc);
 	if (c->raft != NULL)
 		relay_on_leader(c->relay, raft_term(c->raft));
-	c->metrics = metrics_new(c, c->ev, c->inst->metrics, &c->nctr, e);
+	c->metrics =
+	    metrics_new(c, c->ev, c->inst->metrics, &c->nctr, c->account, e);
 	if (c->metrics == NULL)
 		return e->status;
 	metrics_add_counters(c->metrics, &c->nctr);
@@ -512,6 +521,7 @@
 		abort();
 	signal(SIGPIPE, SIG_IGN);
 	log_set_nonblocking();
+	front_init_heap();
 	c->inst = inst;
 	c->ev = tevent_context_init(c);
 	if (c->ev == NULL)
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -42,6 +42,9 @@
 #define CORE_OPERATOR_TIMEOUT_MS 2500
 /* Largest request body. */
 #define CORE_BODY_MAX (4 * 1024 * 1024)
+/* Copies of a body between its decoding and the answer: the call, its message,
+ * and the command that is proposed. */
+#define CORE_BODY_COPIES 3
 
 /* Runs until SIGTERM and a graceful shutdown. Returns the exit status: 0, or
  * 1 with an error. */
--- a/src/node/core_http.c
+++ b/src/node/core_http.c
@@ -99,6 +99,8 @@
 	k->since = mesh_now(c->mesh);
 	caller_start(
 	    mesh_caller(c->mesh), k->since, call, timeout_ms, on_call_end, k);
+	/* The caller has its own copy. */
+	front_release_body(req);
 }
 
 /* Logs why a request is invalid and answers it with 400. */
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -65,6 +65,7 @@
 	struct ctr_set nctr, jctr;
 	struct hist commit_ms, first_start_ms, complete_ms;
 	struct metrics *metrics;
+	struct memacct *account; /* of the memory of connections */
 	struct mesh *mesh;
 	struct front *control;
 	struct relay *relay; /* calls to workers */
--- a/src/node/fdplan.h
+++ b/src/node/fdplan.h
@@ -29,8 +29,28 @@
 	unsigned workers; /* calls to workers */
 };
 
+/* The metrics address, listening sockets, the log, the event loop, and
+ * connections to replicas of an entry instance. */
+#define FDPLAN_ENTRY_FILES 128
+/* Other instances that connect to an entry instance. */
+#define FDPLAN_ENTRY_PEERS 256
+/* Checks of readiness, of one balancer or a few. */
+#define FDPLAN_ENTRY_READINESS 128
+/* Clients at most, also with more descriptors. */
+#define FDPLAN_ENTRY_CLIENTS_MAX 2048
+/* Clients at least, and other kinds of connections in a small process. */
+#define FDPLAN_ENTRY_MIN 16
+
+/* Shares of an entry instance. */
+struct fdplan_entry {
+	unsigned clients;
+	unsigned readiness;
+	unsigned peers; /* from other instances */
+};
+
 /* Divides a number of descriptors; 0 stands for the system's limit. */
 struct fdplan fdplan_split(int64_t descriptors);
+struct fdplan_entry fdplan_split_entry(int64_t descriptors);
 
 __END_DECLS
 
--- a/src/node/front.c
+++ b/src/node/front.c
@@ -1,54 +1,13 @@
 #include "node/front.h"
 
 #include <errno.h>
-#include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/clk.h"
 #include "base/log.h"
-#include "node/mtimer.h"
-#include "node/nctr.h"
-
-#define REQUEST_HEADERS_MAX 64
-
-struct front {
-	struct front_conf conf;
-	struct tevent_context *ev;
-	struct MHD_Daemon *mhd;
-	struct tevent_fd *fde;
-	struct mtimer timer;
-	struct tevent_immediate *run_event;
-	struct clk clk;
-	bool in_library; /* inside MHD_run */
-	bool run_again;
-	bool draining;
-	size_t nrequests;
-	struct front_conn *suspended;
-};
-
-/* A request with the state that only this file uses. */
-struct front_conn {
-	struct front_req req; /* first member */
-	struct MHD_Connection *mhd;
-	struct timespec started_at;
-	bool headers_checked;
-	bool too_large;
-	bool is_delivered; /* passed to the handler, or refused */
-	bool answered;	   /* response is set */
-	bool suspended;
-	bool client_gone;
-	uint8_t *body;
-	size_t body_len, body_capacity;
-	int fd;
-	struct tevent_fd *client_watch;
-	struct MHD_Response *response;
-	int status;
-	struct front_header headers[REQUEST_HEADERS_MAX];
-	struct front_conn *prev, *next; /* in front.suspended */
-};
+#include "node/front_impl.h"
 
 static void front_run(struct front *);
 
@@ -90,6 +49,7 @@
 	}
 	f->in_library = true;
 	f->run_again = false;
+	f->now = clk_now(&f->clk);
 	MHD_run(f->mhd);
 	f->in_library = false;
 	mtimer_clear(&f->timer);
@@ -143,6 +103,9 @@
 		abort();
 	c->req.front = f;
 	c->mhd = mhd;
+	c->sock = front_sock_of(mhd);
+	c->sock->request = c;
+	front_sock_enter(c->sock, SHED_HEADERS);
 	t = str_dup(c, str_from(uri));
 	c->req.target = t;
 	q = memchr(t.p, '?', t.len);
@@ -193,13 +156,29 @@
 	return found;
 }
 
-/* Creates the response from copies of the reply's body and headers. */
+/* Creates the response from copies of the reply's body and headers. A large
+ * body for which there is no memory is replaced by a refusal. */
 static void
 conn_create_response(struct front_conn *c, const struct front_reply *r)
 {
+	struct front_header retry = { str_from("Retry-After"), str_from("1") };
+	struct front_reply no_memory = {
+		.status = 503, .headers = &retry, .nheaders = 1
+	};
 	size_t i;
 	char *name, *value;
 
+	front_sock_end_work(c->sock);
+	if (r->body.len > FRONT_ANSWER_SMALL_BYTES &&
+	    !front_sock_begin_work(c->sock, r->body.len)) {
+		ctr_add(c->req.front->conf.ctr,
+		    front_entry_counter(c->req.front, NCTR_REQUESTS_NO_MEMORY),
+		    1);
+		r = &no_memory;
+	}
+	front_sock_enter(c->sock, SHED_ANSWER);
+	c->sock->answer = r->body.len;
+
 	c->response = MHD_create_response_from_buffer(
 	    r->body.len, (void *)(uintptr_t)r->body.p, MHD_RESPMEM_MUST_COPY);
 	if (c->response == NULL)
@@ -233,13 +212,14 @@
 /* Answers a request that is not passed to the handler, and counts it. */
 static enum MHD_Result
 conn_refuse(struct front_conn *c, int status, const char *name,
-    const char *message, enum nctr which)
+    const char *message, size_t which)
 {
-	struct front_header type = { str_from("Content-Type"),
-		str_from("application/json") };
-	struct front_reply r = {
-		.status = status, .headers = &type, .nheaders = 1
-	};
+	struct front_header h[2] = { { str_from("Content-Type"),
+					 str_from("application/json") },
+		{ str_from("Retry-After"), str_from("1") } };
+	struct front_reply r = { .status = status,
+		.headers = h,
+		.nheaders = status == 503 ? 2 : 1 };
 	char *body;
 
 	ctr_add(c->req.front->conf.ctr, which, 1);
@@ -278,6 +258,28 @@
 	c->req.front->conf.on_client_gone(c->req.front->conf.arg, &c->req);
 }
 
+/*
+ * Handles a piece of a body that is over the limit. The refusal is sent at
+ * once, and the rest dropped: false if the connection is to be closed.
+ */
+static bool
+conn_cut_off(struct front_conn *c, size_t len)
+{
+	struct front *f = c->req.front;
+
+	if (!c->cut_off) {
+		c->cut_off = true;
+		front_sock_refuse(c->sock, 413);
+		front_drop_body(c);
+		c->body_len = 0;
+		ctr_add(f->conf.ctr, NCTR_HTTP_BODY_LIMIT, 1);
+		ctr_add(f->conf.ctr,
+		    front_entry_counter(f, NCTR_REQUESTS_CUT_OFF), 1);
+	}
+	c->body_len += len;
+	return c->body_len <= FRONT_DISCARD_MAX_BYTES;
+}
+
 /* Appends a piece of the body; false if the connection is to be closed. */
 static bool
 conn_append_body(struct front_conn *c, const char *data, size_t len)
@@ -285,16 +287,16 @@
 	struct front *f = c->req.front;
 	size_t cap;
 
-	if (c->body_len + len > f->conf.body_max) {
-		c->too_large = true;
-		c->body_len += len;
-		/* Reads on for a while so that the client gets the answer. */
-		return c->body_len <= 4 * f->conf.body_max;
-	}
+	if (c->sock->phase == SHED_CLOSING)
+		return false;
+	if (c->cut_off || c->body_len + len > f->conf.body_max)
+		return conn_cut_off(c, len);
 	if (c->body_len + len > c->body_capacity) {
 		cap = c->body_capacity == 0 ? 1024 : c->body_capacity;
 		while (cap < c->body_len + len)
 			cap *= 2;
+		if (!front_sock_grow(c->sock, cap - c->body_capacity))
+			return false;
 		c->body = talloc_realloc(c, c->body, uint8_t, cap);
 		if (c->body == NULL)
 			abort();
@@ -302,6 +304,7 @@
 	}
 	memcpy(c->body + c->body_len, data, len);
 	c->body_len += len;
+	c->sock->progress = c->body_len;
 	return true;
 }
 
@@ -319,7 +322,7 @@
 
 	*done = true;
 	c->headers_checked = true;
-	c->started_at = clk_now(&f->clk);
+	front_sock_enter(c->sock, SHED_BODY);
 	ctr_add(f->conf.ctr, NCTR_HTTP_REQUESTS, 1);
 	c->req.method = str_dup(c, str_from(method));
 	c->req.headers = c->headers;
@@ -357,8 +360,14 @@
 	struct front *f = c->req.front;
 	const union MHD_ConnectionInfo *info;
 
+	if (!front_sock_begin_work(
+		c->sock, FRONT_WORK_BYTES + c->body_len * f->conf.body_copies))
+		return conn_refuse(c, 503, "BUSY",
+		    "no memory for the request, it was not run",
+		    front_entry_counter(f, NCTR_REQUESTS_NO_MEMORY));
 	c->is_delivered = true;
 	c->req.body = str_mem(c->body, c->body_len);
+	front_sock_enter(c->sock, SHED_HELD);
 	f->conf.on_request(f->conf.arg, &c->req);
 	if (c->answered)
 		return conn_send_response(c);
@@ -397,19 +406,13 @@
 		return ret;
 	}
 	if (*size > 0) {
-		if (clk_diff_ms(clk_now(&c->req.front->clk), c->started_at) >
-		    FRONT_BODY_TIMEOUT_MS) {
-			ctr_add(c->req.front->conf.ctr, NCTR_HTTP_BODY_SLOW, 1);
+		if (!conn_append_body(c, data, *size))
 			return MHD_NO;
-		}
-		if (!conn_append_body(c, data, *size)) {
-			ctr_add(
-			    c->req.front->conf.ctr, NCTR_HTTP_BODY_LIMIT, 1);
-			return MHD_NO;
-		}
 		*size = 0;
 		return MHD_YES;
 	}
+	if (c->cut_off || c->sock->phase == SHED_CLOSING)
+		return MHD_NO;
 	if (c->answered) {
 		if (c->response == NULL)
 			return MHD_YES;
@@ -417,9 +420,6 @@
 	}
 	if (c->is_delivered)
 		return MHD_YES;
-	if (c->too_large)
-		return conn_refuse(c, 413, "LIMIT",
-		    "request body is over the limit", NCTR_HTTP_BODY_LIMIT);
 	return conn_deliver_request(c);
 }
 
@@ -434,6 +434,10 @@
 		return;
 	*con_cls = NULL;
 	c->req.front->nrequests--;
+	front_drop_body(c);
+	front_sock_end_work(c->sock);
+	c->sock->request = NULL;
+	front_sock_enter(c->sock, SHED_IDLE);
 	if (c->response != NULL)
 		MHD_destroy_response(c->response);
 	talloc_free(c);
@@ -473,6 +477,7 @@
 
 	if (c->answered)
 		return;
+	c->req.front->now = clk_now(&c->req.front->clk);
 	conn_create_response(c, r);
 	TALLOC_FREE(c->client_watch);
 	if (c->suspended) {
@@ -483,6 +488,25 @@
 	}
 }
 
+/*
+ * Releases the body of a request that is with the handler. What the handler
+ * keeps of it was reserved when the request was complete.
+ */
+void
+front_release_body(struct front_req *req)
+{
+	front_drop_body((struct front_conn *)req);
+}
+
+/* Tells whether a complete request would be handled, rather than refused for
+ * lack of memory. */
+bool
+front_has_room(const struct front *f)
+{
+	return f->conf.account == NULL ||
+	    memacct_fits(f->conf.account, MEMACCT_WORK, FRONT_WORK_BYTES);
+}
+
 /* Has every connection closed after its next answer. */
 void
 front_drain(struct front *f)
@@ -513,6 +537,7 @@
 		MHD_resume_connection(c->mhd);
 	}
 	f->suspended = NULL;
+	mtimer_clear(&f->check_timer);
 	if (f->mhd != NULL)
 		MHD_stop_daemon(f->mhd);
 	f->mhd = NULL;
@@ -529,6 +554,7 @@
     const struct front_conf *conf, struct err *e)
 {
 	const union MHD_DaemonInfo *info;
+	struct mtimer_queue *timers;
 	struct front *f;
 
 	f = talloc_zero(ctx, struct front);
@@ -536,18 +562,22 @@
 		abort();
 	f->conf = *conf;
 	f->ev = ev;
-	mtimer_init(&f->timer, mtimer_queue_new(f, ev), on_timer, f);
+	timers = mtimer_queue_new(f, ev);
+	mtimer_init(&f->timer, timers, on_timer, f);
+	mtimer_init(&f->check_timer, timers, front_check_all, f);
 	f->clk = clk_system();
+	f->now = f->checked_at = clk_now(&f->clk);
 	f->run_event = tevent_create_immediate(f);
 	f->mhd = MHD_start_daemon(
 	    MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0,
-	    NULL, NULL, on_request_data, f, MHD_OPTION_EXTERNAL_LOGGER,
+	    front_on_accept, f, on_request_data, f, MHD_OPTION_EXTERNAL_LOGGER,
 	    on_library_log, f, MHD_OPTION_LISTEN_SOCKET, conf->listen_fd,
 	    MHD_OPTION_CONNECTION_LIMIT, conf->connections_max,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)FRONT_IDLE_TIMEOUT_S,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)FRONT_HEADERS_MAX_BYTES,
 	    MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK,
 	    on_request_line, f, MHD_OPTION_NOTIFY_COMPLETED, on_completed, f,
+	    MHD_OPTION_NOTIFY_CONNECTION, front_on_connection, f,
 	    MHD_OPTION_SIGPIPE_HANDLED_BY_APP, 1, MHD_OPTION_END);
 	if (f->mhd == NULL) {
 		err_set(e, STATUS_IO, "HTTP server did not start");
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -11,13 +11,23 @@
 #include "base/ctr.h"
 #include "base/err.h"
 #include "base/str.h"
+#include "node/memacct.h"
 
 __BEGIN_DECLS
 
 #define FRONT_IDLE_TIMEOUT_S	60    /* without progress, then closed */
 #define FRONT_HEADERS_MAX_BYTES 32768 /* memory for a connection's headers */
-#define FRONT_BODY_TIMEOUT_MS	30000 /* for the whole body to arrive */
 #define FRONT_TARGET_MAX_BYTES	4096
+/* What an open connection holds without a body: the library's buffer, which it
+ * fills with zeros between requests, its record of the connection and ours. */
+#define FRONT_CONNECTION_BYTES (FRONT_HEADERS_MAX_BYTES + 4096)
+/* What a complete request holds in addition to copies of its body. */
+#define FRONT_WORK_BYTES 4096
+/* A body over the limit is read on for this long after its refusal: a socket
+ * that is closed with unread bytes discards the answer. */
+#define FRONT_DISCARD_MAX_BYTES (256 * 1024)
+/* Smaller answers are not counted in the account. */
+#define FRONT_ANSWER_SMALL_BYTES 1024
 
 struct front;
 
@@ -50,6 +60,11 @@
 	size_t body_max;
 	unsigned connections_max;
 	struct ctr_set *ctr;
+	/* The memory of this process. NULL: no bounds but the above. */
+	struct memacct *account;
+	enum memacct_use use; /* of account */
+	const char *name;     /* of this entry point, in the log */
+	unsigned body_copies; /* that the handler keeps until its answer */
 	/* Handles a whole request. */
 	void (*on_request)(void *arg, struct front_req *);
 	/* The client has disconnected; the request must be answered all the
@@ -62,12 +77,19 @@
     const struct front_conf *, struct err *);
 /* Answers a request; copies everything. The request is invalid afterwards. */
 void front_answer(struct front_req *, const struct front_reply *);
+/* Releases the body of a request that the handler no longer needs. */
+void front_release_body(struct front_req *);
+/* Tells whether a complete request would be handled. */
+bool front_has_room(const struct front *);
 /* Returns the value of a header, empty when absent; sets *nfound to the number
  * of occurrences. */
 struct str front_header_get(
     const struct front_req *, const char *name, size_t *nfound);
 /* Has every connection closed after its next answer. */
 void front_drain(struct front *);
+/* Sets up the C library's heap; to be called once at the start of a process
+ * whose memory is limited. */
+void front_init_heap(void);
 /* Returns the number of requests being received, handled or answered. */
 size_t front_count_requests(const struct front *);
 
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -9,6 +9,7 @@
 #include <tevent.h>
 
 #include "base/log.h"
+#include "node/fdplan.h"
 #include "node/front.h"
 #include "node/mesh.h"
 #include "node/metrics.h"
@@ -25,6 +26,8 @@
 	struct ctr_set ctr;
 	struct hist answer_ms;
 	struct metrics *metrics;
+	struct memacct *account; /* of the memory of connections */
+	struct fdplan_entry fds;
 	struct mesh *mesh;
 	struct front *clients, *readiness;
 	struct ticker *ticker;
@@ -205,14 +208,17 @@
 	k->since = mesh_now(g->mesh);
 	caller_start(mesh_caller(g->mesh), k->since, &c, ms < 1 ? 1 : ms,
 	    on_call_end, k);
+	front_release_body(req);
 	talloc_free(ctx);
 }
 
-/* Tells whether this instance can serve clients. */
+/* Tells whether this instance can serve clients. Closing slow connections
+ * doesn't make it unready: its balancer would send their clients on to the
+ * other instances. */
 static bool
 is_ready(struct gate *g)
 {
-	return !g->stopping &&
+	return !g->stopping && front_has_room(g->clients) &&
 	    caller_is_ready(mesh_caller(g->mesh), mesh_now(g->mesh));
 }
 
@@ -276,7 +282,8 @@
  * listen. */
 static struct front *
 start_server(struct gate *g, struct str addr, size_t body_max,
-    void (*request)(void *, struct front_req *), struct err *e)
+    enum memacct_use use, void (*request)(void *, struct front_req *),
+    struct err *e)
 {
 	struct front_conf fc;
 
@@ -285,7 +292,16 @@
 	if (fc.listen_fd < 0)
 		return NULL;
 	fc.body_max = body_max;
-	fc.connections_max = GATE_CONNECTIONS_MAX;
+	fc.use = use;
+	if (use == MEMACCT_REQUESTS) {
+		fc.name = "clients";
+		fc.connections_max = g->fds.clients;
+		fc.body_copies = GATE_BODY_COPIES;
+	} else {
+		fc.name = "readiness";
+		fc.connections_max = g->fds.readiness;
+	}
+	fc.account = g->account;
 	fc.ctr = &g->ctr;
 	fc.on_request = request;
 	fc.on_client_gone = on_client_gone;
@@ -297,11 +313,17 @@
 static enum status
 start_gate(struct gate *g, struct err *e)
 {
+	struct memacct_limits limits;
 	struct mesh_conf mc;
 
+	limits = memacct_split(MEMACCT_ENTRY, g->inst->memory_mb);
+	g->account = memacct_new(g, &limits);
+	g->fds = fdplan_split_entry(g->inst->descriptors);
 	memset(&mc, 0, sizeof(mc));
 	mc.inst = g->inst;
 	mc.ctr = &g->ctr;
+	mc.account = g->account;
+	mc.connections_max = g->fds.peers;
 	mc.on_job = on_job;
 	mc.arg = g;
 	if (getrandom(&mc.incarnation, sizeof(mc.incarnation), 0) < 0)
@@ -309,17 +331,18 @@
 	g->mesh = mesh_new(g, g->ev, &mc, e);
 	if (g->mesh == NULL)
 		return e->status;
-	g->clients =
-	    start_server(g, g->inst->clients, GATE_BODY_MAX, on_request, e);
+	g->clients = start_server(g, g->inst->clients, GATE_BODY_MAX,
+	    MEMACCT_REQUESTS, on_request, e);
 	if (g->clients == NULL)
 		return e->status;
 	if (g->inst->readiness.len > 0) {
-		g->readiness =
-		    start_server(g, g->inst->readiness, 1024, on_readiness, e);
+		g->readiness = start_server(g, g->inst->readiness, 1024,
+		    MEMACCT_READINESS, on_readiness, e);
 		if (g->readiness == NULL)
 			return e->status;
 	}
-	g->metrics = metrics_new(g, g->ev, g->inst->metrics, &g->ctr, e);
+	g->metrics =
+	    metrics_new(g, g->ev, g->inst->metrics, &g->ctr, g->account, e);
 	if (g->metrics == NULL)
 		return e->status;
 	metrics_add_counters(g->metrics, &g->ctr);
@@ -339,6 +362,7 @@
 		abort();
 	signal(SIGPIPE, SIG_IGN);
 	log_set_nonblocking();
+	front_init_heap();
 	g->inst = inst;
 	g->ev = tevent_context_init(g);
 	if (g->ev == NULL)
--- a/src/node/gate.h
+++ b/src/node/gate.h
@@ -15,8 +15,10 @@
  * two hops to go. */
 #define GATE_ANSWER_MARGIN_MS 60
 /* Largest request body; a configuration may set less. */
-#define GATE_BODY_MAX	     (256 * 1024)
-#define GATE_CONNECTIONS_MAX 2048
+#define GATE_BODY_MAX (256 * 1024)
+/* Copies of a body between its decoding and the answer: the call and its
+ * message. */
+#define GATE_BODY_COPIES 2
 /* Retry-After while there is no leader: an election takes 1 to 2 s. */
 #define GATE_RETRY_AFTER_S 1
 
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -297,6 +297,7 @@
 	pc.generation = conf->generation;
 	pc.seed = conf->incarnation;
 	pc.ctr = conf->ctr;
+	pc.account = conf->account;
 	pc.max_accepted = conf->connections_max;
 	pc.on_message = on_message;
 	pc.on_disconnect = on_disconnect;
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -23,7 +23,8 @@
 	const struct inst *inst;
 	uint64_t incarnation, replica, generation;
 	struct ctr_set *ctr;
-	size_t connections_max; /* from other instances */
+	size_t connections_max;	 /* from other instances */
+	struct memacct *account; /* of the memory of connections; or NULL */
 	/* A message from another instance, or from this one to itself. */
 	void (*on_job)(void *arg, uint32_t from, const Job__Msg *);
 	/* A message of the consensus protocol; may be NULL. */
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -14,6 +14,10 @@
 	const struct hist *hist[METRICS_MAX];
 	const char *hist_names[METRICS_MAX];
 	size_t nhist;
+	const char *gauge_names[METRICS_MAX];
+	size_t (*gauges[METRICS_MAX])(const struct memacct *);
+	const struct memacct *gauge_args[METRICS_MAX];
+	size_t ngauges;
 	struct front *front;
 };
 
@@ -36,6 +40,18 @@
 	m->hist[m->nhist++] = h;
 }
 
+/* Adds a value of the account under a name. */
+void
+metrics_add_gauge(struct metrics *m, const char *name,
+    size_t (*read)(const struct memacct *), const struct memacct *arg)
+{
+	if (m->ngauges == METRICS_MAX)
+		abort();
+	m->gauge_names[m->ngauges] = name;
+	m->gauges[m->ngauges] = read;
+	m->gauge_args[m->ngauges++] = arg;
+}
+
 /* Appends a histogram to the text t; NULL if there is no memory. */
 static char *
 append_hist(char *t, const char *name, const struct hist *h)
@@ -69,6 +85,9 @@
 			    "cicadabay_%s_total %" PRIu64 "\n",
 			    m->ctr[i]->desc[k].name, ctr_get(m->ctr[i], k));
 	}
+	for (i = 0; i < m->ngauges; i++)
+		t = talloc_asprintf_append_buffer(t, "cicadabay_%s %zu\n",
+		    m->gauge_names[i], m->gauges[i](m->gauge_args[i]));
 	for (i = 0; i < m->nhist; i++)
 		t = append_hist(t, m->hist_names[i], m->hist[i]);
 	if (t == NULL)
@@ -97,13 +116,19 @@
 /* Starts to serve metrics; NULL with e set if it cannot listen on addr. */
 struct metrics *
 metrics_new(TALLOC_CTX *ctx, struct tevent_context *ev, struct str addr,
-    struct ctr_set *ctr, struct err *e)
+    struct ctr_set *ctr, struct memacct *account, struct err *e)
 {
 	struct metrics *m = talloc_zero(ctx, struct metrics);
 	struct front_conf fc = { 0 };
 
 	if (m == NULL)
 		abort();
+	if (account != NULL) {
+		metrics_add_gauge(
+		    m, "memory_reserved_bytes", memacct_total, account);
+		metrics_add_gauge(
+		    m, "memory_reserved_peak_bytes", memacct_peak, account);
+	}
 	if (addr.len == 0)
 		return m;
 	fc.listen_fd = sock_listen(addr, false, e);
@@ -114,6 +139,9 @@
 	fc.body_max = METRICS_BODY_MAX_BYTES;
 	fc.connections_max = METRICS_CONNECTIONS_MAX;
 	fc.ctr = ctr;
+	fc.account = account;
+	fc.use = MEMACCT_METRICS;
+	fc.name = "metrics";
 	fc.on_request = on_request;
 	fc.on_client_gone = on_client_gone;
 	fc.arg = m;
--- a/src/node/nctr.c
+++ b/src/node/nctr.c
@@ -1,5 +1,24 @@
 #include "node/nctr.h"
 
+/* Descriptions of the counters of an entry point. */
+#define ENTRY(entry, prefix, text)                                             \
+	[NCTR_##entry##_HEADERS_SLOW] = { prefix "_headers_slow",              \
+		text ": closed, headers took over 10 s" },                     \
+	[NCTR_##entry##_BODY_SLOW] = { prefix "_body_slow",                    \
+		text ": closed, body came below the minimum rate" },           \
+	[NCTR_##entry##_ANSWER_SLOW] = { prefix "_answer_slow",                \
+		text ": closed, answers not read at the minimum rate" },       \
+	[NCTR_##entry##_IDLE_LONG] = { prefix "_idle_long",                    \
+		text ": closed, idle over 60 s" },                             \
+	[NCTR_##entry##_SHED] = { prefix "_shed",                              \
+		text ": closed, as memory or descriptors ran short" },         \
+	[NCTR_##entry##_NOT_ACCEPTED] = { prefix "_not_accepted",              \
+		text ": connections refused, no memory" },                     \
+	[NCTR_##entry##_NO_MEMORY] = { prefix "_no_memory",                    \
+		text ": requests refused with 503, no memory" },               \
+	[NCTR_##entry##_CUT_OFF] = { prefix "_cut_off",                        \
+		text ": bodies cut off with 413, over the limit" }
+
 const struct ctr_desc nctr_desc[NCTR_COUNT] = {
 	[NCTR_HTTP_REQUESTS] = { "http_requests", "requests received" },
 	[NCTR_HTTP_BAD_TARGET] = { "http_bad_target",
@@ -92,4 +111,11 @@
 	[NCTR_TICKS_LATE] = { "ticks_late",
 	    "ticks over 250 ms late: the process was suspended or lacked "
 	    "processor time" },
+	ENTRY(REQUESTS, "requests", "clients or workers"),
+	ENTRY(READINESS, "readiness", "readiness address"),
+	ENTRY(METRICS, "metrics", "metrics address"),
+	[NCTR_PEERS_NO_MEMORY] = { "peers_no_memory",
+	    "connections of instances closed, no memory for a frame" },
+	[NCTR_PEERS_SHED] = { "peers_shed",
+	    "connections that had not said HELLO, closed for new ones" },
 };
--- a/src/node/nctr.h
+++ b/src/node/nctr.h
@@ -6,6 +6,14 @@
 
 __BEGIN_DECLS
 
+/* Counters of each entry point: in the order of enum shed_reason from
+ * SHED_HEADERS_SLOW on, and those of refusals. */
+#define NCTR_ENTRY(entry)                                                      \
+	NCTR_##entry##_HEADERS_SLOW, NCTR_##entry##_BODY_SLOW,                 \
+	    NCTR_##entry##_ANSWER_SLOW, NCTR_##entry##_IDLE_LONG,              \
+	    NCTR_##entry##_SHED, NCTR_##entry##_NOT_ACCEPTED,                  \
+	    NCTR_##entry##_NO_MEMORY, NCTR_##entry##_CUT_OFF
+
 enum nctr {
 	NCTR_HTTP_REQUESTS,
 	NCTR_HTTP_BAD_TARGET,
@@ -54,6 +62,11 @@
 	NCTR_WCON_REUSED_SILENT,
 	NCTR_WCON_DISTRUSTED,
 	NCTR_TICKS_LATE,
+	NCTR_ENTRY(REQUESTS),
+	NCTR_ENTRY(READINESS),
+	NCTR_ENTRY(METRICS),
+	NCTR_PEERS_NO_MEMORY,
+	NCTR_PEERS_SHED,
 	NCTR_COUNT
 };
 
--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -1,5 +1,6 @@
 #include "node/peer.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,11 @@
 #include "node/sock.h"
 
 #define READ_MIN_FREE_BYTES 65536
+/* A larger buffer is released once it is empty. */
+#define READ_KEEP_BYTES (4 * READ_MIN_FREE_BYTES)
+/* A HELLO has names of the cluster and numbers. Until it has come, anyone may
+ * be on the other side, and gets no larger buffer. */
+#define HELLO_MAX_BYTES	    4096
 #define READS_PER_EVENT_MAX 16 /* so that one sender can't starve others */
 
 /* A frame in a send queue. */
@@ -39,6 +45,7 @@
 	uint64_t incarnation;
 	uint8_t *in_buf;
 	size_t in_len, in_capacity;
+	struct memacct_conn held; /* in_buf; unused without an account */
 	struct out_frame *head, **tail;
 	size_t head_offset, queued;
 	struct timespec received_at, sent_at; /* of the newest bytes */
@@ -370,6 +377,41 @@
 	return true;
 }
 
+/* Releases a large buffer that is empty. */
+static void
+conn_shrink_buffer(struct conn *c)
+{
+	if (c->in_len > 0 || c->in_capacity <= READ_KEEP_BYTES)
+		return;
+	if (c->held.addr != NULL)
+		memacct_shrink(c->peer->conf.account, &c->held, c->in_capacity);
+	TALLOC_FREE(c->in_buf);
+	c->in_capacity = 0;
+}
+
+/* Makes room in the buffer; false if there is no memory for it. */
+static bool
+conn_grow_buffer(struct conn *c)
+{
+	size_t cap = c->in_capacity;
+
+	if (!c->has_hello && c->in_capacity > 0)
+		return c->in_capacity > c->in_len;
+	if (c->in_capacity - c->in_len >= READ_MIN_FREE_BYTES)
+		return true;
+	cap =
+	    c->has_hello ? cap * 2 + 2 * READ_MIN_FREE_BYTES : HELLO_MAX_BYTES;
+	if (c->held.addr != NULL &&
+	    !memacct_grow(
+		c->peer->conf.account, &c->held, cap - c->in_capacity))
+		return false;
+	c->in_buf = talloc_realloc(c, c->in_buf, uint8_t, cap);
+	if (c->in_buf == NULL)
+		abort();
+	c->in_capacity = cap;
+	return true;
+}
+
 /*
  * Reads and handles what has arrived, READS_PER_EVENT_MAX times at most; false
  * if the connection was closed.
@@ -381,13 +423,14 @@
 	int i;
 
 	for (i = 0; i < READS_PER_EVENT_MAX; i++) {
-		if (c->in_capacity - c->in_len < READ_MIN_FREE_BYTES) {
-			c->in_capacity =
-			    c->in_capacity * 2 + 2 * READ_MIN_FREE_BYTES;
-			c->in_buf = talloc_realloc(
-			    c, c->in_buf, uint8_t, c->in_capacity);
-			if (c->in_buf == NULL)
-				abort();
+		if (!conn_grow_buffer(c)) {
+			ctr_add(c->peer->conf.ctr,
+			    c->has_hello ? NCTR_PEERS_NO_MEMORY
+					 : NCTR_PEER_HELLO_REFUSED,
+			    1);
+			conn_close(
+			    c, c->has_hello ? "no_memory" : "long_hello");
+			return false;
 		}
 		n = recv(c->fd, c->in_buf + c->in_len,
 		    c->in_capacity - c->in_len, MSG_DONTWAIT);
@@ -403,6 +446,7 @@
 		c->in_len += (size_t)n;
 		if (!conn_parse(c))
 			return false;
+		conn_shrink_buffer(c);
 	}
 	return true;
 }
@@ -439,9 +483,10 @@
 		conn_read(c);
 }
 
-/* Creates a connection for a socket; l is NULL for an accepted one. */
+/* Creates a connection for a socket; l is NULL for an accepted one. addr is
+ * the account's key for the other side. */
 static struct conn *
-conn_new(struct peer *p, struct link *l, int fd, bool connected)
+conn_new(struct peer *p, struct link *l, int fd, bool connected, uint64_t addr)
 {
 	struct conn *c = talloc_zero(p, struct conn);
 
@@ -452,6 +497,9 @@
 	c->fd = fd;
 	c->connected = connected;
 	c->tail = &c->head;
+	if (p->conf.account != NULL &&
+	    !memacct_open(p->conf.account, &c->held, MEMACCT_PEERS, addr, 0))
+		abort(); /* nothing always fits */
 	c->received_at = c->sent_at = clk_now(&p->clk);
 	conn_await_answer(c, c->sent_at);
 	c->fde = tevent_add_fd(p->ev, c, fd, TEVENT_FD_READ, on_conn_event, c);
@@ -498,6 +546,8 @@
 	out_frames_free(c->head);
 	TALLOC_FREE(c->fde);
 	close(c->fd);
+	if (p->conf.account != NULL)
+		memacct_close(p->conf.account, &c->held);
 	if (l == NULL) {
 		if (c->prev != NULL)
 			c->prev->next = c->next;
@@ -537,31 +587,54 @@
 		link_schedule_retry(l);
 		return;
 	}
-	l->conn = conn_new(l->peer, l, fd, false);
+	l->conn = conn_new(l->peer, l, fd, false, l->node.instance);
 	conn_send_hello(l->conn);
 }
 
+/* Closes the oldest accepted connection that has not said HELLO; false if there
+ * is none. Without this, anyone who opens connections could keep the instances
+ * of the group out until the connections are closed as silent. */
+static bool
+shed_stranger(struct peer *p)
+{
+	struct conn *c, *oldest = NULL;
+
+	/* New connections are added in front. */
+	for (c = p->accepted_conns; c != NULL; c = c->next) {
+		if (!c->has_hello)
+			oldest = c;
+	}
+	if (oldest == NULL)
+		return false;
+	ctr_add(p->conf.ctr, NCTR_PEERS_SHED, 1);
+	conn_close(oldest, "shed");
+	return true;
+}
+
 /* Accepts a connection, or closes it at once above the limit. */
 static void
 on_accept(
     struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *arg)
 {
 	struct peer *p = arg;
+	struct sockaddr_in from = { 0 };
+	socklen_t len = sizeof(from);
 	struct conn *c;
 	int fd;
 
-	fd = accept4(
-	    p->conf.listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	fd = accept4(p->conf.listen_fd, (struct sockaddr *)&from, &len,
+	    SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (fd < 0)
 		return;
 	if (p->naccepted >= (p->conf.max_accepted != 0 ? p->conf.max_accepted
-						       : PEER_ACCEPTED_MAX)) {
+						       : PEER_ACCEPTED_MAX) &&
+	    !shed_stranger(p)) {
 		ctr_add(p->conf.ctr, NCTR_PEER_QUEUE_FULL, 1);
 		close(fd);
 		return;
 	}
 	sock_set_nodelay(fd);
-	c = conn_new(p, NULL, fd, true);
+	c = conn_new(p, NULL, fd, true, ntohl(from.sin_addr.s_addr));
 	c->next = p->accepted_conns;
 	if (c->next != NULL)
 		c->next->prev = c;
--- a/src/node/peer.h
+++ b/src/node/peer.h
@@ -11,6 +11,7 @@
 #include "base/ctr.h"
 #include "base/err.h"
 #include "control/control.pb-c.h"
+#include "node/memacct.h"
 #include "node/node.h"
 
 __BEGIN_DECLS
@@ -47,6 +48,7 @@
 	uint64_t seed;	     /* of the backoff */
 	size_t max_accepted; /* open at once; 0: PEER_ACCEPTED_MAX */
 	struct ctr_set *ctr;
+	struct memacct *account; /* of the memory of buffers; or NULL */
 	/* A message from an instance; valid during the call. */
 	void (*on_message)(void *arg, const Control__PeerMsg *);
 	/* The connection to an instance failed. */
--- a/src/node/pjson.c
+++ b/src/node/pjson.c
@@ -4,6 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/jbound.h"
+
+/* Bounds of a document: PJSON_ITEMS_MAX numbers, and lists of messages with
+ * ten fields each. */
+static const struct jbound limits = { 16384, 4 * PJSON_ITEMS_MAX };
+
 /*
  * Parses a document; NULL with e set on failure. Trailing bytes, invalid UTF-8,
  * comments and nesting deeper than PJSON_DEPTH_MAX are errors.
@@ -23,6 +29,8 @@
 		err_set(e, STATUS_LIMIT, "body is too large");
 		return NULL;
 	}
+	if (!jbound_check(s, &limits, e))
+		return NULL;
 	t = json_tokener_new_ex(PJSON_DEPTH_MAX);
 	if (t == NULL)
 		abort();
--- a/src/node/traffic.c
+++ b/src/node/traffic.c
@@ -449,6 +449,7 @@
 traffic_new(TALLOC_CTX *ctx, const struct traffic_conf *conf, struct err *e)
 {
 	struct traffic *t = talloc_zero(ctx, struct traffic);
+	struct memacct_limits limits;
 	struct back_conf bc;
 	struct front_conf fc;
 
@@ -477,11 +478,17 @@
 	bc.on_failed = traffic_on_failed;
 	bc.arg = t;
 	t->back = back_new(t, t->ev, &bc);
+	limits = memacct_split(MEMACCT_ENTRY, 0);
+	t->account = memacct_new(t, &limits);
 	memset(&fc, 0, sizeof(fc));
 	fc.listen_fd = conf->listen_fd;
 	fc.body_max = conf->body_max;
 	fc.connections_max = conf->connections_max;
 	fc.ctr = &t->ctr;
+	fc.account = t->account;
+	fc.use = MEMACCT_REQUESTS;
+	fc.name = "requests";
+	fc.body_copies = 1; /* for the worker */
 	fc.on_request = on_request;
 	fc.on_client_gone = on_client_gone;
 	fc.arg = t;
--- a/src/node/traffic_impl.h
+++ b/src/node/traffic_impl.h
@@ -67,6 +67,7 @@
 	struct mtimer tick_timer, stats_timer;
 	struct timespec tick_at;
 	struct front *front;
+	struct memacct *account; /* of this thread's connections */
 	struct back *back;
 	struct eng *eng;
 	struct eng_acts acts;
