--- a/src/node/front.c
+++ b/src/node/front.c
@@ -50,6 +50,7 @@
 	f->in_library = true;
 	f->run_again = false;
 	f->now = clk_now(&f->clk);
+	f->nruns++;
 	MHD_run(f->mhd);
 	f->in_library = false;
 	mtimer_clear(&f->timer);
@@ -62,7 +63,7 @@
 }
 
 /* Runs the library from the event loop; safe within its callbacks. */
-static void
+void
 front_run_soon(struct front *f)
 {
 	if (f->in_library)
@@ -105,6 +106,12 @@
 	c->mhd = mhd;
 	c->sock = front_sock_of(mhd);
 	c->sock->request = c;
+	/* What the library reads after an answer in the same run had arrived
+	 * before. */
+	if (c->sock->completed_run == f->nruns)
+		c->sock->pipelined++;
+	else
+		c->sock->pipelined = 0;
 	front_sock_enter(c->sock, SHED_HEADERS);
 	t = str_dup(c, str_from(uri));
 	c->req.target = t;
@@ -190,7 +197,7 @@
 		talloc_free(name);
 		talloc_free(value);
 	}
-	if (c->req.front->draining)
+	if (c->req.front->draining || c->sock->pipelined >= FRONT_PIPELINED_MAX)
 		MHD_add_response_header(
 		    c->response, MHD_HTTP_HEADER_CONNECTION, "close");
 	c->status = r->status;
@@ -437,6 +444,7 @@
 	front_drop_body(c);
 	front_sock_end_work(c->sock);
 	c->sock->request = NULL;
+	c->sock->completed_run = c->req.front->nruns;
 	front_sock_enter(c->sock, SHED_IDLE);
 	if (c->response != NULL)
 		MHD_destroy_response(c->response);
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -26,6 +26,9 @@
 /* A body over the limit is read on for this long after its refusal: a socket
  * that is closed with unread bytes discards the answer. */
 #define FRONT_DISCARD_MAX_BYTES (256 * 1024)
+/* Requests in a row that a connection may have sent before the answer to the
+ * one before: after these it is closed with an answer. */
+#define FRONT_PIPELINED_MAX 16
 /* Smaller answers are not counted in the account. */
 #define FRONT_ANSWER_SMALL_BYTES 1024
 
--- a/src/node/front_impl.h
+++ b/src/node/front_impl.h
@@ -27,6 +27,8 @@
 	bool sampled;		   /* the next three fields are set */
 	uint64_t received, acked;  /* bytes of the connection */
 	struct timespec unread_at; /* when some of the answers were taken */
+	uint64_t completed_run; /* front.nruns when the last answer was sent */
+	unsigned pipelined; /* requests that had come before that, in a row */
 };
 
 struct front {
@@ -39,6 +41,7 @@
 	struct clk clk;
 	struct timespec now; /* when the library was last run */
 	struct timespec checked_at;
+	uint64_t nruns;	 /* of the library */
 	bool in_library; /* inside MHD_run */
 	bool run_again;
 	bool draining;
@@ -73,6 +76,8 @@
 	struct front_conn *prev, *next; /* in front.suspended */
 };
 
+/* front.c */
+void front_run_soon(struct front *);
 /* front_sock.c */
 enum MHD_Result front_on_accept(
     void *arg, const struct sockaddr *, socklen_t len);
--- a/src/node/front_sock.c
+++ b/src/node/front_sock.c
@@ -337,7 +337,10 @@
 		f->socks = s->next;
 	if (s->next != NULL)
 		s->next->prev = s->prev;
-	f->nsocks--;
+	/* At its limit the library doesn't accept, and it looks whether it may
+	 * again only when it is run the next time. */
+	if (f->nsocks-- >= f->conf.connections_max)
+		front_run_soon(f);
 	talloc_free(s);
 }
 
