Instance settings: memory

Cause: the memory of an instance's machine is to bound what its clients can make it hold, and the tests of that need a setting that names it. Change: [instance] memory, in MB, is parsed and kept; nothing uses it yet. Result: Inst.* passes; the settings of present deployments are unchanged.

--- a/src/node/inst.c
+++ b/src/node/inst.c
@@ -49,6 +49,8 @@
 	    "address of the service that knows a queue's workers"),
 	F("descriptors", INI_INT, descriptors, "0", 0, 100000000,
 	    "file descriptors of this process; 0: the limit in force"),
+	F("memory", INI_INT, memory_mb, "0", 0, 1000000,
+	    "memory of this process in MB; 0: the default limits"),
 	F("log_level", INI_STRING, log_level, "info", 0, 0,
 	    "least important level that is written"),
 };
--- a/src/node/tests/inst_test.cc
+++ b/src/node/tests/inst_test.cc
@@ -44,12 +44,26 @@
 	    str_eq_c(inst_addr(f.ctx, f.in.seed[1], 7720), "10.2.0.32:7720"));
 }
 
+/* Guards against an instance without the limits that its settings name. */
+TEST(Inst, ReadsLimits)
+{
+	fixture f;
+	ASSERT_EQ(
+	    STATUS_OK, f.load(good + "memory = 160\ndescriptors = 4100\n"))
+	    << f.e.msg;
+	EXPECT_EQ(160, f.in.memory_mb);
+	EXPECT_EQ(4100, f.in.descriptors);
+	ASSERT_EQ(STATUS_OK, f.load(good));
+	EXPECT_EQ(0, f.in.memory_mb);
+}
+
 /* Guards against an instance that starts with invalid settings. */
 TEST(Inst, RefusesFaultySettings)
 {
 	fixture f;
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "unknown = 1\n"));
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "tolerate = 99\n"));
+	EXPECT_EQ(STATUS_INVALID, f.load(good + "memory = -1\n"));
 	std::string bad = good;
 	bad.replace(bad.find("10.2.0.32"), 9, "somewhere");
 	EXPECT_EQ(STATUS_INVALID, f.load(bad));
