Crowds of misbehaving clients against every entry point

Cause: clients that send bodies which never end, that send requests ahead, or that read slowly make a process hold as much memory and as many descriptors as they like, and nothing shows it.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -107,6 +107,25 @@
 	done
 }
 
+# run_crowd_tests BUILD: crowds of misbehaving clients, one at a time. Each name
+# of form and target is a check.
+run_crowd_tests() {
+	local name line
+	python3 soak/crowd_test.py "$1/cicadabay" --keep "$log/crowd" \
+	    >"$log/crowd.log" 2>&1
+	for name in $(python3 soak/crowd_test.py --list); do
+		line=$(grep -E "^(ok|FAILED) $name " "$log/crowd.log") ||
+		    line="FAILED $name was not run"
+		if [[ $line == ok* ]]; then
+			record_pass "$name"
+		else
+			echo "$line"
+			record_failure "$name"
+		fi
+	done
+	grep -vE '^(ok|FAILED) crowd-' "$log/crowd.log"
+}
+
 run_step format make -s format-check
 run_step build make -s -j"$jobs" all build/rel/unit_tests benches
 run_step build-sanitizer make -s -j"$jobs" asan
@@ -117,6 +136,7 @@
 run_step docs scripts/docs.sh --check
 [ -x scripts/model.sh ] && run_step model scripts/model.sh small
 run_process_tests build/rel ""
+run_crowd_tests build/rel
 run_step soak python3 soak/soak.py build/rel/cicadabay 100 101 300 3106 \
     --seconds 6 --net 77 --keep "$log"
 run_step soak-leaves python3 soak/soak.py build/rel/cicadabay 3 4 --seconds 6 \
