--- a/src/node/inst.h
+++ b/src/node/inst.h
@@ -30,7 +30,6 @@
 	struct str cloud;    /* address of the service that owns the machines */
 	struct str advice;   /* address of the service that knows workers */
 	int64_t descriptors; /* limit of this process; 0: the system's */
-	int64_t descriptors; /* limit of this process; 0: the system's */
 	int64_t memory_mb;   /* limit of this process; 0: the defaults */
 	struct str log_level;
 	/* Derived from the above. */
