core: bound the calls that wait on the leader

Cause: each of many entry instances may pass on as many requests as its own part holds; the leader queued reads and commands without a bound.

Change: both are reserved in the account. A read is refused with 429; a change, of which an earlier copy may be queued, is dropped like a lost message. Answers to changes are no longer cut off in a shortage, and heartbeats don't keep a large configuration out on a small replica.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -23,7 +23,7 @@
 
 /* Queues a command to be replicated. w receives the outcome; it may be NULL. A
  * command that raft would not accept is refused, as no later one could pass
- * it. */
+ * it. That of a call for which there is no memory is dropped. */
 void
 core_propose(
     struct core *c, const Job__Command *cmd, const struct core_waiter *w)
@@ -39,9 +39,17 @@
 			core_fail_waiter(c, w, JOB__OUTCOME__INVALID);
 		return;
 	}
+	/* Like a lost message: the caller sends it again. A refusal could be
+	 * wrong, as an earlier copy may be queued. */
+	if (w != NULL &&
+	    !memacct_grow(c->account, &c->calls_held, sizeof(*k) + len)) {
+		ctr_add(&c->nctr, NCTR_CALLS_NO_MEMORY, 1);
+		return;
+	}
 	k = calloc(1, sizeof(*k) + len);
 	if (k == NULL)
 		abort();
+	k->bytes = w == NULL ? 0 : sizeof(*k) + len;
 	k->len = len;
 	job__command__pack(cmd, k->data);
 	if (w != NULL)
@@ -471,6 +479,7 @@
 	c->fds = fdplan_split(c->inst->descriptors);
 	limits = memacct_split(MEMACCT_REPLICA, c->inst->memory_mb);
 	c->account = memacct_new(c, &limits);
+	memacct_open(c->account, &c->calls_held, MEMACCT_PEERS, 0, 0);
 	c->cmds_tail = &c->cmds;
 	c->inflight_tail = &c->inflight;
 	c->reads_tail = &c->reads;
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -7,6 +7,7 @@
 #include "job/jcall.h"
 #include "job/jctr.h"
 #include "node/core_impl.h"
+#include "node/nctr.h"
 
 /* Calls on the leader. A change is answered once it is committed, a read once
  * this replica has confirmed that it still leads. */
@@ -31,6 +32,10 @@
 
 	a.id = id;
 	a.outcome = o;
+	if (o == JOB__OUTCOME__BUSY) {
+		a.has_retry_ms = 1;
+		a.retry_ms = CORE_BUSY_RETRY_MS;
+	}
 	if (o == JOB__OUTCOME__NOT_LEADER) {
 		a.has_leader = 1;
 		a.leader = c->leader;
@@ -158,19 +163,35 @@
 	send_answer(c, from, &a);
 }
 
-/* Queues a read until this replica has confirmed that it still leads. */
+/*
+ * Queues a read until this replica has confirmed that it still leads. If too
+ * much is queued, as many entry instances may each have filled their own part
+ * with requests, a read is answered with BUSY. A SUBMIT or CANCEL, of which an
+ * earlier copy may still have an effect, is dropped like a lost message.
+ */
 static void
 queue_read(struct core *c, uint32_t from, const Job__Call *k)
 {
-	struct core_read *r = calloc(1, sizeof(*r));
 	size_t len = job__call__get_packed_size(k);
-	uint8_t *buf = malloc(len + 1);
+	size_t bytes = sizeof(struct core_read) + CORE_BODY_COPIES * len;
+	struct core_read *r;
+	uint8_t *buf;
 
+	if (!memacct_grow(c->account, &c->calls_held, bytes)) {
+		ctr_add(&c->nctr, NCTR_CALLS_NO_MEMORY, 1);
+		if (k->kind != JOB__CALL_KIND__SUBMIT &&
+		    k->kind != JOB__CALL_KIND__CANCEL)
+			send_outcome(c, from, k->id, JOB__OUTCOME__BUSY);
+		return;
+	}
+	r = calloc(1, sizeof(*r));
+	buf = malloc(len + 1);
 	if (r == NULL || buf == NULL)
 		abort();
 	job__call__pack(k, buf);
 	r->call = job__call__unpack(NULL, len, buf);
 	free(buf);
+	r->bytes = bytes;
 	r->id = ++c->last_read;
 	r->from = from;
 	*c->reads_tail = r;
@@ -186,6 +207,7 @@
 	if (c->reads == NULL)
 		c->reads_tail = &c->reads;
 	job__call__free_unpacked(r->call, NULL);
+	memacct_shrink(c->account, &c->calls_held, r->bytes);
 	free(r);
 }
 
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -30,6 +30,7 @@
 struct core_cmd {
 	struct core_cmd *next;
 	struct core_waiter waiter;
+	size_t bytes; /* reserved in core.calls_held */
 	size_t len;
 	uint8_t data[];
 };
@@ -47,6 +48,7 @@
 	struct core_read *next;
 	uint64_t id;
 	uint32_t from;
+	size_t bytes; /* reserved in core.calls_held */
 	Job__Call *call;
 };
 
@@ -112,6 +114,7 @@
 	struct core_inflight *inflight, **inflight_tail;
 	struct core_read *reads, **reads_tail;
 	uint64_t last_read;
+	struct memacct_conn calls_held; /* by reads and cmds */
 	struct core_leave *leaves;
 	struct timespec next_join_at;
 	bool stopping;
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -337,6 +337,7 @@
 		struct core_cmd *k = c->cmds;
 
 		c->cmds = k->next;
+		memacct_shrink(c->account, &c->calls_held, k->bytes);
 		free(k);
 		c->ncmds--;
 	}
@@ -446,6 +447,7 @@
 			c->cmds = k->next;
 			core_fail_waiter(
 			    c, &k->waiter, JOB__OUTCOME__NOT_LEADER);
+			memacct_shrink(c->account, &c->calls_held, k->bytes);
 			free(k);
 		}
 		c->cmds_tail = &c->cmds;
--- a/src/node/front_sock.c
+++ b/src/node/front_sock.c
@@ -145,7 +145,9 @@
 static struct shed_conn
 describe(const struct front_sock *s, struct timespec now)
 {
+	const struct front_conn *c = s->request;
 	struct shed_conn d = { .phase = s->phase,
+		.is_read = c != NULL && str_eq_c(c->req.method, "GET"),
 		.phase_ms = clk_diff_ms(now, s->phase_at),
 		.unread_ms = s->sampled ? clk_diff_ms(now, s->unread_at) : 0,
 		.bytes = s->held.bytes,
--- a/src/node/memacct.c
+++ b/src/node/memacct.c
@@ -161,12 +161,14 @@
 /*
  * Reserves n bytes for the handling of a request. One request may need more
  * than the whole part, as a configuration does on a small replica: it is
- * admitted while no other is being handled.
+ * admitted while the others, such as heartbeats, hold little.
  */
 bool
 memacct_begin_work(struct memacct *m, struct memacct_conn *c, size_t n)
 {
-	if (m->used[MEMACCT_WORK] > 0 && !memacct_fits(m, MEMACCT_WORK, n))
+	if (m->used[MEMACCT_WORK] >
+		m->limits.max[MEMACCT_WORK] / MEMACCT_LITTLE_DIVISOR &&
+	    !memacct_fits(m, MEMACCT_WORK, n))
 		return false;
 	c->work += n;
 	c->addr->bytes += n;
--- a/src/node/memacct.h
+++ b/src/node/memacct.h
@@ -45,6 +45,9 @@
 #define MEMACCT_HIGH_EIGHTHS 7
 #define MEMACCT_LOW_EIGHTHS  6
 
+/* Part of MEMACCT_WORK that is in use in calm. */
+#define MEMACCT_LITTLE_DIVISOR 4
+
 struct memacct;
 struct memacct_addr;
 
@@ -75,8 +78,8 @@
 bool memacct_grow(struct memacct *, struct memacct_conn *, size_t n);
 /* Gives n bytes back. */
 void memacct_shrink(struct memacct *, struct memacct_conn *, size_t n);
-/* Reserves n bytes for the handling of a connection's request. A request that
- * is alone is always admitted. */
+/* Reserves n bytes for the handling of a connection's request. Any size is
+ * admitted while at most 1 / MEMACCT_LITTLE_DIVISOR of the part is in use. */
 bool memacct_begin_work(struct memacct *, struct memacct_conn *, size_t n);
 void memacct_end_work(struct memacct *, struct memacct_conn *);
 /* Gives back all that a connection holds. */
--- a/src/node/nctr.c
+++ b/src/node/nctr.c
@@ -118,4 +118,6 @@
 	    "connections of instances closed, no memory for a frame" },
 	[NCTR_PEERS_SHED] = { "peers_shed",
 	    "connections that had not said HELLO, closed for new ones" },
+	[NCTR_CALLS_NO_MEMORY] = { "calls_no_memory",
+	    "calls that the leader had no memory to queue; reads get 429" },
 };
--- a/src/node/shed.c
+++ b/src/node/shed.c
@@ -41,6 +41,29 @@
 	return SHED_KEEP;
 }
 
+/*
+ * Tells whether a connection may be closed in a shortage. A request that is
+ * with the handler may have been passed on to the leader: closing its
+ * connection would leave its client without the outcome, and so would cutting
+ * off the answer. A read may be sent again.
+ */
+static bool
+may_be_closed(const struct shed_conn *c)
+{
+	switch (c->phase) {
+	case SHED_IDLE:
+	case SHED_HEADERS:
+	case SHED_BODY:
+		return true;
+	case SHED_ANSWER:
+		return c->is_read;
+	case SHED_HELD:
+	case SHED_CLOSING:
+		break;
+	}
+	return false;
+}
+
 /* A connection that may be chosen, and how much it costs for what it does. */
 struct candidate {
 	size_t index;
@@ -77,11 +100,7 @@
 	return a->index < b->index ? -1 : a->index > b->index;
 }
 
-/*
- * Chooses the costliest connections until enough is freed. A request that is
- * with the handler may have been passed on to the leader: closing its
- * connection frees nothing and would leave its client without the outcome.
- */
+/* Chooses the costliest connections until enough is freed. */
 size_t
 shed_choose(const struct shed_conn *v, size_t n, size_t excess, size_t nconns,
     size_t *chosen)
@@ -92,7 +111,7 @@
 	if (c == NULL)
 		abort();
 	for (i = 0; i < n; i++) {
-		if (v[i].phase == SHED_HELD || v[i].phase == SHED_CLOSING)
+		if (!may_be_closed(&v[i]))
 			continue;
 		c[ncand].index = i;
 		c[ncand].bytes = v[i].bytes;
--- a/src/node/shed.h
+++ b/src/node/shed.h
@@ -50,6 +50,7 @@
 /* A connection as the decision sees it. */
 struct shed_conn {
 	enum shed_phase phase;
+	bool is_read;	   /* the request changes nothing */
 	int64_t phase_ms;  /* since the phase began */
 	int64_t unread_ms; /* sent bytes wait, and none was taken for so long */
 	size_t bytes;	   /* that closing it would free */
@@ -63,7 +64,8 @@
 enum shed_reason shed_check(const struct shed_conn *);
 /* Chooses connections until they free excess bytes and there are at least
  * nconns of them; writes their indexes and returns how many. Those that are
- * with the handler, or are closing, are never chosen. */
+ * with the handler, are being told the outcome of a change, or are closing, are
+ * never chosen. */
 size_t shed_choose(const struct shed_conn *, size_t n, size_t excess,
     size_t nconns, size_t *chosen);
 
--- a/src/node/tests/memacct_test.cc
+++ b/src/node/tests/memacct_test.cc
@@ -52,14 +52,18 @@
 }
 
 /* Guards against requests that are complete but pile up while the leader
- * doesn't answer, and against one that is refused although it is alone. */
+ * doesn't answer, and against one that is refused although it is alone but for
+ * heartbeats. */
 TEST(MemAcct, AdmitsOneLargeRequestAtATime)
 {
 	account a(100, 1000);
-	struct memacct_conn c, d;
+	struct memacct_conn c, d, beat;
 	ASSERT_TRUE(memacct_open(a.m, &c, MEMACCT_REQUESTS, 1, 10));
 	ASSERT_TRUE(memacct_open(a.m, &d, MEMACCT_REQUESTS, 1, 10));
+	ASSERT_TRUE(memacct_open(a.m, &beat, MEMACCT_REQUESTS, 1, 10));
+	EXPECT_TRUE(memacct_begin_work(a.m, &beat, 250));
 	EXPECT_TRUE(memacct_begin_work(a.m, &c, 5000));
+	memacct_close(a.m, &beat);
 	EXPECT_FALSE(memacct_begin_work(a.m, &d, 1));
 	memacct_end_work(a.m, &c);
 	EXPECT_TRUE(memacct_begin_work(a.m, &d, 1));
--- a/src/node/tests/shed_test.cc
+++ b/src/node/tests/shed_test.cc
@@ -62,6 +62,10 @@
 	c.unread_ms = 1000000;
 	EXPECT_EQ(SHED_KEEP, shed_check(&c));
 	EXPECT_TRUE(choose({ c, make(SHED_CLOSING, 9, 9) }, 1000, 2).empty());
+	c.phase = SHED_ANSWER;
+	EXPECT_TRUE(choose({ c }, 1000, 2).empty());
+	c.is_read = true;
+	EXPECT_EQ(1U, choose({ c }, 1000, 2).size());
 }
 
 /* Guards against a shortage in which new or quick requests are closed, and not
