Crowd tests: options may precede the names

Cause: with an option before them the names of tests were refused. Change: the arguments are parsed intermixed.

--- a/soak/crowd_test.py
+++ b/soak/crowd_test.py
@@ -400,7 +400,7 @@
                         help="limits of the reference deployments")
     parser.add_argument("--connections", type=int)
     parser.add_argument("--seconds", type=float, default=SECONDS)
-    args = parser.parse_args()
+    args = parser.parse_intermixed_args()
     if args.list:
         print("\n".join(names))
         return
