Crowd tests: each run takes a net of its own

Cause: two runs at once in different checkouts used the same addresses: an entry instance served both crowds (623 descriptors instead of 323) or couldn't listen. Change: a run takes the first net that no other holds.

--- a/soak/crowd_test.py
+++ b/soak/crowd_test.py
@@ -60,6 +60,8 @@
 # Large answers that aren't read reach the address from the leader one by one.
 ANSWERS_HOLD_S, ANSWERS_SECONDS = 3.0, 5.0
 SOURCES = 8
+# Runs beside each other take different nets, up to so many.
+NETS = 8
 START_S, ANSWER_S, REQUEST_S = 60, 15, 3
 # Padding of the configuration, which slow readers of the control address ask
 # for.
@@ -277,6 +279,19 @@
         return self.ask((f"{self.net}.2.1", 8167), "GET", "/-/ready") == 200
 
 
+def take_net(first):
+    """Returns the number of a net 127.N that no other run uses, from the given
+    one on, and the socket that keeps it."""
+    for net in range(first, first + NETS):
+        keeper = socket.socket()
+        try:
+            keeper.bind((f"127.{net}.9.250", 8161))
+            return net, keeper
+        except OSError:
+            keeper.close()
+    raise Failure(f"the nets from 127.{first} on are in use")
+
+
 def duration(args, form, target):
     """Returns how long a crowd holds its connections and plays at most."""
     if target == "control" and form in ("pipelined", "slow-readers"):
@@ -394,7 +409,8 @@
     parser.add_argument("--list", action="store_true",
                         help="print the names of the tests and end")
     parser.add_argument("tests", nargs="*", metavar="TEST")
-    parser.add_argument("--net", type=int, default=61)
+    parser.add_argument("--net", type=int, default=41,
+                        help="first net 127.NET to try")
     parser.add_argument("--keep", help="folder that logs are copied to")
     parser.add_argument("--full", action="store_true",
                         help="limits of the reference deployments")
@@ -410,6 +426,7 @@
     if unknown:
         parser.error(f"unknown: {', '.join(sorted(unknown))}")
     failed = 0
+    args.net, keeper = take_net(args.net)
     # In memory if possible: the replicas' start doesn't depend on the disk.
     folder = tempfile.mkdtemp(
         dir="/dev/shm" if os.path.isdir("/dev/shm") else None)
@@ -440,6 +457,7 @@
             shutil.copytree(folder, args.keep, dirs_exist_ok=True,
                             ignore=shutil.ignore_patterns("data-*"))
         shutil.rmtree(folder)
+        keeper.close()
     sys.exit(1 if failed else 0)
 
 
