core: reserve the answer to a read of the configuration

Cause: 180 slow readers of a large configuration let a replica grow to 160 MB (bound 56 MB): their answers were all fetched before the first one was counted.

Change: the answer is reserved before the read is passed on; 503 with Retry-After without room.

--- a/src/node/core.h
+++ b/src/node/core.h
@@ -44,6 +44,8 @@
 #define CORE_BODY_MAX (4 * 1024 * 1024)
 /* After a refusal for lack of memory: a read takes some milliseconds. */
 #define CORE_BUSY_RETRY_MS 1000
+/* Copies of a document between the leader's state and the response. */
+#define CORE_ANSWER_COPIES 3
 /* Copies of a body between its decoding and the answer: the call, its message,
  * and the command that is proposed. */
 #define CORE_BODY_COPIES 3
--- a/src/node/core_http.c
+++ b/src/node/core_http.c
@@ -199,6 +199,11 @@
 	err_clear(&e);
 	if (!decode_call(ctx, req, kind, path_arg, &call, &e))
 		reply_bad_request(req, &e);
+	else if (kind == PF_REQ_CONFIG_GET && c->st.config != NULL &&
+	    !front_reserve_answer(
+		req, CORE_ANSWER_COPIES * c->st.config->document.len))
+		log_event(
+		    LOG_INFO, "core", "event=no_memory call=%d", call.kind);
 	else if (kind == PF_REQ_HEARTBEAT &&
 	    can_answer_heartbeat(c, call.worker))
 		send_reply(req, 200,
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -82,6 +82,9 @@
 void front_answer(struct front_req *, const struct front_reply *);
 /* Releases the body of a request that the handler no longer needs. */
 void front_release_body(struct front_req *);
+/* Reserves memory for a large answer before it is fetched; false, and answers
+ * the request with 503, if there is none. */
+bool front_reserve_answer(struct front_req *, size_t bytes);
 /* Tells whether a complete request would be handled. */
 bool front_has_room(const struct front *);
 /* Returns the value of a header, empty when absent; sets *nfound to the number
