--- a/src/node/front.c
+++ b/src/node/front.c
@@ -163,26 +163,16 @@
 	return found;
 }
 
-/* Creates the response from copies of the reply's body and headers. A large
- * body for which there is no memory is replaced by a refusal. */
+/* Creates the response from copies of the reply's body and headers. */
 static void
 conn_create_response(struct front_conn *c, const struct front_reply *r)
 {
-	struct front_header retry = { str_from("Retry-After"), str_from("1") };
-	struct front_reply no_memory = {
-		.status = 503, .headers = &retry, .nheaders = 1
-	};
 	size_t i;
 	char *name, *value;
 
 	front_sock_end_work(c->sock);
-	if (r->body.len > FRONT_ANSWER_SMALL_BYTES &&
-	    !front_sock_begin_work(c->sock, r->body.len)) {
-		ctr_add(c->req.front->conf.ctr,
-		    front_entry_counter(c->req.front, NCTR_REQUESTS_NO_MEMORY),
-		    1);
-		r = &no_memory;
-	}
+	if (r->body.len > FRONT_ANSWER_SMALL_BYTES)
+		front_sock_hold_answer(c->sock, r->body.len);
 	front_sock_enter(c->sock, SHED_ANSWER);
 	c->sock->answer = r->body.len;
 
@@ -275,8 +265,8 @@
 	struct front *f = c->req.front;
 
 	if (!c->cut_off) {
-		c->cut_off = true;
 		front_sock_refuse(c->sock, 413);
+		c->cut_off = true;
 		front_drop_body(c);
 		c->body_len = 0;
 		ctr_add(f->conf.ctr, NCTR_HTTP_BODY_LIMIT, 1);
@@ -496,47 +486,6 @@
 	}
 }
 
-/*
- * Releases the body of a request that is with the handler. What the handler
- * keeps of it was reserved when the request was complete.
- */
-void
-front_release_body(struct front_req *req)
-{
-	front_drop_body((struct front_conn *)req);
-}
-
-/*
- * Reserves memory for the answer to a request, from within its handler. Without
- * this, the answers to many requests could all be fetched before the first one
- * is counted.
- */
-bool
-front_reserve_answer(struct front_req *req, size_t bytes)
-{
-	struct front_conn *c = (struct front_conn *)req;
-	struct front_header retry = { str_from("Retry-After"), str_from("1") };
-	struct front_reply r = {
-		.status = 503, .headers = &retry, .nheaders = 1
-	};
-
-	if (front_sock_begin_work(c->sock, bytes))
-		return true;
-	ctr_add(req->front->conf.ctr,
-	    front_entry_counter(req->front, NCTR_REQUESTS_NO_MEMORY), 1);
-	front_answer(req, &r);
-	return false;
-}
-
-/* Tells whether a complete request would be handled, rather than refused for
- * lack of memory. */
-bool
-front_has_room(const struct front *f)
-{
-	return f->conf.account == NULL ||
-	    memacct_fits(f->conf.account, MEMACCT_WORK, FRONT_WORK_BYTES);
-}
-
 /* Has every connection closed after its next answer. */
 void
 front_drain(struct front *f)
--- a/src/node/front_impl.h
+++ b/src/node/front_impl.h
@@ -88,6 +88,7 @@
 /* Reserves bytes for a body; closes others, or this one, if they don't fit. */
 bool front_sock_grow(struct front_sock *, size_t n);
 bool front_sock_begin_work(struct front_sock *, size_t n);
+void front_sock_hold_answer(struct front_sock *, size_t n);
 void front_sock_end_work(struct front_sock *);
 void front_sock_refuse(struct front_sock *, int status);
 void front_drop_body(struct front_conn *);
--- a/src/node/front_sock.c
+++ b/src/node/front_sock.c
@@ -21,6 +21,10 @@
 #define CHECK_LATE_MS 500
 /* Shedding has ended after this long without any. */
 #define SHED_QUIET_MS 5000
+/* Connections that are kept free for new ones: the library stops accepting at
+ * its limit. Few, as healthy clients that wait for their next request are
+ * closed for them. */
+#define SPARE_CONNECTIONS 8
 /* Larger blocks are mapped on their own and go back to the system at once;
  * otherwise the C library raises this bound up to 32 MB by itself. */
 #define MAPPED_MIN_BYTES (128 * 1024)
@@ -74,8 +78,8 @@
 		s->phase_at = s->front->now;
 	s->phase = phase;
 	s->progress = s->answer = 0;
-	if (phase == SHED_IDLE)
-		s->sampled = false;
+	/* The samples of an earlier phase say nothing of this one. */
+	s->sampled = false;
 }
 
 /* Releases the body of a request. */
@@ -115,7 +119,8 @@
 void
 front_sock_refuse(struct front_sock *s, int status)
 {
-	if (s->phase == SHED_HEADERS || s->phase == SHED_BODY)
+	if ((s->phase == SHED_HEADERS || s->phase == SHED_BODY) &&
+	    (s->request == NULL || !s->request->cut_off))
 		send_raw(s, status);
 }
 
@@ -210,9 +215,8 @@
 	size_t live = f->nsocks - f->nclosing + new_conns, nconns = 0;
 
 	excess = excess > f->closing_bytes ? excess - f->closing_bytes : 0;
-	if (live * 8 > (size_t)f->conf.connections_max * MEMACCT_HIGH_EIGHTHS)
-		nconns = live -
-		    (size_t)f->conf.connections_max * MEMACCT_LOW_EIGHTHS / 8;
+	if (live + SPARE_CONNECTIONS > f->conf.connections_max)
+		nconns = SPARE_CONNECTIONS;
 	if (excess > 0 || (new_conns > 0 && nconns > 0))
 		shed(f, excess, new_conns > 0 ? nconns : 0);
 }
@@ -243,6 +247,15 @@
 	    memacct_begin_work(s->front->conf.account, &s->held, n);
 }
 
+/* Reserves bytes for the answer to a request that was handled, also if there is
+ * no room: a refusal now would say that it was not run. */
+void
+front_sock_hold_answer(struct front_sock *s, size_t n)
+{
+	if (s->front->conf.account != NULL)
+		memacct_hold_answer(s->front->conf.account, &s->held, n);
+}
+
 /* Gives back what the handling of a request held. */
 void
 front_sock_end_work(struct front_sock *s)
@@ -251,6 +264,47 @@
 		memacct_end_work(s->front->conf.account, &s->held);
 }
 
+/*
+ * Releases the body of a request that is with the handler. What the handler
+ * keeps of it was reserved when the request was complete.
+ */
+void
+front_release_body(struct front_req *req)
+{
+	front_drop_body((struct front_conn *)req);
+}
+
+/*
+ * Reserves memory for the answer to a request, from within its handler. Without
+ * this, the answers to many requests could all be fetched before the first one
+ * is counted.
+ */
+bool
+front_reserve_answer(struct front_req *req, size_t bytes)
+{
+	struct front_conn *c = (struct front_conn *)req;
+	struct front_header retry = { str_from("Retry-After"), str_from("1") };
+	struct front_reply r = {
+		.status = 503, .headers = &retry, .nheaders = 1
+	};
+
+	if (front_sock_begin_work(c->sock, bytes))
+		return true;
+	ctr_add(req->front->conf.ctr,
+	    front_entry_counter(req->front, NCTR_REQUESTS_NO_MEMORY), 1);
+	front_answer(req, &r);
+	return false;
+}
+
+/* Tells whether a complete request would be handled, rather than refused for
+ * lack of memory. */
+bool
+front_has_room(const struct front *f)
+{
+	return f->conf.account == NULL ||
+	    memacct_fits(f->conf.account, MEMACCT_WORK, FRONT_WORK_BYTES);
+}
+
 /* Returns the key of an address: an IPv4 address, or a network of 64 bits. */
 static uint64_t
 get_addr_key(const struct sockaddr *a)
@@ -303,6 +357,10 @@
 	info = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 	s->fd = info->connect_fd;
 	front_sock_enter(s, SHED_IDLE);
+	/* Nothing has been read: what arrives until the first check belongs to
+	 * the headers of a request. */
+	s->sampled = true;
+	s->unread_at = f->now;
 	s->next = f->socks;
 	if (s->next != NULL)
 		s->next->prev = s;
@@ -418,6 +476,9 @@
 		s->phase_at = clk_add_ms(s->phase_at, late_ms);
 		if (clk_before(f->now, s->phase_at))
 			s->phase_at = f->now;
+		s->unread_at = clk_add_ms(s->unread_at, late_ms);
+		if (clk_before(f->now, s->unread_at))
+			s->unread_at = f->now;
 	}
 }
 
--- a/src/node/memacct.c
+++ b/src/node/memacct.c
@@ -158,6 +158,23 @@
 	subtract_level(m, c->use, n);
 }
 
+/* Returns the use in which the handling of a request counts. Readiness and
+ * metrics have their own, so that clients' requests can't take it. */
+static enum memacct_use
+work_use(const struct memacct_conn *c)
+{
+	return c->use == MEMACCT_REQUESTS ? MEMACCT_WORK : c->use;
+}
+
+/* Adds n bytes to what the handling of a request holds. */
+static void
+add_work(struct memacct *m, struct memacct_conn *c, size_t n)
+{
+	c->work += n;
+	c->addr->bytes += n;
+	add_level(m, work_use(c), n);
+}
+
 /*
  * Reserves n bytes for the handling of a request. One request may need more
  * than the whole part, as a configuration does on a small replica: it is
@@ -166,22 +183,32 @@
 bool
 memacct_begin_work(struct memacct *m, struct memacct_conn *c, size_t n)
 {
-	if (m->used[MEMACCT_WORK] >
-		m->limits.max[MEMACCT_WORK] / MEMACCT_LITTLE_DIVISOR &&
-	    !memacct_fits(m, MEMACCT_WORK, n))
+	enum memacct_use use = work_use(c);
+
+	if (c->addr == NULL ||
+	    (m->used[use] > m->limits.max[use] / MEMACCT_LITTLE_DIVISOR &&
+		!memacct_fits(m, use, n)))
 		return false;
-	c->work += n;
-	c->addr->bytes += n;
-	add_level(m, MEMACCT_WORK, n);
+	add_work(m, c, n);
 	return true;
 }
 
+/* Reserves n bytes for an answer that has to be given, also over the limit. */
+void
+memacct_hold_answer(struct memacct *m, struct memacct_conn *c, size_t n)
+{
+	if (c->addr != NULL)
+		add_work(m, c, n);
+}
+
 /* Gives back what the handling of a request holds. */
 void
 memacct_end_work(struct memacct *m, struct memacct_conn *c)
 {
+	if (c->addr == NULL)
+		return;
 	c->addr->bytes -= c->work;
-	subtract_level(m, MEMACCT_WORK, c->work);
+	subtract_level(m, work_use(c), c->work);
 	c->work = 0;
 }
 
--- a/src/node/memacct.h
+++ b/src/node/memacct.h
@@ -56,7 +56,7 @@
 	enum memacct_use use;
 	struct memacct_addr *addr; /* NULL: not open */
 	size_t bytes;
-	size_t work; /* in MEMACCT_WORK */
+	size_t work; /* in MEMACCT_WORK, or in a use of its own */
 };
 
 /* Limits of the uses in bytes. */
@@ -81,6 +81,8 @@
 /* Reserves n bytes for the handling of a connection's request. Any size is
  * admitted while at most 1 / MEMACCT_LITTLE_DIVISOR of the part is in use. */
 bool memacct_begin_work(struct memacct *, struct memacct_conn *, size_t n);
+/* Reserves n bytes for an answer, also over the limit. */
+void memacct_hold_answer(struct memacct *, struct memacct_conn *, size_t n);
 void memacct_end_work(struct memacct *, struct memacct_conn *);
 /* Gives back all that a connection holds. */
 void memacct_close(struct memacct *, struct memacct_conn *);
--- a/src/node/shed.c
+++ b/src/node/shed.c
@@ -17,7 +17,7 @@
 enum shed_reason
 shed_check(const struct shed_conn *c)
 {
-	if (c->phase != SHED_HELD && c->phase != SHED_CLOSING &&
+	if ((c->phase == SHED_IDLE || c->phase == SHED_ANSWER) &&
 	    c->unread_ms > SHED_UNREAD_MS)
 		return SHED_ANSWER_SLOW;
 	switch (c->phase) {
--- a/src/node/shed.h
+++ b/src/node/shed.h
@@ -50,9 +50,11 @@
 /* A connection as the decision sees it. */
 struct shed_conn {
 	enum shed_phase phase;
-	bool is_read;	   /* the request changes nothing */
-	int64_t phase_ms;  /* since the phase began */
-	int64_t unread_ms; /* sent bytes wait, and none was taken for so long */
+	bool is_read;	  /* the request changes nothing */
+	int64_t phase_ms; /* since the phase began */
+	/* while idle or answering: sent bytes wait, and none was taken for so
+	 * long */
+	int64_t unread_ms;
 	size_t bytes;	   /* that closing it would free */
 	size_t progress;   /* bytes received of the request */
 	size_t answer;	   /* bytes of the answer */
--- a/src/node/tests/memacct_test.cc
+++ b/src/node/tests/memacct_test.cc
@@ -51,6 +51,43 @@
 	EXPECT_FALSE(memacct_open(a.m, &peer, MEMACCT_REQUESTS, 1, 1));
 }
 
+/* Guards against a readiness check that is refused because clients' requests
+ * take all memory for requests. */
+TEST(MemAcct, ReadinessHasWorkOfItsOwn)
+{
+	account a(100, 1000);
+	struct memacct_conn c, ready;
+	ASSERT_TRUE(memacct_open(a.m, &c, MEMACCT_REQUESTS, 1, 10));
+	ASSERT_TRUE(memacct_open(a.m, &ready, MEMACCT_READINESS, 1, 10));
+	ASSERT_TRUE(memacct_begin_work(a.m, &c, 1000));
+	EXPECT_TRUE(memacct_begin_work(a.m, &ready, 10));
+	EXPECT_EQ(20U, memacct_used(a.m, MEMACCT_READINESS));
+	memacct_end_work(a.m, &ready);
+	memacct_close(a.m, &ready);
+	EXPECT_EQ(0U, memacct_used(a.m, MEMACCT_READINESS));
+}
+
+/* Guards against an answer that is replaced by a refusal, which would say that
+ * the request was not run. */
+TEST(MemAcct, AnAnswerIsHeldAlsoWithoutRoom)
+{
+	account a(100, 1000);
+	struct memacct_conn c, d, closed = {};
+	ASSERT_TRUE(memacct_open(a.m, &c, MEMACCT_REQUESTS, 1, 10));
+	ASSERT_TRUE(memacct_open(a.m, &d, MEMACCT_REQUESTS, 1, 10));
+	ASSERT_TRUE(memacct_begin_work(a.m, &c, 1000));
+	memacct_hold_answer(a.m, &d, 500);
+	EXPECT_EQ(1500U, memacct_used(a.m, MEMACCT_WORK));
+	EXPECT_FALSE(memacct_begin_work(a.m, &d, 1));
+	memacct_end_work(a.m, &d);
+	EXPECT_EQ(1000U, memacct_used(a.m, MEMACCT_WORK));
+	/* Bytes of a connection that has been given up are still read. */
+	EXPECT_FALSE(memacct_begin_work(a.m, &closed, 1));
+	memacct_hold_answer(a.m, &closed, 1);
+	memacct_end_work(a.m, &closed);
+	EXPECT_EQ(1000U, memacct_used(a.m, MEMACCT_WORK));
+}
+
 /* Guards against requests that are complete but pile up while the leader
  * doesn't answer, and against one that is refused although it is alone but for
  * heartbeats. */
--- a/src/node/tests/shed_test.cc
+++ b/src/node/tests/shed_test.cc
@@ -54,6 +54,17 @@
 	EXPECT_EQ(SHED_ANSWER_SLOW, shed_check(&c));
 }
 
+/* Guards against a body within the minimum rate that is cut off because of a
+ * figure that was taken before it, between two requests. */
+TEST(Shed, SlowReadingCountsOnlyWhileSomethingIsRead)
+{
+	for (enum shed_phase p : { SHED_HEADERS, SHED_BODY, SHED_HELD }) {
+		struct shed_conn c = make(p, 1000, 1);
+		c.unread_ms = SHED_UNREAD_MS + 1;
+		EXPECT_EQ(SHED_KEEP, shed_check(&c)) << p;
+	}
+}
+
 /* Guards against a request that was passed on to the leader and whose client
  * is cut off from its outcome, also if nothing else can be closed. */
 TEST(Shed, NeverClosesARequestThatWasPassedOn)
