--- a/src/node/core.c
+++ b/src/node/core.c
@@ -23,7 +23,7 @@
 
 /* Queues a command to be replicated. w receives the outcome; it may be NULL. A
  * command that raft would not accept is refused, as no later one could pass
- * it. */
+ * it. That of a call for which there is no memory is dropped. */
 void
 core_propose(
     struct core *c, const Job__Command *cmd, const struct core_waiter *w)
@@ -39,9 +39,17 @@
 			core_fail_waiter(c, w, JOB__OUTCOME__INVALID);
 		return;
 	}
+	/* Like a lost message: the caller sends it again. A refusal could be
+	 * wrong, as an earlier copy may be queued. */
+	if (w != NULL &&
+	    !memacct_grow(c->account, &c->calls_held, sizeof(*k) + len)) {
+		ctr_add(&c->nctr, NCTR_CALLS_NO_MEMORY, 1);
+		return;
+	}
 	k = calloc(1, sizeof(*k) + len);
 	if (k == NULL)
 		abort();
+	k->bytes = w == NULL ? 0 : sizeof(*k) + len;
 	k->len = len;
 	job__command__pack(cmd, k->data);
 	if (w != NULL)
@@ -415,6 +423,7 @@
 	mc.inst = c->inst;
 	mc.connections_max = c->fds.peers;
 	mc.ctr = &c->nctr;
+	mc.account = c->account;
 	mc.replica = c->replica;
 	mc.generation = c->generation;
 	mc.on_job = on_job;
@@ -449,6 +458,10 @@
 	fc.body_max = CORE_BODY_MAX;
 	fc.connections_max = c->fds.control;
 	fc.ctr = &c->nctr;
+	fc.account = c->account;
+	fc.use = MEMACCT_REQUESTS;
+	fc.name = "control";
+	fc.body_copies = CORE_BODY_COPIES;
 	fc.on_request = core_on_control;
 	fc.on_client_gone = on_client_gone;
 	fc.arg = c;
@@ -462,8 +475,12 @@
 {
 	struct jlead_ops ops = { lead_propose, lead_call, is_sole_leader, c };
 	struct relay_conf rc;
+	struct memacct_limits limits;
 
 	c->fds = fdplan_split(c->inst->descriptors);
+	limits = memacct_split(MEMACCT_REPLICA, c->inst->memory_mb);
+	c->account = memacct_new(c, &limits);
+	memacct_open(c->account, &c->calls_held, MEMACCT_PEERS, 0, 0);
 	c->cmds_tail = &c->cmds;
 	c->inflight_tail = &c->inflight;
 	c->reads_tail = &c->reads;
@@ -488,7 +505,8 @@
 	c->relay = relay_new(c, &rc);
 	if (c->raft != NULL)
 		relay_on_leader(c->relay, raft_term(c->raft));
-	c->metrics = metrics_new(c, c->ev, c->inst->metrics, &c->nctr, e);
+	c->metrics =
+	    metrics_new(c, c->ev, c->inst->metrics, &c->nctr, c->account, e);
 	if (c->metrics == NULL)
 		return e->status;
 	metrics_add_counters(c->metrics, &c->nctr);
@@ -516,6 +534,7 @@
 		abort();
 	signal(SIGPIPE, SIG_IGN);
 	log_set_nonblocking();
+	front_init_heap();
 	c->inst = inst;
 	c->ev = tevent_context_init(c);
 	if (c->ev == NULL)
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -31,6 +31,7 @@
 struct core_cmd {
 	struct core_cmd *next;
 	struct core_waiter waiter;
+	size_t bytes; /* reserved in core.calls_held */
 	size_t len;
 	uint8_t data[];
 };
@@ -48,6 +49,7 @@
 	struct core_read *next;
 	uint64_t id;
 	uint32_t from;
+	size_t bytes; /* reserved in core.calls_held */
 	Job__Call *call;
 };
 
@@ -66,6 +68,7 @@
 	struct ctr_set nctr, jctr;
 	struct hist commit_ms, first_start_ms, complete_ms;
 	struct metrics *metrics;
+	struct memacct *account; /* of the memory of connections */
 	struct mesh *mesh;
 	struct front *control;
 	struct relay *relay; /* calls to workers */
@@ -113,6 +116,7 @@
 	struct core_inflight *inflight, **inflight_tail;
 	struct core_read *reads, **reads_tail;
 	uint64_t last_read;
+	struct memacct_conn calls_held; /* by reads and cmds */
 	struct core_leave *leaves;
 	struct timespec next_join_at;
 	bool stopping;
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -14,9 +14,10 @@
 	const struct hist *hist[METRICS_MAX];
 	const char *hist_names[METRICS_MAX];
 	size_t nhist;
-	const size_t *gauge[METRICS_MAX];
 	const char *gauge_names[METRICS_MAX];
-	size_t ngauge;
+	size_t (*gauges[METRICS_MAX])(const void *);
+	const void *gauge_args[METRICS_MAX];
+	size_t ngauges;
 	struct front *front;
 };
 
@@ -39,14 +40,43 @@
 	m->hist[m->nhist++] = h;
 }
 
+/* Adds a value that is read by a function. */
+static void
+add_gauge(struct metrics *m, const char *name, size_t (*read)(const void *),
+    const void *arg)
+{
+	if (m->ngauges == METRICS_MAX)
+		abort();
+	m->gauge_names[m->ngauges] = name;
+	m->gauges[m->ngauges] = read;
+	m->gauge_args[m->ngauges++] = arg;
+}
+
+/* Returns a value that is kept as a size_t. */
+static size_t
+read_value(const void *value)
+{
+	return *(const size_t *)value;
+}
+
 /* Adds a value that may rise and fall, under a name. */
 void
 metrics_add_gauge(struct metrics *m, const char *name, const size_t *value)
 {
-	if (m->ngauge == METRICS_MAX)
-		abort();
-	m->gauge_names[m->ngauge] = name;
-	m->gauge[m->ngauge++] = value;
+	add_gauge(m, name, read_value, value);
+}
+
+/* Return the bytes reserved in an account, now and at most. */
+static size_t
+read_reserved(const void *account)
+{
+	return memacct_total(account);
+}
+
+static size_t
+read_reserved_peak(const void *account)
+{
+	return memacct_peak(account);
 }
 
 /* Appends a histogram to the text t; NULL if there is no memory. */
@@ -82,11 +112,11 @@
 			    "cicadabay_%s_total %" PRIu64 "\n",
 			    m->ctr[i]->desc[k].name, ctr_get(m->ctr[i], k));
 	}
+	for (i = 0; i < m->ngauges; i++)
+		t = talloc_asprintf_append_buffer(t, "cicadabay_%s %zu\n",
+		    m->gauge_names[i], m->gauges[i](m->gauge_args[i]));
 	for (i = 0; i < m->nhist; i++)
 		t = append_hist(t, m->hist_names[i], m->hist[i]);
-	for (i = 0; i < m->ngauge; i++)
-		t = talloc_asprintf_append_buffer(
-		    t, "cicadabay_%s %zu\n", m->gauge_names[i], *m->gauge[i]);
 	if (t == NULL)
 		abort();
 	return str_from(t);
@@ -113,13 +143,18 @@
 /* Starts to serve metrics; NULL with e set if it cannot listen on addr. */
 struct metrics *
 metrics_new(TALLOC_CTX *ctx, struct tevent_context *ev, struct str addr,
-    struct ctr_set *ctr, struct err *e)
+    struct ctr_set *ctr, struct memacct *account, struct err *e)
 {
 	struct metrics *m = talloc_zero(ctx, struct metrics);
 	struct front_conf fc = { 0 };
 
 	if (m == NULL)
 		abort();
+	if (account != NULL) {
+		add_gauge(m, "memory_reserved_bytes", read_reserved, account);
+		add_gauge(m, "memory_reserved_peak_bytes", read_reserved_peak,
+		    account);
+	}
 	if (addr.len == 0)
 		return m;
 	fc.listen_fd = sock_listen(addr, false, e);
@@ -130,6 +165,9 @@
 	fc.body_max = METRICS_BODY_MAX_BYTES;
 	fc.connections_max = METRICS_CONNECTIONS_MAX;
 	fc.ctr = ctr;
+	fc.account = account;
+	fc.use = MEMACCT_METRICS;
+	fc.name = "metrics";
 	fc.on_request = on_request;
 	fc.on_client_gone = on_client_gone;
 	fc.arg = m;
