--- a/src/node/front_sock.c
+++ b/src/node/front_sock.c
@@ -251,6 +251,47 @@
 		memacct_end_work(s->front->conf.account, &s->held);
 }
 
+/*
+ * Releases the body of a request that is with the handler. What the handler
+ * keeps of it was reserved when the request was complete.
+ */
+void
+front_release_body(struct front_req *req)
+{
+	front_drop_body((struct front_conn *)req);
+}
+
+/*
+ * Reserves memory for the answer to a request, from within its handler. Without
+ * this, the answers to many requests could all be fetched before the first one
+ * is counted.
+ */
+bool
+front_reserve_answer(struct front_req *req, size_t bytes)
+{
+	struct front_conn *c = (struct front_conn *)req;
+	struct front_header retry = { str_from("Retry-After"), str_from("1") };
+	struct front_reply r = {
+		.status = 503, .headers = &retry, .nheaders = 1
+	};
+
+	if (front_sock_begin_work(c->sock, bytes))
+		return true;
+	ctr_add(req->front->conf.ctr,
+	    front_entry_counter(req->front, NCTR_REQUESTS_NO_MEMORY), 1);
+	front_answer(req, &r);
+	return false;
+}
+
+/* Tells whether a complete request would be handled, rather than refused for
+ * lack of memory. */
+bool
+front_has_room(const struct front *f)
+{
+	return f->conf.account == NULL ||
+	    memacct_fits(f->conf.account, MEMACCT_WORK, FRONT_WORK_BYTES);
+}
+
 /* Returns the key of an address: an IPv4 address, or a network of 64 bits. */
 static uint64_t
 get_addr_key(const struct sockaddr *a)
