Evacuation: process test of late copies

Cause: nothing checked with real processes that an order which waits in the socket buffers of a paused replica doesn't undo a newer one.

Not run: the sanitizer build; the full unit tests after this commit.

--- a/soak/evacuated.py
+++ b/soak/evacuated.py
@@ -13,6 +13,7 @@
 import os
 import re
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -120,11 +121,41 @@
             if " cold=1" not in f.read():
                 self.findings.append("the leader knows of no cold worker")
 
+    async def check_delayed(self, closes):
+        """Checks that an order that waited in the socket buffers of a paused
+        replica doesn't begin an evacuation that was withdrawn meanwhile; closes:
+        its client has closed the connection by then."""
+        leader = self.find_leader()
+        paused = next(p for p in self.soak.cores if p is not leader)
+        paused.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.2)
+        late = asyncio.create_task(call(
+            (paused.ip, CONTROL_PORT + BACKEND_PORT_OFFSET), "POST",
+            "/-/Evacuate.Start/za", timeout=1.0 if closes else 9.0))
+        await asyncio.sleep(1)
+        for order in ("Evacuate.Start", "Evacuate.Finish"):
+            status, _ = await call((leader.ip, CONTROL_PORT), "POST",
+                                   f"/-/{order}/za", timeout=1.0)
+            if status != 200:
+                self.findings.append(f"{order} was answered {status}")
+        await asyncio.sleep(0.8)
+        paused.send_signal(signal.SIGCONT)
+        status, _ = await late
+        if status not in ((None,) if closes else (503,)):
+            self.findings.append(f"a late order was answered {status}")
+        await asyncio.sleep(1.5)
+        code, out = await self.command("evacuations", "--json")
+        if code != DONE or json.loads(out)["evacuations"]:
+            self.findings.append(f"after a late order: {code} {out}")
+            await self.expect(DONE, "evacuate", "za", "--end")
+
     async def check(self):
         """Evacuates, kills replicas, and takes the domain back."""
         if await self.count_starts(6) == 0:
             self.findings.append("nothing ran in za before")
         await self.check_cold()
+        await self.check_delayed(False)
+        await self.check_delayed(True)
         await self.expect(DONE, "evacuate", "za")
         await self.expect(DONE, "evacuate", "za")
         await self.expect_none("after the order")
