--- a/src/job/tests/evac_test.cc
+++ b/src/job/tests/evac_test.cc
@@ -180,12 +180,22 @@
 	s.run(500);
 	uint64_t lost = s.find_busy(s.in_a);
 	ASSERT_NE(0U, lost);
-	size_t in_b = s.count_running("b");
+	size_t in_a = s.count_running("a");
 	size_t displaced = s.workers[lost].running.size();
+	/* Until job 2 is done, there is room only in the closed domain. */
+	s.run_time_ms = [](const SimTask &t) {
+		return t.job == 1 ? -1 : 12000;
+	};
 	s.evacuate("a");
+	s.submit(2, "fast", { JobSim::step(3, 7500) });
+	s.run(500);
+	ASSERT_EQ(3U, s.count_running("b"));
 	s.crash(lost);
 	s.run(JLEAD_LEASE_MS + 3000);
-	EXPECT_EQ(in_b + displaced, s.count_running("b"));
+	EXPECT_EQ(in_a - displaced, s.count_running("a"));
+	s.run(6000);
+	EXPECT_EQ(in_a - displaced, s.count_running("a"));
+	EXPECT_EQ(displaced, s.count_running("b"));
 }
 
 /* Guards against a reservation of a closed worker, which would keep the
