Jobs: keep workers for large waiting tasks (lookahead = on)

Cause: while more work waits than fits, small tasks leave fragments on every worker and take each again as it grows. A large short task waits for as long as the burst lasts; only displaced long-running tasks had workers reserved for them.

Change: jroom.c models when the runs of a worker end: declared times, corrected by decaying averages of real over declared time by image and step and by the job's own ended tasks; a run that is longer goes on for a quarter of its age. jplan_room.c keeps, in each plan anew, the worker where a large task can start earliest, if no single end there makes room for it. Others go there if they end before then, fit beside, or are more urgent; displaced tasks and gangs aren't held off. A job that will be late by the model holds off no job that can be in time. Places are bounded in number, searches, distance and time. The setting lookahead of the replicas (on or off, default off) turns it on; a line event=reserve tells of each new place.

Not measured yet: cost of a plan at 22,000 workers.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -19,6 +19,7 @@
 	hist_init(&jl->cancel_ms);
 	jinterf_init(&jl->interf);
 	jdemand_init(&jl->demand);
+	jroom_init(&jl->room);
 }
 
 /* Returns the session of a registration, NULL if there is none. */
@@ -44,6 +45,7 @@
 			abort();
 	}
 	ws->plan_index = jl->nsessions++;
+	memset(&jl->plan_workers[ws->plan_index], 0, sizeof(*jl->plan_workers));
 	ws->plan_stale = true;
 	jl->plan_sessions[ws->plan_index] = ws;
 }
@@ -138,6 +140,7 @@
 	plan_slot_remove(jl, ws);
 	jl->nrestarted -= ws->restarted;
 	ws->w->session = NULL;
+	jroom_worker_finish(&ws->room);
 	free(ws);
 }
 
@@ -187,6 +190,9 @@
 			struct jst_step *st = &j->steps[i];
 
 			st->nproposed = 0;
+			st->room_ratio_sum = 0;
+			st->room_nended = 0;
+			st->room_since_ms = 0;
 			for (k = 0; k < st->spec->count; k++) {
 				struct jst_task *t = &st->tasks[k];
 
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -124,6 +124,9 @@
 #define JLEAD_UNHEARD_MS 3500
 /* Most such tasks, and workers, logged in one JLEAD_FLEET_LOG_INTERVAL_MS. */
 #define JLEAD_IDLE_LINES_MAX 8
+/* Most places kept for large tasks that are logged in one
+ * JLEAD_FLEET_LOG_INTERVAL_MS. */
+#define JLEAD_RESERVE_LINES_MAX 16
 /* A start that is sent later than this after its assignment is logged
  * separately. */
 #define JLEAD_LATE_START_MS 1000
@@ -254,6 +257,10 @@
 	uint64_t first_serial;	      /* of this term's calls */
 	struct jinterf interf;	      /* kept when the leader changes */
 	struct jdemand demand;
+	bool lookahead; /* set once, after jlead_init; look-ahead placement */
+	struct jroom room;
+	struct jplan_lookahead look;
+	uint32_t nreserve_lines; /* logged since the last line on the fleet */
 	/* from a cancel to the end of the job's last run */
 	struct hist cancel_ms;
 	struct wsess *sessions; /* linked list */
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -139,6 +139,7 @@
 	/* part of cpu_allocated held by serving tasks */
 	int64_t serving_cpu;
 	double failure_score;
+	struct jroom_worker room; /* with look-ahead */
 };
 
 /* jlead.c */
@@ -183,6 +184,10 @@
 void jl_log_worker_lost(struct jlead *, const struct wsess *, uint32_t nruns);
 void jl_log_stale(
     struct jlead *, const Job__Command *, const struct jst_result *);
+/* jlead_room.c */
+struct jplan_lookahead *jl_lookahead(struct jlead *);
+void jl_learn_room(struct jlead *, const struct jrun *);
+void jl_log_reserved(struct jlead *);
 /* jlead_idle.c */
 void jl_scan_idle(struct jlead *);
 /* jlead_throttle.c */
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -74,8 +74,17 @@
 fill_plan_worker(struct jlead *jl, struct wsess *ws, struct jplan_worker *p)
 {
 	const Job__Worker *w = ws->w->info;
+	struct jplan_hold hold = { 0 };
 
+	/* The entry may have been another worker's. */
+	if (p->room == &ws->room)
+		hold = p->hold;
 	memset(p, 0, sizeof(*p));
+	if (jl->lookahead) {
+		p->room = &ws->room;
+		p->hold = hold;
+		ws->room.stale = true;
+	}
 	p->w = ws->w;
 	p->cpu_total = w->cpu_milli;
 	p->free_cpu = (int64_t)w->cpu_milli - ws->cpu_allocated;
@@ -91,6 +100,18 @@
 	ws->plan_stale = false;
 }
 
+/* Returns when a worker that isn't usable is again, JROOM_NEVER if that isn't
+ * known: one that doesn't answer, or drains. */
+static int64_t
+usable_at_ms(const struct jlead *jl, const struct wsess *ws)
+{
+	if (!ws->contacted || ws->silent || ws->restarted ||
+	    ws->leave_announced || ws->removal_proposed || ws->w->draining ||
+	    !clk_before(jl->now, ws->paused_until))
+		return JROOM_NEVER;
+	return clk_ns(ws->paused_until) / CLK_NS_PER_MS;
+}
+
 /* Brings the plan's input up to date. */
 static void
 update_plan_workers(struct jlead *jl)
@@ -106,6 +127,7 @@
 		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
 		    !ws->leave_announced && !ws->removal_proposed &&
 		    !ws->w->draining && !clk_before(jl->now, ws->paused_until);
+		p->usable_at_ms = p->usable ? 0 : usable_at_ms(jl, ws);
 		p->failure_score =
 		    ws->failure_score > 0 ? jl_failure_score(jl, ws) : 0;
 	}
@@ -215,6 +237,7 @@
 	    serving / 1000, best_effort / 1000, mem, free_mem, w.others,
 	    w.best_effort, w.long_running, jl->nplans);
 	jl->nplans = 0;
+	jl->nreserve_lines = 0;
 	jl_scan_idle(jl);
 }
 
@@ -234,11 +257,13 @@
 	    jl->now, (int64_t)jl->nsessions / JLEAD_PLAN_WORKERS_PER_MS);
 	update_plan_workers(jl);
 	n = jplan_choose(jl->st, &jl->interf, &jl->demand, jl->plan_workers,
-	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS, &out,
-	    JLEAD_ASSIGN_MAX);
+	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS,
+	    jl_lookahead(jl), &out, JLEAD_ASSIGN_MAX);
 	for (i = 0; i < n; i++)
 		propose_assign(jl, &out[i], &jl->plan_workers[out[i].worker]);
 	free(out);
+	if (jl->lookahead)
+		jl_log_reserved(jl);
 	jl->nplans++;
 	log_fleet(jl);
 	if (n >= JLEAD_ASSIGN_MAX)
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -246,6 +246,8 @@
 		return;
 	}
 	record_end(jl, ws, r, e->how);
+	if (e->how == JOB__HOW__DONE)
+		jl_learn_room(jl, r);
 	r->end_session = ws;
 	ws->ends_pending++;
 	jrun_end(jl, r, e->how, e->checkpoint);
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -143,6 +143,7 @@
 	if (r->phase == RUN_ENDING)
 		return;
 	r->phase = RUN_ENDING;
+	r->ws->room.stale = true;
 	jrun_task_ref(r, &ref);
 	e.task = &ref;
 	e.run = r->run;
@@ -221,6 +222,7 @@
 	if (r->must_stop || r->phase == RUN_ENDING || r->phase == RUN_PROPOSED)
 		return;
 	r->must_stop = true;
+	r->ws->room.stale = true;
 	r->stop_reason = why;
 	if (r->order_pending) {
 		r->order_pending = false;
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -10,6 +10,7 @@
 	uint32_t priority;
 	bool has_begun; /* some of its job's work is done or running */
 	int64_t deadline_ms;
+	int64_t left_ms, late_ms; /* as in struct jplan_claim */
 	double sort_key; /* slack in ms, or core-seconds of remaining work */
 	bool may_wait;	 /* it may wait for a better place */
 	uint32_t ndisplaced; /* displaced long-running tasks to be placed */
@@ -179,6 +180,7 @@
 	span = st->job->deadline_ms - st->job->submitted_ms;
 	c->band = 0;
 	c->sort_key = JPLAN_LONG_RUNNING_ORDER;
+	c->left_ms = c->late_ms = 0;
 	c->has_begun = c->may_wait = false;
 	c->ndisplaced = 0;
 	if (is_long_running(st->job))
@@ -187,6 +189,8 @@
 	c->has_begun = st->nwaiting < st->spec->count || st->number > 0;
 	left = remaining_path_ms(st);
 	late_ms = c->deadline_ms + (JPLAN_LATE_FACTOR - 1) * span;
+	c->left_ms = left;
+	c->late_ms = late_ms;
 	if (wall_ms > late_ms)
 		c->band = 2;
 	else if (wall_ms + left > c->deadline_ms)
@@ -299,11 +303,24 @@
 	return largest;
 }
 
+/* Sets the order and the value of the step that is placed next. */
+static void
+set_claim(struct jplan_claim *claim, const struct candidate *c, int64_t wall_ms)
+{
+	claim->band = c->band;
+	claim->priority = c->priority;
+	claim->left_ms = c->left_ms;
+	claim->deadline_ms = c->deadline_ms;
+	claim->late_ms = c->late_ms;
+	claim->wall_ms = wall_ms;
+}
+
 /* Chooses the tasks that start now. A gang starts as a whole or not at all. */
 size_t
 jplan_choose(struct jst *s, struct jinterf *interf,
     const struct jdemand *demand, struct jplan_worker *v, size_t nworkers,
-    int64_t wall_ms, int64_t now_ms, struct jplan_choice **out, size_t max)
+    int64_t wall_ms, int64_t now_ms, struct jplan_lookahead *look,
+    struct jplan_choice **out, size_t max)
 {
 	struct jplan_round round;
 	struct candidate *c;
@@ -314,12 +331,14 @@
 	if (chosen == NULL)
 		abort();
 	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
+	jplan_room_init(&round, look);
 	round.chosen = chosen;
 	for (i = 0; i < ncand && n < max; i++) {
 		struct jst_step *st = c[i].st;
 
 		if (st->spec->gang && st->nwaiting < st->spec->count)
 			continue;
+		set_claim(&round.claim, &c[i], wall_ms);
 		k = jplan_place(&round, st, c[i].ndisplaced > 0, c[i].may_wait,
 		    chosen + n, st->spec->gang ? st->spec->count : max - n);
 		if (st->spec->gang && k < st->spec->count) {
@@ -330,7 +349,11 @@
 		round.nchosen = n;
 		if (k < c[i].ndisplaced && n < max)
 			jplan_reserve(&round, st, c[i].ndisplaced - k);
+		else if (st->nwaiting - st->nproposed > k && n < max)
+			jplan_room_reserve(
+			    &round, st, st->nwaiting - st->nproposed - k);
 	}
+	jplan_room_finish(&round);
 	jplan_round_finish(&round);
 	free(c);
 	*out = chosen;
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -25,12 +25,17 @@
  * down the fewest serving jobs, and wait for such a place while they have time.
  * They wait for processors that others leave unused, but not for long while
  * nothing of their job runs on a service of which much is free.
+ *
+ * With look-ahead, a worker is kept for a large short task that fits nowhere,
+ * where it can start earliest. Other tasks go there if they end before then,
+ * fit beside it, or are more urgent.
  */
 #ifndef JOB_JPLAN_H
 #define JOB_JPLAN_H
 
 #include "job/jdemand.h"
 #include "job/jinterf.h"
+#include "job/jroom.h"
 #include "job/jst.h"
 
 __BEGIN_DECLS
@@ -106,6 +111,31 @@
  * for best-effort tasks. */
 #define JPLAN_SERVING_USE 0.5
 
+/*
+ * Look-ahead: places kept for large short tasks. At most one of this many
+ * workers of a service, plus one, is kept, and these in all, and for one step.
+ */
+#define JPLAN_WORKERS_PER_SLOT	 16
+#define JPLAN_SLOTS_MAX		 256
+#define JPLAN_SLOTS_PER_STEP_MAX 16
+/* Searches of all workers for places in one plan. One takes some 0.2 us a
+ * worker, and a plan may take 1 us. */
+#define JPLAN_SLOT_SCANS_MAX 3
+/* No place is kept that is free later than this: nearly all tasks fit in before
+ * then, and the model knows little about so late a time. */
+#define JPLAN_SLOT_AHEAD_MAX_MS 8000
+/* A step for which places were kept for so long without a start gets none for
+ * as long again: the model is wrong, or more urgent tasks take them. */
+#define JPLAN_SLOT_HOLD_MAX_MS 10000
+/* A place moves if it is free this much sooner elsewhere; below the error of
+ * the model a move would only give away what has become free. */
+#define JPLAN_SLOT_MOVE_MS 100
+/* Workers with a higher failure score get no place. */
+#define JPLAN_SLOT_FAILURE_MAX 1.0
+/* A worker whose place was kept in the plan before, for a task that would delay
+ * the start there: above any difference in free resources. */
+#define JPLAN_SLOT_COST 2000.0
+
 /* Serving tasks of one step on a worker. */
 struct jplan_group {
 	struct jst_step *step;
@@ -115,6 +145,12 @@
 	double interference;
 };
 
+/* A place kept for a large task in an earlier plan. */
+struct jplan_hold {
+	uint64_t job;
+	int64_t start_ms; /* when it was to start; 0: none is kept */
+};
+
 /* What the plan knows about a worker. Resources are in 1/1000 processors, MB
  * and accelerators. */
 struct jplan_worker {
@@ -134,6 +170,13 @@
 	uint32_t service_index; /* set by the plan */
 	bool changed;  /* set by the plan when it has placed a task there */
 	bool reserved; /* set by the plan: for displaced tasks only */
+	/* With look-ahead: the runs there, NULL without; and when an unusable
+	 * worker is usable again, or JROOM_NEVER. */
+	struct jroom_worker *room;
+	int64_t usable_at_ms;
+	struct jplan_hold hold; /* set by the plan, kept until the next one */
+	/* set by the plan: 1 + index in jplan_lookahead.slots, 0: none */
+	uint32_t room_slot;
 };
 
 /* A task that is to start on a worker. */
@@ -147,6 +190,31 @@
 	bool may_wait;
 };
 
+/* A place kept for a large task of a step until start_ms. */
+struct jplan_slot {
+	const struct jst_step *step;
+	size_t worker;
+	/* against tasks of this band and priority, and those after them */
+	int band;
+	uint32_t priority;
+	int64_t start_ms;
+	struct jroom_amount spare; /* free then beside the task */
+	uint32_t nends;		   /* runs that end until then */
+	bool is_new;		   /* not kept in the plan before */
+	bool is_late;		   /* its job won't be in time by the model */
+};
+
+/* Look-ahead placement: the model, and the places kept by the last plan. */
+struct jplan_lookahead {
+	const struct jroom *model;
+	/* fills the runs of a worker whose entry is stale */
+	void (*fill)(void *arg, size_t worker, struct jroom_worker *);
+	void *arg;
+	struct jplan_slot slots[JPLAN_SLOTS_MAX];
+	size_t nslots;
+	uint32_t nscans; /* of all workers for a place in the last plan */
+};
+
 /* Returns the length of a job's critical path by declared times, in ms. */
 int64_t jplan_critical_path_ms(const Job__Spec *);
 /* Sets queue_cfg and deadline_ms of a job. The deadline is the objective of its
@@ -155,10 +223,10 @@
 /* Sets out to the choices, which the caller frees, and returns their number: at
  * most max, unless a gang begins below and ends above. Subtracts chosen tasks
  * from the free resources. wall_ms counts for deadlines and start times,
- * the monotonic now_ms for how long a task waits. */
+ * the monotonic now_ms for how long a task waits. Without look-ahead NULL. */
 size_t jplan_choose(struct jst *, struct jinterf *, const struct jdemand *,
     struct jplan_worker *, size_t nworkers, int64_t wall_ms, int64_t now_ms,
-    struct jplan_choice **out, size_t max);
+    struct jplan_lookahead *, struct jplan_choice **out, size_t max);
 
 __END_DECLS
 
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -22,6 +22,23 @@
 	bool shares_cpu;
 	size_t image_index;
 	int64_t cpu, mem, accel;
+	/* With look-ahead: for how long it holds its resources, its order, and
+	 * whether it may use places kept for others. */
+	int64_t duration_ms;
+	uint32_t priority;
+	int band;
+	bool ignores_room;
+};
+
+/* With look-ahead: the order and the value of the step being placed. */
+struct jplan_claim {
+	int band;
+	uint32_t priority;
+	/* of its job from the start of the step on, by declared times */
+	int64_t left_ms;
+	/* when the job is late, and when it has no value left */
+	int64_t deadline_ms, late_ms;
+	int64_t wall_ms;
 };
 
 /* A worker that can take a task of the step being placed. */
@@ -44,6 +61,10 @@
 	 * tasks must leave free.
 	 */
 	int64_t piece_cpu, cpu_free, cpu_in_pieces, cpu_reserved;
+	/* With look-ahead: places kept, and the largest task in this plan that
+	 * a single end makes room for. */
+	size_t nslots;
+	struct jroom_amount small;
 };
 
 /* State of one plan; free resources shrink as tasks are placed. */
@@ -63,6 +84,8 @@
 	int64_t now_ms; /* monotonic */
 	struct jplan_need no_fit[JPLAN_NO_FIT_MAX];
 	size_t nno_fit;
+	struct jplan_lookahead *look; /* or NULL */
+	struct jplan_claim claim;
 };
 
 /* jplan_place.c */
@@ -80,9 +103,26 @@
 /* Reserves workers for displaced tasks of a step that don't fit anywhere
  * now. */
 void jplan_reserve(struct jplan_round *, const struct jst_step *, size_t tasks);
+struct jplan_need jplan_get_need(
+    struct jplan_round *, const struct jst_step *, bool displaced);
+bool jplan_is_eligible(const struct jplan_need *, const struct jplan_worker *);
 /* Undoes choices of jplan_place. */
 void jplan_undo(struct jplan_round *, const struct jplan_choice *, size_t n);
 
+/* jplan_room.c */
+void jplan_room_init(struct jplan_round *, struct jplan_lookahead *);
+void jplan_room_need(
+    struct jplan_round *, const struct jst_step *, struct jplan_need *);
+bool jplan_room_blocks(const struct jplan_round *, const struct jplan_need *,
+    const struct jplan_worker *);
+bool jplan_room_is_held(const struct jplan_round *, const struct jst_step *,
+    const struct jplan_need *, const struct jplan_worker *);
+void jplan_room_note(struct jplan_round *, const struct jst_step *,
+    const struct jplan_need *, struct jplan_worker *, int sign);
+/* Keeps places for this many tasks of the step that was placed last. */
+void jplan_room_reserve(struct jplan_round *, struct jst_step *, size_t tasks);
+void jplan_room_finish(struct jplan_round *);
+
 /* jplan_interf.c */
 /* Estimates for each serving step how many of its tasks miss their target. */
 void jplan_interf_init(struct jplan_worker *, size_t n);
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -81,6 +81,7 @@
 	p->service_index = worker_service(r, p);
 	p->w->plan_index = (uint32_t)i;
 	p->reserved = false;
+	p->room_slot = 0;
 	s = &r->services[p->service_index];
 	s->nworkers++;
 	s->cpu_total += p->cpu_total;
@@ -167,8 +168,8 @@
 }
 
 /* Returns the resources and constraints of a step's tasks. */
-static struct jplan_need
-get_need(struct jplan_round *r, const struct jst_step *st, bool displaced)
+struct jplan_need
+jplan_get_need(struct jplan_round *r, const struct jst_step *st, bool displaced)
 {
 	const Job__Queue *q = st->job->queue_cfg;
 	const Job__Step *s = st->spec;
@@ -184,6 +185,7 @@
 	d.cpu = s->cpu_milli;
 	d.mem = s->mem_mb;
 	d.accel = s->accel;
+	jplan_room_need(r, st, &d);
 	return d;
 }
 
@@ -210,8 +212,10 @@
 		    (f->may_use_reserved || !d->may_use_reserved) &&
 		    (!f->may_wait ||
 			(d->may_wait && f->image_index == d->image_index)) &&
-		    f->cpu <= d->cpu && f->mem <= d->mem &&
-		    f->accel <= d->accel)
+		    (f->ignores_room || !d->ignores_room) &&
+		    f->band <= d->band && f->priority <= d->priority &&
+		    f->duration_ms <= d->duration_ms && f->cpu <= d->cpu &&
+		    f->mem <= d->mem && f->accel <= d->accel)
 			return true;
 	}
 	return false;
@@ -226,8 +230,8 @@
 }
 
 /* Tells whether a worker has the service and the label that a task needs. */
-static bool
-is_eligible(const struct jplan_need *d, const struct jplan_worker *p)
+bool
+jplan_is_eligible(const struct jplan_need *d, const struct jplan_worker *p)
 {
 	return d->service_index == p->service_index &&
 	    (d->label == NULL || has_label(p->w->info, d->label));
@@ -386,7 +390,8 @@
 	uint32_t ntasks_there = r->step_tasks[pl->worker];
 
 	if (!p->usable || (p->reserved && !d->may_use_reserved) ||
-	    !fits(d, p) || !is_eligible(d, p) ||
+	    !fits(d, p) || !jplan_is_eligible(d, p) ||
+	    jplan_room_blocks(r, d, p) ||
 	    (st->spec->spread > 0 && ntasks_there >= st->spec->spread))
 		return false;
 	pl->interference = d->best_effort
@@ -394,7 +399,8 @@
 	    : 0;
 	if (d->may_wait && pl->interference > JPLAN_WAIT_INTERFERENCE)
 		return false;
-	pl->cost = worker_cost(st, d, p, pl->interference, ntasks_there);
+	pl->cost = worker_cost(st, d, p, pl->interference, ntasks_there) +
+	    (jplan_room_is_held(r, st, d, p) ? JPLAN_SLOT_COST : 0);
 	return true;
 }
 
@@ -551,7 +557,7 @@
 jplan_place(struct jplan_round *r, struct jst_step *st, bool displaced,
     bool can_wait, struct jplan_choice *out, size_t max)
 {
-	struct jplan_need d = get_need(r, st, displaced);
+	struct jplan_need d = jplan_get_need(r, st, displaced);
 	struct jplan_option best;
 	bool found, overdue, may_share, met_reserve = false;
 	uint32_t t;
@@ -563,6 +569,7 @@
 	d.may_wait = can_wait && d.best_effort && !overdue;
 	d.may_use_reserved = displaced ||
 	    (overdue && st->nwaiting + st->ndone == st->spec->count);
+	d.ignores_room |= overdue && r->look != NULL;
 	may_share = overdue && d.best_effort && is_occurrence_idle(st);
 	if (st->waiting_since_ms == 0)
 		st->waiting_since_ms = r->now_ms;
@@ -594,6 +601,7 @@
 		out[k].may_wait = d.may_wait;
 		add_free_cpu(r, &r->workers[best.worker], -1);
 		allocate(r->interf, st, &d, &r->workers[best.worker], 1);
+		jplan_room_note(r, st, &d, &r->workers[best.worker], 1);
 		add_free_cpu(r, &r->workers[best.worker], 1);
 		r->step_tasks[best.worker]++;
 		heap_update_top(r, st, &d);
@@ -603,6 +611,8 @@
 		k++;
 		d.shares_cpu &= st->spec->gang;
 	}
+	if (k > 0)
+		st->room_since_ms = 0;
 	count_step_tasks(r, st, -1);
 	for (i = 0; i < k; i++)
 		r->step_tasks[out[i].worker]--;
@@ -638,7 +648,7 @@
 	const struct jplan_worker *p = &r->workers[worker];
 	const Job__Worker *w = p->w->info;
 
-	return p->usable && !p->reserved && is_eligible(d, p) &&
+	return p->usable && !p->reserved && jplan_is_eligible(d, p) &&
 	    (st->spec->spread == 0 ||
 		r->step_tasks[worker] < st->spec->spread) &&
 	    d->cpu <= p->cpu_total - p->lasting_cpu &&
@@ -651,7 +661,7 @@
 void
 jplan_reserve(struct jplan_round *r, const struct jst_step *st, size_t tasks)
 {
-	struct jplan_need d = get_need(r, st, true);
+	struct jplan_need d = jplan_get_need(r, st, true);
 	struct jplan_service *s;
 	size_t i, best, most;
 
@@ -685,11 +695,12 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct jplan_need d = get_need(r, c[i].step, false);
+		struct jplan_need d = jplan_get_need(r, c[i].step, false);
 		struct jplan_worker *p = &r->workers[c[i].worker];
 
 		add_free_cpu(r, p, -1);
 		allocate(r->interf, c[i].step, &d, p, -1);
+		jplan_room_note(r, c[i].step, &d, p, -1);
 		add_free_cpu(r, p, 1);
 	}
 	if (n > 0)
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -82,6 +82,12 @@
 	double load; /* leader: load of its serving tasks, 0: unknown */
 	/* leader: how many of its tasks miss their target, by the plan */
 	double over_target;
+	/* leader: ratios of real to declared time of its ended tasks */
+	double room_ratio_sum;
+	uint32_t room_nended;
+	/* leader: monotonic time since when a place is kept for it and none of
+	 * its tasks was placed, 0: none is kept */
+	int64_t room_since_ms;
 };
 
 struct jst_job {
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -471,6 +471,7 @@
 	ctr_init(&c->jctr, c, jctr_desc, JCTR_COUNT);
 	jst_init(&c->st);
 	jlead_init(&c->jl, &c->st, &ops, &c->jctr);
+	c->jl.lookahead = c->inst->lookahead;
 	if (start_log(c, e) != STATUS_OK || start_mesh(c, e) != STATUS_OK ||
 	    start_control(c, e) != STATUS_OK)
 		return e->status;
--- a/src/node/inst.c
+++ b/src/node/inst.c
@@ -23,6 +23,8 @@
 	    "peer_port"),
 	F("own_workers", INI_INT, own_workers, "100", 0, 100000,
 	    "with more workers other replicas make the calls to them"),
+	F("lookahead", INI_STRING, look, "off", 0, 0,
+	    "on: a replica keeps workers for large waiting tasks; or off"),
 	F("seeds", INI_STRING, seeds, NULL, 0, 0,
 	    "replicas to ask first, IP:port joined by commas"),
 	F("found", INI_BOOL, found, "false", 0, 0,
@@ -151,6 +153,10 @@
 	if (in->instance == 0)
 		return err_set(e, STATUS_INVALID,
 		    "instance: ip: expected an IPv4 address");
+	in->lookahead = str_eq_c(in->look, "on");
+	if (!in->lookahead && !str_eq_c(in->look, "off"))
+		return err_set(e, STATUS_INVALID,
+		    "instance: lookahead: expected on or off");
 	in->control_port = parse_port(in->control);
 	return parse_seeds(in, e);
 }
--- a/src/node/inst.h
+++ b/src/node/inst.h
@@ -21,6 +21,7 @@
 	int64_t own_workers; /* with more, other replicas make the calls */
 	struct str seeds;    /* as written: IP:port, joined by commas */
 	bool found;	     /* with the other seeds, creates the group */
+	struct str look;     /* on or off */
 	bool counted;	     /* this replica may vote */
 	int64_t tolerate;    /* replicas that may be lost at once */
 	struct str data;
@@ -32,6 +33,7 @@
 	int64_t descriptors; /* limit of this process; 0: the system's */
 	struct str log_level;
 	/* Derived from the above. */
+	bool lookahead;	      /* look-ahead placement is on */
 	const char *file;     /* path of the settings file */
 	int64_t control_port; /* port of control, the same on all replicas */
 	uint32_t instance;    /* the IPv4 address as a number */
--- a/src/node/tests/inst_test.cc
+++ b/src/node/tests/inst_test.cc
@@ -50,6 +50,11 @@
 	fixture f;
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "unknown = 1\n"));
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "tolerate = 99\n"));
+	EXPECT_EQ(STATUS_INVALID, f.load(good + "lookahead = true\n"));
+	ASSERT_EQ(STATUS_OK, f.load(good));
+	EXPECT_FALSE(f.in.lookahead);
+	ASSERT_EQ(STATUS_OK, f.load(good + "lookahead = on\n"));
+	EXPECT_TRUE(f.in.lookahead);
 	std::string bad = good;
 	bad.replace(bad.find("10.2.0.32"), 9, "somewhere");
 	EXPECT_EQ(STATUS_INVALID, f.load(bad));
