Tests of look-ahead: each mechanism has a test that fails without it

Cause: with one mechanism at a time taken out of jplan_room.c and jroom.c, five left all tests of JobRoom passing: backfill, the order by priority, gangs, the rule on a single end, and the check of the worker in is_possible, which a later check covers anyway.

Change: a task that only fits into the kept place and ends in time; a late task of a more urgent queue; a gang that outlasts the start; a task that a single end makes room for.

--- a/src/job/jplan_room.c
+++ b/src/job/jplan_room.c
@@ -132,8 +132,7 @@
 {
 	const Job__Worker *w = p->w->info;
 
-	return p->usable_at_ms != JROOM_NEVER && !p->reserved &&
-	    p->room_slot == 0 && jplan_is_eligible(d, p) &&
+	return !p->reserved && p->room_slot == 0 && jplan_is_eligible(d, p) &&
 	    p->failure_score <= JPLAN_SLOT_FAILURE_MAX &&
 	    p->usable_at_ms <= r->now_ms + JPLAN_SLOT_AHEAD_MAX_MS &&
 	    d->cpu <= p->cpu_total - p->lasting_cpu &&
--- a/src/job/tests/room_test.cc
+++ b/src/job/tests/room_test.cc
@@ -197,10 +197,11 @@
 		Room s(1, on);
 		s.fill(1, 800);
 		s.large();
-		s.task(2, "batch", 1000, 300);
+		s.task(2, "batch", 3000, 200);
 		s.task(3, "batch", 3000, 3000);
 		s.run(100);
 		EXPECT_TRUE(s.has_started(2));
+		s.run(300);
 		EXPECT_EQ(!on, s.has_started(3));
 		s.run(1000);
 		EXPECT_EQ(on, s.has_started(Room::LARGE));
@@ -220,6 +221,35 @@
 	EXPECT_FALSE(s.has_started(3));
 }
 
+/* Guards against a place kept for a task that a single end makes room for: it
+ * would only leave the fragment unused. */
+TEST(JobRoom, NoPlaceIsKeptIfOneEndSuffices)
+{
+	Room s(1);
+	s.task(1, "fast", 12000, 800);
+	s.run(50);
+	s.task(2, "fast", 10000, 1000);
+	EXPECT_EQ(0u, s.slots());
+	s.large();
+	EXPECT_EQ(1u, s.slots());
+}
+
+/* Guards against a place that holds off a late task of a more urgent queue. */
+TEST(JobRoom, ALateTaskOfAMoreUrgentQueueUsesAKeptPlace)
+{
+	Room s(1);
+	s.fill(1, 4500);
+	s.task(4, "fast", 4000, 2500);
+	s.run(50);
+	s.task(Room::LARGE, "batch", 14000, 9000);
+	s.task(2, "fast", 3000, 3000);
+	s.run(2300);
+	ASSERT_EQ(1u, s.slots());
+	ASSERT_FALSE(s.has_started(2));
+	s.run(300);
+	EXPECT_TRUE(s.has_started(2));
+}
+
 /* Guards against a place kept for a job that is worth nothing by then, or that
  * is cancelled, or late by the model against one that can be in time. */
 TEST(JobRoom, APlaceIsDroppedWithTheValueOfItsJob)
@@ -306,7 +336,7 @@
 		x.has_gang = x.gang = gang;
 		uint64_t b = gang ? 0 : s.add_worker(4000);
 		s.run(100);
-		s.real_ms[5] = 9000;
+		s.real_ms[5] = x.estimate_ms = 9000;
 		if (!gang)
 			s.submit(5, "batch", { x });
 		s.run(100);
