Tests of look-ahead: large jobs of a less urgent queue gain too

Cause: no test failed without the cost of a worker that the plan before kept. More urgent tasks are placed first, on the worker with most free, which is the kept one.

Change: AMoreUrgentQueueLosesNothing also asks for a gain of the large jobs.

The test fails without the cost; all 14 of JobRoom pass.

--- a/src/job/tests/room_test.cc
+++ b/src/job/tests/room_test.cc
@@ -125,7 +125,8 @@
 	}
 }
 
-/* Guards against places kept at the cost of a more urgent queue. */
+/* Guards against places kept at the cost of a more urgent queue, and against
+ * its tasks taking them though they fit elsewhere. */
 TEST(JobRoom, AMoreUrgentQueueLosesNothing)
 {
 	Load l;
@@ -134,6 +135,7 @@
 	Both b(l);
 	EXPECT_GE(b.small[1].credit(), b.small[0].credit() - 0.005);
 	EXPECT_LE(b.small[1].wait_ms, 1.02 * b.small[0].wait_ms);
+	EXPECT_GT(b.large[1].credit(), b.large[0].credit() + 0.04);
 }
 
 /* One worker or more of 16 processors with look-ahead, and runs of known
