Jobs: short tasks prefer workers that aren't slow (lookahead = on)

Cause: a worker whose runs take longer than elsewhere, as after an evacuation, gets as many tasks as others, and a step ends with its last task.

Change: jspeed.c compares each ended short task with the median of its step and keeps decaying sums by worker; a worker is slow only beyond chance and beyond 1.2 times the mean of all. Its cost for short tasks rises with that. Off without the setting.

Each test of JobSpeed was seen to fail without its mechanism: cost, standard errors, least ratio, least number of runs, decay, mean of all workers, bound of a ratio. JobRoom and JobSpeed pass (18 tests).

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -193,6 +193,7 @@
 			st->room_ratio_sum = 0;
 			st->room_nended = 0;
 			st->room_since_ms = 0;
+			st->nspeed = 0;
 			for (k = 0; k < st->spec->count; k++) {
 				struct jst_task *t = &st->tasks[k];
 
@@ -238,6 +239,7 @@
 	jl->token = token;
 	jl->nfences = 0;
 	jl->first_serial = jl->serial + 1;
+	memset(&jl->speed, 0, sizeof(jl->speed));
 	jl->leading = true;
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -21,6 +21,7 @@
 #include "job/jdemand.h"
 #include "job/jplan.h"
 #include "job/jinterf.h"
+#include "job/jspeed.h"
 #include "job/jst.h"
 
 __BEGIN_DECLS
@@ -259,6 +260,7 @@
 	struct jdemand demand;
 	bool lookahead; /* set once, after jlead_init; look-ahead placement */
 	struct jroom room;
+	struct jspeed speed; /* of all workers */
 	struct jplan_lookahead look;
 	uint32_t nreserve_lines; /* logged since the last line on the fleet */
 	/* from a cancel to the end of the job's last run */
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -5,6 +5,7 @@
 #include "base/clk.h"
 #include "job/jctr.h"
 #include "job/jlead.h"
+#include "job/jspeed.h"
 #include "job/jthrottle.h"
 
 __BEGIN_DECLS
@@ -139,7 +140,9 @@
 	/* part of cpu_allocated held by serving tasks */
 	int64_t serving_cpu;
 	double failure_score;
-	struct jroom_worker room; /* with look-ahead */
+	/* with look-ahead */
+	struct jroom_worker room;
+	struct jspeed speed;
 };
 
 /* jlead.c */
@@ -186,6 +189,7 @@
     struct jlead *, const Job__Command *, const struct jst_result *);
 /* jlead_room.c */
 struct jplan_lookahead *jl_lookahead(struct jlead *);
+double jl_slowness(const struct jlead *, const struct wsess *);
 void jl_learn_room(struct jlead *, const struct jrun *);
 void jl_log_reserved(struct jlead *);
 /* jlead_idle.c */
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -128,6 +128,7 @@
 		    !ws->leave_announced && !ws->removal_proposed &&
 		    !ws->w->draining && !clk_before(jl->now, ws->paused_until);
 		p->usable_at_ms = p->usable ? 0 : usable_at_ms(jl, ws);
+		p->slowness = jl_slowness(jl, ws);
 		p->failure_score =
 		    ws->failure_score > 0 ? jl_failure_score(jl, ws) : 0;
 	}
--- a/src/job/jlead_room.c
+++ b/src/job/jlead_room.c
@@ -60,16 +60,31 @@
 	return &jl->look;
 }
 
+/* Returns how much longer a worker's runs take than elsewhere, as a share. */
+double
+jl_slowness(const struct jlead *jl, const struct wsess *ws)
+{
+	return ws->speed.n < JSPEED_RUNS_MIN
+	    ? 0
+	    : jspeed_slowness(
+		  &ws->speed, &jl->speed, clk_ns(jl->now) / CLK_NS_PER_MS);
+}
+
 /* Learns from a run that was done, unless its start was repeated or it was
  * throttled, so that its length says little. */
 void
 jl_learn_room(struct jlead *jl, const struct jrun *r)
 {
+	int64_t held_ms = clk_diff_ms(jl->now, r->created);
+	int64_t now_ms = clk_ns(jl->now) / CLK_NS_PER_MS;
+
 	if (!jl->lookahead || r->inherited || r->step->spec->lasting ||
 	    r->nstarts > 1 || r->nthrottles > 0)
 		return;
-	jroom_learn(&jl->room, r->step, r->image_index,
-	    clk_diff_ms(jl->now, r->created), clk_ns(jl->now) / CLK_NS_PER_MS);
+	jroom_learn(&jl->room, r->step, r->image_index, held_ms, now_ms);
+	if (!r->step->spec->fills)
+		jspeed_learn(
+		    &r->ws->speed, &jl->speed, r->step, held_ms, now_ms);
 }
 
 /* Logs the places that the last plan keeps and the one before didn't. At most
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -136,6 +136,11 @@
  * the start there: above any difference in free resources. */
 #define JPLAN_SLOT_COST 2000.0
 
+/* With look-ahead: a worker whose runs take twice as long as elsewhere, for a
+ * short task. Above any difference in free resources already for the least
+ * slowness that counts. */
+#define JPLAN_SLOW_COST 6000.0
+
 /* Serving tasks of one step on a worker. */
 struct jplan_group {
 	struct jst_step *step;
@@ -173,6 +178,7 @@
 	/* With look-ahead: the runs there, NULL without; and when an unusable
 	 * worker is usable again, or JROOM_NEVER. */
 	struct jroom_worker *room;
+	double slowness; /* as jspeed_slowness returns it */
 	int64_t usable_at_ms;
 	struct jplan_hold hold; /* set by the plan, kept until the next one */
 	/* set by the plan: 1 + index in jplan_lookahead.slots, 0: none */
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -320,6 +320,8 @@
 
 	if (d->rack != NULL && !has_label(p->w->info, d->rack))
 		c += JPLAN_OTHER_RACK_COST;
+	if (!st->spec->lasting)
+		c += p->slowness * JPLAN_SLOW_COST;
 	if (d->best_effort)
 		return c - 1000.0 * best_effort_free_cpu(p) / total +
 		    (p->nserving == 0 ? JPLAN_NO_SERVING_COST
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -31,6 +31,9 @@
  * first. Limits their memory, at about 500 bytes each. */
 #define JST_LEFT_MAX 1000
 
+/* Lengths of ended tasks kept for a step, to find their median. */
+#define JST_SPEED_MAX 8
+
 enum jst_job_state {
 	JST_ACTIVE,
 	JST_COMPLETED,
@@ -88,6 +91,10 @@
 	/* leader: monotonic time since when a place is kept for it and none of
 	 * its tasks was placed, 0: none is kept */
 	int64_t room_since_ms;
+	/* leader: how long ended tasks took, in order */
+	float speed_ms[JST_SPEED_MAX];
+	uint32_t nspeed;
+	bool speed_drops_first; /* from the full list, or the last */
 };
 
 struct jst_job {
