--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -20,6 +20,7 @@
 	jinterf_init(&jl->interf);
 	jdemand_init(&jl->demand);
 	jevac_init(&jl->evac);
+	jroom_init(&jl->room);
 }
 
 /* Returns the session of a registration, NULL if there is none. */
@@ -45,6 +46,7 @@
 			abort();
 	}
 	ws->plan_index = jl->nsessions++;
+	memset(&jl->plan_workers[ws->plan_index], 0, sizeof(*jl->plan_workers));
 	ws->plan_stale = true;
 	jl->plan_sessions[ws->plan_index] = ws;
 }
@@ -140,6 +142,7 @@
 	plan_slot_remove(jl, ws);
 	jl->nrestarted -= ws->restarted;
 	ws->w->session = NULL;
+	jroom_worker_finish(&ws->room);
 	free(ws);
 }
 
@@ -191,6 +194,10 @@
 			struct jst_step *st = &j->steps[i];
 
 			st->nproposed = 0;
+			st->room_ratio_sum = 0;
+			st->room_nended = 0;
+			st->room_since_ms = st->room_retry_ms = 0;
+			st->nspeed = 0;
 			for (k = 0; k < st->spec->count; k++) {
 				struct jst_task *t = &st->tasks[k];
 
@@ -236,6 +243,8 @@
 	jl->token = token;
 	jl->nfences = 0;
 	jl->first_serial = jl->serial + 1;
+	memset(&jl->speed, 0, sizeof(jl->speed));
+	jroom_init(&jl->room);
 	jl->leading = true;
 	jl->plan_needed = true;
 	for (i = 0; i < jl->st->nworkers; i++)
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -22,6 +22,7 @@
 #include "job/jevac.h"
 #include "job/jplan.h"
 #include "job/jinterf.h"
+#include "job/jspeed.h"
 #include "job/jst.h"
 
 __BEGIN_DECLS
@@ -125,6 +126,9 @@
 #define JLEAD_UNHEARD_MS 3500
 /* Most such tasks, and workers, logged in one JLEAD_FLEET_LOG_INTERVAL_MS. */
 #define JLEAD_IDLE_LINES_MAX 8
+/* Most places kept for large tasks that are logged in one
+ * JLEAD_FLEET_LOG_INTERVAL_MS. */
+#define JLEAD_RESERVE_LINES_MAX 16
 /* A start that is sent later than this after its assignment is logged
  * separately. */
 #define JLEAD_LATE_START_MS 1000
@@ -256,6 +260,11 @@
 	struct jinterf interf;	      /* kept when the leader changes */
 	struct jdemand demand;
 	struct jevac evac;
+	bool lookahead; /* set once, after jlead_init; look-ahead placement */
+	struct jroom room;
+	struct jspeed speed; /* of all workers */
+	struct jplan_lookahead look;
+	uint32_t nreserve_lines; /* logged since the last line on the fleet */
 	/* from a cancel to the end of the job's last run */
 	struct hist cancel_ms;
 	struct wsess *sessions; /* linked list */
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -5,6 +5,7 @@
 #include "base/clk.h"
 #include "job/jctr.h"
 #include "job/jlead.h"
+#include "job/jspeed.h"
 #include "job/jthrottle.h"
 
 __BEGIN_DECLS
@@ -143,6 +144,9 @@
 	/* part of cpu_allocated held by serving tasks */
 	int64_t serving_cpu;
 	double failure_score;
+	/* with look-ahead */
+	struct jroom_worker room;
+	struct jspeed speed;
 };
 
 /* jlead.c */
@@ -192,6 +196,11 @@
 void jl_evac_gave_up(struct jlead *, const struct jrun *);
 void jl_evac_applied(struct jlead *, const Job__Evacuation *, enum status);
 void jl_evac_scan(struct jlead *);
+/* jlead_room.c */
+struct jplan_lookahead *jl_lookahead(struct jlead *);
+double jl_slowness(const struct jlead *, const struct wsess *);
+void jl_learn_room(struct jlead *, const struct jrun *);
+void jl_log_reserved(struct jlead *);
 /* jlead_idle.c */
 void jl_scan_idle(struct jlead *);
 /* jlead_throttle.c */
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -81,6 +81,7 @@
 	p->service_index = worker_service(r, p);
 	p->w->plan_index = (uint32_t)i;
 	p->reserved = false;
+	p->room_slot = 0;
 	if (p->cold)
 		jplan_cold_add(r, p);
 	/* What is free in a closed domain is of no use to what waits. */
@@ -173,8 +174,8 @@
 }
 
 /* Returns the resources and constraints of a step's tasks. */
-static struct jplan_need
-get_need(struct jplan_round *r, const struct jst_step *st, bool displaced)
+struct jplan_need
+jplan_get_need(struct jplan_round *r, const struct jst_step *st, bool displaced)
 {
 	const Job__Queue *q = st->job->queue_cfg;
 	const Job__Step *s = st->spec;
@@ -191,6 +192,7 @@
 	d.cpu = s->cpu_milli;
 	d.mem = s->mem_mb;
 	d.accel = s->accel;
+	jplan_room_need(r, st, &d);
 	return d;
 }
 
@@ -217,24 +219,18 @@
 		    (f->may_use_reserved || !d->may_use_reserved) &&
 		    (!f->may_wait ||
 			(d->may_wait && f->image_index == d->image_index)) &&
-		    f->cpu <= d->cpu && f->mem <= d->mem &&
-		    f->accel <= d->accel)
+		    (f->ignores_room || !d->ignores_room) &&
+		    f->band <= d->band && f->priority <= d->priority &&
+		    f->duration_ms <= d->duration_ms && f->cpu <= d->cpu &&
+		    f->mem <= d->mem && f->accel <= d->accel)
 			return true;
 	}
 	return false;
 }
 
-/* Remembers a need that doesn't fit anywhere. */
-static void
-record_no_fit(struct jplan_round *r, const struct jplan_need *d)
-{
-	if (r->nno_fit < JPLAN_NO_FIT_MAX)
-		r->no_fit[r->nno_fit++] = *d;
-}
-
 /* Tells whether a worker has the service and the label that a task needs. */
-static bool
-is_eligible(const struct jplan_need *d, const struct jplan_worker *p)
+bool
+jplan_is_eligible(const struct jplan_need *d, const struct jplan_worker *p)
 {
 	return d->service_index == p->service_index &&
 	    (d->label == NULL || has_label(p->w->info, d->label));
@@ -263,6 +259,43 @@
 	    (double)d->cpu <= best_effort_free_cpu(p);
 }
 
+/* Tells whether a need is held off a worker where it would fit by a place that
+ * is kept there. */
+static bool
+is_held_off(const struct jplan_round *r, const struct jplan_need *d)
+{
+	size_t i;
+
+	for (i = 0; r->look != NULL && i < r->look->nslots; i++) {
+		const struct jplan_worker *p =
+		    &r->workers[r->look->slots[i].worker];
+
+		if (p->usable && fits(d, p) && jplan_is_eligible(d, p) &&
+		    jplan_room_blocks(r, d, p))
+			return true;
+	}
+	return false;
+}
+
+/* Remembers a need that doesn't fit anywhere. Unless a kept place is the
+ * reason, this holds for tasks of any length and urgency. */
+static void
+record_no_fit(struct jplan_round *r, const struct jplan_need *d)
+{
+	struct jplan_need *f = &r->no_fit[r->nno_fit];
+
+	if (r->nno_fit == JPLAN_NO_FIT_MAX)
+		return;
+	*f = *d;
+	if (r->look != NULL && !is_held_off(r, d)) {
+		f->duration_ms = 0;
+		f->band = 0;
+		f->priority = 0;
+		f->ignores_room = true;
+	}
+	r->nno_fit++;
+}
+
 /* Returns a task's share of the worker's processors. */
 static double
 cpu_share(const struct jplan_need *d, const struct jplan_worker *p)
@@ -325,6 +358,8 @@
 		c += JPLAN_COLD_COST;
 	if (d->rack != NULL && !has_label(p->w->info, d->rack))
 		c += JPLAN_OTHER_RACK_COST;
+	if (!st->spec->lasting)
+		c += p->slowness * JPLAN_SLOW_COST;
 	if (d->best_effort)
 		return c - 1000.0 * best_effort_free_cpu(p) / total +
 		    (p->nserving == 0 ? JPLAN_NO_SERVING_COST
@@ -395,7 +430,8 @@
 	uint32_t ntasks_there = r->step_tasks[pl->worker];
 
 	if (!p->usable || (p->reserved && !d->may_use_reserved) ||
-	    !fits(d, p) || !is_eligible(d, p) ||
+	    !fits(d, p) || !jplan_is_eligible(d, p) ||
+	    jplan_room_blocks(r, d, p) ||
 	    (p->cold && !jplan_cold_may_use(r, p, st->spec->gang)) ||
 	    (st->spec->spread > 0 && ntasks_there >= st->spec->spread))
 		return false;
@@ -404,7 +440,8 @@
 	    : 0;
 	if (d->may_wait && pl->interference > JPLAN_WAIT_INTERFERENCE)
 		return false;
-	pl->cost = worker_cost(st, d, p, pl->interference, ntasks_there);
+	pl->cost = worker_cost(st, d, p, pl->interference, ntasks_there) +
+	    (jplan_room_is_held(r, st, d, p) ? JPLAN_SLOT_COST : 0);
 	return true;
 }
 
@@ -561,7 +598,7 @@
 jplan_place(struct jplan_round *r, struct jst_step *st, bool displaced,
     bool can_wait, struct jplan_choice *out, size_t max)
 {
-	struct jplan_need d = get_need(r, st, displaced);
+	struct jplan_need d = jplan_get_need(r, st, displaced);
 	struct jplan_option best;
 	bool found, overdue, may_share, met_reserve = false;
 	uint32_t t;
@@ -573,6 +610,7 @@
 	d.may_wait = can_wait && d.best_effort && !overdue;
 	d.may_use_reserved = displaced ||
 	    (overdue && st->nwaiting + st->ndone == st->spec->count);
+	d.ignores_room |= overdue && r->look != NULL;
 	may_share = overdue && d.best_effort && is_occurrence_idle(st);
 	if (st->waiting_since_ms == 0)
 		st->waiting_since_ms = r->now_ms;
@@ -606,6 +644,7 @@
 		allocate(r->interf, st, &d, &r->workers[best.worker], 1);
 		if (r->workers[best.worker].cold)
 			jplan_cold_count(r, &r->workers[best.worker], 1);
+		jplan_room_note(r, st, &d, &r->workers[best.worker], 1);
 		add_free_cpu(r, &r->workers[best.worker], 1);
 		r->step_tasks[best.worker]++;
 		heap_update_top(r, st, &d);
@@ -650,7 +689,7 @@
 	const struct jplan_worker *p = &r->workers[worker];
 	const Job__Worker *w = p->w->info;
 
-	return p->usable && !p->reserved && is_eligible(d, p) &&
+	return p->usable && !p->reserved && jplan_is_eligible(d, p) &&
 	    (st->spec->spread == 0 ||
 		r->step_tasks[worker] < st->spec->spread) &&
 	    d->cpu <= p->cpu_total - p->lasting_cpu &&
@@ -663,7 +702,7 @@
 void
 jplan_reserve(struct jplan_round *r, const struct jst_step *st, size_t tasks)
 {
-	struct jplan_need d = get_need(r, st, true);
+	struct jplan_need d = jplan_get_need(r, st, true);
 	struct jplan_service *s;
 	size_t i, best, most;
 
@@ -697,13 +736,14 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct jplan_need d = get_need(r, c[i].step, false);
+		struct jplan_need d = jplan_get_need(r, c[i].step, false);
 		struct jplan_worker *p = &r->workers[c[i].worker];
 
 		add_free_cpu(r, p, -1);
 		allocate(r->interf, c[i].step, &d, p, -1);
 		if (p->cold)
 			jplan_cold_count(r, p, -1);
+		jplan_room_note(r, c[i].step, &d, p, -1);
 		add_free_cpu(r, p, 1);
 	}
 	if (n > 0)
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -34,6 +34,8 @@
 /* Most failure domains under evacuation; further ones are refused. Limits their
  * memory, at about 400 bytes each. */
 #define JST_EVACUATIONS_MAX 256
+/* Lengths of ended tasks kept for a step, to find their median. */
+#define JST_SPEED_MAX 8
 
 enum jst_job_state {
 	JST_ACTIVE,
@@ -89,6 +91,18 @@
 	double load; /* leader: load of its serving tasks, 0: unknown */
 	/* leader: how many of its tasks miss their target, by the plan */
 	double over_target;
+	/* leader: ratios of real to declared time of its ended tasks */
+	double room_ratio_sum;
+	uint32_t room_nended;
+	/* leader: monotonic time since when a place is kept for it and none of
+	 * its tasks was placed, 0: none is kept */
+	int64_t room_since_ms;
+	/* leader: no place is searched for it before this monotonic time */
+	int64_t room_retry_ms;
+	/* leader: how long ended tasks took, in order */
+	float speed_ms[JST_SPEED_MAX];
+	uint32_t nspeed;
+	bool speed_drops_first; /* from the full list, or the last */
 };
 
 struct jst_job {
