Maintenance waves are ordered by the leader

Cause: waves were stored and shown, but no maintenance was ordered, so that every machine of a wave was late.

Change: jwave decides which machines are closed, recorded and ordered; jlead_wave fills its input and carries the choices out; cloud calls the service that owns the machines, with budgets, pauses and time limits, over wcon; pf_cloud knows the formats. A step is replicated before its order, with the id of the worker; the list of machines decides about orders without an answer. Nothing is called where no wave is open. Long-running tasks aren't moved first yet: machines that may_miss holds back wait.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -43,6 +43,7 @@
         self.ip = f"127.{net}.{2 if kind == 'core' else 3}.{number}"
         self.binary, self.root = binary, root
         self.data = os.path.join(root, self.name)
+        self.extra_settings = []
         self.seeds, self.process, self.may_found_cluster = seeds, None, True
         self.uses_relays = uses_relays
         ports = [PEER_PORT, CONTROL_PORT if kind == "core" else CLIENT_PORT]
@@ -66,7 +67,7 @@
         else:
             lines += [
                 f"clients = {self.ip}:{CLIENT_PORT + BACKEND_PORT_OFFSET}"]
-        return "\n".join(lines) + "\n"
+        return "\n".join(lines + self.extra_settings) + "\n"
 
     def start(self):
         """Writes the settings and starts the process; only the first start
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "job/jlead_impl.h"
+#include "job/jlead_wave.h"
 
 /* Prepares the state of a replica that doesn't lead yet. */
 void
@@ -146,6 +147,7 @@
 jlead_stop(struct jlead *jl)
 {
 	jl->leading = false;
+	jl_wave_stop(jl);
 	while (jl->sessions != NULL)
 		session_free(jl, jl->sessions);
 }
@@ -155,6 +157,7 @@
 jlead_finish(struct jlead *jl)
 {
 	jlead_stop(jl);
+	jl_wave_finish(jl);
 	free(jl->plan_workers);
 	free(jl->plan_sessions);
 	jl->plan_workers = NULL;
@@ -813,6 +816,8 @@
 	else if (c->worker != NULL && res->worker != NULL &&
 	    res->worker->session == NULL)
 		handle_registration(jl, res->worker);
+	else if (c->wave_step != NULL)
+		jl_wave_applied(jl, c->wave_step);
 	else if (c->config != NULL)
 		for (j = jl->st->active; j != NULL; j = j->next)
 			clear_queue_cache(j);
@@ -936,5 +941,6 @@
 	    jl->nrelays * JLEAD_FIRST_POLLS_PER_RELAY;
 	for (ws = jl->sessions; ws != NULL; ws = ws->next)
 		session_tick(jl, ws);
+	jl_wave_tick(jl);
 	jl->plan_needed = true;
 }
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -18,6 +18,7 @@
 
 #include "base/ctr.h"
 #include "base/hist.h"
+#include "job/jcloud.h"
 #include "job/jdemand.h"
 #include "job/jplan.h"
 #include "job/jinterf.h"
@@ -231,6 +232,7 @@
 
 struct wsess;
 struct late_end;
+struct jl_waves;
 
 /* State of the job leader. On other replicas only the averages are kept up. */
 struct jlead {
@@ -264,7 +266,8 @@
 	struct jplan_worker *plan_workers;
 	struct wsess **plan_sessions;
 	size_t plan_cap;
-	uint32_t nrelays; /* other instances that relay its calls */
+	uint32_t nrelays;	/* other instances that relay its calls */
+	struct jl_waves *waves; /* NULL: no maintenance is ordered */
 };
 
 void jlead_init(
@@ -288,6 +291,16 @@
 bool jlead_leave(struct jlead *, struct timespec now, struct jst_worker *);
 /* Handles timeouts and sends the orders and polls that are due. */
 void jlead_tick(struct jlead *, struct timespec now, int64_t wall_ms);
+/* Enables the orders of maintenance; called once, after jlead_init. A leader
+ * waits holder_wait_ms before its first one. */
+void jlead_set_cloud(
+    struct jlead *, const struct jcloud_ops *, int64_t holder_wait_ms);
+/* Takes a complete list of the machines. */
+void jlead_on_machines(struct jlead *, struct timespec now,
+    const struct jcloud_machine *, size_t n, struct timespec requested_at);
+/* Takes the result of an order. */
+void jlead_on_ordered(
+    struct jlead *, struct timespec now, uint64_t serial, enum jcloud_result);
 /* Assigns tasks that can start now. Called at the end of each round of
  * events. */
 void jlead_plan(struct jlead *);
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -110,6 +110,10 @@
 	bool follows_restart;
 	/* the worker has said that it is about to exit */
 	bool leave_announced;
+	/* closed to new work before maintenance of its machine */
+	bool closed;
+	/* the maintenance of its machine is recorded and may have begun */
+	bool in_maintenance;
 	bool removal_proposed; /* its removal is being replicated */
 	uint64_t incarnation;  /* of the worker that answers */
 	uint64_t fence;	       /* fencing token of its calls */
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "job/jlead_impl.h"
+#include "job/jlead_wave.h"
 
 /* Assigns tasks: builds the plan's input from the sessions and proposes its
  * choices. */
@@ -105,7 +106,9 @@
 			fill_plan_worker(jl, ws, p);
 		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
 		    !ws->leave_announced && !ws->removal_proposed &&
-		    !ws->w->draining && !clk_before(jl->now, ws->paused_until);
+		    !ws->w->draining &&
+		    !clk_before(jl->now, ws->paused_until) &&
+		    jl_takes_new_work(ws);
 		p->failure_score =
 		    ws->failure_score > 0 ? jl_failure_score(jl, ws) : 0;
 	}
--- /dev/null
+++ b/src/job/jlead_wave_input.c
@@ -0,0 +1,277 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "job/jlead_wave_impl.h"
+
+/* Maintenance waves: the input of the decision, from the list of machines and
+ * the sessions of their workers. */
+
+/* A list that was requested longer ago decides nothing; several reads may
+ * fail. */
+#define LIST_AGE_MAX_MS 3000
+/* A machine that is listed as failed for this long after its maintenance began
+ * isn't down for the maintenance any more, which takes 2 s. */
+#define FAILED_AFTER_MS 30000
+/* A machine has left once this many complete lists in a row are without it: one
+ * list may miss a machine if others are added between two of its pages. */
+#define ABSENT_LISTS 2
+
+/* Returns what the last list says of a machine, NULL if that isn't listed. */
+struct jl_seen *
+jl_wave_find_seen(const struct jl_waves *v, const char *machine)
+{
+	struct jl_seen *s = g_hash_table_lookup(v->seen, machine);
+
+	return s == NULL || s->list < v->nlists ? NULL : s;
+}
+
+/* Tells whether a machine has left: complete lists in a row are without it. */
+bool
+jl_wave_has_left(const struct jl_waves *v, const char *machine)
+{
+	const struct jl_seen *s = g_hash_table_lookup(v->seen, machine);
+
+	return v->nlists >= ABSENT_LISTS + (s == NULL ? 0 : s->list);
+}
+
+/* Tells whether a machine's worker is another one than before the order. */
+static bool
+is_other_worker(const struct jl_seen *s, const struct jst_wave *w, size_t i)
+{
+	return s->worker != NULL &&
+	    (w->orders[i].worker == NULL ||
+		strcmp(s->worker, w->orders[i].worker) != 0);
+}
+
+/* Tells whether a recorded maintenance has begun, as the list shows. */
+bool
+jl_wave_shows_begun(const struct jl_waves *v, const struct jst_wave *w,
+    size_t i, const struct jl_wave_note *n)
+{
+	const struct jl_seen *s = jl_wave_find_seen(v, w->info->machines[i]);
+
+	if (s == NULL || v->list_ms <= n->begun_ms)
+		return false;
+	return s->state == JCLOUD_UPKEEP ||
+	    (w->orders[i].worker != NULL && is_other_worker(s, w, i));
+}
+
+/* Tells whether a machine is down for a wave, or may be. */
+static bool
+is_down(const struct jlead *jl, const struct jst_wave *w, size_t i,
+    const struct jl_wave_note *n)
+{
+	const struct jl_waves *v = jl->waves;
+	const struct jl_seen *s = jl_wave_find_seen(v, w->info->machines[i]);
+
+	if (w->states[i] == JST_WAVE_BEGUN || n->recording)
+		return true;
+	if (w->states[i] == JST_WAVE_WAITING ||
+	    jl_wave_has_left(v, w->info->machines[i]))
+		return false;
+	if (s == NULL || v->list_ms <= n->begun_ms)
+		return true;
+	if (s->state == JCLOUD_DOWN)
+		return jl_wave_now_ms(jl) - n->begun_ms < FAILED_AFTER_MS;
+	return s->state != JCLOUD_UP || !is_other_worker(s, w, i);
+}
+
+/* Tells whether a task is at work on a worker whose maintenance isn't recorded;
+ * one whose worker is silent may not be. */
+static bool
+is_at_work(const struct jst_task *t)
+{
+	const struct jrun *r = t->active_run;
+
+	return t->state == JST_ASSIGNED && r != NULL &&
+	    r->phase == RUN_CONFIRMED && !r->must_stop && r->ws->contacted &&
+	    !r->ws->silent && !r->ws->restarted && !r->ws->leave_announced &&
+	    !r->ws->in_maintenance;
+}
+
+/* Returns the index of a long-running step, which is added if it is new. */
+static size_t
+step_index(struct jl_waves *v, const struct jst_step *st)
+{
+	size_t k = GPOINTER_TO_SIZE(g_hash_table_lookup(v->step_index, st));
+	struct jwave_step s;
+	uint32_t i;
+
+	if (k > 0)
+		return k - 1;
+	memset(&s, 0, sizeof(s));
+	s.may_miss = st->spec->may_miss;
+	for (i = 0; i < st->spec->count; i++)
+		s.absent += !is_at_work(&st->tasks[i]);
+	g_array_append_val(v->steps, s);
+	g_hash_table_insert(v->step_index, (gpointer)(uintptr_t)st,
+	    GSIZE_TO_POINTER(v->steps->len));
+	return v->steps->len - 1;
+}
+
+/* Adds a long-running task to those of its machine. */
+static void
+add_use(struct jl_waves *v, GArray *uses, const struct jrun *r)
+{
+	struct jwave_use u = { step_index(v, r->step), 0 }, *p = NULL;
+	guint i;
+
+	for (i = 0; i < uses->len && p == NULL; i++) {
+		p = &g_array_index(uses, struct jwave_use, i);
+		p = p->step == u.step ? p : NULL;
+	}
+	if (p == NULL) {
+		g_array_append_val(uses, u);
+		p = &g_array_index(uses, struct jwave_use, uses->len - 1);
+	}
+	p->ntasks += is_at_work(r->task);
+}
+
+/* Fills what runs on a machine. */
+static void
+fill_tasks(struct jlead *jl, const struct wsess *ws, struct jwave_machine *m)
+{
+	GArray *uses = g_array_new(FALSE, TRUE, sizeof(struct jwave_use));
+	const struct jrun *r;
+
+	for (r = ws->runs; r != NULL; r = r->next) {
+		const Job__Step *s = r->step->spec;
+		int64_t age = clk_diff_ms(jl->now, r->assigned_at), left;
+
+		if (r->step->job->state != JST_ACTIVE)
+			continue;
+		if (s->lasting) {
+			add_use(jl->waves, uses, r);
+			m->cost += (uint64_t)s->cpu_milli;
+			continue;
+		}
+		/* Declared times are off by 20% and more. */
+		left = (int64_t)s->estimate_ms * 3 / 2 - age;
+		m->busy_ms = MAX(m->busy_ms, MAX(left, JL_WAVE_TICK_MS));
+		m->cost += (uint64_t)s->cpu_milli *
+		    (uint64_t)CLAMP(age, 0, 1000000) / 1000;
+	}
+	m->nuses = uses->len;
+	m->uses = (struct jwave_use *)(void *)g_array_free(uses, FALSE);
+}
+
+/* Fills one machine of a wave. */
+static void
+fill_machine(
+    struct jlead *jl, struct jst_wave *w, size_t i, struct jwave_machine *m)
+{
+	struct jl_waves *v = jl->waves;
+	const struct jl_wave_note *n = &jl_wave_notes(jl, w)[i];
+	struct jl_seen *s = jl_wave_find_seen(v, w->info->machines[i]);
+	const struct wsess *ws;
+	int64_t t = jl_wave_now_ms(jl);
+
+	m->phase = (enum jwave_phase)w->states[i];
+	m->is_down = is_down(jl, w, i, n);
+	if (s != NULL)
+		s->ndown += m->is_down;
+	if (m->phase == JWAVE_DONE)
+		return;
+	m->is_up = s != NULL && s->state == JCLOUD_UP &&
+	    t - v->list_ms <= LIST_AGE_MAX_MS;
+	m->is_waiting = n->recording || n->in_flight || t < n->retry_ms ||
+	    (m->phase == JWAVE_BEGUN && t < n->late_ms &&
+		v->list_ms <= n->begun_ms);
+	m->is_closed = n->is_closed;
+	m->closed_ms = n->closed_ms;
+	m->reopens_ms = n->reopens_ms;
+	ws = s == NULL ? NULL : jl_wave_session(jl, s->worker);
+	if (ws != NULL)
+		fill_tasks(jl, ws, m);
+}
+
+/* Marks the workers that are closed, or whose maintenance was recorded. */
+void
+jl_wave_mark_sessions(struct jlead *jl)
+{
+	struct jl_waves *v = jl->waves;
+	const struct jl_wave_note *notes;
+	struct wsess *ws;
+	struct jst_wave *w;
+	const struct jl_seen *s;
+	size_t i;
+
+	for (ws = jl->sessions; ws != NULL; ws = ws->next)
+		ws->closed = ws->in_maintenance = false;
+	for (w = jl->st->waves; w != NULL; w = w->next) {
+		if (!jl_wave_is_open(w))
+			continue;
+		notes = jl_wave_notes(jl, w);
+		for (i = 0; i < w->info->n_machines; i++) {
+			s = jl_wave_find_seen(v, w->info->machines[i]);
+			ws = s == NULL ? NULL : jl_wave_session(jl, s->worker);
+			if (ws != NULL && notes[i].is_closed &&
+			    w->states[i] == JST_WAVE_WAITING)
+				ws->closed = true;
+			if (ws != NULL &&
+			    (notes[i].recording ||
+				w->states[i] == JST_WAVE_BEGUN))
+				ws->in_maintenance = true;
+			ws = jl_wave_session(jl, w->orders[i].worker);
+			if (ws != NULL)
+				ws->in_maintenance = true;
+		}
+	}
+	v->is_active = true;
+}
+
+/* Fills the input of the decision. */
+void
+jl_wave_fill_input(struct jlead *jl)
+{
+	struct jl_waves *v = jl->waves;
+	struct jst_wave *w;
+	GHashTableIter it;
+	gpointer key, value;
+	size_t i;
+
+	g_array_set_size(v->waves, 0);
+	g_array_set_size(v->infos, 0);
+	g_array_set_size(v->machines, 0);
+	g_array_set_size(v->indexes, 0);
+	g_array_set_size(v->steps, 0);
+	g_hash_table_remove_all(v->step_index);
+	g_hash_table_iter_init(&it, v->seen);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		((struct jl_seen *)value)->ndown = 0;
+	for (w = jl->st->waves; w != NULL; w = w->next) {
+		struct jwave_wave k = { .max_down = w->info->max_down,
+			.deadline_ms = jl_wave_now_ms(jl) + w->info->at_ms +
+			    w->info->term_ms - jl->wall_ms };
+
+		if (!jl_wave_is_open(w))
+			continue;
+		g_array_append_val(v->waves, k);
+		g_array_append_val(v->infos, w);
+		for (i = 0; i < w->info->n_machines; i++) {
+			struct jwave_machine m = { .wave = v->waves->len - 1 };
+
+			fill_machine(jl, w, i, &m);
+			g_array_append_val(v->machines, m);
+			g_array_append_val(v->indexes, i);
+		}
+	}
+}
+
+/* Sets which machines are down for another wave. */
+void
+jl_wave_fill_blocked(struct jl_waves *v)
+{
+	guint k;
+
+	for (k = 0; k < v->machines->len; k++) {
+		struct jwave_machine *m =
+		    &g_array_index(v->machines, struct jwave_machine, k);
+		const struct jst_wave *w =
+		    g_array_index(v->infos, struct jst_wave *, m->wave);
+		const struct jl_seen *s = jl_wave_find_seen(
+		    v, w->info->machines[g_array_index(v->indexes, size_t, k)]);
+
+		m->is_blocked = s != NULL && s->ndown > m->is_down;
+	}
+}
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -2154,7 +2154,7 @@
 	(ProtobufCMessageInit)job__wave__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__wave_step__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor job__wave_step__field_descriptors[5] = {
 	{
 	    "wave", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
 	    0, /* quantifier_offset */
@@ -2174,18 +2174,32 @@
 	    0,		  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "worker", 4, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_STRING,
+	    0, /* quantifier_offset */
+	    offsetof(Job__WaveStep, worker), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "attempt", 5, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_UINT32,
+	    offsetof(Job__WaveStep, has_attempt),
+	    offsetof(Job__WaveStep, attempt), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__wave_step__field_indices_by_name[] = {
+	4, /* field[4] = attempt */
 	1, /* field[1] = machine */
 	2, /* field[2] = state */
 	0, /* field[0] = wave */
+	3, /* field[3] = worker */
 };
 static const ProtobufCIntRange job__wave_step__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 3 }
+	{ 1, 0 }, { 0, 5 }
 };
 const ProtobufCMessageDescriptor job__wave_step__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.WaveStep", "WaveStep",
-	"Job__WaveStep", "job", sizeof(Job__WaveStep), 3,
+	"Job__WaveStep", "job", sizeof(Job__WaveStep), 5,
 	job__wave_step__field_descriptors,
 	job__wave_step__field_indices_by_name, 1, job__wave_step__number_ranges,
 	(ProtobufCMessageInit)job__wave_step__init, NULL, NULL,
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -480,11 +480,20 @@
 	uint64_t wave;
 	char *machine;
 	Job__WaveState state;
+	/*
+	 * id of the machine's worker before the order
+	 */
+	char *worker;
+	/*
+	 * 0: first; a later one may be waiting again
+	 */
+	protobuf_c_boolean has_attempt;
+	uint32_t attempt;
 };
 #define JOB__WAVE_STEP__INIT                                                   \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__wave_step__descriptor)           \
-		, 0, NULL, JOB__WAVE_STATE__WAVE_WAITING                       \
+		, 0, NULL, JOB__WAVE_STATE__WAVE_WAITING, NULL, 0, 0           \
 	}
 
 /*
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -90,6 +90,12 @@
 static void
 wave_free(struct jst_wave *w)
 {
+	size_t i;
+
+	for (i = 0; i < w->info->n_machines; i++)
+		free(w->orders[i].worker);
+	free(w->orders);
+	free(w->notes);
 	free(w->states);
 	free_msg(w->info);
 	free(w);
@@ -683,11 +689,26 @@
 	w = alloc_zeroed(1, sizeof(*w));
 	w->info = (Job__Wave *)copy_msg(&m->base);
 	w->states = alloc_zeroed(m->n_machines, sizeof(*w->states));
+	w->orders = alloc_zeroed(m->n_machines, sizeof(*w->orders));
 	w->next = s->waves;
 	s->waves = w;
 }
 
-/* Advances a machine of a maintenance wave; states never go back. */
+/* Tells whether a step is later than what is recorded of its machine. States
+ * advance; only an attempt that was given up makes its machine wait again. */
+static bool
+is_later_step(const struct jst_wave *w, size_t i, const Job__WaveStep *m)
+{
+	enum jst_wave_state state = (enum jst_wave_state)m->state;
+
+	if (w->states[i] == JST_WAVE_DONE)
+		return false;
+	if (m->attempt != w->orders[i].attempt)
+		return m->attempt > w->orders[i].attempt;
+	return state > w->states[i];
+}
+
+/* Advances a machine of a maintenance wave. */
 static void
 apply_wave_step(struct jst *s, const Job__WaveStep *m, struct jst_result *r)
 {
@@ -699,8 +720,14 @@
 		if (strcmp(w->info->machines[i], m->machine) != 0)
 			continue;
 		r->status = STATUS_STALE;
-		if ((enum jst_wave_state)m->state > w->states[i]) {
+		if (is_later_step(w, i, m)) {
 			w->states[i] = (enum jst_wave_state)m->state;
+			w->orders[i].attempt = m->attempt;
+			if (m->worker != NULL ||
+			    m->state == JOB__WAVE_STATE__WAVE_WAITING) {
+				free(w->orders[i].worker);
+				w->orders[i].worker = copy_text(m->worker);
+			}
 			r->status = STATUS_OK;
 		}
 		return;
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -123,9 +123,18 @@
 	JST_WAVE_DONE
 };
 
+/* What is recorded of the order for one machine of a wave. */
+struct jst_wave_order {
+	char *worker;	  /* id of its worker before the order, or NULL */
+	uint32_t attempt; /* orders that were given up so far */
+};
+
 struct jst_wave {
 	Job__Wave *info;
-	enum jst_wave_state *states; /* one per machine */
+	enum jst_wave_state *states;   /* one per machine */
+	struct jst_wave_order *orders; /* one per machine */
+	/* leader: one struct jl_wave_note per machine, or NULL */
+	void *notes;
 	struct jst_wave *next;
 };
 
--- a/src/job/jst_snapshot.c
+++ b/src/job/jst_snapshot.c
@@ -98,6 +98,9 @@
 			st->wave = w->info->id;
 			st->machine = w->info->machines[i];
 			st->state = (Job__WaveState)w->states[i];
+			st->worker = w->orders[i].worker;
+			st->has_attempt = w->orders[i].attempt > 0;
+			st->attempt = w->orders[i].attempt;
 			im->wave_steps[im->n_wave_steps++] = st;
 		}
 	}
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -309,6 +309,8 @@
 	update_own_leadership(c);
 	mesh_tick(c->mesh);
 	relay_tick(c->relay);
+	if (c->cloud != NULL)
+		cloud_tick(c->cloud);
 	c->jl.nrelays = (uint32_t)relay_count_peers(c->relay);
 	if (c->leading)
 		jlead_tick(&c->jl, now, mesh_wall_ms(c->mesh));
@@ -485,6 +487,7 @@
 	rc.get_clock_ahead = get_clock_ahead;
 	rc.arg = c;
 	c->relay = relay_new(c, &rc);
+	core_cloud_start(c);
 	if (c->raft != NULL)
 		relay_on_leader(c->relay, raft_term(c->raft));
 	c->metrics = metrics_new(c, c->ev, c->inst->metrics, &c->nctr, e);
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -7,6 +7,7 @@
 #include "control/raft.h"
 #include "control/wal.h"
 #include "job/jlead.h"
+#include "node/cloud.h"
 #include "node/core.h"
 #include "node/dsync.h"
 #include "node/fdplan.h"
@@ -68,6 +69,7 @@
 	struct mesh *mesh;
 	struct front *control;
 	struct relay *relay; /* calls to workers */
+	struct cloud *cloud; /* calls about machines; NULL: no such service */
 	struct ticker *ticker;
 	struct timespec ticked_at; /* last tick; zero before the first */
 	struct fdplan fds;
@@ -124,6 +126,8 @@
 void core_flush_later(struct core *);
 void core_propose(
     struct core *, const Job__Command *, const struct core_waiter *);
+/* core_cloud.c */
+void core_cloud_start(struct core *);
 /* core_log.c */
 void core_step(struct core *, const struct raft_ev *);
 bool core_log_flush(struct core *);
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -187,6 +187,8 @@
 	c->leading = false;
 	jlead_stop(&c->jl);
 	relay_drop_calls(c->relay);
+	if (c->cloud != NULL)
+		cloud_drop(c->cloud);
 	fail_inflight(c);
 	core_fail_reads(c);
 	core_answer_leaves(c, 0, JOB__OUTCOME__NOT_LEADER);
