Waves: tasks move before their machine's maintenance; tests fail without their mechanism

Cause: a machine with a task of a step that may miss none could never begin, and checkpointing tasks lost their work to the order. Several tests passed with the mechanism they guard taken out.

Change: jlead_wave_move stops long-running tasks that have room elsewhere, one machine at a time, and checkpointing ones. New tests for both, for lost answers, for a refused copy beside a late one, and for the second check of may_miss; those of shared machines, old lists and short tasks are stricter. The limit of machines down is now counted by the wave whose maintenance came last, as one machine may be maintained for two.

--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -26,6 +26,7 @@
 	JL_STOP_LEAVING,     /* the worker is about to exit */
 	JL_STOP_UNCONFIRMED, /* refused, but another copy of the start may be in
 				flight */
+	JL_STOP_MAINTENANCE, /* its machine's maintenance comes next */
 	JL_STOP_TASK_DONE    /* an earlier run has done the task */
 };
 
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -40,6 +40,8 @@
 		return "worker_leaves";
 	case JL_STOP_UNCONFIRMED:
 		return "unconfirmed";
+	case JL_STOP_MAINTENANCE:
+		return "maintenance";
 	case JL_STOP_TASK_DONE:
 		return "task_done";
 	}
--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -75,6 +75,7 @@
 	v->list_ms = v->next_ms = v->next_read_ms = v->next_log_ms = 0;
 	v->norders = 0;
 	v->is_active = false;
+	v->mover = NULL;
 }
 
 /* Releases all memory. */
@@ -423,6 +424,24 @@
 	if (!close && n->is_closed)
 		n->reopens_ms = jl_wave_now_ms(jl) + JWAVE_HELD_MAX_MS;
 	n->is_closed = close;
+	n->is_moving = n->is_saving = false;
+}
+
+/* Moves the tasks of a machine that stays closed. */
+static void
+move_tasks(
+    struct jlead *jl, const struct jst_wave *w, size_t i, enum jwave_choice c)
+{
+	struct jl_wave_note *n = &((struct jl_wave_note *)w->notes)[i];
+	const struct jl_seen *s =
+	    jl_wave_find_seen(jl->waves, w->info->machines[i]);
+	struct wsess *ws = s == NULL ? NULL : jl_wave_session(jl, s->worker);
+
+	if (ws != NULL &&
+	    (c == JWAVE_CLOSE || c == JWAVE_SLOT || c == JWAVE_HELD))
+		jl_wave_move(jl, n, ws);
+	if (jl->waves->mover == n && !n->is_moving)
+		jl->waves->mover = NULL;
 }
 
 /* Carries out what was chosen for a machine. */
@@ -441,9 +460,10 @@
 		    w->orders[i].worker);
 		return;
 	}
-	if (m->phase == JWAVE_WAITING)
+	if (m->phase == JWAVE_WAITING) {
 		set_closed(jl, n, m->choice);
-	else if (!n->in_flight && jl_wave_shows_begun(v, w, i, n)) {
+		move_tasks(jl, w, i, m->choice);
+	} else if (!n->in_flight && jl_wave_shows_begun(v, w, i, n)) {
 		finish_machine(jl, w, i);
 		return;
 	}
--- a/src/job/jlead_wave_impl.h
+++ b/src/job/jlead_wave_impl.h
@@ -28,12 +28,13 @@
 struct jl_wave_note {
 
 	bool recording, in_flight, is_closed;
-	uint64_t serial;    /* of the order in flight */
-	int64_t closed_ms;  /* since when it is closed */
-	int64_t reopens_ms; /* isn't closed again before */
-	int64_t retry_ms;   /* no order before */
-	int64_t late_ms;    /* an order may be carried out until then */
-	int64_t begun_ms;   /* a list requested before decides nothing */
+	bool is_moving, is_saving; /* tasks are being stopped there */
+	uint64_t serial;	   /* of the order in flight */
+	int64_t closed_ms;	   /* since when it is closed */
+	int64_t reopens_ms;	   /* isn't closed again before */
+	int64_t retry_ms;	   /* no order before */
+	int64_t late_ms;	   /* an order may be carried out until then */
+	int64_t begun_ms;	   /* a list requested before decides nothing */
 	int64_t backoff_ms;
 	enum jwave_choice choice;
 };
@@ -54,8 +55,7 @@
 	GArray *indexes;	/* size_t: of the machine in its wave */
 	GArray *steps;		/* struct jwave_step */
 	GHashTable *step_index; /* of struct jst_step *, plus 1 */
-	/* The machine whose long-running tasks are moved, and since when it has
-	 * been closed. */
+	/* The machine whose long-running tasks are moved, or NULL. */
 	const struct jl_wave_note *mover;
 };
 /* jlead_wave.c */
@@ -68,9 +68,12 @@
 bool jl_wave_has_left(const struct jl_waves *, const char *machine);
 bool jl_wave_shows_begun(const struct jl_waves *, const struct jst_wave *,
     size_t i, const struct jl_wave_note *);
+size_t jl_wave_step_index(struct jl_waves *, const struct jst_step *);
 void jl_wave_mark_sessions(struct jlead *);
 void jl_wave_fill_input(struct jlead *);
 void jl_wave_fill_blocked(struct jl_waves *);
+/* jlead_wave_move.c */
+void jl_wave_move(struct jlead *, struct jl_wave_note *, struct wsess *);
 
 __END_DECLS
 
--- a/src/job/jlead_wave_input.c
+++ b/src/job/jlead_wave_input.c
@@ -90,8 +90,8 @@
 }
 
 /* Returns the index of a long-running step, which is added if it is new. */
-static size_t
-step_index(struct jl_waves *v, const struct jst_step *st)
+size_t
+jl_wave_step_index(struct jl_waves *v, const struct jst_step *st)
 {
 	size_t k = GPOINTER_TO_SIZE(g_hash_table_lookup(v->step_index, st));
 	struct jwave_step s;
@@ -113,7 +113,7 @@
 static void
 add_use(struct jl_waves *v, GArray *uses, const struct jrun *r)
 {
-	struct jwave_use u = { step_index(v, r->step), 0 }, *p = NULL;
+	struct jwave_use u = { jl_wave_step_index(v, r->step), 0 }, *p = NULL;
 	guint i;
 
 	for (i = 0; i < uses->len && p == NULL; i++) {
@@ -180,6 +180,8 @@
 	m->is_closed = n->is_closed;
 	m->closed_ms = n->closed_ms;
 	m->reopens_ms = n->reopens_ms;
+	m->is_moving = n->is_moving;
+	m->is_saving = n->is_saving;
 	ws = s == NULL ? NULL : jl_wave_session(jl, s->worker);
 	if (ws != NULL)
 		fill_tasks(jl, ws, m);
--- a/src/job/tests/wave_test.cc
+++ b/src/job/tests/wave_test.cc
@@ -1,7 +1,6 @@
 #include <set>
 
-#include "job/jlead_wave.h"
-#include "job/jwave.h"
+#include "job/jlead_wave_impl.h"
 #include "job/tests/job_sim.h"
 
 namespace {
@@ -25,6 +24,7 @@
 		uint64_t num; /* of its worker */
 		enum jcloud_state state = JCLOUD_UP;
 		std::set<uint64_t> waves; /* whose maintenance was done */
+		uint64_t wave = 0;	  /* whose maintenance came last */
 		uint64_t fence = 0;
 	};
 	JobSim s;
@@ -115,7 +115,7 @@
 			return;
 		for (auto &x : machines)
 			down += x.second.state == JCLOUD_UPKEEP &&
-			    x.second.waves.count(wave) > 0;
+			    x.second.wave == wave;
 		EXPECT_LE(down, max_down[wave]) << "at once, wave " << wave;
 		for (auto *j = s.st.active; j != NULL; j = j->next) {
 			for (uint32_t i = 0; i < j->spec->n_steps; i++) {
@@ -131,6 +131,7 @@
 		ncarried++;
 		begun[name].push_back(s.now_ms);
 		m.waves.insert(wave);
+		m.wave = wave;
 		m.state = JCLOUD_UPKEEP;
 		s.crash(m.num);
 		int64_t cpu = s.workers[m.num].cpu;
@@ -199,6 +200,14 @@
 				    << "the order isn't recorded";
 			}
 		}
+		for (w = c->s.st.waves; w != NULL; w = w->next) {
+			for (size_t i = 0; i < w->info->n_machines; i++) {
+				EXPECT_FALSE(w->info->id != wave &&
+				    name == w->info->machines[i] &&
+				    w->states[i] == JST_WAVE_BEGUN)
+				    << "two orders for one machine";
+			}
+		}
 		order_fault f = c->fault(name);
 		Machine &m = c->machines[name];
 		EXPECT_GT(o->fence, m.fence);
@@ -261,12 +270,16 @@
 TEST(Wave, TwoWavesShareMachines)
 {
 	Cloud c(2);
+	unsigned n = 0;
 	c.add(6);
+	c.fault = [&](const std::string &) {
+		return n++ % 3 == 0 ? CARRY_LATE : CARRY_OUT;
+	};
 	c.s.lead();
 	c.s.run(100);
 	c.wave(1, 1, 4, 2);
 	c.wave(2, 3, 6, 1);
-	c.s.run(40000);
+	c.s.run(80000);
 	EXPECT_TRUE(c.completed(1));
 	EXPECT_TRUE(c.completed(2));
 	EXPECT_EQ(8U, c.ncarried);
@@ -324,6 +337,45 @@
 	}
 }
 
+/* Guards against a wave that never completes because every answer is lost: the
+ * list shows what was carried out. */
+TEST(Wave, TheListReplacesLostAnswers)
+{
+	Cloud c(10);
+	c.add(4);
+	c.fault = [](const std::string &) { return LOSE_ANSWER; };
+	c.s.lead();
+	c.s.run(100);
+	c.wave(1, 1, 4, 2);
+	c.s.run(40000);
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_EQ(4U, c.ncarried);
+	EXPECT_EQ(4U, c.norders);
+}
+
+/* Guards against another machine that begins because a copy of an order was
+ * refused, while an earlier copy is still carried out. */
+TEST(Wave, ARefusedCopyDoesNotFreeThePlaceOfALateOne)
+{
+	Cloud c(11);
+	std::string first;
+	c.add(3);
+	c.fault = [&](const std::string &name) {
+		if (first.empty()) {
+			first = name;
+			return CARRY_LATE;
+		}
+		return name == first && c.begun.count(name) == 0 ? REFUSE
+								 : CARRY_OUT;
+	};
+	c.s.lead();
+	c.s.run(100);
+	c.wave(1, 1, 3, 1);
+	c.s.run(40000);
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_EQ(3U, c.ncarried);
+}
+
 /* Guards against a wave that waits for a machine that has left, and against one
  * completed by a single list that misses a machine. */
 TEST(Wave, AMachineThatLeavesIsNotWaitedFor)
@@ -392,6 +444,17 @@
 	EXPECT_LE(c.nreads, 11U);
 	c.is_silent = false;
 	c.is_slow = true;
+	c.result = JCLOUD_NOT_MEMBER;
+	c.fault = [](const std::string &) { return REFUSE; };
+	while (c.norders == 0)
+		c.s.run(1);
+	c.is_silent = true;
+	c.s.run(3000);
+	unsigned norders = c.norders;
+	c.s.run(10000);
+	EXPECT_EQ(norders, c.norders);
+	c.is_silent = false;
+	c.fault = [](const std::string &) { return CARRY_OUT; };
 	c.s.run(40000);
 	EXPECT_TRUE(c.completed(1));
 }
@@ -406,13 +469,14 @@
 	c.s.lead();
 	c.s.run(3500);
 	c.wave(1, 1, 2, 1);
-	for (uint64_t j = 1; j <= 40; j++) {
+	/* More than the machines can do. */
+	for (uint64_t j = 1; j <= 100; j++) {
 		c.s.submit(j, "batch", { JobSim::step(4, 1000, 900) });
-		c.s.run(300);
+		c.s.run(200);
 	}
-	c.s.run(10000);
+	c.s.run(40000);
 	EXPECT_TRUE(c.completed(1));
-	for (uint64_t j = 1; j <= 40; j++)
+	for (uint64_t j = 1; j <= 100; j++)
 		EXPECT_EQ(JST_COMPLETED, c.s.state(j)) << j;
 	for (auto &x : c.s.starts)
 		EXPECT_EQ(1, x.second) << "a task was lost to the order";
@@ -423,7 +487,8 @@
 TEST(Wave, MayMissHoldsMachinesBack)
 {
 	Cloud c(8);
-	c.add(3);
+	c.add(2);
+	c.machines["m-3"].num = c.s.add_worker(1000);
 	c.s.lead();
 	c.s.run(3500);
 	/* One task on each machine, and no room elsewhere. */
@@ -454,4 +519,73 @@
 	EXPECT_EQ(6U, c.ncarried);
 }
 
+/* Guards against an order that rests on what was true when it was recorded: a
+ * task elsewhere was lost since. */
+TEST(Wave, MayMissIsCheckedAgainBeforeTheOrder)
+{
+	Cloud c(12);
+	c.add(2);
+	c.s.lead();
+	c.s.run(3500);
+	c.s.submit(1, "batch", { lasting(2, 7000, 1) });
+	c.s.run(1000);
+	c.s.commit_ms = 4000;
+	c.wave(1, 1, 1, 1);
+	auto *w = jst_find_wave(&c.s.st, 1);
+	while (
+	    w->notes == NULL || !((struct jl_wave_note *)w->notes)[0].recording)
+		c.s.run(1);
+	c.s.crash(c.machines["m-2"].num);
+	c.s.run(15000);
+	EXPECT_EQ(0U, c.norders);
+	c.s.cancel(1);
+	c.s.run(20000);
+	EXPECT_TRUE(c.completed(1));
+}
+
+/* Guards against a wave that waits for good for the tasks of a step that may
+ * miss none although there is room for them elsewhere, or that moves several at
+ * once. */
+TEST(Wave, LongRunningTasksMoveFirst)
+{
+	Cloud c(13);
+	c.add(5);
+	c.s.lead();
+	c.s.run(3500);
+	c.s.submit(1, "batch", { lasting(4, 3000, 0) });
+	c.s.submit(2, "batch", { lasting(4, 2000, 0) });
+	c.s.run(1000);
+	c.wave(1, 1, 5, 1, 120000);
+	for (int i = 0; i < 12000 && !c.completed(1); i++) {
+		c.s.run(10);
+		for (uint64_t j = 1; j <= 2; j++) {
+			auto *st =
+			    jst_find_step(jst_find_job(&c.s.st, j), 0, 0);
+			ASSERT_LE(c.absent(st, 0), 1U) << c.s.now_ms;
+		}
+	}
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_EQ(5U, c.ncarried);
+}
+
+/* Guards against the work of a checkpointing task that is lost to the order. */
+TEST(Wave, CheckpointingTasksAreStoppedFirst)
+{
+	Cloud c(14);
+	Job__Step st = JobSim::step(1, 1000, 60000);
+	c.add(2);
+	c.s.run_time_ms = [](const SimTask &) { return 60000; };
+	c.s.lead();
+	c.s.run(3500);
+	st.has_checkpoints = st.checkpoints = 1;
+	c.s.submit(1, "batch", { st });
+	c.s.run(1000);
+	c.wave(1, 1, 2, 1);
+	uint64_t stops = ctr_get(&c.s.ctr, JCTR_STOPS);
+	c.s.run(30000);
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_GT(ctr_get(&c.s.ctr, JCTR_STOPS), stops);
+	EXPECT_EQ(0U, ctr_get(&c.s.ctr, JCTR_ENDS_GONE));
+}
+
 } // namespace
