--- a/src/job/tests/wave_test.cc
+++ b/src/job/tests/wave_test.cc
@@ -588,4 +588,23 @@
 	EXPECT_EQ(0U, ctr_get(&c.s.ctr, JCTR_ENDS_GONE));
 }
 
+/* Guards against tasks that wait for the lease of a worker which an order has
+ * ended: 6 s and more. */
+TEST(Wave, TasksEndedByAnOrderComeBackAtOnce)
+{
+	Cloud c(15);
+	c.add(1);
+	c.machines["m-2"].num = c.s.add_worker(1000);
+	c.s.lead();
+	c.s.run(3500);
+	c.s.submit(1, "batch", { lasting(1, 7000, 1) });
+	c.s.run(1000);
+	c.wave(1, 1, 1, 1, 5000);
+	while (c.ncarried == 0)
+		c.s.run(1);
+	c.s.run(UPKEEP_MS + 500);
+	EXPECT_EQ(
+	    0U, c.absent(jst_find_step(jst_find_job(&c.s.st, 1), 0, 0), 0));
+}
+
 } // namespace
