Waves ignore an empty list of machines

Cause: two empty lists in a row counted as all machines having left, which completes every wave.

Change: an empty list is logged and ignored.

Result: the 17 tests of Wave pass; without the change EmptyListsCompleteNothing fails.

--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -241,6 +241,12 @@
 	if (!jl->leading || v == NULL ||
 	    clk_before(requested_at, jl->leading_since))
 		return;
+	if (n == 0) {
+		/* More likely a fault of the service than the end of all
+		 * machines, which would complete every wave. */
+		log_event(LOG_WARNING, "job", "event=no_machines");
+		return;
+	}
 	jl->now = now;
 	v->nlists++;
 	v->list_ms = clk_ns(requested_at) / CLK_NS_PER_MS;
--- a/src/job/tests/wave_test.cc
+++ b/src/job/tests/wave_test.cc
@@ -34,7 +34,8 @@
 	std::function<enum order_fault(const std::string &)> fault =
 	    [](const std::string &) { return CARRY_OUT; };
 	enum jcloud_result result = JCLOUD_BUSY;
-	bool is_slow = false, is_silent = false; /* lists */
+	/* lists */
+	bool is_slow = false, is_silent = false, is_empty = false;
 	unsigned norders = 0, nreads = 0, ncarried = 0;
 	int64_t first_order_ms = 0, last_read_ms = -1;
 	std::set<uint64_t> fences;
@@ -166,6 +167,8 @@
 					: NULL;
 				    v.push_back(m);
 			    }
+			    if (c->is_empty)
+				    v.clear();
 			    jlead_on_machines(
 				&c->s.jl, c->s.now(), v.data(), v.size(), at);
 		    });
@@ -607,4 +610,21 @@
 	    0U, c.absent(jst_find_step(jst_find_job(&c.s.st, 1), 0, 0), 0));
 }
 
+/* Guards against waves that complete because the service gives empty lists. */
+TEST(Wave, EmptyListsCompleteNothing)
+{
+	Cloud c(16);
+	c.add(3);
+	c.is_empty = true;
+	c.s.lead();
+	c.s.run(100);
+	c.wave(1, 1, 3, 1);
+	c.s.run(10000);
+	EXPECT_FALSE(c.completed(1));
+	c.is_empty = false;
+	c.s.run(30000);
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_EQ(3U, c.ncarried);
+}
+
 } // namespace
