--- a/src/job/jwave.c
+++ b/src/job/jwave.c
@@ -53,7 +53,9 @@
 	int64_t rounds = (w->nwaiting + down_limit(w) - 1) / down_limit(w);
 	int64_t each = rounds == 0 ? 0 : (w->deadline_ms - now_ms) / rounds;
 
-	each -= JWAVE_DOWN_MS;
+	/* Half of what is left over is for changes of leader and for orders
+	 * without an answer. */
+	each = (each - JWAVE_DOWN_MS) / 2;
 	if (each < 0)
 		return 0;
 	return each < JWAVE_CLOSED_MAX_MS ? each : JWAVE_CLOSED_MAX_MS;
