Waves: a repeated answer ends no living worker, a completed wave counts

Cause: the answer 200 ended the runs of the recorded worker at once. If an order of an earlier attempt was carried out late, that worker had joined after it, and its tasks were started elsewhere while they still ran. A completed wave was left out of the decision, so that another wave took its maintenance of a machine for its own. A machine listed as up with the recorded worker counted as down for good.

Change: after a refused attempt only a list that shows the maintenance ends the worker. Completed waves count the machines that aren't back. A list proves a maintenance only if an order of that attempt may have been carried out, and a machine is recorded only from a list requested after its last step.

--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -146,6 +146,7 @@
 		notes[i].begun_ms = since;
 		if (w->states[i] == JST_WAVE_BEGUN)
 			notes[i].late_ms = since + JL_WAVE_LATE_MS;
+		notes[i].may_be_sent = w->states[i] == JST_WAVE_BEGUN;
 	}
 	w->notes = notes;
 	return notes;
@@ -191,8 +192,9 @@
 		if (strcmp(w->info->machines[i], m->machine) != 0)
 			continue;
 		notes[i].recording = false;
-		if (m->state != JOB__WAVE_STATE__WAVE_WAITING)
-			notes[i].begun_ms = jl_wave_now_ms(jl);
+		notes[i].begun_ms = jl_wave_now_ms(jl);
+		if (m->state == JOB__WAVE_STATE__WAVE_WAITING)
+			notes[i].may_be_sent = false;
 		break;
 	}
 	jl->waves->next_ms = 0;
@@ -218,11 +220,15 @@
 	}
 }
 
-/* Records that the maintenance of a machine has begun. */
+/* Records that the maintenance of a machine has begun. Its worker is ended if
+ * the list shows that, or an answer to the first attempt: the worker recorded
+ * by a later attempt may have joined after an order of an earlier one, and
+ * still runs if this answer repeats the result of that order. */
 static void
-finish_machine(struct jlead *jl, struct jst_wave *w, size_t i)
+finish_machine(struct jlead *jl, struct jst_wave *w, size_t i, bool is_listed)
 {
-	end_worker(jl, w->orders[i].worker);
+	if (is_listed || w->orders[i].attempt == 0)
+		end_worker(jl, w->orders[i].worker);
 	propose_step(
 	    jl, w, i, JST_WAVE_DONE, w->orders[i].attempt, w->orders[i].worker);
 }
@@ -315,9 +321,10 @@
 	n->backoff_ms = MIN(n->backoff_ms * 2, RETRY_MAX_MS);
 	switch (r) {
 	case JCLOUD_DONE:
-		finish_machine(jl, w, i);
+		finish_machine(jl, w, i, false);
 		return;
 	case JCLOUD_NO_ANSWER:
+		n->may_be_sent = true;
 		n->late_ms = t + JL_WAVE_LATE_MS;
 		/* Only a list that is requested from now on shows whether it
 		 * was carried out. */
@@ -459,6 +466,9 @@
 	struct jl_wave_note *n = &jl_wave_notes(jl, w)[i];
 
 	n->choice = m->choice;
+	if (m->phase == JWAVE_DONE && w->orders[i].attempt > 0 &&
+	    jl_wave_shows_begun(v, w, i, n))
+		end_worker(jl, w->orders[i].worker);
 	if (m->phase == JWAVE_DONE || n->recording)
 		return;
 	if (jl_wave_has_left(v, w->info->machines[i])) {
@@ -470,7 +480,7 @@
 		set_closed(jl, n, m->choice);
 		move_tasks(jl, w, i, m->choice);
 	} else if (!n->in_flight && jl_wave_shows_begun(v, w, i, n)) {
-		finish_machine(jl, w, i);
+		finish_machine(jl, w, i, true);
 		return;
 	}
 	if (m->choice == JWAVE_RECORD)
--- a/src/job/jlead_wave_impl.h
+++ b/src/job/jlead_wave_impl.h
@@ -28,6 +28,9 @@
 struct jl_wave_note {
 
 	bool recording, in_flight, is_closed;
+	/* An order of this attempt may have been carried out unknown to this
+	 * leader. */
+	bool may_be_sent;
 	bool is_moving, is_saving; /* tasks are being stopped there */
 	uint64_t serial;	   /* of the order in flight */
 	int64_t closed_ms;	   /* since when it is closed */
--- a/src/job/jlead_wave_input.c
+++ b/src/job/jlead_wave_input.c
@@ -43,19 +43,33 @@
 		strcmp(s->worker, w->orders[i].worker) != 0);
 }
 
-/* Tells whether a recorded maintenance has begun, as the list shows. */
+/* Tells whether a recorded maintenance has begun, as the list shows. Another
+ * worker, or the maintenance of another wave, proves nothing if no order of this
+ * attempt can have been carried out. */
 bool
 jl_wave_shows_begun(const struct jl_waves *v, const struct jst_wave *w,
     size_t i, const struct jl_wave_note *n)
 {
 	const struct jl_seen *s = jl_wave_find_seen(v, w->info->machines[i]);
 
-	if (s == NULL || v->list_ms <= n->begun_ms)
+	if (s == NULL || v->list_ms <= n->begun_ms ||
+	    (w->states[i] == JST_WAVE_BEGUN && !n->may_be_sent))
 		return false;
 	return s->state == JCLOUD_UPKEEP ||
 	    (w->orders[i].worker != NULL && is_other_worker(s, w, i));
 }
 
+/* Tells whether a machine is listed as up so long after its maintenance that it
+ * is back, whatever worker it has: the one recorded may have joined after the
+ * maintenance, and an id may be missing. */
+static bool
+is_back_late(const struct jl_waves *v, const struct jl_seen *s,
+    const struct jl_wave_note *n)
+{
+	return s->state == JCLOUD_UP &&
+	    v->list_ms > n->begun_ms + FAILED_AFTER_MS;
+}
+
 /* Tells whether a machine is down for a wave, or may be. */
 static bool
 is_down(const struct jlead *jl, const struct jst_wave *w, size_t i,
@@ -73,7 +87,8 @@
 		return true;
 	if (s->state == JCLOUD_DOWN)
 		return jl_wave_now_ms(jl) - n->begun_ms < FAILED_AFTER_MS;
-	return s->state != JCLOUD_UP || !is_other_worker(s, w, i);
+	return s->state != JCLOUD_UP ||
+	    (!is_other_worker(s, w, i) && !is_back_late(v, s, n));
 }
 
 /* Tells whether a task is at work on a worker whose maintenance isn't recorded;
@@ -173,7 +188,8 @@
 	if (m->phase == JWAVE_DONE)
 		return;
 	m->is_up = s != NULL && s->state == JCLOUD_UP &&
-	    t - v->list_ms <= LIST_AGE_MAX_MS;
+	    t - v->list_ms <= LIST_AGE_MAX_MS &&
+	    (m->phase != JWAVE_WAITING || v->list_ms > n->begun_ms);
 	m->is_waiting = n->recording || n->in_flight || t < n->retry_ms ||
 	    (m->phase == JWAVE_BEGUN && t < n->late_ms &&
 		v->list_ms <= n->begun_ms);
@@ -215,13 +231,31 @@
 				w->states[i] == JST_WAVE_BEGUN))
 				ws->in_maintenance = true;
 			ws = jl_wave_session(jl, w->orders[i].worker);
-			if (ws != NULL)
+			if (ws != NULL &&
+			    (w->states[i] != JST_WAVE_DONE || s == NULL ||
+				!is_back_late(v, s, &notes[i])))
 				ws->in_maintenance = true;
 		}
 	}
 	v->is_active = true;
 }
 
+/* Counts the machines that are still down for a completed wave: another wave
+ * must not take its maintenance for its own. */
+static void
+count_closed_wave(struct jlead *jl, struct jst_wave *w)
+{
+	const struct jl_wave_note *notes = jl_wave_notes(jl, w);
+	struct jl_seen *s;
+	size_t i;
+
+	for (i = 0; i < w->info->n_machines; i++) {
+		s = jl_wave_find_seen(jl->waves, w->info->machines[i]);
+		if (s != NULL)
+			s->ndown += is_down(jl, w, i, &notes[i]);
+	}
+}
+
 /* Fills the input of the decision. */
 void
 jl_wave_fill_input(struct jlead *jl)
@@ -246,8 +280,10 @@
 			.deadline_ms = jl_wave_now_ms(jl) + w->info->at_ms +
 			    w->info->term_ms - jl->wall_ms };
 
-		if (!jl_wave_is_open(w))
+		if (!jl_wave_is_open(w)) {
+			count_closed_wave(jl, w);
 			continue;
+		}
 		g_array_append_val(v->waves, k);
 		g_array_append_val(v->infos, w);
 		for (i = 0; i < w->info->n_machines; i++) {
--- a/src/job/tests/wave_test.cc
+++ b/src/job/tests/wave_test.cc
@@ -627,4 +627,87 @@
 	EXPECT_EQ(3U, c.ncarried);
 }
 
+/* Lets a copy of a refused order be carried out before the next attempt, so
+ * that this one records the worker that has joined since. */
+void
+carry_out_between_attempts(Cloud &c)
+{
+	c.fault = [&](const std::string &) {
+		return c.norders == 1 ? REFUSE : CARRY_OUT;
+	};
+	while (c.norders == 0 || c.state(1, 0) != JST_WAVE_WAITING)
+		c.s.run(1);
+	c.carry_out("m-1", 1);
+}
+
+/* Guards against tasks that run twice: an order answered as already done ends
+ * the runs of the worker that joined after it was carried out. */
+TEST(Wave, ARepeatedAnswerEndsNoLivingWorker)
+{
+	Cloud c(17);
+	c.add(1);
+	c.s.run_time_ms = [](const SimTask &) { return 60000; };
+	c.s.lead();
+	c.s.run(3500);
+	c.wave(1, 1, 1, 1, 5000);
+	carry_out_between_attempts(c);
+	c.s.run(UPKEEP_MS + 10);
+	ASSERT_EQ(JCLOUD_UP, c.machines["m-1"].state);
+	c.s.submit(1, "batch", { JobSim::step(1, 1000, 60000) });
+	c.s.run(10000);
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_EQ(2U, c.norders);
+	ASSERT_EQ(1U, c.s.starts.size());
+	EXPECT_EQ(1, c.s.starts.begin()->second);
+	EXPECT_EQ(0U, ctr_get(&c.s.ctr, JCTR_ENDS_GONE));
+}
+
+/* Guards against a machine that counts as down for good because its worker is
+ * still the one recorded. */
+TEST(Wave, AMachineThatIsBackWithItsRecordedWorkerFreesItsPlace)
+{
+	Cloud c(18);
+	c.add(2);
+	c.s.lead();
+	c.s.run(3500);
+	c.machines["m-2"].state = JCLOUD_MOVING;
+	c.wave(1, 1, 2, 1, 120000);
+	carry_out_between_attempts(c);
+	c.s.run(UPKEEP_MS + 1500);
+	EXPECT_EQ(JST_WAVE_DONE, c.state(1, 0));
+	c.machines["m-2"].state = JCLOUD_UP;
+	c.s.run(60000);
+	EXPECT_TRUE(c.completed(1));
+	EXPECT_EQ(2U, c.ncarried);
+}
+
+/* Guards against a wave that takes the maintenance by an earlier, completed
+ * wave for its own, when its own order was refused or lost. */
+TEST(Wave, MaintenanceOfACompletedWaveProvesNothing)
+{
+	for (order_fault f : { REFUSE, LOSE_ORDER }) {
+		SCOPED_TRACE(f);
+		Cloud c(19);
+		c.add(2);
+		c.result = JCLOUD_LIMITED;
+		c.fault = [&](const std::string &) {
+			return c.norders == 2 ? f : CARRY_OUT;
+		};
+		c.s.lead();
+		c.s.run(3500);
+		c.wave(1, 1, 1, 1);
+		while (!c.completed(1))
+			c.s.run(1);
+		c.wave(2, 1, 1, 1);
+		for (int i = 0; i < 30000; i++) {
+			c.s.run(1);
+			ASSERT_TRUE(!c.completed(2) ||
+			    c.machines["m-1"].waves.count(2) > 0)
+			    << c.s.now_ms;
+		}
+		EXPECT_TRUE(c.completed(1));
+		EXPECT_TRUE(c.completed(2));
+	}
+}
+
 } // namespace
