Waves: a machine that can't begin gives its place to others

Cause: a recorded machine kept its place for good if it failed before its order was carried out, if may_miss held it back, or if its orders were fenced, limited or not sent. A closed machine stayed closed for as long as others took its place. A machine named twice in a wave left its second entry waiting, so the wave never completed.

Change: once no order can still be carried out, and a list requested since shows it, such a machine waits again with the next attempt: listed as down or moving, another worker than recorded, held back for 5 s, or 5 failed orders. A closed machine is opened after 20 s without a place. A step applies to each entry of its name, and only the first is decided on.

--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -134,6 +134,7 @@
 {
 	struct jl_wave_note *notes = w->notes;
 	int64_t since = clk_ns(jl->leading_since) / CLK_NS_PER_MS;
+	GHashTable *names;
 	size_t i;
 
 	if (notes != NULL)
@@ -141,13 +142,17 @@
 	notes = calloc(w->info->n_machines + 1, sizeof(*notes));
 	if (notes == NULL)
 		abort();
+	names = g_hash_table_new(g_str_hash, g_str_equal);
 	for (i = 0; i < w->info->n_machines; i++) {
+		notes[i].is_duplicate =
+		    !g_hash_table_add(names, w->info->machines[i]);
 		notes[i].backoff_ms = RETRY_MS;
 		notes[i].begun_ms = since;
 		if (w->states[i] == JST_WAVE_BEGUN)
 			notes[i].late_ms = since + JL_WAVE_LATE_MS;
 		notes[i].may_be_sent = w->states[i] == JST_WAVE_BEGUN;
 	}
+	g_hash_table_destroy(names);
 	w->notes = notes;
 	return notes;
 }
@@ -195,7 +200,6 @@
 		notes[i].begun_ms = jl_wave_now_ms(jl);
 		if (m->state == JOB__WAVE_STATE__WAVE_WAITING)
 			notes[i].may_be_sent = false;
-		break;
 	}
 	jl->waves->next_ms = 0;
 }
@@ -233,6 +237,20 @@
 	    jl, w, i, JST_WAVE_DONE, w->orders[i].attempt, w->orders[i].worker);
 }
 
+/* Proposes that a machine waits again, so that others get its place until
+ * then. */
+static void
+give_up(struct jlead *jl, struct jst_wave *w, size_t i, int64_t retry_ms)
+{
+	struct jl_wave_note *n = &jl_wave_notes(jl, w)[i];
+
+	n->is_closed = false;
+	n->reopens_ms = n->retry_ms = retry_ms;
+	n->nfailed = 0;
+	propose_step(
+	    jl, w, i, JST_WAVE_WAITING, w->orders[i].attempt + 1, NULL);
+}
+
 /* ---- what the service answers ---- */
 
 /* Takes a complete list of the machines, requested at a time. */
@@ -271,39 +289,6 @@
 	}
 }
 
-/* Returns the name of a result in the log, and its counter. */
-static const char *
-result_name(enum jcloud_result r, enum jctr *which)
-{
-	switch (r) {
-	case JCLOUD_DONE:
-		*which = JCTR_UPKEEP_DONE;
-		return "done";
-	case JCLOUD_FENCED:
-		*which = JCTR_UPKEEP_FENCED;
-		return "fenced";
-	case JCLOUD_BUSY:
-		*which = JCTR_UPKEEP_BUSY;
-		return "busy";
-	case JCLOUD_NOT_MEMBER:
-		*which = JCTR_UPKEEP_NOT_MEMBER;
-		return "not_member";
-	case JCLOUD_UNKNOWN:
-		*which = JCTR_UPKEEP_UNKNOWN;
-		return "unknown_machine";
-	case JCLOUD_LIMITED:
-		*which = JCTR_UPKEEP_LIMITED;
-		return "limited";
-	case JCLOUD_NOT_SENT:
-		*which = JCTR_UPKEEP_NOT_SENT;
-		return "not_sent";
-	case JCLOUD_NO_ANSWER:
-		break;
-	}
-	*which = JCTR_UPKEEP_NO_ANSWER;
-	return "no_answer";
-}
-
 /* Handles the result of an order. After a refusal the machine waits again, so
  * that others get its place, but only while no earlier copy of the order can
  * still be carried out. */
@@ -333,6 +318,7 @@
 	case JCLOUD_FENCED:
 	case JCLOUD_LIMITED:
 	case JCLOUD_NOT_SENT:
+		n->nfailed++;
 		return;
 	case JCLOUD_BUSY:
 		n->retry_ms = t + BUSY_RETRY_MS;
@@ -344,10 +330,7 @@
 	}
 	if (t < n->late_ms)
 		return;
-	n->is_closed = false;
-	n->reopens_ms = n->retry_ms;
-	propose_step(
-	    jl, w, i, JST_WAVE_WAITING, w->orders[i].attempt + 1, NULL);
+	give_up(jl, w, i, n->retry_ms);
 }
 
 /* Takes the result of an order. */
@@ -358,7 +341,7 @@
 	struct jst_wave *w;
 	const struct jl_wave_note *notes;
 	enum jctr which;
-	const char *name = result_name(r, &which);
+	const char *name = jl_wave_result_name(r, &which);
 	size_t i;
 
 	if (!jl->leading || jl->waves == NULL)
@@ -482,6 +465,9 @@
 	} else if (!n->in_flight && jl_wave_shows_begun(v, w, i, n)) {
 		finish_machine(jl, w, i, true);
 		return;
+	} else if (jl_wave_must_give_up(jl, w, i, n)) {
+		give_up(jl, w, i, jl_wave_now_ms(jl) + REFUSED_RETRY_MS);
+		return;
 	}
 	if (m->choice == JWAVE_RECORD)
 		record_begin(jl, w, i);
@@ -489,45 +475,6 @@
 		send_order(jl, w, i);
 }
 
-/* Logs the counts of each wave, at most once a second. */
-static void
-log_waves(struct jlead *jl)
-{
-	struct jl_waves *v = jl->waves;
-	guint k, i;
-
-	if (jl_wave_now_ms(jl) < v->next_log_ms)
-		return;
-	v->next_log_ms = jl_wave_now_ms(jl) + JLEAD_FLEET_LOG_INTERVAL_MS;
-	for (k = 0; k < v->waves->len; k++) {
-		const struct jwave_wave *w =
-		    &g_array_index(v->waves, struct jwave_wave, k);
-		const struct jst_wave *info =
-		    g_array_index(v->infos, struct jst_wave *, k);
-		uint32_t ndone = 0, nheld = 0, nbegun = 0;
-
-		for (i = 0; i < v->machines->len; i++) {
-			const struct jwave_machine *m = &g_array_index(
-			    v->machines, struct jwave_machine, i);
-
-			if (m->wave != k)
-				continue;
-			ndone += m->phase == JWAVE_DONE;
-			nbegun += m->phase == JWAVE_BEGUN;
-			nheld += m->choice == JWAVE_HELD ||
-			    m->choice == JWAVE_HELD_SENT;
-		}
-		log_event(LOG_NOTICE, "job",
-		    "event=wave_state wave=%" PRIu64
-		    " waiting=%u closed=%u begun=%u down=%u max_down=%u "
-		    "done=%u held=%u left_ms=%" PRId64 " list_age_ms=%" PRId64,
-		    info->info->id, w->nwaiting, w->nclosed, nbegun, w->ndown,
-		    w->max_down, ndone, nheld,
-		    w->deadline_ms - jl_wave_now_ms(jl),
-		    v->nlists == 0 ? -1 : jl_wave_now_ms(jl) - v->list_ms);
-	}
-}
-
 /* Reads the list, decides, and acts. */
 static void
 run_waves(struct jlead *jl)
@@ -556,7 +503,7 @@
 			    g_array_index(v->infos, struct jst_wave *, m->wave),
 			    g_array_index(v->indexes, size_t, k), m);
 	}
-	log_waves(jl);
+	jl_wave_log(jl);
 	for (k = 0; k < v->machines->len; k++)
 		g_free((void *)(uintptr_t)g_array_index(
 		    v->machines, struct jwave_machine, k)
--- a/src/job/jlead_wave_impl.h
+++ b/src/job/jlead_wave_impl.h
@@ -31,6 +31,7 @@
 	/* An order of this attempt may have been carried out unknown to this
 	 * leader. */
 	bool may_be_sent;
+	bool is_duplicate; /* named earlier in the same wave */
 	bool is_moving, is_saving; /* tasks are being stopped there */
 	uint64_t serial;	   /* of the order in flight */
 	int64_t closed_ms;	   /* since when it is closed */
@@ -39,6 +40,7 @@
 	int64_t late_ms;	   /* an order may be carried out until then */
 	int64_t begun_ms;	   /* a list requested before decides nothing */
 	int64_t backoff_ms;
+	unsigned nfailed; /* orders of this attempt that weren't carried out */
 	enum jwave_choice choice;
 };
 
@@ -71,10 +73,15 @@
 bool jl_wave_has_left(const struct jl_waves *, const char *machine);
 bool jl_wave_shows_begun(const struct jl_waves *, const struct jst_wave *,
     size_t i, const struct jl_wave_note *);
+bool jl_wave_must_give_up(const struct jlead *, const struct jst_wave *,
+    size_t i, const struct jl_wave_note *);
 size_t jl_wave_step_index(struct jl_waves *, const struct jst_step *);
 void jl_wave_mark_sessions(struct jlead *);
 void jl_wave_fill_input(struct jlead *);
 void jl_wave_fill_blocked(struct jl_waves *);
+/* jlead_wave_log.c */
+void jl_wave_log(struct jlead *);
+const char *jl_wave_result_name(enum jcloud_result, enum jctr *);
 /* jlead_wave_move.c */
 void jl_wave_move(struct jlead *, struct jl_wave_note *, struct wsess *);
 
--- a/src/job/jlead_wave_input.c
+++ b/src/job/jlead_wave_input.c
@@ -12,6 +12,9 @@
 /* A machine that is listed as failed for this long after its maintenance began
  * isn't down for the maintenance any more, which takes 2 s. */
 #define FAILED_AFTER_MS 30000
+/* After this many orders that weren't carried out other machines get their
+ * turn; with the pauses between them this takes about 5 s. */
+#define FAILED_ORDERS_MAX 5
 /* A machine has left once this many complete lists in a row are without it: one
  * list may miss a machine if others are added between two of its pages. */
 #define ABSENT_LISTS 2
@@ -91,6 +94,31 @@
 	    (!is_other_worker(s, w, i) && !is_back_late(v, s, n));
 }
 
+/* Tells whether a recorded machine that can't begin must give its place to
+ * others: it is listed as failed or with a worker that wasn't recorded, may_miss
+ * holds it back, or its orders fail. Only once no order can still be carried
+ * out, and by a list requested since. */
+bool
+jl_wave_must_give_up(const struct jlead *jl, const struct jst_wave *w, size_t i,
+    const struct jl_wave_note *n)
+{
+	const struct jl_waves *v = jl->waves;
+	const struct jl_seen *s = jl_wave_find_seen(v, w->info->machines[i]);
+	int64_t t = jl_wave_now_ms(jl);
+
+	if (w->states[i] != JST_WAVE_BEGUN || n->in_flight || s == NULL ||
+	    t < n->late_ms || v->list_ms <= MAX(n->begun_ms, n->late_ms))
+		return false;
+	if (s->state == JCLOUD_DOWN || s->state == JCLOUD_MOVING ||
+	    n->nfailed >= FAILED_ORDERS_MAX)
+		return true;
+	if (!n->may_be_sent && w->orders[i].worker != NULL &&
+	    is_other_worker(s, w, i))
+		return true;
+	return n->choice == JWAVE_HELD_BEGUN &&
+	    t - n->begun_ms >= JWAVE_HELD_MAX_MS;
+}
+
 /* Tells whether a task is at work on a worker whose maintenance isn't recorded;
  * one whose worker is silent may not be. */
 static bool
@@ -251,7 +279,7 @@
 
 	for (i = 0; i < w->info->n_machines; i++) {
 		s = jl_wave_find_seen(jl->waves, w->info->machines[i]);
-		if (s != NULL)
+		if (s != NULL && !notes[i].is_duplicate)
 			s->ndown += is_down(jl, w, i, &notes[i]);
 	}
 }
@@ -289,6 +317,8 @@
 		for (i = 0; i < w->info->n_machines; i++) {
 			struct jwave_machine m = { .wave = v->waves->len - 1 };
 
+			if (jl_wave_notes(jl, w)[i].is_duplicate)
+				continue;
 			fill_machine(jl, w, i, &m);
 			g_array_append_val(v->machines, m);
 			g_array_append_val(v->indexes, i);
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -708,7 +708,7 @@
 	return state > w->states[i];
 }
 
-/* Advances a machine of a maintenance wave. */
+/* Advances a machine of a maintenance wave, which may be named several times. */
 static void
 apply_wave_step(struct jst *s, const Job__WaveStep *m, struct jst_result *r)
 {
@@ -719,7 +719,8 @@
 	for (i = 0; w != NULL && i < w->info->n_machines; i++) {
 		if (strcmp(w->info->machines[i], m->machine) != 0)
 			continue;
-		r->status = STATUS_STALE;
+		if (r->status == STATUS_NOT_FOUND)
+			r->status = STATUS_STALE;
 		if (is_later_step(w, i, m)) {
 			w->states[i] = (enum jst_wave_state)m->state;
 			w->orders[i].attempt = m->attempt;
@@ -730,7 +731,6 @@
 			}
 			r->status = STATUS_OK;
 		}
-		return;
 	}
 }
 
--- a/src/job/jwave.c
+++ b/src/job/jwave.c
@@ -92,7 +92,10 @@
 		    ? JWAVE_HELD
 		    : JWAVE_QUEUED;
 	if (w->ndown >= down_limit(w))
-		return JWAVE_SLOT;
+		return now_ms - m->closed_ms <
+			closed_limit_ms(w, now_ms) + JWAVE_SLOT_MAX_MS
+		    ? JWAVE_SLOT
+		    : JWAVE_QUEUED;
 	w->ndown++;
 	for (i = 0; i < m->nuses; i++)
 		steps[m->uses[i].step].absent += m->uses[i].ntasks;
@@ -107,7 +110,7 @@
 		return JWAVE_RETRY;
 	if (!m->is_up)
 		return JWAVE_UNLISTED;
-	return is_held(m, steps) ? JWAVE_HELD_SENT : JWAVE_ORDER;
+	return is_held(m, steps) ? JWAVE_HELD_BEGUN : JWAVE_ORDER;
 }
 
 /* Returns what a machine does that waits. */
@@ -211,7 +214,7 @@
 	case JWAVE_SLOT:
 		return "max_count";
 	case JWAVE_HELD:
-	case JWAVE_HELD_SENT:
+	case JWAVE_HELD_BEGUN:
 		return "may_miss";
 	case JWAVE_RECORD:
 		return "record";
--- a/src/job/jwave.h
+++ b/src/job/jwave.h
@@ -28,6 +28,9 @@
  * their turn for as long. Longer than a long-running task takes to stop and to
  * start elsewhere. */
 #define JWAVE_HELD_MAX_MS 5000
+/* A machine that waits closed for the place of others is opened again after
+ * this. Longer than an order without an answer takes its place, 12 s. */
+#define JWAVE_SLOT_MAX_MS 20000
 /* Time that a machine is down, and the time to notice that it is back: 2 s on
  * the platform, and a read of the list. */
 #define JWAVE_DOWN_MS 3500
@@ -48,7 +51,7 @@
 	JWAVE_CLOSE,	 /* closed to new work */
 	JWAVE_SLOT,	 /* empty enough; max_down others are down */
 	JWAVE_HELD,	 /* closed, held back by may_miss */
-	JWAVE_HELD_SENT, /* recorded, and now held back by may_miss */
+	JWAVE_HELD_BEGUN, /* recorded, and now held back by may_miss */
 	JWAVE_RECORD,	 /* record that it begins */
 	JWAVE_ORDER	 /* send the order that was recorded */
 };
