Waves: maintenance instead of the platform's name; one silent order

Cause: upkeep is the platform's name and was used outside platform/. An order without an answer paused the orders for all machines. Machines that left stayed in the leader's list.

Orders pause only after 429 and without a connection.

--- a/soak/waves.py
+++ b/soak/waves.py
@@ -21,7 +21,7 @@
 from world import Worker, call, read_message
 
 MACHINES, MAX_COUNT, TERM_S = 10, 2, 60
-UPKEEP_S, HOLDER_WAIT_S, PAGE = 2.0, 3.0, 4
+MAINTENANCE_S, HOLDER_WAIT_S, PAGE = 2.0, 3.0, 4
 # Share of orders that get no answer; half of them are carried out, 2 to 4 s
 # later.
 LOST_SHARE = 0.15
@@ -130,7 +130,7 @@
 
     async def finish(self, machine):
         """Brings a machine back with another worker."""
-        await asyncio.sleep(UPKEEP_S)
+        await asyncio.sleep(MAINTENANCE_S)
         machine["worker"] = self.make_worker()
         await machine["worker"].serve()
         machine["state"] = "up"
@@ -222,7 +222,7 @@
                 soak.generate_load(loop.time() + 25))
             took = await self.run_wave()
             await load
-            await asyncio.sleep(UPKEEP_S + 1)
+            await asyncio.sleep(MAINTENANCE_S + 1)
             reads = self.cloud.reads
             await asyncio.sleep(2)
             if self.cloud.reads > reads:
--- a/src/job/jcloud.h
+++ b/src/job/jcloud.h
@@ -14,8 +14,8 @@
 
 enum jcloud_state {
 	JCLOUD_UP,
-	JCLOUD_MOVING, /* to another pool */
-	JCLOUD_UPKEEP, /* its maintenance is under way */
+	JCLOUD_MOVING,	    /* to another pool */
+	JCLOUD_MAINTENANCE, /* its maintenance is under way */
 	JCLOUD_DOWN
 };
 
--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -257,6 +257,14 @@
 
 /* ---- what the service answers ---- */
 
+/* Tells whether an entry is of a machine that has left. */
+static gboolean
+is_left_entry(gpointer key, gpointer value, gpointer arg)
+{
+	(void)value;
+	return jl_wave_has_left(arg, key);
+}
+
 /* Takes a complete list of the machines, requested at a time. */
 void
 jlead_on_machines(struct jlead *jl, struct timespec now,
@@ -295,6 +303,7 @@
 		s->list = v->nlists;
 		s->listed_ms = v->list_ms;
 	}
+	g_hash_table_foreach_remove(v->seen, is_left_entry, v);
 }
 
 /* Handles the result of an order. After a refusal the machine waits again, so
@@ -362,7 +371,7 @@
 			if (!notes[i].in_flight || notes[i].serial != serial)
 				continue;
 			log_event(LOG_NOTICE, "job",
-			    "event=upkeep_result wave=%" PRIu64
+			    "event=maintenance_result wave=%" PRIu64
 			    " machine=%s serial=%" PRIu64 " result=%s",
 			    w->info->id, w->info->machines[i], serial, name);
 			handle_result(jl, w, i, r);
@@ -397,9 +406,9 @@
 	if (v->norders == ORDERS_MAX)
 		log_event(LOG_ERR, "job",
 		    "event=order_tokens_used_up token=%" PRIu64, jl->token);
-	ctr_add(jl->ctr, JCTR_UPKEEP_ORDERS, 1);
+	ctr_add(jl->ctr, JCTR_MAINTENANCE_ORDERS, 1);
 	log_event(LOG_NOTICE, "job",
-	    "event=upkeep_order wave=%" PRIu64 " machine=%s worker=%s "
+	    "event=maintenance_order wave=%" PRIu64 " machine=%s worker=%s "
 	    "fence=%" PRIu64 " serial=%" PRIu64 " token=%" PRIu64,
 	    w->info->id, o.machine,
 	    w->orders[i].worker == NULL ? "-" : w->orders[i].worker, o.fence,
--- a/src/job/jlead_wave_impl.h
+++ b/src/job/jlead_wave_impl.h
@@ -19,9 +19,9 @@
 struct jl_seen {
 	char *worker; /* or NULL */
 	enum jcloud_state state;
-	uint64_t list;	/* number of the list that had it last */
+	uint64_t list;	   /* number of the list that had it last */
 	int64_t listed_ms; /* when that was requested */
-	uint32_t ndown; /* waves for which it is down, in this decision */
+	uint32_t ndown;	   /* waves for which it is down, in this decision */
 };
 
 /* What this leader knows of one machine of a wave; times are monotonic, in
@@ -32,7 +32,7 @@
 	/* An order of this attempt may have been carried out unknown to this
 	 * leader. */
 	bool may_be_sent;
-	bool is_duplicate; /* named earlier in the same wave */
+	bool is_duplicate;	   /* named earlier in the same wave */
 	bool is_moving, is_saving; /* tasks are being stopped there */
 	uint64_t serial;	   /* of the order in flight */
 	int64_t closed_ms;	   /* since when it is closed */
@@ -48,11 +48,11 @@
 struct jl_waves {
 	struct jcloud_ops ops;
 	int64_t holder_wait_ms;
-	GHashTable *seen; /* struct jl_seen by machine */
-	uint64_t nlists;  /* complete lists in this term */
-	int64_t list_ms;  /* when the last one was requested */
+	GHashTable *seen;      /* struct jl_seen by machine */
+	uint64_t nlists;       /* complete lists in this term */
+	int64_t list_ms;       /* when the last one was requested */
 	int64_t first_list_ms; /* when the first one was */
-	int64_t read_ms;  /* how long the last one took */
+	int64_t read_ms;       /* how long the last one took */
 	int64_t next_ms, next_read_ms, next_log_ms;
 	uint64_t serial, norders;
 	bool is_active; /* sessions may be closed */
--- a/src/job/jlead_wave_input.c
+++ b/src/job/jlead_wave_input.c
@@ -15,9 +15,9 @@
 /* After this many orders that weren't carried out other machines get their
  * turn; with the pauses between them this takes about 5 s. */
 #define FAILED_ORDERS_MAX 5
-/* A machine has left once this many complete lists in a row, over this time, are
- * without it: lists may miss a machine if others are added between two of their
- * pages. */
+/* A machine has left once this many complete lists in a row, over this time,
+ * are without it: lists may miss a machine if others are added between two of
+ * their pages. */
 #define ABSENT_LISTS  3
 #define ABSENT_MIN_MS 5000
 
@@ -51,8 +51,8 @@
 }
 
 /* Tells whether a recorded maintenance has begun, as the list shows. Another
- * worker, or the maintenance of another wave, proves nothing if no order of this
- * attempt can have been carried out. */
+ * worker, or the maintenance of another wave, proves nothing if no order of
+ * this attempt can have been carried out. */
 bool
 jl_wave_shows_begun(const struct jl_waves *v, const struct jst_wave *w,
     size_t i, const struct jl_wave_note *n)
@@ -62,7 +62,7 @@
 	if (s == NULL || v->list_ms <= n->begun_ms ||
 	    (w->states[i] == JST_WAVE_BEGUN && !n->may_be_sent))
 		return false;
-	return s->state == JCLOUD_UPKEEP ||
+	return s->state == JCLOUD_MAINTENANCE ||
 	    (w->orders[i].worker != NULL && is_other_worker(s, w, i));
 }
 
@@ -99,9 +99,9 @@
 }
 
 /* Tells whether a recorded machine that can't begin must give its place to
- * others: it is listed as failed or with a worker that wasn't recorded, may_miss
- * holds it back, or its orders fail. Only once no order can still be carried
- * out, and by a list requested since. */
+ * others: it is listed as failed or with a worker that wasn't recorded,
+ * may_miss holds it back, or its orders fail. Only once no order can still be
+ * carried out, and by a list requested since. */
 bool
 jl_wave_must_give_up(const struct jlead *jl, const struct jst_wave *w, size_t i,
     const struct jl_wave_note *n)
--- a/src/job/jlead_wave_log.c
+++ b/src/job/jlead_wave_log.c
@@ -11,30 +11,30 @@
 {
 	switch (r) {
 	case JCLOUD_DONE:
-		*which = JCTR_UPKEEP_DONE;
+		*which = JCTR_MAINTENANCE_DONE;
 		return "done";
 	case JCLOUD_FENCED:
-		*which = JCTR_UPKEEP_FENCED;
+		*which = JCTR_MAINTENANCE_FENCED;
 		return "fenced";
 	case JCLOUD_BUSY:
-		*which = JCTR_UPKEEP_BUSY;
+		*which = JCTR_MAINTENANCE_BUSY;
 		return "busy";
 	case JCLOUD_NOT_MEMBER:
-		*which = JCTR_UPKEEP_NOT_MEMBER;
+		*which = JCTR_MAINTENANCE_NOT_MEMBER;
 		return "not_member";
 	case JCLOUD_UNKNOWN:
-		*which = JCTR_UPKEEP_UNKNOWN;
+		*which = JCTR_MAINTENANCE_UNKNOWN;
 		return "unknown_machine";
 	case JCLOUD_LIMITED:
-		*which = JCTR_UPKEEP_LIMITED;
+		*which = JCTR_MAINTENANCE_LIMITED;
 		return "limited";
 	case JCLOUD_NOT_SENT:
-		*which = JCTR_UPKEEP_NOT_SENT;
+		*which = JCTR_MAINTENANCE_NOT_SENT;
 		return "not_sent";
 	case JCLOUD_NO_ANSWER:
 		break;
 	}
-	*which = JCTR_UPKEEP_NO_ANSWER;
+	*which = JCTR_MAINTENANCE_NO_ANSWER;
 	return "no_answer";
 }
 
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -708,7 +708,8 @@
 	return state > w->states[i];
 }
 
-/* Advances a machine of a maintenance wave, which may be named several times. */
+/* Advances a machine of a maintenance wave, which may be named several times.
+ */
 static void
 apply_wave_step(struct jst *s, const Job__WaveStep *m, struct jst_result *r)
 {
--- a/src/job/jwave.h
+++ b/src/job/jwave.h
@@ -43,17 +43,17 @@
 
 /* What a machine does next, or why it waits. */
 enum jwave_choice {
-	JWAVE_NONE,	 /* done */
-	JWAVE_UNLISTED,	 /* not listed as up, or the list is too old */
-	JWAVE_OTHER,	 /* an order of another wave is open there */
-	JWAVE_RETRY,	 /* an order failed shortly before, or is in flight */
-	JWAVE_QUEUED,	 /* other machines come first */
-	JWAVE_CLOSE,	 /* closed to new work */
-	JWAVE_SLOT,	 /* empty enough; max_down others are down */
-	JWAVE_HELD,	 /* closed, held back by may_miss */
+	JWAVE_NONE,	  /* done */
+	JWAVE_UNLISTED,	  /* not listed as up, or the list is too old */
+	JWAVE_OTHER,	  /* an order of another wave is open there */
+	JWAVE_RETRY,	  /* an order failed shortly before, or is in flight */
+	JWAVE_QUEUED,	  /* other machines come first */
+	JWAVE_CLOSE,	  /* closed to new work */
+	JWAVE_SLOT,	  /* empty enough; max_down others are down */
+	JWAVE_HELD,	  /* closed, held back by may_miss */
 	JWAVE_HELD_BEGUN, /* recorded, and now held back by may_miss */
-	JWAVE_RECORD,	 /* record that it begins */
-	JWAVE_ORDER	 /* send the order that was recorded */
+	JWAVE_RECORD,	  /* record that it begins */
+	JWAVE_ORDER	  /* send the order that was recorded */
 };
 
 /* A long-running step with tasks on a machine of a wave. */
--- a/src/job/tests/wave_fail_test.cc
+++ b/src/job/tests/wave_fail_test.cc
@@ -28,7 +28,7 @@
 	c.s.run(3500);
 	c.wave(1, 1, 1, 1, 5000);
 	carry_out_between_attempts(c);
-	c.s.run(UPKEEP_MS + 10);
+	c.s.run(MAINTENANCE_MS + 10);
 	ASSERT_EQ(JCLOUD_UP, c.machines["m-1"].state);
 	c.s.submit(1, "batch", { JobSim::step(1, 1000, 60000) });
 	c.s.run(10000);
@@ -50,7 +50,7 @@
 	c.machines["m-2"].state = JCLOUD_MOVING;
 	c.wave(1, 1, 2, 1, 120000);
 	carry_out_between_attempts(c);
-	c.s.run(UPKEEP_MS + 1500);
+	c.s.run(MAINTENANCE_MS + 1500);
 	EXPECT_EQ(JST_WAVE_DONE, c.state(1, 0));
 	c.machines["m-2"].state = JCLOUD_UP;
 	c.s.run(60000);
--- a/src/job/tests/wave_sim.h
+++ b/src/job/tests/wave_sim.h
@@ -7,7 +7,7 @@
 #include "job/jlead_wave_impl.h"
 #include "job/tests/job_sim.h"
 
-const int64_t UPKEEP_MS = 2000, HOLDER_WAIT_MS = 3000;
+const int64_t MAINTENANCE_MS = 2000, HOLDER_WAIT_MS = 3000;
 
 /* What the service does with an order. */
 enum order_fault {
@@ -128,7 +128,7 @@
 		if (m.state != JCLOUD_UP || m.waves.count(wave) > 0)
 			return;
 		for (auto &x : machines)
-			down += x.second.state == JCLOUD_UPKEEP &&
+			down += x.second.state == JCLOUD_MAINTENANCE &&
 			    x.second.wave == wave;
 		EXPECT_LE(down, max_down[wave]) << "at once, wave " << wave;
 		for (auto *j = s.st.active; j != NULL; j = j->next) {
@@ -146,10 +146,10 @@
 		begun[name].push_back(s.now_ms);
 		m.waves.insert(wave);
 		m.wave = wave;
-		m.state = JCLOUD_UPKEEP;
+		m.state = JCLOUD_MAINTENANCE;
 		s.crash(m.num);
 		int64_t cpu = s.workers[m.num].cpu;
-		s.events.emplace(s.now_ms + UPKEEP_MS, [=, this]() {
+		s.events.emplace(s.now_ms + MAINTENANCE_MS, [=, this]() {
 			machines[name].num = s.add_worker((uint32_t)cpu);
 			machines[name].state = JCLOUD_UP;
 		});
@@ -168,23 +168,22 @@
 		c->nreads++;
 		if (c->is_silent)
 			return true;
-		c->s.events.emplace(
-		    c->s.now_ms + c->read_ms, [=]() {
-			    std::vector<struct jcloud_machine> v;
-			    for (auto &x : c->machines) {
-				    struct jcloud_machine m = {};
-				    m.machine = x.first.c_str();
-				    m.state = x.second.state;
-				    m.worker = x.second.state == JCLOUD_UP
-					? c->s.workers[x.second.num].id.c_str()
-					: NULL;
-				    v.push_back(m);
-			    }
-			    if (c->is_empty)
-				    v.clear();
-			    jlead_on_machines(
-				&c->s.jl, c->s.now(), v.data(), v.size(), at);
-		    });
+		c->s.events.emplace(c->s.now_ms + c->read_ms, [=]() {
+			std::vector<struct jcloud_machine> v;
+			for (auto &x : c->machines) {
+				struct jcloud_machine m = {};
+				m.machine = x.first.c_str();
+				m.state = x.second.state;
+				m.worker = x.second.state == JCLOUD_UP
+				    ? c->s.workers[x.second.num].id.c_str()
+				    : NULL;
+				v.push_back(m);
+			}
+			if (c->is_empty)
+				v.clear();
+			jlead_on_machines(
+			    &c->s.jl, c->s.now(), v.data(), v.size(), at);
+		});
 		return true;
 	}
 
--- a/src/job/tests/wave_test.cc
+++ b/src/job/tests/wave_test.cc
@@ -44,7 +44,7 @@
 	EXPECT_EQ(8U, c.ncarried);
 	for (auto &x : c.begun) {
 		if (x.second.size() == 2) {
-			EXPECT_GE(x.second[1] - x.second[0], UPKEEP_MS);
+			EXPECT_GE(x.second[1] - x.second[0], MAINTENANCE_MS);
 		}
 	}
 }
@@ -364,7 +364,7 @@
 	c.wave(1, 1, 1, 1, 5000);
 	while (c.ncarried == 0)
 		c.s.run(1);
-	c.s.run(UPKEEP_MS + 500);
+	c.s.run(MAINTENANCE_MS + 500);
 	EXPECT_EQ(
 	    0U, c.absent(jst_find_step(jst_find_job(&c.s.st, 1), 0, 0), 0));
 }
--- a/src/node/cloud.c
+++ b/src/node/cloud.c
@@ -209,10 +209,10 @@
 static void
 finish_order(struct cloud *c, uint64_t serial, enum jcloud_result r)
 {
-	bool is_answered = r != JCLOUD_LIMITED && r != JCLOUD_NOT_SENT &&
-	    r != JCLOUD_NO_ANSWER;
-
-	budget_result(&c->orders, clk_now(&c->conf.clk), is_answered);
+	/* One machine's order without an answer holds up no others. */
+	if (r != JCLOUD_NO_ANSWER)
+		budget_result(&c->orders, clk_now(&c->conf.clk),
+		    r != JCLOUD_LIMITED && r != JCLOUD_NOT_SENT);
 	c->conf.on_ordered(c->conf.arg, serial, r);
 }
 
@@ -280,7 +280,7 @@
 	    !budget_take(&c->orders, clk_now(&c->conf.clk)))
 		return false;
 	tmp = talloc_new(c);
-	pf_build_upkeep(tmp, o, c->conf.holder, &q);
+	pf_build_maintenance(tmp, o, c->conf.holder, &q);
 	start_call(c, &q, true, o->serial);
 	talloc_free(tmp);
 	return true;
--- a/src/node/tests/cloud_test.cc
+++ b/src/node/tests/cloud_test.cc
@@ -167,6 +167,7 @@
 	cloud_tick(c);
 	ASSERT_EQ(1U, results.size());
 	EXPECT_EQ(JCLOUD_NO_ANSWER, results[0].second);
+	EXPECT_TRUE(order(3)) << "held up by the order of another machine";
 	talloc_free(c);
 	open("127.0.0.1:1");
 	ASSERT_TRUE(order(2));
