--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -28,7 +28,8 @@
 	JL_STOP_UNCONFIRMED, /* refused, but another copy of the start may be in
 				flight */
 	JL_STOP_TASK_DONE,   /* an earlier run has done the task */
-	JL_STOP_EVACUATED    /* another member of its gang isn't started */
+	JL_STOP_EVACUATED,   /* another member of its gang isn't started */
+	JL_STOP_MAINTENANCE  /* its machine's maintenance comes next */
 };
 
 /* One start of a task, from its assignment to its replicated end. */
@@ -112,6 +113,10 @@
 	bool follows_restart;
 	/* the worker has said that it is about to exit */
 	bool leave_announced;
+	/* gets no new work before the maintenance of its machine */
+	bool awaits_maintenance;
+	/* the maintenance of its machine is recorded and may have begun */
+	bool in_maintenance;
 	bool removal_proposed; /* its removal is being replicated */
 	bool closed;	       /* its domain is under evacuation */
 	/* The worker is slow until then, as its heartbeats say. */
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "job/jlead_impl.h"
+#include "job/jlead_wave.h"
 
 /* Assigns tasks: builds the plan's input from the sessions and proposes its
  * choices. */
@@ -107,7 +108,7 @@
 {
 	if (!ws->contacted || ws->silent || ws->restarted || ws->closed ||
 	    ws->leave_announced || ws->removal_proposed || ws->w->draining ||
-	    !clk_before(jl->now, ws->paused_until))
+	    !jl_takes_new_work(ws) || !clk_before(jl->now, ws->paused_until))
 		return JROOM_NEVER;
 	return clk_ns(ws->paused_until) / CLK_NS_PER_MS;
 }
@@ -129,7 +130,8 @@
 		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
 		    !ws->closed && !ws->leave_announced &&
 		    !ws->removal_proposed && !ws->w->draining &&
-		    !clk_before(jl->now, ws->paused_until);
+		    !clk_before(jl->now, ws->paused_until) &&
+		    jl_takes_new_work(ws);
 		p->usable_at_ms = p->usable ? 0 : usable_at_ms(jl, ws);
 		p->slowness = jl->lookahead ? jl_slowness(jl, ws) : 0;
 		p->failure_score =
