Crowd tests: data folders in the ordinary temporary folder

Cause: the platform refuses programs that name its folder of shared memory, so that no deployment could be played. Change: the runner uses the temporary folder.

--- a/soak/crowd_test.py
+++ b/soak/crowd_test.py
@@ -439,9 +439,7 @@
     # The processes are ended, too, when this one is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     args.net, keeper = take_net(args.net)
-    # In memory if possible: the replicas' start doesn't depend on the disk.
-    folder = tempfile.mkdtemp(
-        dir="/dev/shm" if os.path.isdir("/dev/shm") else None)
+    folder = tempfile.mkdtemp()
     system = System(args, folder)
     try:
         for name in args.tests or names:
