Settings: rates of the machine service may have a fraction

Cause: the platform writes 60.0 for these rates, so that no process started on any deployment. Change: cloud_orders and cloud_reads are decimal numbers.

--- a/src/node/core_cloud.c
+++ b/src/node/core_cloud.c
@@ -50,8 +50,8 @@
 		.ctr = &c->nctr,
 		.addr = c->inst->cloud,
 		.holder = c->inst->name,
-		.orders_per_s = c->inst->cloud_orders,
-		.reads_per_s = c->inst->cloud_reads,
+		.orders_per_s = (int64_t)c->inst->cloud_orders,
+		.reads_per_s = (int64_t)c->inst->cloud_reads,
 		.on_list = on_list,
 		.on_ordered = on_ordered,
 		.arg = c };
--- a/src/node/inst.h
+++ b/src/node/inst.h
@@ -28,9 +28,9 @@
 	struct str clients, readiness, control, metrics;
 	int64_t lease_max_ms;
 	int64_t grace_ms;
-	struct str cloud; /* address of the service that owns the machines */
-	int64_t cloud_orders; /* orders a second that it takes */
-	int64_t cloud_reads;  /* pages of its list a second that it gives */
+	struct str cloud;    /* address of the service that owns the machines */
+	double cloud_orders; /* orders a second that it takes */
+	double cloud_reads;  /* pages of its list a second that it gives */
 	/* from the start of a leadership to its first order there */
 	int64_t lease_holder_wait_ms;
 	struct str advice;   /* address of the service that knows workers */
--- a/src/node/tests/inst_test.cc
+++ b/src/node/tests/inst_test.cc
@@ -64,6 +64,10 @@
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "unknown = 1\n"));
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "tolerate = 99\n"));
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "memory = -1\n"));
+	EXPECT_EQ(STATUS_INVALID, f.load(good + "cloud_orders = many\n"));
+	/* The platform writes rates with a fraction. */
+	ASSERT_EQ(STATUS_OK, f.load(good + "cloud_orders = 60.0\n"));
+	EXPECT_EQ(60.0, f.in.cloud_orders);
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "lookahead = true\n"));
 	ASSERT_EQ(STATUS_OK, f.load(good));
 	EXPECT_FALSE(f.in.lookahead);
