Peers: limit only senders that haven't identified themselves

Change: the buffers of identified instances aren't limited, as before the account of memory; calls that wait on the leader count with complete requests.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -482,7 +482,7 @@
 	c->fds = fdplan_split(c->inst->descriptors);
 	limits = memacct_split(MEMACCT_REPLICA, c->inst->memory_mb);
 	c->account = memacct_new(c, &limits);
-	memacct_open(c->account, &c->calls_held, MEMACCT_PEERS, 0, 0);
+	memacct_open(c->account, &c->calls_held, MEMACCT_WORK, 0, 0);
 	c->cmds_tail = &c->cmds;
 	c->inflight_tail = &c->inflight;
 	c->reads_tail = &c->reads;
--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -384,12 +384,17 @@
 	if (c->in_len > 0 || c->in_capacity <= READ_KEEP_BYTES)
 		return;
 	if (c->held.addr != NULL)
-		memacct_shrink(c->peer->conf.account, &c->held, c->in_capacity);
+		memacct_shrink(c->peer->conf.account, &c->held, c->held.bytes);
 	TALLOC_FREE(c->in_buf);
 	c->in_capacity = 0;
 }
 
-/* Makes room in the buffer; false if there is no memory for it. */
+/*
+ * Makes room in the buffer; false if there is no memory for it. Only senders
+ * that haven't identified themselves are limited: how many instances there are
+ * isn't known here, and 285 entry instances need more than an eighth of a
+ * replica's 384 MB.
+ */
 static bool
 conn_grow_buffer(struct conn *c)
 {
@@ -401,7 +406,7 @@
 		return true;
 	cap =
 	    c->has_hello ? cap * 2 + 2 * READ_MIN_FREE_BYTES : HELLO_MAX_BYTES;
-	if (c->held.addr != NULL &&
+	if (c->held.addr != NULL && !c->has_hello &&
 	    !memacct_grow(
 		c->peer->conf.account, &c->held, cap - c->in_capacity))
 		return false;
