Memory: queued calls have a part of their own

Cause: since the calls that a leader queues counted with complete requests. Change: MEMACCT_CALLS, 4/32 of a replica's memory, of any size while little of it is in use, as for requests. Connections that haven't identified themselves keep 1/32: at 384 MB a HELLO of 4 KB on 3,072 connections.

--- a/src/node/core.c
+++ b/src/node/core.c
@@ -42,7 +42,7 @@
 	/* Like a lost message: the caller sends it again. A refusal could be
 	 * wrong, as an earlier copy may be queued. */
 	if (w != NULL &&
-	    !memacct_grow(c->account, &c->calls_held, sizeof(*k) + len)) {
+	    !memacct_grow_any(c->account, &c->calls_held, sizeof(*k) + len)) {
 		ctr_add(&c->nctr, NCTR_CALLS_NO_MEMORY, 1);
 		return;
 	}
@@ -482,7 +482,7 @@
 	c->fds = fdplan_split(c->inst->descriptors);
 	limits = memacct_split(MEMACCT_REPLICA, c->inst->memory_mb);
 	c->account = memacct_new(c, &limits);
-	memacct_open(c->account, &c->calls_held, MEMACCT_WORK, 0, 0);
+	memacct_open(c->account, &c->calls_held, MEMACCT_CALLS, 0, 0);
 	c->cmds_tail = &c->cmds;
 	c->inflight_tail = &c->inflight;
 	c->reads_tail = &c->reads;
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -182,7 +182,7 @@
 	struct core_read *r;
 	uint8_t *buf;
 
-	if (!memacct_grow(c->account, &c->calls_held, bytes)) {
+	if (!memacct_grow_any(c->account, &c->calls_held, bytes)) {
 		ctr_add(&c->nctr, NCTR_CALLS_NO_MEMORY, 1);
 		if (k->kind != JOB__CALL_KIND__SUBMIT &&
 		    k->kind != JOB__CALL_KIND__CANCEL)
--- a/src/node/front_sock.c
+++ b/src/node/front_sock.c
@@ -52,6 +52,7 @@
 	case MEMACCT_REQUESTS:
 	case MEMACCT_WORK:
 	case MEMACCT_PEERS:
+	case MEMACCT_CALLS:
 	case MEMACCT_USES:
 		break;
 	}
--- a/src/node/memacct.c
+++ b/src/node/memacct.c
@@ -22,11 +22,13 @@
 /*
  * Parts in 32nds: of what an entry instance has for connections, and of the
  * whole memory of a replica, where those of other instances come on top of the
- * quarter for HTTP.
+ * quarter for HTTP. Queued calls have a part of their own: a configuration
+ * takes all that complete requests may hold at a small replica, which then has
+ * to queue the same configuration as a call.
  */
 static const size_t parts[][MEMACCT_USES] = {
-	[MEMACCT_ENTRY] = { 20, 6, 1, 1, 4 },
-	[MEMACCT_REPLICA] = { 5, 2, 0, 1, 4 },
+	[MEMACCT_ENTRY] = { 20, 6, 1, 1, 4, 0 },
+	[MEMACCT_REPLICA] = { 5, 2, 0, 1, 1, 4 },
 };
 #define PARTS_TOTAL 32
 
@@ -147,6 +149,29 @@
 	return true;
 }
 
+/* Tells whether n bytes are admitted: if they fit, or while little is in use.
+ * One request may need more than the whole part, as a configuration does on a
+ * small replica. */
+static bool
+admits(const struct memacct *m, enum memacct_use use, size_t n)
+{
+	return m->used[use] <= m->limits.max[use] / MEMACCT_LITTLE_DIVISOR ||
+	    memacct_fits(m, use, n);
+}
+
+/* Reserves n further bytes for a connection, of any size while little is in
+ * use. */
+bool
+memacct_grow_any(struct memacct *m, struct memacct_conn *c, size_t n)
+{
+	if (!admits(m, c->use, n))
+		return false;
+	c->bytes += n;
+	c->addr->bytes += n;
+	add_level(m, c->use, n);
+	return true;
+}
+
 /* Gives n bytes of a connection back. */
 void
 memacct_shrink(struct memacct *m, struct memacct_conn *c, size_t n)
@@ -175,19 +200,12 @@
 	add_level(m, work_use(c), n);
 }
 
-/*
- * Reserves n bytes for the handling of a request. One request may need more
- * than the whole part, as a configuration does on a small replica: it is
- * admitted while the others, such as heartbeats, hold little.
- */
+/* Reserves n bytes for the handling of a request, of any size while the others,
+ * such as heartbeats, hold little. */
 bool
 memacct_begin_work(struct memacct *m, struct memacct_conn *c, size_t n)
 {
-	enum memacct_use use = work_use(c);
-
-	if (c->addr == NULL ||
-	    (m->used[use] > m->limits.max[use] / MEMACCT_LITTLE_DIVISOR &&
-		!memacct_fits(m, use, n)))
+	if (c->addr == NULL || !admits(m, work_use(c), n))
 		return false;
 	add_work(m, c, n);
 	return true;
--- a/src/node/memacct.h
+++ b/src/node/memacct.h
@@ -22,7 +22,8 @@
 	MEMACCT_WORK,	   /* complete requests: decoded, waiting, answered */
 	MEMACCT_READINESS, /* connections that check readiness */
 	MEMACCT_METRICS,   /* connections that read counters */
-	MEMACCT_PEERS,	   /* connections of other instances */
+	MEMACCT_PEERS,	   /* connections that haven't identified themselves */
+	MEMACCT_CALLS,	   /* calls of other instances that the leader queues */
 	MEMACCT_USES
 };
 
@@ -45,7 +46,7 @@
 #define MEMACCT_HIGH_EIGHTHS 7
 #define MEMACCT_LOW_EIGHTHS  6
 
-/* Part of MEMACCT_WORK that is in use in calm. */
+/* Part of MEMACCT_WORK or MEMACCT_CALLS that is in use in calm. */
 #define MEMACCT_LITTLE_DIVISOR 4
 
 struct memacct;
@@ -76,6 +77,9 @@
     uint64_t addr, size_t n);
 /* Reserves n further bytes; false, and nothing reserved, if they don't fit. */
 bool memacct_grow(struct memacct *, struct memacct_conn *, size_t n);
+/* Reserves n further bytes. Any size is admitted while at most
+ * 1 / MEMACCT_LITTLE_DIVISOR of the part is in use. */
+bool memacct_grow_any(struct memacct *, struct memacct_conn *, size_t n);
 /* Gives n bytes back. */
 void memacct_shrink(struct memacct *, struct memacct_conn *, size_t n);
 /* Reserves n bytes for the handling of a connection's request. Any size is
--- a/src/node/tests/memacct_test.cc
+++ b/src/node/tests/memacct_test.cc
@@ -11,7 +11,8 @@
 	struct memacct *m;
 	explicit account(size_t requests, size_t work = 1000)
 	{
-		struct memacct_limits l = { { requests, work, 100, 100, 100 } };
+		struct memacct_limits l = { { requests, work, 100, 100, 100,
+		    100 } };
 		m = memacct_new(ctx, &l);
 	}
 	~account()
@@ -137,6 +138,24 @@
 	EXPECT_EQ(101U, memacct_excess(a.m, MEMACCT_REQUESTS, 51));
 }
 
+/* Guards against a configuration that a small replica accepts as a request and
+ * then drops as a call on its leader, each time that it is sent. */
+TEST(MemAcct, AConfigurationFitsAsARequestAndAsACall)
+{
+	struct memacct_limits l = memacct_split(MEMACCT_REPLICA, 56);
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct memacct *m = memacct_new(ctx, &l);
+	struct memacct_conn request, call;
+	ASSERT_TRUE(memacct_open(m, &request, MEMACCT_REQUESTS, 1, 4 * MB));
+	ASSERT_TRUE(memacct_open(m, &call, MEMACCT_CALLS, 0, 0));
+	ASSERT_TRUE(memacct_begin_work(m, &request, 3 * 4 * MB));
+	EXPECT_TRUE(memacct_grow_any(m, &call, 3 * 4 * MB));
+	EXPECT_FALSE(memacct_grow_any(m, &call, 1));
+	memacct_shrink(m, &call, 3 * 4 * MB);
+	EXPECT_TRUE(memacct_grow_any(m, &call, 1));
+	talloc_free(ctx);
+}
+
 /* Guards against parts that exceed the machine, or that are too small for a
  * body within the limits. */
 TEST(MemAcct, DividesTheMemoryOfTheMachine)
@@ -151,9 +170,14 @@
 		}
 		EXPECT_LE(entry, (size_t)(mb - MEMACCT_ENTRY_BASE_MB) * MB)
 		    << mb;
-		EXPECT_LE(replica - r.max[MEMACCT_PEERS], mb * MB / 4) << mb;
+		size_t http =
+		    replica - r.max[MEMACCT_PEERS] - r.max[MEMACCT_CALLS];
+		EXPECT_LE(http, mb * MB / 4) << mb;
 		EXPECT_LE(replica, mb * MB / 2) << mb;
 	}
+	/* A HELLO of each connection that a replica has descriptors for. */
+	EXPECT_GE(memacct_split(MEMACCT_REPLICA, 384).max[MEMACCT_PEERS],
+	    2048 * 4096U);
 	/* 1,800 connections without a body, as the deployments have. */
 	EXPECT_GE(memacct_split(MEMACCT_ENTRY, 160).max[MEMACCT_REQUESTS] / 8 *
 		MEMACCT_HIGH_EIGHTHS,
