odd_entries: the first configuration is sent until it is acknowledged

Cause: process-odd_entries failed with "no completed jobs" in 60 s: the stand-in's operator gives up a change after 10 tries, 3 s, and the test sent one change only. On a busy machine the first leader came later, and nobody configured anything for the rest of the run (503, NO_CONFIG). All other runs of the soak send changes until one is acknowledged.

Change: Operator.configure does so. The limits of the test (60 s, 30 s for each series of jobs) are unchanged.

--- a/soak/odd_entries.py
+++ b/soak/odd_entries.py
@@ -175,7 +175,7 @@
             self.on_trap, f"127.{self.net}.0.99", TRAP_PORT)
         for w in self.workers:
             await w.serve()
-        await self.operator.change_config()
+        await self.operator.configure()
         sender = asyncio.create_task(self.send_entries())
         await asyncio.sleep(2)
         await self.complete_jobs()
--- a/soak/world.py
+++ b/soak/world.py
@@ -466,6 +466,13 @@
                 return
             await asyncio.sleep(0.3)
 
+    async def configure(self):
+        """Sends configurations until one is acknowledged. The tries of one
+        change end after 3 s, and on a busy machine the first leader may take
+        longer; a refusal ends it."""
+        while self.acknowledged_version == 0 and not self.ledger.findings:
+            await self.change_config()
+
     async def check_config(self):
         """Checks that the version isn't older than one acknowledged before."""
         acknowledged = self.acknowledged_version
