Soak: one copy of the set-up of the stand-ins

Cause: soak.py, evacuated.py, waves.py and silenced.py each started and closed the instances, workers and proxies with lines of their own.

Change: Soak.start and Soak.close. waves.py begins to serve its machines before the workers instead of after them; nothing reads them until a wave is open.

--- a/soak/evacuated.py
+++ b/soak/evacuated.py
@@ -185,23 +185,11 @@
     async def run(self):
         """Starts everything, checks, and closes the servers."""
         soak = self.soak
-        for p in soak.cores + soak.gates:
-            for proxy in p.proxies:
-                await proxy.serve()
-            p.start()
-        for w in self.workers:
-            await w.serve()
-        while soak.operator.acknowledged_version == 0:
-            await soak.operator.change_config()
-        await asyncio.sleep(2)
+        await soak.start()
         try:
             await self.check()
         finally:
-            soak.ledger.is_over = True
-            proxies = [x for p in soak.cores + soak.gates for x in p.proxies]
-            proxies += [w.proxy for w in self.workers]
-            for served in self.workers + proxies:
-                served.server.close()
+            soak.close()
 
 
 def run_seed(binary, seed, keep, net):
--- a/soak/silenced.py
+++ b/soak/silenced.py
@@ -50,12 +50,6 @@
         self.findings = []
         self.figures = []
 
-    def proxies(self):
-        """Returns all proxies: those of the instances and of the workers."""
-        found = [x for p in self.soak.cores + self.soak.gates
-                 for x in p.proxies]
-        return found + [w.proxy for w in self.soak.workers]
-
     def count_runs(self, job):
         """Returns how many tasks of a job run."""
         return sum(t.startswith(job) for w in self.soak.workers
@@ -99,15 +93,7 @@
     async def run(self):
         """Starts everything, silences all connections and checks."""
         soak = self.soak
-        for p in soak.cores + soak.gates:
-            for proxy in p.proxies:
-                await proxy.serve()
-            p.start()
-        for w in soak.workers:
-            await w.serve()
-        while soak.operator.acknowledged_version == 0:
-            await soak.operator.change_config()
-        await asyncio.sleep(2)
+        await soak.start()
         try:
             jobs = await asyncio.gather(
                 *(self.submit(n + 1) for n in range(JOBS)))
@@ -120,7 +106,7 @@
             for n in range(ROUNDS):
                 await asyncio.sleep(ROUND_S if n > 0 else 0)
                 silenced_at = time.monotonic()
-                for proxy in self.proxies():
+                for proxy in self.soak.proxies():
                     await proxy.inject_fault("mute", 0)
             await asyncio.sleep(CONTACT_S)
             await asyncio.gather(
@@ -132,9 +118,7 @@
             if lapsed > 0:
                 self.findings.append(f"LOST {lapsed} runs lapsed")
         finally:
-            soak.ledger.is_over = True
-            for served in soak.workers + self.proxies():
-                served.server.close()
+            soak.close()
 
 
 def run_seed(binary, seed, keep, net):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -316,19 +316,34 @@
                                "cancel was answered 410")
         await self.operator.check_config()
 
-    async def run(self, seconds):
-        """Starts everything, injects faults under load and checks the
-        outcome."""
-        loop = asyncio.get_running_loop()
+    def proxies(self):
+        """Returns all proxies: those of the instances and of the workers."""
+        found = [x for p in self.cores + self.gates for x in p.proxies]
+        return found + [w.proxy for w in self.workers]
+
+    async def start(self):
+        """Starts the instances, the workers and their proxies, and waits until
+        a configuration is acknowledged and the workers are registered."""
         for p in self.cores + self.gates:
             for proxy in p.proxies:
                 await proxy.serve()
             p.start()
         for w in self.workers:
             await w.serve()
-        while self.operator.acknowledged_version == 0:
-            await self.operator.change_config()
+        await self.operator.configure()
         await asyncio.sleep(2)
+
+    def close(self):
+        """Ends what start has begun, but not the processes."""
+        self.ledger.is_over = True
+        for served in self.workers + self.proxies():
+            served.server.close()
+
+    async def run(self, seconds):
+        """Starts everything, injects faults under load and checks the
+        outcome."""
+        loop = asyncio.get_running_loop()
+        await self.start()
         until = loop.time() + seconds
         try:
             await asyncio.gather(
@@ -338,11 +353,7 @@
                     until if self.has_evacuations else 0))
             await self.check_final_state()
         finally:
-            self.ledger.is_over = True
-            proxies = [x for p in self.cores + self.gates for x in p.proxies]
-            proxies += [w.proxy for w in self.workers]
-            for served in self.workers + proxies:
-                served.server.close()
+            self.close()
 
     def kill_instances(self):
         """Kills every instance that was started."""
--- a/soak/waves.py
+++ b/soak/waves.py
@@ -205,16 +205,8 @@
     async def run(self):
         """Starts everything, runs the wave under load and checks."""
         soak, loop = self.soak, asyncio.get_running_loop()
-        for p in soak.cores + soak.gates:
-            for proxy in p.proxies:
-                await proxy.serve()
-            p.start()
-        for w in soak.workers:
-            await w.serve()
         await self.cloud.serve()
-        while soak.operator.acknowledged_version == 0:
-            await soak.operator.change_config()
-        await asyncio.sleep(2)
+        await soak.start()
         if self.cloud.reads > 0:
             self.findings.append("READS although no wave is open")
         try:
@@ -232,11 +224,8 @@
             await soak.check_final_state()
             soak.workers += gone
         finally:
-            soak.ledger.is_over = True
-            proxies = [x for p in soak.cores + soak.gates for x in p.proxies]
-            proxies += [w.proxy for w in soak.workers]
-            for served in soak.workers + proxies + [self.cloud]:
-                served.server.close()
+            soak.close()
+            self.cloud.server.close()
         holders = []
         for _, holder in self.cloud.holders:
             if holder not in holders[-1:]:
