--- a/scripts/fleet_faults.sh
+++ b/scripts/fleet_faults.sh
@@ -19,6 +19,7 @@
 # size and length of the run; FLEET_FIRST_FAULT and FLEET_RECOVERY, the seconds
 # of load before the first fault and after the last; FLEET_OPTIONS, further
 # options of the emulator, such as "cancels=30 leaves=0.2 mute=0.2 settle=18";
+# FLEET_CLOUD, IP:PORT where the emulator serves the list of machines;
 # FLEET_NET and FLEET_PORT, where it listens; FLEET_UNEXCUSED, not empty if the
 # emulator isn't told of the faults; FLEET_KEEP, a folder that receives settings, data and logs.
 set -eu
@@ -175,7 +176,8 @@
 for ((i = 1; i <= replicas; i++)); do
 	write_settings core-$i z$((i - 1)) $net.2.$i "found = true" \
 	    "counted = true" "data = $dir/core-$i" \
-	    "control = $net.2.$i:8166" "metrics = $net.2.$i:9464"
+	    "control = $net.2.$i:8166" "metrics = $net.2.$i:9464" \
+	    ${FLEET_CLOUD:+"cloud = $FLEET_CLOUD" "lease_holder_wait = 3s"}
 	start_instance $((i - 1)) core core-$i
 	cores=$cores,$net.2.$i:8166
 done
@@ -189,7 +191,8 @@
 # shellcheck disable=SC2086
 "$emulator" cores="${cores#,}" gates="${gates#,}" workers="$workers" \
     domains=$replicas port="$port" seconds="$seconds" seed="$seed" \
-    scale="${FLEET_SCALE:-1}" ${FLEET_OPTIONS:-} >"$dir/fleet.out" &
+    scale="${FLEET_SCALE:-1}" ${FLEET_CLOUD:+cloud="$FLEET_CLOUD"} \
+    ${FLEET_OPTIONS:-} >"$dir/fleet.out" &
 fleet_pid=$!
 pids+=($fleet_pid)
 end_s=$((SECONDS + warmup_s + seconds))
