Raft: retries of elections back off while votes wait for disks

Cause: a candidate retried after 150 to 450 ms in a new term, also while its own vote or those of the others waited for their disks, which made these void. With syncs of 0.5 s no election was ever won.

Change: the range doubles with each election that raised the term without a leader, up to eight times. The first retry comes as before, and pre-votes, which need no disk, are not delayed.

--- a/src/control/raft_elect.c
+++ b/src/control/raft_elect.c
@@ -2,7 +2,10 @@
 
 /*
  * Sets a random election timeout, which makes split votes unlikely. retry
- * selects the shorter range used after an election was started.
+ * selects the shorter range used after an election was started. It doubles with
+ * each election that has raised the term without a leader: votes wait for the
+ * disks of the candidate and of the voters, and with syncs of 0.5 s each retry
+ * came before the votes of the last one, so that none was ever won.
  */
 void
 raft_set_election_timer(struct raft *r, bool retry)
@@ -10,6 +13,10 @@
 	int64_t min = retry ? RAFT_CAMPAIGN_RETRY_MIN_MS : RAFT_ELECTION_MIN_MS;
 	int64_t max = retry ? RAFT_CAMPAIGN_RETRY_MAX_MS : RAFT_ELECTION_MAX_MS;
 
+	if (r->role == RAFT_CANDIDATE && retry) {
+		min <<= r->nelections;
+		max <<= r->nelections;
+	}
 	r->election_at = clk_add_ms(
 	    r->now, min + (int64_t)rng_below(&r->rng, (uint64_t)(max - min)));
 }
@@ -53,6 +60,8 @@
 	if (r->role != RAFT_FOLLOWER)
 		raft_set_election_timer(r, false);
 	r->role = RAFT_FOLLOWER;
+	if (leader != 0)
+		r->nelections = 0;
 	r->leader = leader;
 	r->leader_instance = instance;
 	r->transfer_target = 0;
@@ -75,6 +84,7 @@
 	r->leader_instance = r->self_instance;
 	r->transfer_target = 0;
 	r->lease_invalidated = false;
+	r->nelections = 0;
 	r->term_start = last + 1;
 	for (i = 0; i < r->npeers; i++) {
 		struct raft_peer *p = &r->peers[i];
@@ -157,6 +167,8 @@
 	r->leader_instance = 0;
 	set_term_and_vote(r, r->term + 1, r->self);
 	raft_set_election_timer(r, true);
+	if (r->nelections < RAFT_CAMPAIGN_BACKOFF_MAX)
+		r->nelections++;
 	clear_votes(r);
 	r->vote_seq = RAFT_SEQ_THIS_STEP;
 	send_vote_requests(r, CONTROL__RAFT_KIND__RAFT_VOTE, r->term, transfer);
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -15,6 +15,8 @@
  * leader, so it need not wait for the longer timeout that detects this. */
 #define RAFT_CAMPAIGN_RETRY_MIN_MS 150
 #define RAFT_CAMPAIGN_RETRY_MAX_MS 450
+/* How often that range may double: up to 3.6 s. */
+#define RAFT_CAMPAIGN_BACKOFF_MAX 3
 /* Proposals are refused with STATUS_FULL above this. */
 #define RAFT_UNCOMMITTED_BYTES_MAX (8 * 1024 * 1024)
 /* Entries kept before a snapshot, so that a follower that is slightly behind
@@ -133,6 +135,7 @@
 
 	uint64_t persist_seq, synced_seq; /* last emitted, last synced */
 	uint64_t vote_seq;		  /* PERSIST of the vote for itself */
+	unsigned nelections; /* by this replica, since it knew a leader */
 	bool hard_state_dirty, truncated;
 	uint64_t hard_state_seq; /* last PERSIST that changed term or vote */
 	/* First entry removed, and first one added, since the last PERSIST. */
--- a/src/control/tests/raft_sim_test.cc
+++ b/src/control/tests/raft_sim_test.cc
@@ -455,3 +455,26 @@
 	    (unsigned long long)n, (unsigned long long)changes,
 	    (unsigned long long)restarts, (unsigned long long)snapshots);
 }
+
+/* Guards against elections that nobody wins while the disks are slow: each
+ * retry raised the term before the votes of the last one were on disk. */
+TEST(RaftSim, SlowDisksElectALeader)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		SimConf c;
+		c.seed = seed;
+		c.sync_ns = 700 * kMs;
+		RaftSim s(c);
+		s.add_group(3);
+		ASSERT_TRUE(
+		    s.run_until([&] { return s.leader() != 0; }, 15 * kSecond))
+		    << "seed " << seed;
+		uint32_t first = s.leader();
+		s.isolate(first, true, true);
+		EXPECT_TRUE(s.run_until(
+		    [&] { return s.leader() != 0 && s.leader() != first; },
+		    20 * kSecond))
+		    << "seed " << seed;
+		EXPECT_TRUE(s.violations.empty()) << s.violations[0];
+	}
+}
