leader_freeze: an unanswered submission is sent again

Cause: process-leader_freeze failed with "FAILED: submit". That the outcome is unknown is true, and the test ended there.

Change: the test sends the submission again with the same change id when the command says so (exit codes 3 and 4), for at most 10 s; any other code fails at once. The test still expects exactly 12 finished tasks, so that a second job shows.

--- a/tests/leader_freeze.sh
+++ b/tests/leader_freeze.sh
@@ -24,8 +24,18 @@
 frozen_url=http://${http[$frozen]}
 curl -s -m 5 "$frozen_url/svc/old/before/." | grep -q worker ||
     fail "the old class is not served before the freeze"
-"$build/cicadabay" submit --class report --cpu 1 --memory 100MiB \
-    --tasks 12 --run-time 4s >/dev/null || fail "submit"
+# Without a leader (3) or with an unknown outcome (4) it is sent again under its
+# change id, as the command line says; a second job would show in the count of
+# tasks below.
+submit_rc=4
+submit_is_answered() {
+	"$build/cicadabay" submit --class report --cpu 1 --memory 100MiB \
+	    --tasks 12 --run-time 4s --change-id freeze
+	submit_rc=$?
+	[ $submit_rc -ne 3 ] && [ $submit_rc -ne 4 ]
+}
+wait_for 10 "outcome of the submission" submit_is_answered
+[ $submit_rc -eq 0 ] || fail "submit ended with $submit_rc"
 "$build/load" --instances "$instances" --class tally --count 3000 --rate 300 \
     --concurrency 128 --keyed 50 --idempotent 40 --timeout-ms 1000 \
     --ledger "$work/load.ledger" >"$work/load.out" &
