Look-ahead: runs kept in order, bounds by the workers that may run a step

A search sorted all runs of each worker.

The bound of one worker in 16 counts the workers that may run the step by label and size, and whether a single end suffices is remembered for these. A start that was sent again is timed from its last order. The time for which a step held places is added up, so that a brief place doesn't cost 10 s later. A plan that ends at its limit of assignments keeps the places of steps it hasn't reached.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -197,9 +197,7 @@
 			struct jst_step *st = &j->steps[i];
 
 			st->nproposed = 0;
-			st->room_ratio_sum = 0;
-			st->room_nended = 0;
-			st->room_since_ms = st->room_retry_ms = 0;
+			jl_forget_room(st);
 			st->nspeed = 0;
 			for (k = 0; k < st->spec->count; k++) {
 				struct jst_task *t = &st->tasks[k];
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -206,6 +206,7 @@
 double jl_slowness(const struct jlead *, const struct wsess *);
 void jl_learn_room(struct jlead *, const struct jrun *);
 void jl_log_reserved(struct jlead *);
+void jl_forget_room(struct jst_step *);
 /* jlead_idle.c */
 void jl_scan_idle(struct jlead *);
 /* jlead_throttle.c */
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -72,6 +72,7 @@
 	int64_t age = clk_diff_ms(jl->now, r->created);
 
 	r->nstarts++;
+	r->ws->room.stale = true; /* a repeated start is timed from now */
 	if (ended)
 		ctr_add(jl->ctr, JCTR_STARTS_ENDED, 1);
 	if (r->nstarts == 1 && !r->inherited && !saved && !ended && current &&
--- a/src/job/jlead_room.c
+++ b/src/job/jlead_room.c
@@ -5,15 +5,16 @@
 
 /* Look-ahead: what the leader knows about the ends of runs. */
 
-/* Returns when a run's resources were taken. An inherited one was assigned by
- * an earlier leader, at a time that this replica may not know. */
+/* Returns since when a run's task runs. One whose start was sent again began
+ * with the last order. An inherited one was assigned by an earlier leader, at a
+ * time that this replica may not know. */
 static struct timespec
 held_since(const struct jrun *r)
 {
+	if (r->nstarts > (r->inherited ? 0 : 1))
+		return r->order_sent_at;
 	if (r->inherited && r->task->assigned_at.tv_sec != 0)
 		return r->task->assigned_at;
-	if (r->phase == RUN_STARTING && r->nstarts > 1)
-		return r->order_sent_at;
 	return r->created;
 }
 
@@ -87,6 +88,15 @@
 		    &r->ws->speed, &jl->speed, r->step, held_ms, now_ms);
 }
 
+/* Forgets what an earlier leader on this replica knew of a step. */
+void
+jl_forget_room(struct jst_step *st)
+{
+	st->room_ratio_sum = 0;
+	st->room_nended = 0;
+	st->room_held_ms = st->room_kept_ms = st->room_retry_ms = 0;
+}
+
 /* Logs the places that the last plan keeps and the one before didn't. At most
  * JLEAD_RESERVE_LINES_MAX in one JLEAD_FLEET_LOG_INTERVAL_MS. */
 void
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -190,7 +190,7 @@
 {
 	r->phase = RUN_CONFIRMED;
 	r->step->waiting_since_ms = 0;
-	r->step->room_since_ms = 0;
+	r->step->room_held_ms = 0;
 }
 
 /* Notes that the last order, a start, has no answer and may be carried out
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -353,6 +353,9 @@
 			jplan_room_reserve(
 			    &round, st, st->nwaiting - st->nproposed - k);
 	}
+	/* The last step that was reached may have tasks left. */
+	for (i -= n >= max && i > 0; n >= max && i < ncand; i++)
+		jplan_room_carry(&round, c[i].st);
 	jplan_room_finish(&round);
 	jplan_round_finish(&round);
 	free(c);
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -119,7 +119,8 @@
 
 /*
  * Look-ahead: places kept for large short tasks. At most one of this many
- * workers of a service, plus one, is kept, and these in all, and for one step.
+ * workers of a service, plus one, is kept, and as many of those that may run
+ * the step; and these in all, and for one step.
  */
 #define JPLAN_WORKERS_PER_SLOT	 16
 #define JPLAN_SLOTS_MAX		 256
@@ -133,8 +134,9 @@
 /* No place is kept that is free later than this: nearly all tasks fit in before
  * then, and the model knows little about so late a time. */
 #define JPLAN_SLOT_AHEAD_MAX_MS 8000
-/* A step for which places were kept for so long without a start gets none for
- * as long again: the model is wrong, or more urgent tasks take them. */
+/* A step for which places were kept for so long in all without a start gets
+ * none for as long again: the model is wrong, or more urgent tasks take them.
+ * Kept time is forgotten after as long without a place. */
 #define JPLAN_SLOT_HOLD_MAX_MS 10000
 /* A place moves if it is free this much sooner elsewhere; below the error of
  * the model a move would only give away what has become free. */
@@ -233,6 +235,7 @@
 	struct jplan_slot slots[JPLAN_SLOTS_MAX];
 	size_t nslots;
 	uint32_t nscans; /* of all workers for a place in the last plan */
+	uint64_t plan;	 /* number of the last plan */
 };
 
 /* Returns the length of a job's critical path by declared times, in ms. */
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -62,10 +62,19 @@
 	 * tasks must leave free.
 	 */
 	int64_t piece_cpu, cpu_free, cpu_in_pieces, cpu_reserved;
-	/* With look-ahead: places kept, and the largest task in this plan that
-	 * a single end makes room for. */
-	size_t nslots;
-	struct jroom_amount small;
+	size_t nslots; /* with look-ahead: places kept */
+};
+
+/* With look-ahead: the workers that a search of this plan went through. */
+struct jplan_set {
+	/* of the tasks that the search was for */
+	uint32_t service_index;
+	const char *label;
+	struct jroom_amount need;
+	/* that may run such a task by label and size, and places kept there */
+	size_t nworkers, nslots;
+	bool is_full;	    /* no further place may be kept there */
+	bool one_is_enough; /* a single end makes room for such a task */
 };
 
 /* A failure domain with cold workers. */
@@ -95,6 +104,11 @@
 	size_t nno_fit;
 	struct jplan_lookahead *look; /* or NULL */
 	struct jplan_claim claim;
+	struct jplan_set sets[JPLAN_SLOT_SCANS_MAX];
+	size_t nsets;
+	/* jobs with places from the plan before that this one hasn't reached */
+	uint64_t carried[JPLAN_SLOTS_MAX];
+	size_t ncarried;
 };
 
 /* jplan_place.c */
@@ -115,6 +129,8 @@
 struct jplan_need jplan_get_need(
     struct jplan_round *, const struct jst_step *, bool displaced);
 bool jplan_is_eligible(const struct jplan_need *, const struct jplan_worker *);
+/* Tells whether two labels are equal; NULL is none. */
+bool jplan_is_same_label(const char *, const char *);
 /* Undoes choices of jplan_place. */
 void jplan_undo(struct jplan_round *, const struct jplan_choice *, size_t n);
 
@@ -138,6 +154,9 @@
     const struct jplan_need *, struct jplan_worker *, int sign);
 /* Keeps places for this many tasks of the step that was placed last. */
 void jplan_room_reserve(struct jplan_round *, struct jst_step *, size_t tasks);
+/* Keeps the places that a step had in the plan before; this one has reached its
+ * limit before the step. */
+void jplan_room_carry(struct jplan_round *, struct jst_step *);
 void jplan_room_finish(struct jplan_round *);
 
 /* jplan_interf.c */
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -197,8 +197,8 @@
 }
 
 /* Tells whether two labels are equal; NULL is none. */
-static bool
-is_same_label(const char *a, const char *b)
+bool
+jplan_is_same_label(const char *a, const char *b)
 {
 	return a == b || (a != NULL && b != NULL && strcmp(a, b) == 0);
 }
@@ -214,7 +214,7 @@
 		const struct jplan_need *f = &r->no_fit[i];
 
 		if (f->service_index == d->service_index &&
-		    is_same_label(f->label, d->label) &&
+		    jplan_is_same_label(f->label, d->label) &&
 		    f->best_effort == d->best_effort &&
 		    (f->may_use_reserved || !d->may_use_reserved) &&
 		    (!f->may_wait ||
--- a/src/job/jplan_room.c
+++ b/src/job/jplan_room.c
@@ -22,6 +22,7 @@
 		return;
 	look->nslots = 0;
 	look->nscans = 0;
+	look->plan++;
 }
 
 /* Completes a need by what matters for places kept for others. */
@@ -111,28 +112,48 @@
 /* Tells whether a step may get places now: not if it has kept some for long
  * without a start. */
 static bool
-may_hold(struct jst_step *st, int64_t now_ms)
+may_hold(const struct jst_step *st, int64_t now_ms)
 {
-	int64_t held;
-
-	if (st->room_since_ms == 0)
-		return true;
-	held = now_ms - st->room_since_ms;
-	if (held > 2 * JPLAN_SLOT_HOLD_MAX_MS)
-		st->room_since_ms = 0;
-	return held <= JPLAN_SLOT_HOLD_MAX_MS ||
-	    held > 2 * JPLAN_SLOT_HOLD_MAX_MS;
+	return st->room_held_ms < JPLAN_SLOT_HOLD_MAX_MS ||
+	    now_ms - st->room_kept_ms >= JPLAN_SLOT_HOLD_MAX_MS;
 }
 
-/* Tells whether a worker could take the task if nothing but long-running tasks
- * ran there. */
+/* Counts the time since the plan before if a place was kept there as well. */
+static void
+note_kept(const struct jplan_round *r, struct jst_step *st)
+{
+	if (st->room_kept_ms != 0 && st->room_plan == r->look->plan)
+		return;
+	if (r->now_ms - st->room_kept_ms >= JPLAN_SLOT_HOLD_MAX_MS &&
+	    st->room_plan + 1 != r->look->plan)
+		st->room_held_ms = 0;
+	else if (st->room_kept_ms != 0 && st->room_plan + 1 == r->look->plan)
+		st->room_held_ms += r->now_ms - st->room_kept_ms;
+	st->room_plan = r->look->plan;
+	st->room_kept_ms = r->now_ms;
+}
+
+/* Tells whether a worker, if it were empty, could run the task: it has the
+ * service, the label and the size. */
+static bool
+may_run(const struct jplan_need *d, const struct jplan_worker *p)
+{
+	const Job__Worker *w = p->w->info;
+
+	return !p->closed && d->cpu <= p->cpu_total &&
+	    d->mem <= (int64_t)w->mem_mb && d->accel <= (int64_t)w->accel &&
+	    jplan_is_eligible(d, p);
+}
+
+/* Tells whether a worker that may run the task could take it if nothing but
+ * long-running tasks ran there. */
 static bool
 is_possible(const struct jplan_round *r, const struct jplan_need *d,
     const struct jplan_worker *p)
 {
 	const Job__Worker *w = p->w->info;
 
-	return !p->reserved && p->room_slot == 0 && jplan_is_eligible(d, p) &&
+	return !p->reserved && p->room_slot == 0 &&
 	    p->failure_score <= JPLAN_SLOT_FAILURE_MAX &&
 	    p->usable_at_ms <= r->now_ms + JPLAN_SLOT_AHEAD_MAX_MS &&
 	    d->cpu <= p->cpu_total - p->lasting_cpu &&
@@ -141,44 +162,58 @@
 }
 
 /* Sets pl to where and when a task of a step can start on a worker. Returns
- * false if it can't for long. */
+ * false if its order_ms would be later than by_ms, or the start too far off. */
 static bool
 place_init(const struct jplan_round *r, const struct jst_step *st,
-    const struct jplan_need *d, size_t worker, struct place *pl)
+    const struct jplan_need *d, size_t worker, int64_t by_ms, struct place *pl)
 {
 	const struct jplan_worker *p = &r->workers[worker];
 	struct jroom_amount available = { p->free_cpu, p->free_mem,
 		p->free_accel };
 	struct jroom_amount need = { d->cpu, d->mem, d->accel };
+	int64_t gain_ms = p->hold.start_ms != 0 && p->hold.job == st->job->id
+	    ? JPLAN_SLOT_MOVE_MS
+	    : 0;
 
-	if (!is_possible(r, d, p))
+	by_ms += gain_ms;
+	if (by_ms > r->now_ms + JPLAN_SLOT_AHEAD_MAX_MS)
+		by_ms = r->now_ms + JPLAN_SLOT_AHEAD_MAX_MS;
+	if (p->usable_at_ms > by_ms || !is_possible(r, d, p))
 		return false;
 	refresh(r, p);
 	pl->worker = worker;
-	pl->start = jroom_find_start(p->room, &available, &need, r->now_ms);
+	pl->start =
+	    jroom_find_start(p->room, &available, &need, r->now_ms, by_ms);
 	if (pl->start.at_ms == JROOM_NEVER)
 		return false;
 	if (pl->start.at_ms < p->usable_at_ms)
 		pl->start.at_ms = p->usable_at_ms;
-	pl->order_ms = pl->start.at_ms;
-	if (p->hold.start_ms != 0 && p->hold.job == st->job->id)
-		pl->order_ms -= JPLAN_SLOT_MOVE_MS;
-	return pl->start.at_ms <= r->now_ms + JPLAN_SLOT_AHEAD_MAX_MS;
+	pl->order_ms = pl->start.at_ms - gain_ms;
+	return true;
 }
 
 /* Finds the workers where tasks of a step can start earliest, at most max, and
- * returns their number. */
+ * returns their number. Counts in set the workers that may run the step. */
 static size_t
 find_places(struct jplan_round *r, const struct jst_step *st,
-    const struct jplan_need *d, struct place *v, size_t max)
+    const struct jplan_need *d, struct jplan_set *set, struct place *v,
+    size_t max)
 {
 	struct place x;
 	size_t i, k, n = 0;
+	int64_t by_ms = r->now_ms + JPLAN_SLOT_AHEAD_MAX_MS;
 
 	r->look->nscans++;
 	for (i = 0; i < r->nworkers; i++) {
-		if (!place_init(r, st, d, i, &x) ||
-		    (n == max && x.order_ms >= v[n - 1].order_ms))
+		const struct jplan_worker *p = &r->workers[i];
+
+		if (!may_run(d, p))
+			continue;
+		set->nworkers++;
+		set->nslots += p->room_slot != 0;
+		if (n == max)
+			by_ms = v[n - 1].order_ms - 1;
+		if (!place_init(r, st, d, i, by_ms, &x))
 			continue;
 		n += n < max;
 		for (k = n - 1; k > 0 && v[k - 1].order_ms > x.order_ms; k--)
@@ -214,18 +249,48 @@
 	s->is_new = p->hold.start_ms == 0 || p->hold.job != st->job->id;
 	p->room_slot = (uint32_t)++r->look->nslots;
 	r->services[d->service_index].nslots++;
-	if (st->room_since_ms == 0)
-		st->room_since_ms = r->now_ms;
+	note_kept(r, st);
 	return true;
 }
 
-/* Tells whether a task is no larger than one that a single end made room for in
- * this plan. Such a task gets its place by its order. */
+/* Tells whether an earlier search of this plan has shown that a task gets no
+ * place: it is no larger than one that a single end makes room for, which gets
+ * its place by its order, or no further worker of its set may be kept. */
 static bool
-is_small(const struct jplan_service *s, const struct jplan_need *d)
+is_settled(const struct jplan_round *r, const struct jplan_need *d)
 {
-	return d->cpu <= s->small.cpu && d->mem <= s->small.mem &&
-	    d->accel <= s->small.accel;
+	size_t i;
+
+	for (i = 0; i < r->nsets; i++) {
+		const struct jplan_set *s = &r->sets[i];
+
+		if (s->service_index != d->service_index ||
+		    !jplan_is_same_label(s->label, d->label))
+			continue;
+		if (s->one_is_enough && d->cpu <= s->need.cpu &&
+		    d->mem <= s->need.mem && d->accel <= s->need.accel)
+			return true;
+		if (s->is_full && d->cpu == s->need.cpu &&
+		    d->mem == s->need.mem && d->accel == s->need.accel)
+			return true;
+	}
+	return false;
+}
+
+/* Returns for how many more tasks of a step places may be kept, as far as that
+ * is known before a search. */
+static size_t
+slots_left(
+    const struct jplan_round *r, const struct jplan_service *s, size_t tasks)
+{
+	size_t most = s->nworkers / JPLAN_WORKERS_PER_SLOT + 1;
+
+	most = most > s->nslots ? most - s->nslots : 0;
+	if (most > JPLAN_SLOTS_MAX - r->look->nslots)
+		most = JPLAN_SLOTS_MAX - r->look->nslots;
+	if (most > JPLAN_SLOTS_PER_STEP_MAX)
+		most = JPLAN_SLOTS_PER_STEP_MAX;
+	return most < tasks ? most : tasks;
 }
 
 /* Keeps workers for the tasks of a step that fit nowhere now, where they can
@@ -235,8 +300,8 @@
 {
 	struct jplan_need d;
 	struct place v[JPLAN_SLOTS_PER_STEP_MAX];
-	struct jplan_service *s;
-	size_t i, n, most;
+	struct jplan_set *set;
+	size_t i, n, most, limit;
 
 	if (r->look == NULL || st->spec->lasting || st->spec->fills ||
 	    st->spec->gang || st->spec->spread > 0 || r->claim.band > 1 ||
@@ -246,29 +311,53 @@
 	d = jplan_get_need(r, st, false);
 	if (d.service_index == JPLAN_NO_SERVICE)
 		return;
-	s = &r->services[d.service_index];
-	most = s->nworkers / JPLAN_WORKERS_PER_SLOT + 1;
-	most = most > s->nslots ? most - s->nslots : 0;
-	if (most > JPLAN_SLOTS_MAX - r->look->nslots)
-		most = JPLAN_SLOTS_MAX - r->look->nslots;
-	if (most > tasks)
-		most = tasks;
-	if (most > JPLAN_SLOTS_PER_STEP_MAX)
-		most = JPLAN_SLOTS_PER_STEP_MAX;
-	if (most == 0 || is_small(s, &d) || !may_hold(st, r->now_ms))
+	most = slots_left(r, &r->services[d.service_index], tasks);
+	if (most == 0 || is_settled(r, &d) || !may_hold(st, r->now_ms))
 		return;
-	n = find_places(r, st, &d, v, most);
+	set = &r->sets[r->nsets++];
+	*set = (struct jplan_set){ .service_index = d.service_index,
+		.label = d.label,
+		.need = { d.cpu, d.mem, d.accel } };
+	n = find_places(r, st, &d, set, v, most);
 	if (n == 0)
 		st->room_retry_ms = r->now_ms + JPLAN_SLOT_RETRY_MS;
-	for (i = 0; i < n && !v[i].start.one_is_enough; i++) {
+	limit = set->nworkers / JPLAN_WORKERS_PER_SLOT + 1;
+	set->one_is_enough = n > 0 && v[0].start.one_is_enough;
+	for (i = 0; i < n && set->nslots < limit && !v[i].start.one_is_enough;
+	     i++) {
 		if (!keep(r, st, &d, &v[i])) {
 			st->room_retry_ms = r->now_ms + JPLAN_SLOT_RETRY_MS;
 			return;
 		}
+		set->nslots++;
 	}
-	if (n > 0 && v[0].start.one_is_enough && d.cpu >= s->small.cpu &&
-	    d.mem >= s->small.mem && d.accel >= s->small.accel)
-		s->small = (struct jroom_amount){ d.cpu, d.mem, d.accel };
+	set->is_full = set->nslots >= limit;
+}
+
+/* Keeps the places of a step that this plan hasn't reached as they were. */
+void
+jplan_room_carry(struct jplan_round *r, struct jst_step *st)
+{
+	if (r->look == NULL || st->room_kept_ms == 0 ||
+	    st->room_plan + 1 != r->look->plan ||
+	    r->ncarried == JPLAN_SLOTS_MAX || !may_hold(st, r->now_ms))
+		return;
+	note_kept(r, st);
+	r->carried[r->ncarried++] = st->job->id;
+}
+
+/* Tells whether a place of the plan before belongs to a step that this plan
+ * hasn't reached. */
+static bool
+is_carried(const struct jplan_round *r, const struct jplan_hold *h)
+{
+	size_t i;
+
+	for (i = 0; i < r->ncarried; i++) {
+		if (r->carried[i] == h->job)
+			return true;
+	}
+	return false;
 }
 
 /* Remembers the places of this plan for the next one. */
@@ -281,9 +370,11 @@
 		struct jplan_worker *p = &r->workers[i];
 		const struct jplan_slot *s;
 
-		p->hold.start_ms = 0;
-		if (p->room_slot == 0)
+		if (p->room_slot == 0) {
+			if (p->hold.start_ms != 0 && !is_carried(r, &p->hold))
+				p->hold.start_ms = 0;
 			continue;
+		}
 		s = &r->look->slots[p->room_slot - 1];
 		p->hold.job = s->step->job->id;
 		p->hold.start_ms = s->start_ms;
--- a/src/job/jroom.c
+++ b/src/job/jroom.c
@@ -86,10 +86,19 @@
 	return (int64_t)(declared_ms(st) * ratio);
 }
 
-/* Adds a run that ends by itself. */
+/* Returns when a run ends if it takes as long as expected. */
+static int64_t
+nominal_end_ms(const struct jroom_run *run)
+{
+	return run->since_ms + run->expected_ms;
+}
+
+/* Adds a run that ends by itself, after those that end no later. */
 void
 jroom_add_run(struct jroom_worker *w, const struct jroom_run *run)
 {
+	size_t lo = 0, hi = w->n;
+
 	if (w->n == JROOM_RUNS_MAX)
 		return;
 	if (w->n == w->cap) {
@@ -98,20 +107,32 @@
 		if (w->runs == NULL)
 			abort();
 	}
-	w->runs[w->n++] = *run;
+	while (lo < hi) {
+		size_t mid = (lo + hi) / 2;
+
+		if (nominal_end_ms(&w->runs[mid]) <= nominal_end_ms(run))
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	memmove(&w->runs[lo + 1], &w->runs[lo], (w->n - lo) * sizeof(*w->runs));
+	w->runs[lo] = *run;
+	w->n++;
 }
 
-/* Removes a run that was added; the order of the others doesn't matter. */
+/* Removes a run that was added. */
 void
 jroom_remove_run(struct jroom_worker *w, const struct jroom_run *run)
 {
 	size_t i;
 
 	for (i = w->n; i > 0; i--) {
-		if (memcmp(&w->runs[i - 1], run, sizeof(*run)) == 0) {
-			w->runs[i - 1] = w->runs[--w->n];
-			return;
-		}
+		if (memcmp(&w->runs[i - 1], run, sizeof(*run)) != 0)
+			continue;
+		memmove(&w->runs[i - 1], &w->runs[i],
+		    (w->n - i) * sizeof(*w->runs));
+		w->n--;
+		return;
 	}
 }
 
@@ -140,38 +161,69 @@
 	    (need->accel <= available->accel || need->accel <= accel);
 }
 
-/* Goes through the ends on a worker in order until the task fits. */
+/* The ends on a worker in order, read one at a time. Overdue runs end later
+ * than their place in the list says; they wait in late until it is their
+ * turn. */
+struct ends {
+	const struct jroom_worker *w;
+	int64_t now_ms;
+	size_t next; /* index of the next run */
+	struct late_run {
+		int64_t at_ms;
+		const struct jroom_run *run;
+	} late[JROOM_RUNS_MAX]; /* the earliest last */
+	size_t nlate;
+};
+
+/* Returns the run that ends next and sets at_ms to its end, NULL if there is
+ * none. */
+static const struct jroom_run *
+next_end(struct ends *e, int64_t *at_ms)
+{
+	while (e->next < e->w->n) {
+		const struct jroom_run *run = &e->w->runs[e->next];
+		int64_t nominal = nominal_end_ms(run), at;
+		size_t k;
+
+		if (e->nlate > 0 && e->late[e->nlate - 1].at_ms <= nominal)
+			break;
+		e->next++;
+		at = jroom_end_ms(run, e->now_ms);
+		if (at == nominal) {
+			*at_ms = at;
+			return run;
+		}
+		for (k = e->nlate++; k > 0 && e->late[k - 1].at_ms <= at; k--)
+			e->late[k] = e->late[k - 1];
+		e->late[k] = (struct late_run){ at, run };
+	}
+	if (e->nlate == 0)
+		return NULL;
+	e->nlate--;
+	*at_ms = e->late[e->nlate].at_ms;
+	return e->late[e->nlate].run;
+}
+
+/* Goes through the ends on a worker in order until the task fits, no further
+ * than by_ms. */
 struct jroom_start
 jroom_find_start(const struct jroom_worker *w,
     const struct jroom_amount *available, const struct jroom_amount *need,
-    int64_t now_ms)
+    int64_t now_ms, int64_t by_ms)
 {
 	struct jroom_start s = { .at_ms = JROOM_NEVER };
-	struct {
-		int64_t at_ms;
-		const struct jroom_run *run;
-	} order[JROOM_RUNS_MAX];
 	struct jroom_amount sum = *available;
-	size_t i, k;
-
-	for (i = 0; i < w->n; i++) {
-		int64_t at = jroom_end_ms(&w->runs[i], now_ms);
-
-		for (k = i; k > 0 && order[k - 1].at_ms > at; k--)
-			order[k] = order[k - 1];
-		order[k].at_ms = at;
-		order[k].run = &w->runs[i];
-	}
-	for (i = 0; i <= w->n; i++) {
-		const struct jroom_run *run;
-
-		if (covers(&sum, need, 0, 0, 0)) {
-			s.at_ms = i == 0 ? now_ms : order[i - 1].at_ms;
-			break;
-		}
-		if (i == w->n)
-			break;
-		run = order[i].run;
+	const struct jroom_run *run;
+	struct ends e;
+	int64_t at_ms = now_ms;
+
+	e.w = w;
+	e.now_ms = now_ms;
+	e.next = e.nlate = 0;
+	while (!covers(&sum, need, 0, 0, 0)) {
+		run = next_end(&e, &at_ms);
+		if (run == NULL || at_ms > by_ms)
+			return s;
 		s.one_is_enough |=
 		    covers(available, need, run->cpu, run->mem, run->accel);
 		sum.cpu += run->cpu;
@@ -179,6 +231,7 @@
 		sum.accel += run->accel;
 		s.nends++;
 	}
+	s.at_ms = at_ms;
 	s.spare.cpu = sum.cpu - need->cpu;
 	s.spare.mem = sum.mem - need->mem;
 	s.spare.accel = sum.accel - need->accel;
--- a/src/job/jroom.h
+++ b/src/job/jroom.h
@@ -65,7 +65,8 @@
 	int64_t cpu, mem, accel;
 };
 
-/* The runs of a worker that end by themselves. */
+/* The runs of a worker that end by themselves, in order of since_ms +
+ * expected_ms, so that a search needn't sort them. */
 struct jroom_worker {
 	struct jroom_run *runs;
 	size_t n, cap;
@@ -99,10 +100,10 @@
 /* Returns when a run ends. */
 int64_t jroom_end_ms(const struct jroom_run *, int64_t now_ms);
 /* Returns when a task fits on a worker with these free resources. at_ms is
- * JROOM_NEVER if it doesn't fit after all ends. */
+ * JROOM_NEVER if it doesn't fit by by_ms. */
 struct jroom_start jroom_find_start(const struct jroom_worker *,
     const struct jroom_amount *available, const struct jroom_amount *need,
-    int64_t now_ms);
+    int64_t now_ms, int64_t by_ms);
 void jroom_worker_finish(struct jroom_worker *);
 
 __END_DECLS
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -94,9 +94,11 @@
 	/* leader: ratios of real to declared time of its ended tasks */
 	double room_ratio_sum;
 	uint32_t room_nended;
-	/* leader: monotonic time since when a place is kept for it and none of
-	 * its tasks was placed, 0: none is kept */
-	int64_t room_since_ms;
+	/* leader: when a place was last kept for it, 0: never; in which plan;
+	 * and for how long in all since one of its tasks began */
+	int64_t room_kept_ms;
+	uint64_t room_plan;
+	int64_t room_held_ms;
 	/* leader: no place is searched for it before this monotonic time */
 	int64_t room_retry_ms;
 	/* leader: how long ended tasks took, in order */
