--- a/src/job/jlead_room.c
+++ b/src/job/jlead_room.c
@@ -31,17 +31,19 @@
 		struct jroom_run x = { 0 };
 
 		x.since_ms = clk_ns(held_since(r)) / CLK_NS_PER_MS;
-		if (r->phase == RUN_ENDING)
-			x.expected_ms = now_ms - x.since_ms + JROOM_ENDING_MS;
-		else if (r->must_stop)
-			x.expected_ms = now_ms - x.since_ms + JROOM_STOP_MS;
-		else if (s->lasting)
+		if (r->phase == RUN_ENDING || r->must_stop) {
+			/* Its age says nothing about when it ends. */
+			x.since_ms = now_ms;
+			x.expected_ms = r->phase == RUN_ENDING ? JROOM_ENDING_MS
+							       : JROOM_STOP_MS;
+		} else if (s->lasting) {
 			continue;
-		else
+		} else {
 			x.expected_ms = jroom_expected_ms(&jl->room, r->step,
 					    r->image_index) *
 			    JTHROTTLE_FULL_PERCENT /
 			    (r->throttle_percent > 0 ? r->throttle_percent : 1);
+		}
 		x.cpu = s->fills ? 0 : s->cpu_milli;
 		x.mem = s->mem_mb;
 		x.accel = s->accel;
--- a/src/job/tests/room_test.cc
+++ b/src/job/tests/room_test.cc
@@ -1,4 +1,4 @@
-#include "job/tests/job_sim.h"
+#include "job/tests/room_sim.h"
 
 namespace {
 
@@ -138,59 +138,6 @@
 	EXPECT_GT(b.large[1].credit(), b.large[0].credit() + 0.04);
 }
 
-/* One worker or more of 16 processors with look-ahead, and runs of known
- * length. */
-struct Room : JobSim {
-	static const uint64_t LARGE = 900;
-	std::map<uint64_t, int64_t> real_ms;
-
-	explicit Room(uint32_t nworkers, bool on = true) : JobSim(1)
-	{
-		jl.lookahead = on;
-		run_time_ms = [this](
-				  const SimTask &k) { return real_ms[k.job]; };
-		for (uint32_t i = 0; i < nworkers; i++)
-			add_worker(16000);
-		lead();
-		run(100);
-	}
-	/* Submits a job of one step; its tasks really take real. */
-	void task(uint64_t id, const char *queue, uint32_t cpu,
-	    uint32_t estimate, int64_t real = 0, uint32_t count = 1,
-	    const char *label = NULL)
-	{
-		Job__Step x = step(count, cpu, estimate);
-		std::string text = label == NULL ? "" : label;
-		x.label = label == NULL ? NULL : text.data();
-		real_ms[id] = real > 0 ? real : estimate;
-		submit(id, queue, { x });
-	}
-	/* Fills a worker but for 4 processors. */
-	void fill(uint64_t id, uint32_t estimate, int64_t real = 0,
-	    uint32_t count = 2)
-	{
-		task(id, "fast", 6000, estimate, real, count);
-		run(100);
-	}
-	/* Submits a task that fits nowhere. */
-	void large(uint32_t estimate = 1000, uint32_t count = 1)
-	{
-		task(LARGE, "fast", 14000, estimate, 0, count);
-		run(50);
-	}
-	bool has_started(uint64_t id)
-	{
-		return starts.count({ id, 0, 0, 0 }) > 0;
-	}
-	/* Plans again, also if nothing has happened. */
-	size_t slots()
-	{
-		jl.plan_needed = true;
-		run(5);
-		return jl.look.nslots;
-	}
-};
-
 /* Guards against a fragment that is given to a task that outlasts the start of
  * the large one, or kept from one that doesn't. */
 TEST(JobRoom, OnlyTasksThatEndInTimeUseAKeptPlace)
