Look-ahead: why shows the workers kept for a waiting job

GET /-/why/ID at the control address of a replica, and cicadabay why with an id of 16 digits, list the steps that wait and each worker kept for them, with its failure domain, the replica that keeps it and the time until the start. Tests of starts sent again, refused runs and displaced tasks.

--- a/src/cli/cmd.c
+++ b/src/cli/cmd.c
@@ -16,6 +16,7 @@
 #include "cli/trace.h"
 #include "node/core.h"
 #include "node/gate.h"
+#include "platform/pf.h"
 
 #define NELEM(a)	(sizeof(a) / sizeof((a)[0]))
 #define CHANGE_ID_BYTES 16
@@ -149,6 +150,19 @@
 	return code;
 }
 
+/* Tells why a job waits. A job of the job scheduler has an id of 16 digits, and
+ * a replica's control address knows of it. */
+static int
+run_why(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	bool is_scheduled = pf_why_path(ctx, args[0]) != NULL;
+
+	talloc_free(ctx);
+	return is_scheduled ? evac_run_why(cmd, opt, args)
+			    : run_request(cmd, opt, args);
+}
+
 /* Asks for the current version of the configuration. */
 static int
 fetch_version(const struct cmd_options *opt, TALLOC_CTX *ctx, int64_t *v)
@@ -565,7 +579,7 @@
 	    .args = "JOB",
 	    .min_args = 1,
 	    .max_args = 1,
-	    .run = run_request,
+	    .run = run_why,
 	    .method = "GET",
 	    .prefix = "/v1/jobs/",
 	    .suffix = "/why",
--- a/src/cli/evac.c
+++ b/src/cli/evac.c
@@ -70,6 +70,22 @@
 	return code;
 }
 
+/* Tells why a job of the job scheduler waits. */
+int
+evac_run_why(const struct cmd *cmd, const struct cmd_options *opt, char **args)
+{
+	TALLOC_CTX *ctx = talloc_new(NULL);
+	struct http_reply r;
+	int code = send_to_any(opt, ctx, "GET", pf_why_path(ctx, args[0]), &r);
+
+	if (code == EXIT_DONE) {
+		show_body(cmd, r.body, opt->json);
+		http_reply_finish(&r);
+	}
+	talloc_free(ctx);
+	return code;
+}
+
 /* Lists the evacuations in effect. */
 int
 evac_run_list(const struct cmd *cmd, const struct cmd_options *opt, char **args)
--- a/src/job/jcall.c
+++ b/src/job/jcall.c
@@ -95,6 +95,8 @@
 	case JOB__CALL_KIND__CONFIG_GET:
 	case JOB__CALL_KIND__EVACUATIONS_GET:
 		return STATUS_OK;
+	case JOB__CALL_KIND__WHY_GET:
+		return c->has_job ? STATUS_OK : report_missing(e, "job");
 	case JOB__CALL_KIND__EVACUATE:
 		return check_evacuation(c->evacuation, e);
 	case JOB__CALL_KIND__BEAT:
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -316,6 +316,10 @@
 /* Takes the result of an order. */
 void jlead_on_ordered(
     struct jlead *, struct timespec now, uint64_t serial, enum jcloud_result);
+/* Returns how many workers the last plan keeps for tasks of a job, and sets out
+ * to the first max of them, in no order. None without look-ahead. */
+size_t jlead_kept_places(const struct jlead *, uint64_t job,
+    const struct jplan_worker **out, size_t max);
 /* Assigns tasks that can start now. Called at the end of each round of
  * events. */
 void jlead_plan(struct jlead *);
--- a/src/job/jlead_room.c
+++ b/src/job/jlead_room.c
@@ -126,3 +126,23 @@
 		    s->step->spec->cpu_milli, p->free_cpu, s->is_late);
 	}
 }
+
+/* Finds the workers that the last plan keeps for a job. */
+size_t
+jlead_kept_places(const struct jlead *jl, uint64_t job,
+    const struct jplan_worker **out, size_t max)
+{
+	size_t i, n = 0;
+
+	for (i = 0; jl->leading && jl->lookahead && i < jl->nsessions; i++) {
+		const struct jplan_worker *p = &jl->plan_workers[i];
+
+		if (p->room == NULL || p->hold.start_ms == 0 ||
+		    p->hold.job != job)
+			continue;
+		if (n < max)
+			out[n] = p;
+		n++;
+	}
+	return n;
+}
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -3368,7 +3368,7 @@
 	job__wave_state__enum_values_by_name, 1, job__wave_state__value_ranges,
 	NULL, NULL, NULL, NULL /* reserved[1234] */
 };
-static const ProtobufCEnumValue job__call_kind__enum_values_by_number[12] = {
+static const ProtobufCEnumValue job__call_kind__enum_values_by_number[13] = {
 	{ "SUBMIT", "JOB__CALL_KIND__SUBMIT", 0 },
 	{ "STATUS", "JOB__CALL_KIND__STATUS", 1 },
 	{ "CANCEL", "JOB__CALL_KIND__CANCEL", 2 },
@@ -3381,10 +3381,11 @@
 	{ "WAVE_GET", "JOB__CALL_KIND__WAVE_GET", 9 },
 	{ "EVACUATE", "JOB__CALL_KIND__EVACUATE", 10 },
 	{ "EVACUATIONS_GET", "JOB__CALL_KIND__EVACUATIONS_GET", 11 },
+	{ "WHY_GET", "JOB__CALL_KIND__WHY_GET", 12 },
 };
 static const ProtobufCIntRange job__call_kind__value_ranges[] = { { 0, 0 },
-	{ 0, 12 } };
-static const ProtobufCEnumValueIndex job__call_kind__enum_values_by_name[12] = {
+	{ 0, 13 } };
+static const ProtobufCEnumValueIndex job__call_kind__enum_values_by_name[13] = {
 	{ "BEAT", 6 },
 	{ "CANCEL", 2 },
 	{ "CONFIG_GET", 5 },
@@ -3397,10 +3398,11 @@
 	{ "SUBMIT", 0 },
 	{ "WAVE_GET", 9 },
 	{ "WAVE_PUT", 8 },
+	{ "WHY_GET", 12 },
 };
 const ProtobufCEnumDescriptor job__call_kind__descriptor = {
 	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "job.CallKind", "CallKind",
-	"Job__CallKind", "job", 12, job__call_kind__enum_values_by_number, 12,
+	"Job__CallKind", "job", 13, job__call_kind__enum_values_by_number, 13,
 	job__call_kind__enum_values_by_name, 1, job__call_kind__value_ranges,
 	NULL, NULL, NULL, NULL /* reserved[1234] */
 };
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -164,6 +164,7 @@
 /* A place kept for a large task in an earlier plan. */
 struct jplan_hold {
 	uint64_t job;
+	uint32_t occurrence, step;
 	int64_t start_ms; /* when it was to start; 0: none is kept */
 };
 
--- a/src/job/jplan_room.c
+++ b/src/job/jplan_room.c
@@ -377,6 +377,8 @@
 		}
 		s = &r->look->slots[p->room_slot - 1];
 		p->hold.job = s->step->job->id;
+		p->hold.occurrence = s->step->occurrence;
+		p->hold.step = s->step->number;
 		p->hold.start_ms = s->start_ms;
 	}
 }
--- a/src/job/tests/room_rules_test.cc
+++ b/src/job/tests/room_rules_test.cc
@@ -6,8 +6,13 @@
 const struct jplan_slot &
 only_slot(Room &s)
 {
+	static struct jst_job no_job = {};
+	static struct jst_step no_step = {};
+	static struct jplan_slot none = {};
+	no_step.job = &no_job;
+	none.step = &no_step;
 	EXPECT_EQ(1u, s.slots());
-	return s.jl.look.slots[0];
+	return s.jl.look.nslots == 1 ? s.jl.look.slots[0] : none;
 }
 
 /* Returns how many places the plan before keeps for the large task. */
@@ -87,20 +92,25 @@
  * moment long before. */
 TEST(JobRoomRules, ABriefPlaceDoesntCostALaterOne)
 {
-	Room s(1);
-	uint64_t first = s.workers.begin()->first;
-	s.fill(1, 3000, 30000);
-	s.large(9000);
-	ASSERT_EQ(1u, s.slots());
-	s.run(500);
-	s.drain(first);
-	EXPECT_EQ(0u, s.slots());
-	s.run(JPLAN_SLOT_HOLD_MAX_MS + 500);
-	s.new_kind = "b";
-	s.task(2, "fast", 6000, 4000, 0, 2, "b");
-	s.add_worker(16000);
-	s.run(JPLAN_SLOT_RETRY_MS + 200);
-	EXPECT_EQ(1u, s.slots());
+	for (int gaps : { 1, 2 }) {
+		Room s(1);
+		uint64_t w = s.workers.begin()->first;
+		s.fill(1, 3000, 30000);
+		s.large(9000);
+		ASSERT_EQ(1u, s.slots());
+		for (int i = 1; i <= gaps; i++) {
+			s.run(300);
+			s.drain(w);
+			EXPECT_EQ(0u, s.slots());
+			s.run((JPLAN_SLOT_HOLD_MAX_MS + 1000) / gaps);
+			s.new_kind = "b" + std::to_string(i);
+			s.task(1 + (uint64_t)i, "fast", 6000, 4000, 30000, 2,
+			    s.new_kind.c_str());
+			w = s.add_worker(16000);
+			s.run(JPLAN_SLOT_RETRY_MS + 200);
+			EXPECT_EQ(1u, s.slots()) << gaps;
+		}
+	}
 }
 
 /* Guards against a place that is forgotten because a plan has reached its limit
@@ -147,6 +157,49 @@
 	    (double)(started_ms + 1560), (double)only_slot(s).start_ms, 100);
 }
 
+/* Guards against a place that is timed from the first order of a start that is
+ * sent again meanwhile. */
+TEST(JobRoomRules, APlaceMovesWithAStartThatIsSentAgain)
+{
+	Room s(1);
+	s.drop_starts_to = s.workers.begin()->first;
+	s.fill(1, 3000);
+	s.large(3000);
+	const struct jst_task *t =
+	    &jst_find_step(jst_find_job(&s.st, 1), 0, 0)->tasks[1];
+	ASSERT_EQ(1u, s.slots());
+	int nchecks = 0;
+	for (int i = 0; i < 800 && t->active_run->nstarts < 3; i++) {
+		int64_t sent_ms = 0;
+		if (s.slots() == 0 || t->active_run->nstarts < 2)
+			continue;
+		sent_ms = clk_ns(t->active_run->order_sent_at) / CLK_NS_PER_MS;
+		EXPECT_GE(s.jl.look.slots[0].start_ms, sent_ms + 3000);
+		nchecks++;
+	}
+	EXPECT_GT(nchecks, 0);
+}
+
+/* Guards against a run that was refused and whose resources seem to be held
+ * until its expected end. */
+TEST(JobRoomRules, ARefusedRunMovesThePlace)
+{
+	Room s(1);
+	s.workers.begin()->second.unhealthy = true;
+	s.call_ms = 50;
+	s.task(1, "fast", 8000, 5000, 0, 2);
+	s.run(30);
+	s.large(9000);
+	s.commit_ms = 2000;
+	int64_t least = JROOM_NEVER;
+	for (int i = 0; i < 100; i++) {
+		if (s.slots() > 0)
+			least = std::min(
+			    least, s.jl.look.slots[0].start_ms - s.now_ms);
+	}
+	EXPECT_LE(least, JLEAD_REFUSED_PAUSE_MS);
+}
+
 /* Guards against a displaced task, or a gang, that is held off by a place and
  * fits nowhere else. */
 TEST(JobRoomRules, DisplacedTasksAndGangsArentHeldOff)
@@ -181,6 +234,35 @@
 	}
 }
 
+/* Guards against a displaced task that goes elsewhere than without look-ahead
+ * because a worker was kept in the plan before. */
+TEST(JobRoomRules, ADisplacedTaskGoesWhereItWouldWithoutPlaces)
+{
+	for (bool on : { false, true }) {
+		Room s(0, on);
+		uint64_t b = s.add_worker(4000);
+		s.run(100);
+		Job__Step x = JobSim::step(1, 2000, 9000);
+		x.has_lasting = x.lasting = 1;
+		s.submit(5, "batch", { x });
+		s.run(100);
+		uint64_t a = s.add_worker(16000);
+		s.new_kind = "c";
+		s.add_worker(16000);
+		s.run(100);
+		s.task(1, "fast", 6000, 5000, 0, 2, "a");
+		s.task(2, "fast", 13000, 9000, 0, 1, "c");
+		s.run(100);
+		s.task(Room::LARGE, "fast", 14000, 9000, 0, 1, "a");
+		s.run(50);
+		ASSERT_EQ(on ? 1u : 0u, s.slots());
+		s.drain(b);
+		s.end_running(b, 5, JOB__HOW__FAILED);
+		s.run(500);
+		EXPECT_EQ(1u, s.workers[a].running.count({ 5, 0, 0, 0 })) << on;
+	}
+}
+
 /* Guards against a task that is held off for long while much of its service is
  * free. */
 TEST(JobRoomRules, AtLowLoadATaskIsHeldOffOnlyForAMoment)
@@ -282,6 +364,24 @@
 		EXPECT_EQ(1, (s.starts[{ Room::LARGE, 0, 0, i }]));
 }
 
+/* Guards against "why" that shows no kept worker, one of another job, or one of
+ * a former leader. */
+TEST(JobRoomRules, TheKeptWorkersOfAJobAreKnown)
+{
+	Room s(1);
+	const struct jplan_worker *v[2] = {};
+	s.fill(1, 2000);
+	s.large(3000);
+	int64_t start_ms = only_slot(s).start_ms;
+	ASSERT_EQ(1u, jlead_kept_places(&s.jl, Room::LARGE, v, 2));
+	EXPECT_STREQ("z", v[0]->w->info->zone);
+	EXPECT_EQ(start_ms, v[0]->hold.start_ms);
+	EXPECT_EQ(0u, v[0]->hold.step);
+	EXPECT_EQ(0u, jlead_kept_places(&s.jl, 1, v, 2));
+	s.dark(10);
+	EXPECT_EQ(0u, jlead_kept_places(&s.jl, Room::LARGE, v, 2));
+}
+
 /* Guards against ends that are read out of order: each search must find the
  * same start as one that sorts all ends. */
 TEST(JobRoomRules, EndsAreReadInOrder)
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -141,6 +141,9 @@
 	} else if (k->kind == JOB__CALL_KIND__EVACUATIONS_GET) {
 		ctx = talloc_new(c);
 		core_fill_evacuations(c, ctx, &a);
+	} else if (k->kind == JOB__CALL_KIND__WHY_GET) {
+		ctx = talloc_new(c);
+		core_fill_why(c, ctx, k->job, &a);
 	} else if (c->st.config == NULL) {
 		a.outcome = JOB__OUTCOME__NO_CONFIG;
 	} else {
--- a/src/node/core_http.c
+++ b/src/node/core_http.c
@@ -51,6 +51,7 @@
 	switch (k->kind) {
 	case JOB__CALL_KIND__CONFIG_GET:
 	case JOB__CALL_KIND__EVACUATIONS_GET:
+	case JOB__CALL_KIND__WHY_GET:
 		return str_mem(a->document.data, a->document.len);
 	case JOB__CALL_KIND__BEAT:
 		/* Later heartbeats go straight to the leader, unless there
@@ -166,6 +167,12 @@
 	case PF_REQ_EVACUATIONS:
 		call->kind = JOB__CALL_KIND__EVACUATIONS_GET;
 		return true;
+	case PF_REQ_WHY:
+		call->kind = JOB__CALL_KIND__WHY_GET;
+		call->has_job = pf_parse_id(arg, &call->job);
+		return call->has_job ||
+		    err_set(e, STATUS_INVALID, "job: expected 16 digits") ==
+		    STATUS_OK;
 	default:
 		return err_set(e, STATUS_NOT_FOUND, "unknown method or path") ==
 		    STATUS_OK;
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -165,6 +165,8 @@
 void core_handle_evacuate(struct core *, uint32_t from, const Job__Call *);
 void core_fill_evacuations(struct core *, TALLOC_CTX *, Job__Answer *);
 void core_note_tick(struct core *, struct timespec now);
+/* core_why.c */
+void core_fill_why(struct core *, TALLOC_CTX *, uint64_t job, Job__Answer *);
 /* core_http.c */
 void core_on_control(void *arg, struct front_req *);
 
