--- a/soak/evacuated.py
+++ b/soak/evacuated.py
@@ -23,7 +23,7 @@
 
 CONTROL_PORT = 18166
 # Exit codes of the command line.
-DONE, UNREACHABLE = 0, 3
+DONE, REFUSED, UNREACHABLE = 0, 1, 3
 
 
 class Evacuated:
@@ -149,10 +149,23 @@
             self.findings.append(f"after a late order: {code} {out}")
             await self.expect(DONE, "evacuate", "za", "--end")
 
+    async def check_why(self):
+        """Checks that why tells of a job that fits nowhere, and refuses one
+        that isn't known."""
+        job = f"{self.soak.rng.getrandbits(64):016x}"
+        step = {"count": 1, "cpu": 900000, "memMb": 10, "estimateMs": 800}
+        await self.soak.client.submit(job, {"spec": "x", "steps": [step]})
+        code, out = await self.command("why", job, "--json")
+        expected = ["step 0.0: 1 of 1 tasks wait", "no worker is kept for it"]
+        if code != DONE or json.loads(out)["text"] != expected:
+            self.findings.append(f"why ended with {code}: {out}")
+        await self.expect(REFUSED, "why", "0" * 15 + "1")
+
     async def check(self):
         """Evacuates, kills replicas, and takes the domain back."""
         if await self.count_starts(6) == 0:
             self.findings.append("nothing ran in za before")
+        await self.check_why()
         await self.check_cold()
         await self.check_delayed(False)
         await self.check_delayed(True)
