--- a/src/job/jlead_room.c
+++ b/src/job/jlead_room.c
@@ -5,15 +5,16 @@
 
 /* Look-ahead: what the leader knows about the ends of runs. */
 
-/* Returns when a run's resources were taken. An inherited one was assigned by
- * an earlier leader, at a time that this replica may not know. */
+/* Returns since when a run's task runs. One whose start was sent again began
+ * with the last order. An inherited one was assigned by an earlier leader, at a
+ * time that this replica may not know. */
 static struct timespec
 held_since(const struct jrun *r)
 {
+	if (r->nstarts > (r->inherited ? 0 : 1))
+		return r->order_sent_at;
 	if (r->inherited && r->task->assigned_at.tv_sec != 0)
 		return r->task->assigned_at;
-	if (r->phase == RUN_STARTING && r->nstarts > 1)
-		return r->order_sent_at;
 	return r->created;
 }
 
@@ -30,17 +31,19 @@
 		struct jroom_run x = { 0 };
 
 		x.since_ms = clk_ns(held_since(r)) / CLK_NS_PER_MS;
-		if (r->phase == RUN_ENDING)
-			x.expected_ms = now_ms - x.since_ms + JROOM_ENDING_MS;
-		else if (r->must_stop)
-			x.expected_ms = now_ms - x.since_ms + JROOM_STOP_MS;
-		else if (s->lasting)
+		if (r->phase == RUN_ENDING || r->must_stop) {
+			/* Its age says nothing about when it ends. */
+			x.since_ms = now_ms;
+			x.expected_ms = r->phase == RUN_ENDING ? JROOM_ENDING_MS
+							       : JROOM_STOP_MS;
+		} else if (s->lasting) {
 			continue;
-		else
+		} else {
 			x.expected_ms = jroom_expected_ms(&jl->room, r->step,
 					    r->image_index) *
 			    JTHROTTLE_FULL_PERCENT /
 			    (r->throttle_percent > 0 ? r->throttle_percent : 1);
+		}
 		x.cpu = s->fills ? 0 : s->cpu_milli;
 		x.mem = s->mem_mb;
 		x.accel = s->accel;
@@ -87,6 +90,15 @@
 		    &r->ws->speed, &jl->speed, r->step, held_ms, now_ms);
 }
 
+/* Forgets what an earlier leader on this replica knew of a step. */
+void
+jl_forget_room(struct jst_step *st)
+{
+	st->room_ratio_sum = 0;
+	st->room_nended = 0;
+	st->room_held_ms = st->room_kept_ms = st->room_retry_ms = 0;
+}
+
 /* Logs the places that the last plan keeps and the one before didn't. At most
  * JLEAD_RESERVE_LINES_MAX in one JLEAD_FLEET_LOG_INTERVAL_MS. */
 void
@@ -114,3 +126,22 @@
 		    s->step->spec->cpu_milli, p->free_cpu, s->is_late);
 	}
 }
+
+/* Finds the workers that the last plan keeps for a job. */
+size_t
+jlead_kept_places(const struct jlead *jl, uint64_t job,
+    const struct jplan_worker **out, size_t max)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < jl->nsessions; i++) {
+		const struct jplan_worker *p = &jl->plan_workers[i];
+
+		if (p->hold.start_ms == 0 || p->hold.job != job)
+			continue;
+		if (n < max)
+			out[n] = p;
+		n++;
+	}
+	return n;
+}
