Moves: design note, decision, replicated records, format of the order

Tasks of one service wait while another service, or a spare pool, has empty machines. The note says who decides and what fails halfway. jpool chooses the machines, jst_pool keeps one record for each, and the order of the service that owns the machines gets a kind. Nothing calls them yet.

--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -729,6 +729,48 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+job__move__init(Job__Move *message)
+{
+	static const Job__Move init_value = JOB__MOVE__INIT;
+	*message = init_value;
+}
+size_t
+job__move__get_packed_size(const Job__Move *message)
+{
+	assert(message->base.descriptor == &job__move__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__move__pack(const Job__Move *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__move__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__move__pack_to_buffer(const Job__Move *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__move__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__Move *
+job__move__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__Move *)protobuf_c_message_unpack(
+	    &job__move__descriptor, allocator, len, data);
+}
+void
+job__move__free_unpacked(Job__Move *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__move__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 job__command__init(Job__Command *message)
 {
 	static const Job__Command init_value = JOB__COMMAND__INIT;
@@ -2300,7 +2342,70 @@
 	(ProtobufCMessageInit)job__evacuation__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__command__field_descriptors[11] = {
+static const ProtobufCFieldDescriptor job__move__field_descriptors[7] = {
+	{
+	    "machine", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
+	    0,						 /* quantifier_offset */
+	    offsetof(Job__Move, machine), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "from", 2, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
+	    0,					      /* quantifier_offset */
+	    offsetof(Job__Move, from), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "to", 3, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
+	    0,					    /* quantifier_offset */
+	    offsetof(Job__Move, to), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "worker", 4, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_STRING,
+	    0,						/* quantifier_offset */
+	    offsetof(Job__Move, worker), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "at_ms", 5, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_INT64,
+	    0,					       /* quantifier_offset */
+	    offsetof(Job__Move, at_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "state", 6, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_ENUM,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Move, state), &job__move_state__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "home", 7, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_STRING,
+	    0,					      /* quantifier_offset */
+	    offsetof(Job__Move, home), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned job__move__field_indices_by_name[] = {
+	4, /* field[4] = at_ms */
+	1, /* field[1] = from */
+	6, /* field[6] = home */
+	0, /* field[0] = machine */
+	5, /* field[5] = state */
+	2, /* field[2] = to */
+	3, /* field[3] = worker */
+};
+static const ProtobufCIntRange job__move__number_ranges[1 + 1] = { { 1, 0 },
+	{ 0, 7 } };
+const ProtobufCMessageDescriptor job__move__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Move", "Move", "Job__Move",
+	"job", sizeof(Job__Move), 7, job__move__field_descriptors,
+	job__move__field_indices_by_name, 1, job__move__number_ranges,
+	(ProtobufCMessageInit)job__move__init, NULL, NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor job__command__field_descriptors[12] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2378,6 +2483,13 @@
 	    NULL, 0,	  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "move", 12, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Command, move), &job__move__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__command__field_indices_by_name[] = {
 	3,  /* field[3] = assign */
@@ -2387,16 +2499,17 @@
 	4,  /* field[4] = end */
 	10, /* field[10] = evacuation */
 	6,  /* field[6] = gone */
+	11, /* field[11] = move */
 	1,  /* field[1] = submit */
 	7,  /* field[7] = wave */
 	8,  /* field[8] = wave_step */
 	5,  /* field[5] = worker */
 };
 static const ProtobufCIntRange job__command__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 11 } };
+	{ 0, 12 } };
 const ProtobufCMessageDescriptor job__command__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Command", "Command",
-	"Job__Command", "job", sizeof(Job__Command), 11,
+	"Job__Command", "job", sizeof(Job__Command), 12,
 	job__command__field_descriptors, job__command__field_indices_by_name, 1,
 	job__command__number_ranges, (ProtobufCMessageInit)job__command__init,
 	NULL, NULL, NULL /* reserved[123] */
@@ -2530,7 +2643,7 @@
 	(ProtobufCMessageInit)job__job_image__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__image__field_descriptors[8] = {
+static const ProtobufCFieldDescriptor job__image__field_descriptors[9] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2582,22 +2695,29 @@
 	    NULL, 0,	  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "moves", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(Job__Image, n_moves), offsetof(Job__Image, moves),
+	    &job__move__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL		     /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__image__field_indices_by_name[] = {
 	0, /* field[0] = config */
 	7, /* field[7] = evacuations */
 	1, /* field[1] = jobs */
 	6, /* field[6] = left */
+	8, /* field[8] = moves */
 	3, /* field[3] = next_worker */
 	5, /* field[5] = wave_steps */
 	4, /* field[4] = waves */
 	2, /* field[2] = workers */
 };
 static const ProtobufCIntRange job__image__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 8 } };
+	{ 0, 9 } };
 const ProtobufCMessageDescriptor job__image__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Image", "Image",
-	"Job__Image", "job", sizeof(Job__Image), 8,
+	"Job__Image", "job", sizeof(Job__Image), 9,
 	job__image__field_descriptors, job__image__field_indices_by_name, 1,
 	job__image__number_ranges, (ProtobufCMessageInit)job__image__init, NULL,
 	NULL, NULL /* reserved[123] */
@@ -3368,6 +3488,24 @@
 	job__wave_state__enum_values_by_name, 1, job__wave_state__value_ranges,
 	NULL, NULL, NULL, NULL /* reserved[1234] */
 };
+static const ProtobufCEnumValue job__move_state__enum_values_by_number[3] = {
+	{ "MOVE_BEGUN", "JOB__MOVE_STATE__MOVE_BEGUN", 0 },
+	{ "MOVE_DONE", "JOB__MOVE_STATE__MOVE_DONE", 1 },
+	{ "MOVE_FORGOTTEN", "JOB__MOVE_STATE__MOVE_FORGOTTEN", 2 },
+};
+static const ProtobufCIntRange job__move_state__value_ranges[] = { { 0, 0 },
+	{ 0, 3 } };
+static const ProtobufCEnumValueIndex job__move_state__enum_values_by_name[3] = {
+	{ "MOVE_BEGUN", 0 },
+	{ "MOVE_DONE", 1 },
+	{ "MOVE_FORGOTTEN", 2 },
+};
+const ProtobufCEnumDescriptor job__move_state__descriptor = {
+	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "job.MoveState", "MoveState",
+	"Job__MoveState", "job", 3, job__move_state__enum_values_by_number, 3,
+	job__move_state__enum_values_by_name, 1, job__move_state__value_ranges,
+	NULL, NULL, NULL, NULL /* reserved[1234] */
+};
 static const ProtobufCEnumValue job__call_kind__enum_values_by_number[12] = {
 	{ "SUBMIT", "JOB__CALL_KIND__SUBMIT", 0 },
 	{ "STATUS", "JOB__CALL_KIND__STATUS", 1 },
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Job__Wave Job__Wave;
 typedef struct Job__WaveStep Job__WaveStep;
 typedef struct Job__Evacuation Job__Evacuation;
+typedef struct Job__Move Job__Move;
 typedef struct Job__Command Job__Command;
 typedef struct Job__Batch Job__Batch;
 typedef struct Job__TaskImage Job__TaskImage;
@@ -78,6 +79,18 @@
 	JOB__WAVE_STATE__WAVE_DONE =
 	    2 PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB__WAVE_STATE)
 } Job__WaveState;
+typedef enum _Job__MoveState {
+	/*
+	 * its order may have been sent
+	 */
+	JOB__MOVE_STATE__MOVE_BEGUN = 0,
+	JOB__MOVE_STATE__MOVE_DONE = 1,
+	/*
+	 * given up, or no longer of interest
+	 */
+	JOB__MOVE_STATE__MOVE_FORGOTTEN =
+	    2 PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB__MOVE_STATE)
+} Job__MoveState;
 typedef enum _Job__CallKind {
 	JOB__CALL_KIND__SUBMIT = 0,
 	JOB__CALL_KIND__STATUS = 1,
@@ -531,6 +544,34 @@
 		, NULL, 0, 0, 0, 0, 0                                          \
 	}
 
+/*
+ * A machine goes from one pool to another.
+ */
+struct Job__Move {
+	ProtobufCMessage base;
+	char *machine;
+	char *from;
+	char *to;
+	/*
+	 * id of the machine's worker before the order
+	 */
+	char *worker;
+	/*
+	 * when this state was recorded
+	 */
+	int64_t at_ms;
+	Job__MoveState state;
+	/*
+	 * spare pool that the machine goes back to
+	 */
+	char *home;
+};
+#define JOB__MOVE__INIT                                                        \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__move__descriptor)                \
+		, NULL, NULL, NULL, NULL, 0, JOB__MOVE_STATE__MOVE_BEGUN, NULL \
+	}
+
 /*
  * One change; exactly one field is set.
  */
@@ -550,12 +591,13 @@
 	Job__WaveStep *wave_step;
 	Job__Begun *begun;
 	Job__Evacuation *evacuation;
+	Job__Move *move;
 };
 #define JOB__COMMAND__INIT                                                     \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__command__descriptor)             \
 		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL,  \
-		    NULL                                                       \
+		    NULL, NULL                                                 \
 	}
 
 struct Job__Batch {
@@ -640,12 +682,17 @@
 	 */
 	size_t n_evacuations;
 	Job__Evacuation **evacuations;
+	/*
+	 * begun, or done and of interest
+	 */
+	size_t n_moves;
+	Job__Move **moves;
 };
 #define JOB__IMAGE__INIT                                                       \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__image__descriptor)               \
 		, NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL, 0, NULL, 0,     \
-		    NULL                                                       \
+		    NULL, 0, NULL                                              \
 	}
 
 struct Job__Call {
@@ -1091,6 +1138,16 @@
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void job__evacuation__free_unpacked(
     Job__Evacuation *message, ProtobufCAllocator *allocator);
+/* Job__Move methods */
+void job__move__init(Job__Move *message);
+size_t job__move__get_packed_size(const Job__Move *message);
+size_t job__move__pack(const Job__Move *message, uint8_t *out);
+size_t job__move__pack_to_buffer(
+    const Job__Move *message, ProtobufCBuffer *buffer);
+Job__Move *job__move__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__move__free_unpacked(
+    Job__Move *message, ProtobufCAllocator *allocator);
 /* Job__Command methods */
 void job__command__init(Job__Command *message);
 size_t job__command__get_packed_size(const Job__Command *message);
@@ -1282,6 +1339,7 @@
     const Job__WaveStep *message, void *closure_data);
 typedef void (*Job__Evacuation_Closure)(
     const Job__Evacuation *message, void *closure_data);
+typedef void (*Job__Move_Closure)(const Job__Move *message, void *closure_data);
 typedef void (*Job__Command_Closure)(
     const Job__Command *message, void *closure_data);
 typedef void (*Job__Batch_Closure)(
@@ -1316,6 +1374,7 @@
 
 extern const ProtobufCEnumDescriptor job__how__descriptor;
 extern const ProtobufCEnumDescriptor job__wave_state__descriptor;
+extern const ProtobufCEnumDescriptor job__move_state__descriptor;
 extern const ProtobufCEnumDescriptor job__call_kind__descriptor;
 extern const ProtobufCEnumDescriptor job__outcome__descriptor;
 extern const ProtobufCMessageDescriptor job__step__descriptor;
@@ -1335,6 +1394,7 @@
 extern const ProtobufCMessageDescriptor job__wave__descriptor;
 extern const ProtobufCMessageDescriptor job__wave_step__descriptor;
 extern const ProtobufCMessageDescriptor job__evacuation__descriptor;
+extern const ProtobufCMessageDescriptor job__move__descriptor;
 extern const ProtobufCMessageDescriptor job__command__descriptor;
 extern const ProtobufCMessageDescriptor job__batch__descriptor;
 extern const ProtobufCMessageDescriptor job__task_image__descriptor;
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -131,6 +131,7 @@
 	free(s->left);
 	free_msg(s->config);
 	jst_free_evacuations(s);
+	jst_free_moves(s);
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->by_id);
 	memset(s, 0, sizeof(*s));
@@ -763,6 +764,8 @@
 		apply_wave_step(s, c->wave_step, r);
 	else if (c->evacuation != NULL)
 		jst_apply_evacuation(s, c->evacuation, r);
+	else if (c->move != NULL)
+		jst_apply_move(s, c->move, r);
 	else
 		r->status = STATUS_INVALID;
 }
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -34,6 +34,9 @@
 /* Most failure domains under evacuation; further ones are refused. Limits their
  * memory, at about 400 bytes each. */
 #define JST_EVACUATIONS_MAX 256
+/* Most machines with a recorded move; further moves are refused. Limits their
+ * memory, at about 300 bytes each. */
+#define JST_MOVES_MAX 4096
 /* Lengths of ended tasks kept for a step, to find their median. */
 #define JST_SPEED_MAX 8
 
@@ -88,6 +91,9 @@
 	/* leader: monotonic time since when tasks of it wait and no worker has
 	 * started one, 0: none waits */
 	int64_t waiting_since_ms;
+	/* leader: monotonic time since when tasks of it wait, as the moves
+	 * between pools count it, 0: none waits */
+	int64_t short_since_ms;
 	double load; /* leader: load of its serving tasks, 0: unknown */
 	/* leader: how many of its tasks miss their target, by the plan */
 	double over_target;
@@ -182,6 +188,9 @@
 	/* Evacuations in effect, in the order in which they began. */
 	Job__Evacuation **evacuations;
 	size_t nevacuations;
+	/* Moves between pools that have begun, or are done and of interest. */
+	Job__Move **moves;
+	size_t nmoves;
 };
 
 /* Effect of a command, for the caller that waits for it. */
@@ -237,6 +246,10 @@
 void jst_apply_evacuation(
     struct jst *, const Job__Evacuation *, struct jst_result *);
 void jst_free_evacuations(struct jst *);
+void jst_apply_move(struct jst *, const Job__Move *, struct jst_result *);
+void jst_free_moves(struct jst *);
+/* Returns the recorded move of a machine, NULL if there is none. */
+const Job__Move *jst_find_move(const struct jst *, const char *machine);
 const Job__Queue *jst_queue(const struct jst *, const char *name);
 bool jst_queue_removed(const Job__Queue *);
 bool jst_is_orphaned(const struct jst *, uint64_t id, struct str path);
--- a/src/job/jst_snapshot.c
+++ b/src/job/jst_snapshot.c
@@ -150,6 +150,8 @@
 	im.n_left = s->nleft;
 	im.evacuations = s->evacuations;
 	im.n_evacuations = s->nevacuations;
+	im.moves = s->moves;
+	im.n_moves = s->nmoves;
 	pack_waves(s, tmp, &im);
 	len = job__image__get_packed_size(&im);
 	buf = talloc_size(ctx, len + 1);
@@ -286,6 +288,11 @@
 		c.evacuation = im->evacuations[i];
 		jst_apply(s, &c, &r);
 	}
+	c.evacuation = NULL;
+	for (i = 0; i < im->n_moves; i++) {
+		c.move = im->moves[i];
+		jst_apply(s, &c, &r);
+	}
 }
 
 /* Replaces the state by one that jst_pack returned. STATUS_CORRUPT if it can't
--- a/src/node/cloud.c
+++ b/src/node/cloud.c
@@ -280,7 +280,7 @@
 	    !budget_take(&c->orders, clk_now(&c->conf.clk)))
 		return false;
 	tmp = talloc_new(c);
-	pf_build_maintenance(tmp, o, c->conf.holder, &q);
+	pf_build_order(tmp, o, c->conf.holder, &q);
 	start_call(c, &q, true, o->serial);
 	talloc_free(tmp);
 	return true;
--- a/src/node/tests/cloud_test.cc
+++ b/src/node/tests/cloud_test.cc
@@ -63,7 +63,8 @@
 	}
 	bool order(uint64_t serial)
 	{
-		struct jcloud_order o = { "m-1", 7, 99, serial };
+		struct jcloud_order o = { "m-1", 7, 99, serial,
+			JCLOUD_ORDER_MAINTENANCE, NULL };
 		return cloud_order(c, &o);
 	}
 	void SetUp() override
