Moves: the leader moves empty machines to services short of capacity

Cause: tasks of one service wait for seconds while another service, or a spare pool, has empty machines. Change: jlead_pool fills the input of jpool from jobs, sessions and the list of machines, records each move, and orders it with the tokens and calls of the waves.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "job/jlead_impl.h"
+#include "job/jlead_pool.h"
 #include "job/jlead_wave.h"
 
 /* Prepares the state of a replica that doesn't lead yet. */
@@ -154,6 +155,7 @@
 	jl->leading = false;
 	jl->evac.nruns = 0;
 	jl_wave_stop(jl);
+	jl_pool_stop(jl);
 	while (jl->sessions != NULL)
 		session_free(jl, jl->sessions);
 }
@@ -163,6 +165,7 @@
 jlead_finish(struct jlead *jl)
 {
 	jlead_stop(jl);
+	jl_pool_finish(jl);
 	jl_wave_finish(jl);
 	free(jl->plan_workers);
 	free(jl->plan_sessions);
@@ -200,6 +203,7 @@
 			st->room_ratio_sum = 0;
 			st->room_nended = 0;
 			st->room_since_ms = st->room_retry_ms = 0;
+			st->short_since_ms = 0;
 			st->nspeed = 0;
 			for (k = 0; k < st->spec->count; k++) {
 				struct jst_task *t = &st->tasks[k];
@@ -821,6 +825,8 @@
 		handle_registration(jl, res->worker);
 	else if (c->wave_step != NULL)
 		jl_wave_applied(jl, c->wave_step);
+	else if (c->move != NULL)
+		jl_pool_applied(jl, c->move);
 	else if (c->config != NULL)
 		for (j = jl->st->active; j != NULL; j = j->next)
 			clear_queue_cache(j);
@@ -945,5 +951,6 @@
 	for (ws = jl->sessions; ws != NULL; ws = ws->next)
 		session_tick(jl, ws);
 	jl_wave_tick(jl);
+	jl_pool_tick(jl);
 	jl->plan_needed = true;
 }
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -238,6 +238,7 @@
 struct wsess;
 struct late_end;
 struct jl_waves;
+struct jl_pools;
 
 /* State of the job leader. On other replicas only the averages are kept up. */
 struct jlead {
@@ -279,6 +280,7 @@
 	size_t plan_cap;
 	uint32_t nrelays;	/* other instances that relay its calls */
 	struct jl_waves *waves; /* NULL: no maintenance is ordered */
+	struct jl_pools *pools; /* NULL as well: no moves between pools */
 };
 
 void jlead_init(
@@ -306,8 +308,8 @@
 uint64_t jl_evac_count_runs(const struct jlead *, const char *domain);
 /* Handles timeouts and sends the orders and polls that are due. */
 void jlead_tick(struct jlead *, struct timespec now, int64_t wall_ms);
-/* Enables the orders of maintenance; called once, after jlead_init. A leader
- * waits holder_wait_ms before its first one. */
+/* Enables the orders of maintenance and of moves; called once, after
+ * jlead_init. A leader waits holder_wait_ms before its first one. */
 void jlead_set_cloud(
     struct jlead *, const struct jcloud_ops *, int64_t holder_wait_ms);
 /* Takes a complete list of the machines. */
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -117,6 +117,8 @@
 	bool awaits_maintenance;
 	/* the maintenance of its machine is recorded and may have begun */
 	bool in_maintenance;
+	/* gets no new work before its machine moves to another pool */
+	bool awaits_move;
 	bool removal_proposed; /* its removal is being replicated */
 	bool closed;	       /* its domain is under evacuation */
 	/* The worker is slow until then, as its heartbeats say. */
--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "job/jlead_pool.h"
 #include "job/jlead_wave_impl.h"
 
 /* Maintenance waves: what the leader knows of the machines, and the steps and
@@ -36,6 +37,9 @@
 	struct jl_seen *s = p;
 
 	g_free(s->worker);
+	g_free(s->pool);
+	g_free(s->zone);
+	g_strfreev(s->labels);
 	g_free(s);
 }
 
@@ -59,6 +63,7 @@
 	v->steps = g_array_new(FALSE, TRUE, sizeof(struct jwave_step));
 	v->step_index = g_hash_table_new(NULL, NULL);
 	jl->waves = v;
+	jl_pool_init(jl);
 }
 
 /* Drops what only a leader keeps. */
@@ -78,7 +83,7 @@
 	v->nlists = 0;
 	v->list_ms = v->next_ms = v->next_read_ms = v->next_log_ms = 0;
 	v->norders = 0;
-	v->is_active = false;
+	v->is_active = v->is_order_refused = false;
 	v->mover = NULL;
 }
 
@@ -101,11 +106,14 @@
 	jl->waves = NULL;
 }
 
-/* Tells whether a worker is open to new work, as far as maintenance goes. */
+/* Tells whether a worker is open to new work, as far as maintenance and moves
+ * go.
+ */
 bool
 jl_takes_new_work(const struct wsess *ws)
 {
-	return !ws->awaits_maintenance && !ws->in_maintenance;
+	return !ws->awaits_maintenance && !ws->in_maintenance &&
+	    !ws->awaits_move;
 }
 
 /* Returns the session of a worker by its id, NULL if there is none. */
@@ -208,10 +216,11 @@
 	jl->waves->next_ms = 0;
 }
 
-/* Ends the runs of a worker whose machine's maintenance has begun: nothing runs
- * there any more, and another worker will join under another id. */
-static void
-end_worker(struct jlead *jl, const char *id)
+/* Ends the runs of a worker whose machine's maintenance has begun, or which was
+ * moved: nothing runs there any more, and another worker will join under
+ * another id. */
+void
+jl_wave_end_worker(struct jlead *jl, const char *id)
 {
 	struct wsess *ws = jl_wave_session(jl, id);
 	struct jrun *r, *next;
@@ -236,7 +245,7 @@
 finish_machine(struct jlead *jl, struct jst_wave *w, size_t i, bool is_listed)
 {
 	if (is_listed || w->orders[i].attempt == 0)
-		end_worker(jl, w->orders[i].worker);
+		jl_wave_end_worker(jl, w->orders[i].worker);
 	propose_step(
 	    jl, w, i, JST_WAVE_DONE, w->orders[i].attempt, w->orders[i].worker);
 }
@@ -290,6 +299,7 @@
 		v->first_list_ms = v->list_ms;
 	v->read_ms = clk_diff_ms(now, requested_at);
 	v->next_ms = 0;
+	jl_pool_listed(jl);
 	ctr_add(jl->ctr, JCTR_MACHINE_LISTS, 1);
 	for (i = 0; i < n; i++) {
 		s = g_hash_table_lookup(v->seen, m[i].machine);
@@ -301,6 +311,8 @@
 		s->worker = g_strdup(m[i].worker);
 		s->state = m[i].state;
 		s->list = v->nlists;
+		if (jl_pool_is_possible(jl))
+			jl_wave_fill_seen(s, &m[i]);
 		s->listed_ms = v->list_ms;
 	}
 	g_hash_table_foreach_remove(v->seen, is_left_entry, v);
@@ -364,6 +376,8 @@
 	if (!jl->leading || jl->waves == NULL)
 		return;
 	jl->now = now;
+	if (jl_pool_ordered(jl, serial, r))
+		return;
 	ctr_add(jl->ctr, which, 1);
 	for (w = jl->st->waves; w != NULL; w = w->next) {
 		notes = w->notes;
@@ -382,8 +396,28 @@
 
 /* ---- acting on the decision ---- */
 
-/* Sends the order for a machine. Asks again whether this replica is the only
- * leader: it may have been paused since the event that led here. */
+/* Sends an order with the next serial and fencing token; false if it can't be
+ * sent now. Asks again whether this replica is the only leader: it may have
+ * been paused since the event that led here. */
+bool
+jl_wave_send(struct jlead *jl, struct jcloud_order *o)
+{
+	struct jl_waves *v = jl->waves;
+
+	if (v->norders >= ORDERS_MAX || !jl->ops.is_sole_leader(jl->ops.arg))
+		return false;
+	o->serial = ++v->serial;
+	o->fence = jl->token << JLEAD_FENCE_BITS | (v->norders + 1);
+	if (!v->ops.order(v->ops.arg, o))
+		return false;
+	v->norders++;
+	if (v->norders == ORDERS_MAX)
+		log_event(LOG_ERR, "job",
+		    "event=order_tokens_used_up token=%" PRIu64, jl->token);
+	return true;
+}
+
+/* Sends the order for a machine. */
 static void
 send_order(struct jlead *jl, struct jst_wave *w, size_t i)
 {
@@ -392,20 +426,13 @@
 	struct jcloud_order o = { .machine = w->info->machines[i],
 		.wave = w->info->id };
 
-	if (v->norders >= ORDERS_MAX || !jl->ops.is_sole_leader(jl->ops.arg))
-		return;
-	o.serial = ++v->serial;
-	o.fence = jl->token << JLEAD_FENCE_BITS | (v->norders + 1);
 	n->in_flight = true;
-	n->serial = o.serial;
-	if (!v->ops.order(v->ops.arg, &o)) {
+	n->serial = v->serial + 1;
+	if (!jl_wave_send(jl, &o)) {
 		n->in_flight = false;
+		v->is_order_refused = true;
 		return;
 	}
-	v->norders++;
-	if (v->norders == ORDERS_MAX)
-		log_event(LOG_ERR, "job",
-		    "event=order_tokens_used_up token=%" PRIu64, jl->token);
 	ctr_add(jl->ctr, JCTR_MAINTENANCE_ORDERS, 1);
 	log_event(LOG_NOTICE, "job",
 	    "event=maintenance_order wave=%" PRIu64 " machine=%s worker=%s "
@@ -471,7 +498,7 @@
 	n->choice = m->choice;
 	if (m->phase == JWAVE_DONE && w->orders[i].attempt > 0 &&
 	    jl_wave_shows_begun(v, w, i, n))
-		end_worker(jl, w->orders[i].worker);
+		jl_wave_end_worker(jl, w->orders[i].worker);
 	if (m->phase == JWAVE_DONE || n->recording)
 		return;
 	if (jl_wave_has_left(v, w->info->machines[i])) {
@@ -495,6 +522,19 @@
 		send_order(jl, w, i);
 }
 
+/* Reads the list of machines, unless it was read less than a second ago; an
+ * earlier leader may have read it just before this one began. */
+void
+jl_wave_read(struct jlead *jl)
+{
+	struct jl_waves *v = jl->waves;
+	int64_t t = jl_wave_now_ms(jl);
+
+	if (clk_diff_ms(jl->now, jl->leading_since) >= LIST_INTERVAL_MS &&
+	    t >= v->next_read_ms && v->ops.read(v->ops.arg))
+		v->next_read_ms = t + LIST_INTERVAL_MS;
+}
+
 /* Reads the list, decides, and acts. */
 static void
 run_waves(struct jlead *jl)
@@ -503,13 +543,11 @@
 	int64_t t = jl_wave_now_ms(jl);
 	guint k;
 
-	/* An earlier leader may have read the list just before. */
-	if (clk_diff_ms(jl->now, jl->leading_since) >= LIST_INTERVAL_MS &&
-	    t >= v->next_read_ms && v->ops.read(v->ops.arg))
-		v->next_read_ms = t + LIST_INTERVAL_MS;
+	jl_wave_read(jl);
+	v->is_order_refused = false;
 	jl_wave_mark_sessions(jl);
 	jl_wave_fill_input(jl);
-	jl_wave_fill_blocked(v);
+	jl_wave_fill_blocked(jl);
 	jwave_choose((struct jwave_wave *)(void *)v->waves->data, v->waves->len,
 	    (struct jwave_machine *)(void *)v->machines->data, v->machines->len,
 	    (struct jwave_step *)(void *)v->steps->data, t);
@@ -546,7 +584,7 @@
 		v->next_ms = jl_wave_now_ms(jl) + JL_WAVE_TICK_MS;
 		run_waves(jl);
 	} else if (v->is_active) {
-		v->is_active = false;
+		v->is_active = v->is_order_refused = false;
 		for (ws = jl->sessions; ws != NULL; ws = ws->next)
 			ws->awaits_maintenance = ws->in_maintenance = false;
 	}
--- a/src/job/jlead_wave_impl.h
+++ b/src/job/jlead_wave_impl.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "job/jlead_wave.h"
+#include "job/jpool.h"
 #include "job/jwave.h"
 
 __BEGIN_DECLS
@@ -21,7 +22,13 @@
 	enum jcloud_state state;
 	uint64_t list;	   /* number of the list that had it last */
 	int64_t listed_ms; /* when that was requested */
-	uint32_t ndown;	   /* waves for which it is down, in this decision */
+	/* For moves between pools; NULL or 0 if none is possible. */
+	char *pool, *zone;
+	char **labels;
+	struct jpool_amount size;
+	int64_t empty_since_ms; /* without work, 0: not known to be */
+	int64_t move_after_ms;	/* isn't moved before */
+	uint32_t ndown; /* waves for which it is down, in this decision */
 };
 
 /* What this leader knows of one machine of a wave; times are monotonic, in
@@ -56,6 +63,9 @@
 	int64_t next_ms, next_read_ms, next_log_ms;
 	uint64_t serial, norders;
 	bool is_active; /* sessions may be closed */
+	/* The budget didn't allow an order of maintenance, which has
+	 * precedence over moves. */
+	bool is_order_refused;
 	/* Input of the decision. */
 	GArray *waves;		/* struct jwave_wave */
 	GArray *infos;		/* struct jst_wave * */
@@ -70,9 +80,13 @@
 int64_t jl_wave_now_ms(const struct jlead *);
 struct wsess *jl_wave_session(const struct jlead *, const char *id);
 bool jl_wave_is_open(const struct jst_wave *);
+void jl_wave_read(struct jlead *);
+bool jl_wave_send(struct jlead *, struct jcloud_order *);
+void jl_wave_end_worker(struct jlead *, const char *id);
 struct jl_wave_note *jl_wave_notes(struct jlead *, struct jst_wave *);
 /* jlead_wave_input.c */
 struct jl_seen *jl_wave_find_seen(const struct jl_waves *, const char *machine);
+void jl_wave_fill_seen(struct jl_seen *, const struct jcloud_machine *);
 bool jl_wave_has_left(const struct jl_waves *, const char *machine);
 bool jl_wave_shows_begun(const struct jl_waves *, const struct jst_wave *,
     size_t i, const struct jl_wave_note *);
@@ -81,7 +95,7 @@
 size_t jl_wave_step_index(struct jl_waves *, const struct jst_step *);
 void jl_wave_mark_sessions(struct jlead *);
 void jl_wave_fill_input(struct jlead *);
-void jl_wave_fill_blocked(struct jl_waves *);
+void jl_wave_fill_blocked(struct jlead *);
 /* jlead_wave_log.c */
 void jl_wave_log(struct jlead *);
 const char *jl_wave_result_name(enum jcloud_result, enum jctr *);
--- a/src/job/jlead_wave_input.c
+++ b/src/job/jlead_wave_input.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "job/jlead_pool.h"
 #include "job/jlead_wave_impl.h"
 
 /* Maintenance waves: the input of the decision, from the list of machines and
@@ -21,6 +22,25 @@
 #define ABSENT_LISTS  3
 #define ABSENT_MIN_MS 5000
 
+/* Takes what is listed of a machine and only moves between pools need. */
+void
+jl_wave_fill_seen(struct jl_seen *s, const struct jcloud_machine *m)
+{
+	size_t i;
+
+	g_free(s->pool);
+	g_free(s->zone);
+	g_strfreev(s->labels);
+	s->pool = g_strdup(m->pool);
+	s->zone = g_strdup(m->zone);
+	s->labels = g_new0(char *, m->nlabels + 1);
+	for (i = 0; i < m->nlabels; i++)
+		s->labels[i] = g_strdup(m->labels[i]);
+	s->size.cpu = m->cpu_milli;
+	s->size.mem = m->mem_mb;
+	s->size.accel = m->accel;
+}
+
 /* Returns what the last list says of a machine, NULL if that isn't listed. */
 struct jl_seen *
 jl_wave_find_seen(const struct jl_waves *v, const char *machine)
@@ -330,10 +350,11 @@
 	}
 }
 
-/* Sets which machines are down for another wave. */
+/* Sets which machines are down for another wave, or have an open move. */
 void
-jl_wave_fill_blocked(struct jl_waves *v)
+jl_wave_fill_blocked(struct jlead *jl)
 {
+	struct jl_waves *v = jl->waves;
 	guint k;
 
 	for (k = 0; k < v->machines->len; k++) {
@@ -341,9 +362,11 @@
 		    &g_array_index(v->machines, struct jwave_machine, k);
 		const struct jst_wave *w =
 		    g_array_index(v->infos, struct jst_wave *, m->wave);
-		const struct jl_seen *s = jl_wave_find_seen(
-		    v, w->info->machines[g_array_index(v->indexes, size_t, k)]);
+		const char *name =
+		    w->info->machines[g_array_index(v->indexes, size_t, k)];
+		const struct jl_seen *s = jl_wave_find_seen(v, name);
 
-		m->is_blocked = s != NULL && s->ndown > m->is_down;
+		m->is_blocked = (s != NULL && s->ndown > m->is_down) ||
+		    jl_pool_has_open(jl, name);
 	}
 }
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -222,8 +222,8 @@
 
 /* Tells whether the start time of an occurrence has come. One that has begun
  * goes on if the wall clock is stepped back, or a leader's is behind. */
-static bool
-occurrence_may_start(const struct jst_step *st, int64_t wall_ms)
+bool
+jplan_may_start(const struct jst_step *st, int64_t wall_ms)
 {
 	const Job__Spec *spec = st->job->spec;
 
@@ -270,7 +270,7 @@
 			struct jst_step *st = &j->steps[i];
 
 			if (st->nwaiting <= st->nproposed ||
-			    !occurrence_may_start(st, wall_ms) ||
+			    !jplan_may_start(st, wall_ms) ||
 			    !jst_step_ready(st))
 				continue;
 			if (n + 1 >= cap) {
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -240,6 +240,8 @@
 /* Sets queue_cfg and deadline_ms of a job. The deadline is the objective of its
  * queue after the submission. */
 void jplan_set_deadline(const struct jst *, struct jst_job *);
+/* Tells whether the start time of a step's occurrence has come. */
+bool jplan_may_start(const struct jst_step *, int64_t wall_ms);
 /* Sets out to the choices, which the caller frees, and returns their number: at
  * most max, unless a gang begins below and ends above. Subtracts chosen tasks
  * from the free resources. wall_ms counts for deadlines and start times,
--- a/src/job/jpool.c
+++ b/src/job/jpool.c
@@ -111,13 +111,18 @@
 }
 
 /* Tells whether a pool keeps enough free capacity without a machine: for its
- * waiting tasks, and for a part of what runs there. */
+ * waiting tasks and a part of what runs there, and for what ran and waited
+ * there at most shortly before. */
 static bool
 keeps_enough(const struct jpool_pool *p, const struct jpool_amount *size)
 {
 	struct jpool_amount left = p->free;
 
 	subtract(&left, size, 1);
+	if (left.cpu + p->used.cpu < p->peak.cpu ||
+	    left.mem + p->used.mem < p->peak.mem ||
+	    left.accel + p->used.accel < p->peak.accel)
+		return false;
 	subtract(&left, &p->waiting, 1);
 	return left.cpu >= p->used.cpu / JPOOL_KEPT_PART &&
 	    left.mem >= p->used.mem / JPOOL_KEPT_PART &&
@@ -131,8 +136,7 @@
 	const struct jpool_pool *p = &in->pools[from];
 
 	return from != to && !in->pools[to].is_spare &&
-	    !in->is_refused(in->arg, from, to) &&
-	    (p->is_spare || p->calm_ms >= JPOOL_CALM_MS);
+	    !in->is_refused(in->arg, from, to) && (p->is_spare || p->has_peak);
 }
 
 /* Tells whether a machine may be chosen for a pool. */
--- a/src/job/jpool.h
+++ b/src/job/jpool.h
@@ -25,15 +25,16 @@
 #define JPOOL_MOVE_MS 2500
 /* Most moves that are open at once. */
 #define JPOOL_OPEN_MAX 4
-/* No machine is moved again before, and no service gives a machine that was
- * short of capacity, or received one, within this time. */
+/* No machine is moved again within this time. A service that gives machines
+ * keeps what it needed at most within it: a load that alternates between two
+ * services would move machines back and forth. */
 #define JPOOL_CALM_MS 30000
 /* A machine away from its spare pool goes back once it was empty for this. */
 #define JPOOL_EMPTY_MS 30000
 /* A service keeps free one part in so many of what runs there. */
 #define JPOOL_KEPT_PART 8
 
-#define JPOOL_NONE SIZE_MAX
+#define JPOOL_NONE	SIZE_MAX
 
 /* In 1/1000 processors, MB and accelerators. */
 struct jpool_amount {
@@ -83,8 +84,11 @@
 	struct jpool_amount free, used; /* of its workers that take new work */
 	struct jpool_amount waiting;	/* of all its waiting tasks */
 	uint32_t nwaiting;
-	int64_t calm_ms; /* since it was short of capacity or got a machine */
-	uint32_t nopen;	 /* set: open moves to it */
+	/* Most that ran and waited there within JPOOL_CALM_MS; a service of
+	 * which that isn't known gives no machine. */
+	struct jpool_amount peak;
+	bool has_peak;
+	uint32_t nopen; /* set: open moves to it */
 };
 
 struct jpool_input {
--- a/src/job/jst_pool.c
+++ b/src/job/jst_pool.c
@@ -60,8 +60,8 @@
 	if (i < s->nmoves) {
 		job__move__free_unpacked(s->moves[i], NULL);
 	} else {
-		s->moves = realloc(
-		    s->moves, (s->nmoves + 1) * sizeof(*s->moves));
+		s->moves =
+		    realloc(s->moves, (s->nmoves + 1) * sizeof(*s->moves));
 		if (s->moves == NULL)
 			abort();
 		s->nmoves++;
@@ -69,6 +69,30 @@
 	s->moves[i] = copy_move(m);
 }
 
+/* Forgets a move. A machine that stays away from its spare pool because its
+ * move was given up keeps a record of that. */
+static void
+forget_move(struct jst *s, size_t i, const Job__Move *m)
+{
+	Job__Move *r = s->moves[i];
+
+	if (r->state == JOB__MOVE_STATE__MOVE_BEGUN && r->home != NULL &&
+	    strcmp(r->home, r->from) != 0) {
+		free(r->to);
+		r->to = r->from;
+		r->from = strdup(r->home);
+		if (r->from == NULL)
+			abort();
+		r->state = JOB__MOVE_STATE__MOVE_DONE;
+		r->at_ms = m->at_ms;
+		return;
+	}
+	job__move__free_unpacked(r, NULL);
+	s->nmoves--;
+	memmove(&s->moves[i], &s->moves[i + 1],
+	    (s->nmoves - i) * sizeof(s->moves[0]));
+}
+
 /* Begins a move, records that it is done, or forgets it. STATUS_STALE if
  * another move of the machine is recorded by now. A snapshot holds moves that
  * are done without their beginning. */
@@ -88,10 +112,7 @@
 		s->moves[i]->state = JOB__MOVE_STATE__MOVE_DONE;
 		s->moves[i]->at_ms = m->at_ms;
 	} else {
-		job__move__free_unpacked(s->moves[i], NULL);
-		s->nmoves--;
-		memmove(&s->moves[i], &s->moves[i + 1],
-		    (s->nmoves - i) * sizeof(s->moves[0]));
+		forget_move(s, i, m);
 	}
 }
 
