--- a/soak/waves.py
+++ b/soak/waves.py
@@ -5,7 +5,12 @@
 maintained once, that never more than maxCount were down, that fencing tokens
 rise, that two holders keep apart, and that no job is lost or run twice.
 
-    waves.py BINARY SEED... [--net N] [--keep DIR]
+With --moves: starts tasks that wait for capacity beside a spare pool, leaves
+the first order of a move without an answer, carries it out late and kills the
+leader meanwhile. Checks that just the machines that are needed move, that none
+of them has work, and that they go back once they have been empty.
+
+    waves.py BINARY SEED... [--moves] [--net N] [--keep DIR]
 """
 
 import argparse
@@ -22,6 +27,10 @@
 
 MACHINES, MAX_COUNT, TERM_S = 10, 2, 60
 MAINTENANCE_S, HOLDER_WAIT_S, PAGE = 2.0, 3.0, 4
+# Machines of the service and of the spare pool in a run with moves, how many
+# of the latter the tasks need, and how long these run.
+OWN, SPARE, NEEDED, TASK_S = 2, 4, 2, 25.0
+MOVE_S, LATE_S = 1.5, 3.0
 # Share of orders that get no answer; half of them are carried out, 2 to 4 s
 # later.
 LOST_SHARE = 0.15
@@ -38,7 +47,9 @@
         for n, w in enumerate(soak.workers):
             self.machines[f"m-{n + 1}"] = {
                 "worker": w, "state": "up", "was_maintained": False,
-                "fence": 0}
+                "fence": 0, "pool": "svc"}
+        self.moves = []  # carried out: machine, pool, time
+        self.move_orders = 0
         self.holders, self.findings = [], []
         self.most_down = self.reads = self.orders = self.lost = 0
         self.server = None
@@ -56,7 +67,7 @@
                     status, answer = 200, self.list_page(target)
                 else:
                     status, answer = self.take_order(
-                        headers, json.loads(body))
+                        headers, target, json.loads(body))
                 if status is None:
                     await asyncio.sleep(30)
                     return
@@ -75,19 +86,73 @@
         self.reads += 1
         start = int(target.split("pageToken=")[1]) if "?" in target else 0
         names = list(self.machines)
-        page = [{"machine": n, "pool": "svc", "zone": "z", "labels": ["a"],
+        page = [{"machine": n, "pool": self.machines[n]["pool"],
+                 "zone": "z", "labels": ["a"],
                  "state": self.machines[n]["state"],
                  "id": (self.machines[n]["worker"].id
-                        if self.machines[n]["state"] == "up" else None),
+                        if self.machines[n]["state"] == "up"
+                        and self.machines[n]["worker"] else None),
                  "capacity": {"cpu": 16000, "memMb": 64000}}
                 for n in names[start:start + PAGE]]
         more = start + PAGE < len(names)
         return {"machines": page, "nextToken": str(start + PAGE) if more
                 else None}
 
-    def take_order(self, headers, order):
-        """Takes an order of maintenance; returns its answer, or None without
-        one."""
+    def add_spare(self, count):
+        """Adds machines of the spare pool, which are off."""
+        for _ in range(count):
+            self.machines[f"m-{len(self.machines) + 1}"] = {
+                "worker": None, "state": "up", "was_maintained": False,
+                "fence": 0, "pool": "spare"}
+
+    def take_move(self, name, pool):
+        """Takes an order of a move; returns its answer, or None without one:
+        the first is carried out late."""
+        machine = self.machines[name]
+        if pool not in ("svc", "spare"):
+            return 400, {}
+        if machine["pool"] == pool:
+            return 200, {}
+        if machine["state"] != "up":
+            return 409, {"reason": "busy"}
+        self.move_orders += 1
+        if self.move_orders == 1:
+            self.lost += 1
+            asyncio.get_running_loop().call_later(
+                LATE_S, self.move, name, pool)
+            return None, {}
+        self.move(name, pool)
+        return 200, {}
+
+    def move(self, name, pool):
+        """Moves a machine, unless it has been moved."""
+        machine, now = self.machines[name], time.monotonic()
+        if machine["pool"] == pool or machine["state"] != "up":
+            return
+        worker = machine["worker"]
+        if worker and worker.runs:
+            self.findings.append(f"MOVE of {name}, which has work")
+        if any(m == name and now - at < 30 for m, _, at in self.moves):
+            self.findings.append(f"MOVE of {name} twice within 30 s")
+        self.moves.append((name, pool, now))
+        machine["pool"], machine["state"] = pool, "moving"
+        if worker:
+            worker.is_cut_off = True
+            worker.crash()
+        machine["worker"] = None
+        asyncio.create_task(self.finish_move(machine, pool))
+
+    async def finish_move(self, machine, pool):
+        """Brings a machine up in its new pool; in the spare one it is off."""
+        await asyncio.sleep(MOVE_S)
+        if pool != "spare":
+            machine["worker"] = self.make_worker()
+            await machine["worker"].serve()
+        machine["state"] = "up"
+
+    def take_order(self, headers, target, order):
+        """Takes an order of maintenance or of a move; returns its answer, or
+        None without one."""
         self.orders += 1
         now, fence = time.monotonic(), int(headers["x-fencing-token"])
         holder = headers["x-lease-holder"]
@@ -101,6 +166,8 @@
         if fence <= machine["fence"]:
             return 409, {"reason": "fence"}
         machine["fence"] = fence
+        if target == "/-/machine-move":
+            return self.take_move(order["machine"], order["pool"])
         if machine["was_maintained"]:
             return 200, {}
         if machine["state"] != "up":
@@ -139,9 +206,9 @@
 class Waves:
     """One run: its cluster, its machines and one wave."""
 
-    def __init__(self, binary, seed, root, net):
-        self.soak = Soak(binary, seed, root, net, 2, MACHINES, False)
-        self.net, self.workers = net, MACHINES
+    def __init__(self, binary, seed, root, net, machines=MACHINES):
+        self.soak = Soak(binary, seed, root, net, 2, machines, False)
+        self.net, self.workers = net, machines
         self.cloud = Machines(net, self.soak, self.make_worker)
         self.findings = []
         for p in self.soak.cores:
@@ -168,9 +235,9 @@
                 return json.loads(data)
         return None
 
-    async def kill_leader(self):
+    async def kill_leader(self, orders=3):
         """Kills the replica that has sent the third order, and restarts it."""
-        while len(self.cloud.holders) < 3:
+        while len(self.cloud.holders) < orders:
             await asyncio.sleep(0.01)
         name = self.cloud.holders[-1][1]
         for p in self.soak.cores:
@@ -202,9 +269,9 @@
         await kill
         return took
 
-    async def run(self):
-        """Starts everything, runs the wave under load and checks."""
-        soak, loop = self.soak, asyncio.get_running_loop()
+    async def start(self):
+        """Starts everything."""
+        soak = self.soak
         for p in soak.cores + soak.gates:
             for proxy in p.proxies:
                 await proxy.serve()
@@ -216,27 +283,32 @@
             await soak.operator.change_config()
         await asyncio.sleep(2)
         if self.cloud.reads > 0:
-            self.findings.append("READS although no wave is open")
-        try:
-            load = asyncio.create_task(
-                soak.generate_load(loop.time() + 25))
-            took = await self.run_wave()
-            await load
-            await asyncio.sleep(MAINTENANCE_S + 1)
-            reads = self.cloud.reads
-            await asyncio.sleep(2)
-            if self.cloud.reads > reads:
-                self.findings.append("READS after the last wave")
-            gone = [w for w in soak.workers if w.is_cut_off]
-            soak.workers = [w for w in soak.workers if not w.is_cut_off]
-            await soak.check_final_state()
-            soak.workers += gone
-        finally:
-            soak.ledger.is_over = True
-            proxies = [x for p in soak.cores + soak.gates for x in p.proxies]
-            proxies += [w.proxy for w in soak.workers]
-            for served in soak.workers + proxies + [self.cloud]:
-                served.server.close()
+            self.findings.append("READS although no wave or move is open")
+
+    async def check_end(self):
+        """Checks the state of the jobs and that the list isn't read any
+        more."""
+        soak = self.soak
+        reads = self.cloud.reads
+        await asyncio.sleep(2)
+        if self.cloud.reads > reads:
+            self.findings.append("READS after the last wave or move")
+        gone = [w for w in soak.workers if w.is_cut_off]
+        soak.workers = [w for w in soak.workers if not w.is_cut_off]
+        await soak.check_final_state()
+        soak.workers += gone
+
+    def close(self):
+        """Closes all servers."""
+        soak = self.soak
+        soak.ledger.is_over = True
+        proxies = [x for p in soak.cores + soak.gates for x in p.proxies]
+        proxies += [w.proxy for w in soak.workers]
+        for served in soak.workers + proxies + [self.cloud]:
+            served.server.close()
+
+    def check_holders(self):
+        """Returns the holders in turn; the leader must have changed."""
         holders = []
         for _, holder in self.cloud.holders:
             if holder not in holders[-1:]:
@@ -244,15 +316,76 @@
         if len(holders) < 2:
             self.findings.append("LEADER wasn't changed between two orders")
         self.findings += self.cloud.findings
+        return " ".join(holders)
+
+    async def run(self):
+        """Runs the wave under load and checks."""
+        soak, loop = self.soak, asyncio.get_running_loop()
+        await self.start()
+        try:
+            load = asyncio.create_task(
+                soak.generate_load(loop.time() + 25))
+            took = await self.run_wave()
+            await load
+            await asyncio.sleep(MAINTENANCE_S + 1)
+            await self.check_end()
+        finally:
+            self.close()
+        holders = self.check_holders()
         return (f"wave {took:.1f} s, {self.cloud.orders} orders, "
                 f"{self.cloud.lost} without an answer, at most "
-                f"{self.cloud.most_down} down, holders {' '.join(holders)}")
+                f"{self.cloud.most_down} down, holders {holders}")
+
+
+class Moves(Waves):
+    """One run with a spare pool, whose machines some tasks need."""
+
+    def __init__(self, binary, seed, root, net):
+        super().__init__(binary, seed, root, net, OWN)
+        self.cloud.add_spare(SPARE)
+        self.soak.operator.services.append({"name": "spare", "spare": True})
+
+    async def run(self):
+        """Runs tasks that need the spare machines and checks."""
+        soak = self.soak
+        await self.start()
+        try:
+            kill = asyncio.create_task(self.kill_leader(1))
+            job = f"{soak.rng.getrandbits(64):016x}"
+            soak.ledger.durations[job] = TASK_S
+            start = time.monotonic()
+            await soak.client.submit(job, {"spec": "soak", "steps": [{
+                "count": OWN + NEEDED, "cpu": 16000, "memMb": 10,
+                "estimateMs": int(1000 * TASK_S)}]})
+            while await soak.client.fetch_state(job) != "completed":
+                if time.monotonic() > start + 60:
+                    self.findings.append("MOVES that don't help")
+                    break
+                await asyncio.sleep(0.1)
+            took, helped = time.monotonic() - start, len(self.cloud.moves)
+            if helped != NEEDED:
+                self.findings.append(f"MOVES {helped}, not {NEEDED}")
+            await kill
+            while len(self.cloud.moves) < 2 * helped:
+                if time.monotonic() > start + took + 60:
+                    self.findings.append("MOVES not back in the spare pool")
+                    break
+                await asyncio.sleep(0.1)
+            back = time.monotonic() - start - took
+            await asyncio.sleep(MOVE_S + 1)
+            await self.check_end()
+        finally:
+            self.close()
+        holders = self.check_holders()
+        return (f"tasks {took:.1f} s, {helped} moves, back {back:.1f} s later, "
+                f"{self.cloud.orders} orders, {self.cloud.lost} without an "
+                f"answer, holders {holders}")
 
 
-def run_seed(binary, seed, keep, net):
+def run_seed(binary, seed, keep, net, moves):
     """Runs one seed and prints its result; returns True without findings."""
     root = tempfile.mkdtemp(prefix="waves-")
-    run = Waves(binary, seed, root, net)
+    run = (Moves if moves else Waves)(binary, seed, root, net)
     figures = "no result"
     try:
         figures = asyncio.run(run.run())
@@ -272,11 +405,13 @@
     p = argparse.ArgumentParser()
     p.add_argument("binary")
     p.add_argument("seeds", nargs="+", type=int)
+    p.add_argument("--moves", action="store_true",
+                   help="moves between pools instead of a wave")
     p.add_argument("--net", type=int, default=2,
                    help="second number of the loopback addresses")
     p.add_argument("--keep", help="folder for the logs of failed seeds")
     a = p.parse_args()
-    good = [run_seed(a.binary, s, a.keep, a.net) for s in a.seeds]
+    good = [run_seed(a.binary, s, a.keep, a.net, a.moves) for s in a.seeds]
     sys.exit(0 if all(good) else 1)
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -75,6 +75,7 @@
         self.accepted_jobs = {}  # id -> "active", "cancelling", "cancelled"
         self.racing_jobs = set()  # ids of jobs cancelled during their POST
         self.unknown_jobs = set()  # ids of jobs whose cancel was answered 410
+        self.durations = {}  # id of a job -> seconds that its tasks take
         self.start_count = 0
         # failure domain -> time of the acknowledgement of its evacuation
         self.evacuated = {}
@@ -309,6 +310,8 @@
 
     def draw_end(self, task):
         """Returns after how many seconds a run of a task ends, and how."""
+        if task[:16] in self.ledger.durations:
+            return self.ledger.durations[task[:16]], "done"
         how = "failed" if self.rng.random() < 0.02 else "done"
         return self.rng.uniform(0.1, 1.5), how
 
@@ -438,6 +441,7 @@
         self.ledger, self.rng, self.cores = ledger, rng, cores
         self.acknowledged_version = 0
         self.last_version = 0
+        self.services = [{"name": "svc", "enforceCapacity": True}]
 
     def config(self, version):
         """Returns a configuration; its route timeout tells the version."""
@@ -446,7 +450,7 @@
                  "targetLatencyMs": 500, "priority": 0, "maxAttempts": 6,
                  "stretch": 2.0}
         return {"version": version, "routes": [route],
-                "services": [{"name": "svc", "enforceCapacity": True}]}
+                "services": self.services}
 
     async def change_config(self):
         """Replaces the configuration by one of a higher version."""
