--- a/src/job/jlead_pool_input.c
+++ b/src/job/jlead_pool_input.c
@@ -397,6 +397,7 @@
 {
 	const struct jl_pools *p = jl->pools;
 	size_t i, k;
+	bool helps;
 
 	if (g_hash_table_size(p->notes) > 0)
 		return true;
@@ -404,15 +405,12 @@
 		if (jl_pool_is_away(p, jl->st->moves[i]))
 			return true;
 	}
-	for (i = 0; i < p->demands->len; i++) {
-		const struct jpool_demand *d =
-		    &g_array_index(p->demands, struct jpool_demand, i);
-
-		for (k = 0; k < p->in.npools; k++) {
-			if (jpool_may_give(&p->in, k, d->pool) &&
-			    has_machine(jl, k))
-				return true;
-		}
+	for (k = 0; k < p->in.npools; k++) {
+		for (i = 0, helps = false; i < p->in.ndemands && !helps; i++)
+			helps =
+			    jpool_may_give(&p->in, k, p->in.demands[i].pool);
+		if (helps && has_machine(jl, k))
+			return true;
 	}
 	return false;
 }
