Moves: tests of pauses, precedence, reservations and dropped pools

Cause: with their mechanism taken out, no test failed for the pause after a refused order and a spare machine of an evacuated domain. Change: a test for each, and for the budget that maintenance has first, places kept by the plan, a dropped source pool, and a machine on its way.

--- a/src/job/tests/pool_fail_test.cc
+++ b/src/job/tests/pool_fail_test.cc
@@ -101,6 +101,9 @@
 		c.s.run(14000);
 		EXPECT_EQ(1U, c.moves.size());
 		EXPECT_LE(c.norders, 6U);
+		for (size_t i = 1; i < c.refusal_times.size(); i++)
+			EXPECT_GE(
+			    c.refusal_times[i] - c.refusal_times[i - 1], 200);
 		c.load(3, "other", 1, 1000);
 		c.s.run(1000);
 		EXPECT_EQ(1U, c.s.starts.count({ 3, 0, 0, 0 }));
@@ -208,16 +211,17 @@
  * record or a closed worker that stays because of it. */
 TEST(PoolFail, TheConfigurationDropsAPool)
 {
-	for (order_fault f : { CARRY_OUT, LOSE_ORDER, CARRY_LATE }) {
+	for (order_fault f : { CARRY_OUT, LOSE_ORDER, CARRY_LATE, REFUSE }) {
 		SCOPED_TRACE(f);
 		Shortage c(28);
 		c.fault = [=](const std::string &) { return f; };
-		if (f == CARRY_OUT)
+		if (f == CARRY_OUT || f == REFUSE)
 			c.run_until_recorded();
 		else
 			c.run_until_ordered();
 		unsigned n = c.norders;
-		c.config(3, { "other" }, false);
+		/* The pool that the machine goes to, or the one it is in. */
+		c.config(3, { f == REFUSE ? "svc" : "other" }, false);
 		c.s.run(20000);
 		EXPECT_EQ(n, c.norders);
 		EXPECT_EQ(f == CARRY_LATE ? 1U : 0U, c.moves.size());
@@ -249,19 +253,7 @@
 	c.fault = [](const std::string &) { return CARRY_LATE; };
 	c.run_until_ordered();
 	EXPECT_TRUE(jl_pool_has_open(&c.s.jl, "m-2"));
-	Job__Command m = JOB__COMMAND__INIT;
-	Job__Wave w = JOB__WAVE__INIT;
-	char name[] = "m-2";
-	char *names[] = { name };
-	w.id = 1;
-	w.machines = names;
-	w.n_machines = 1;
-	w.has_term_ms = w.has_max_down = w.has_at_ms = 1;
-	w.term_ms = 60000;
-	w.max_down = 1;
-	w.at_ms = c.s.wall_ms();
-	m.wave = &w;
-	c.s.apply(m);
+	c.wave("m-2");
 	c.s.run(3500);
 	EXPECT_EQ(JST_WAVE_WAITING, jst_find_wave(&c.s.st, 1)->states[0]);
 	c.s.run(10000);
@@ -269,4 +261,38 @@
 	EXPECT_FALSE(jl_pool_has_open(&c.s.jl, "m-2"));
 }
 
+/* Guards against moves that use up the budget while an order of maintenance
+ * waits for it. */
+TEST(PoolFail, OrdersOfMaintenanceComeFirst)
+{
+	Pools c(31, false);
+	c.add("svc", 1);
+	c.add("other", 3);
+	c.lead();
+	c.lacks_budget = true;
+	c.wave("m-4");
+	c.s.run(2000);
+	c.load(1, "svc", 2);
+	c.run_until_recorded();
+	c.s.run(3000);
+	EXPECT_EQ(0U, c.norders);
+	c.lacks_budget = false;
+	c.s.run(3000);
+	EXPECT_EQ(1U, c.norders);
+}
+
+/* Guards against a second machine for the same task while the first one's new
+ * worker isn't there yet, with an answer or without one. */
+TEST(PoolFail, AMachineOnItsWayCounts)
+{
+	for (order_fault f : { CARRY_OUT, LOSE_ANSWER }) {
+		SCOPED_TRACE(f);
+		Shortage c(32);
+		c.add("other", 4);
+		c.fault = [=](const std::string &) { return f; };
+		c.s.run(30000);
+		EXPECT_EQ(1U, c.moves.size());
+	}
+}
+
 } // namespace
--- a/src/job/tests/pool_sim.h
+++ b/src/job/tests/pool_sim.h
@@ -14,7 +14,7 @@
 class Pools {
       public:
 	struct Machine {
-		std::string pool, kind = "a";
+		std::string pool, zone = "z";
 		uint64_t num = 0; /* of its worker, 0: off */
 		enum jcloud_state state = JCLOUD_UP;
 		uint64_t fence = 0;
@@ -31,6 +31,9 @@
 	    [](const std::string &) {};
 	enum jcloud_result result = JCLOUD_BUSY;
 	bool is_silent = false; /* lists aren't answered */
+	/* The budget allows no orders of maintenance. */
+	bool lacks_budget = false;
+	std::vector<int64_t> refusal_times;
 	unsigned norders = 0, nreads = 0, most_open = 0;
 	int64_t last_read_ms = -1;
 	uint64_t last_fence = 0;
@@ -113,6 +116,24 @@
 		s.submit(job, queue, { JobSim::step(n, cpu, ms) });
 	}
 
+	/* Starts a wave of one machine. */
+	void wave(const char *machine)
+	{
+		Job__Command m = JOB__COMMAND__INIT;
+		Job__Wave w = JOB__WAVE__INIT;
+		std::string name = machine;
+		char *names[] = { name.data() };
+		w.id = 1;
+		w.machines = names;
+		w.n_machines = 1;
+		w.has_term_ms = w.has_max_down = w.has_at_ms = 1;
+		w.term_ms = 60000;
+		w.max_down = 1;
+		w.at_ms = s.wall_ms();
+		m.wave = &w;
+		s.apply(m);
+	}
+
 	size_t count(const std::string &pool)
 	{
 		size_t n = 0;
@@ -189,7 +210,7 @@
 				m.machine = x.first.c_str();
 				m.state = x.second.state;
 				m.pool = x.second.pool.c_str();
-				m.zone = "z";
+				m.zone = x.second.zone.c_str();
 				m.cpu_milli = x.second.cpu;
 				m.mem_mb = 1000000;
 				if (x.second.num != 0)
@@ -217,6 +238,8 @@
 		auto *c = (Pools *)arg;
 		std::string name = o->machine, pool;
 		if (o->kind != JCLOUD_ORDER_MOVE) {
+			if (c->lacks_budget)
+				return false;
 			c->answer(o->serial, JCLOUD_BUSY);
 			return true;
 		}
@@ -237,6 +260,7 @@
 		order_fault f = c->fault(name);
 		c->on_ordered(name);
 		if (f == REFUSE) {
+			c->refusal_times.push_back(c->s.now_ms);
 			c->answer(o->serial, c->result);
 			return true;
 		}
--- a/src/job/tests/pool_test.cc
+++ b/src/job/tests/pool_test.cc
@@ -143,7 +143,7 @@
 }
 
 /* Guards against a moved machine that is in a wave, or in an evacuated domain,
- * or draining, or named by a reservation. */
+ * or draining. */
 TEST(Pool, OnlyFreeMachinesMove)
 {
 	for (int i = 0; i < 4; i++) {
@@ -158,26 +158,48 @@
 		if (i == 2)
 			c.s.drain(c.machines["m-2"].num);
 		c.load(1, "svc", 3);
-		if (i == 3) {
-			Job__Command m = JOB__COMMAND__INIT;
-			Job__Wave w = JOB__WAVE__INIT;
-			char name[] = "m-2";
-			char *names[] = { name };
-			w.id = 1;
-			w.machines = names;
-			w.n_machines = 1;
-			w.has_term_ms = w.has_max_down = w.has_at_ms = 1;
-			w.term_ms = 60000;
-			w.max_down = 1;
-			w.at_ms = c.s.wall_ms();
-			m.wave = &w;
-			c.s.apply(m);
-		}
+		if (i == 3)
+			c.wave("m-2");
 		c.s.run(8000);
 		EXPECT_EQ(i == 0 ? 1U : 0U, c.moves.size());
 	}
 }
 
+/* Guards against a spare machine that is moved although its domain is under
+ * evacuation. */
+TEST(Pool, NoSpareMachineOfAnEvacuatedDomain)
+{
+	Pools c(9);
+	c.add("svc", 1);
+	c.add("spare", 2);
+	c.machines["m-2"].zone = "y";
+	c.lead();
+	c.s.evacuate("y");
+	c.load(1, "svc", 3);
+	c.s.run(8000);
+	EXPECT_EQ((std::vector<std::string>{ "m-3 svc" }), c.moves);
+}
+
+/* Guards against a moved machine on which the plan keeps a place. */
+TEST(Pool, NoMachineWithAReservation)
+{
+	Pools c(10, false);
+	c.add("svc", 1);
+	c.add("other", 1);
+	c.lead();
+	c.load(1, "svc", 2);
+	c.run_until_recorded();
+	auto *s = jl_wave_find_seen(c.s.jl.waves, "m-2");
+	auto *k = &c.s.jl.plan_workers[c.session("m-2")->plan_index];
+	EXPECT_TRUE(jl_pool_may_move(&c.s.jl, "m-2", s));
+	k->reserved = true;
+	EXPECT_FALSE(jl_pool_may_move(&c.s.jl, "m-2", s));
+	k->reserved = false;
+	k->hold.start_ms = 1;
+	EXPECT_FALSE(jl_pool_may_move(&c.s.jl, "m-2", s));
+	k->hold.start_ms = 0;
+}
+
 /* Guards against a move that a restart of all replicas, or a slow step of an
  * earlier move, loses or undoes. */
 TEST(Pool, RecordsSurviveASnapshot)
