Moves: tests that fail without each mechanism

Cause: with the mechanism taken out, no test failed for the 30 s that a machine is empty, the order of a wave for a machine with an open move, labels, the return where there is one service, and lists older than an order. Change: tests for these.

--- a/src/job/tests/pool_fail_test.cc
+++ b/src/job/tests/pool_fail_test.cc
@@ -256,6 +256,7 @@
 	c.wave("m-2");
 	c.s.run(3500);
 	EXPECT_EQ(JST_WAVE_WAITING, jst_find_wave(&c.s.st, 1)->states[0]);
+	EXPECT_EQ(0U, jst_find_wave(&c.s.st, 1)->orders[0].attempt);
 	c.s.run(10000);
 	EXPECT_EQ(1U, c.moves.size());
 	EXPECT_FALSE(jl_pool_has_open(&c.s.jl, "m-2"));
@@ -281,6 +282,28 @@
 	EXPECT_EQ(1U, c.norders);
 }
 
+/* Guards against an order that is repeated because of a list that was requested
+ * before it. */
+TEST(PoolFail, AnOlderListDecidesNothing)
+{
+	Shortage c(33);
+	c.fault = [](const std::string &) { return CARRY_LATE; };
+	c.s.jl.waves->is_order_refused = true; /* orders wait */
+	c.run_until_recorded();
+	unsigned reads = c.nreads;
+	while (c.nreads == reads)
+		c.s.run(1);
+	c.s.run(20);
+	c.is_silent = true;
+	c.s.jl.waves->is_order_refused = false;
+	c.s.run(2500);
+	EXPECT_EQ(1U, c.norders);
+	c.is_silent = false;
+	c.s.run(5000);
+	EXPECT_EQ(1U, c.moves.size());
+	EXPECT_EQ(JOB__MOVE_STATE__MOVE_DONE, c.s.st.moves[0]->state);
+}
+
 /* Guards against a second machine for the same task while the first one's new
  * worker isn't there yet, with an answer or without one. */
 TEST(PoolFail, AMachineOnItsWayCounts)
--- a/src/job/tests/pool_test.cc
+++ b/src/job/tests/pool_test.cc
@@ -19,7 +19,9 @@
 	c.s.run(8000);
 	EXPECT_EQ(2U, c.moves.size());
 	EXPECT_EQ(3, (int)c.s.starts.size());
-	c.s.run(75000);
+	c.s.run(33000);
+	EXPECT_EQ(2U, c.moves.size()) << "empty for less than 30 s";
+	c.s.run(42000);
 	EXPECT_EQ(4U, c.moves.size());
 	EXPECT_EQ(6U, c.count("spare"));
 	c.s.run(40000);
@@ -47,6 +49,8 @@
 			c.load(1, "svc", 1, 60000, 9000);
 		else {
 			Job__Step st = JobSim::step(1, 1000);
+			c.load(2, "svc", 1);
+			c.s.run(100);
 			st.label = (char *)"b";
 			c.s.submit(1, "svc", { st });
 		}
@@ -140,6 +144,8 @@
 	c.s.run(10000);
 	EXPECT_EQ(0U, c.nreads);
 	EXPECT_EQ(0U, c.s.st.nmoves);
+	EXPECT_EQ(0U, g_hash_table_size(c.s.jl.pools->peaks))
+	    << "no worker is visited";
 }
 
 /* Guards against a moved machine that is in a wave, or in an evacuated domain,
