--- a/src/job/jlead_pool_input.c
+++ b/src/job/jlead_pool_input.c
@@ -271,7 +271,7 @@
 	if (jl_pool_is_away(p, r))
 		m.home = jl_pool_index(p, r->home);
 	m.moved_ms = jl_pool_age_ms(jl, r);
-	ws = is_there ? jl_wave_session(jl, s->worker) : NULL;
+	ws = s != NULL && is_there ? jl_wave_session(jl, s->worker) : NULL;
 	m.is_coming =
 	    m.moved_ms < COMING_MAX_MS && (ws == NULL || !ws->contacted);
 	m.is_free = is_there && jl_pool_may_move(jl, r->machine, s);
