Caller: calls that were held back keep their order

Cause: calls that were never sent are held back while the leader owes the answer to a ping. When it answered, they were sent at the next tick, up to 50 ms later; a call that started before that tick was sent at once, so that a cancel could overtake the submission before it. Change: the sign of life of the leader sends what was held back, in the order in which it was started.

--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -193,14 +193,6 @@
 	done(arg, end, a);
 }
 
-/* Records a sign of life of the leader. */
-static void
-note_leader_heard(struct caller *c, struct timespec now)
-{
-	c->leader_heard_at = now;
-	c->is_ping_unanswered = false;
-}
-
 /* Tells whether the leader owes an answer to a ping for so long that it may
  * have been lost. */
 static bool
@@ -237,6 +229,22 @@
 		order->received_ms += ahead_ms;
 }
 
+/* Records a sign of life of the leader. Calls that were held back are sent
+ * before any that starts later: a cancel must not overtake its submission. */
+static void
+note_leader_heard(struct caller *c, struct timespec now)
+{
+	bool was_suspected = is_leader_suspected(c, now);
+	struct caller_call *k;
+
+	c->leader_heard_at = now;
+	c->is_ping_unanswered = false;
+	for (k = was_suspected ? c->calls : NULL; k != NULL; k = k->next) {
+		if (!k->is_sent)
+			send_call(c, now, k);
+	}
+}
+
 /* Starts a call. It is sent at once, or as soon as a leader is known. */
 struct caller_call *
 caller_start(struct caller *c, struct timespec now, const Job__Call *call,
@@ -291,6 +299,7 @@
 	if (leader == 0)
 		return;
 	add_member(c, leader);
+	c->is_ping_unanswered = false; /* it was for the previous leader */
 	note_leader_heard(c, now);
 	for (k = c->calls; k != NULL; k = k->next)
 		send_call(c, now, k);
--- a/src/node/tests/caller_test.cc
+++ b/src/node/tests/caller_test.cc
@@ -220,6 +220,29 @@
 	EXPECT_EQ(1U, f.calls()[0].to);
 }
 
+/* Guards against a cancel that overtakes its submission, which was held back
+ * from a leader that has just given a sign of life. */
+TEST(Caller, CallsHeldBackFromASlowLeaderAreSentInTheirOrder)
+{
+	for (bool by_answer : { false, true }) {
+		fixture f;
+		f.pong(1, true);
+		f.call(10000);
+		f.advance(50 + CALLER_PING_ANSWER_MS);
+		f.call(10000);
+		f.call(10000);
+		EXPECT_EQ(1U, f.calls().size());
+		if (by_answer)
+			f.answer(1, 1, JOB__OUTCOME__OK);
+		else
+			f.pong(1, true);
+		f.call(10000);
+		ASSERT_EQ(4U, f.calls().size());
+		for (uint64_t i = 0; i < 4; i++)
+			EXPECT_EQ(i + 1, f.calls()[i].id);
+	}
+}
+
 /* Guards against a call that is answered as unknown, so that its client can't
  * hand the job in again, although it was never sent. */
 TEST(Caller, ACallThatWaitedForALostLeaderEndsAsNotSent)
