--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -143,6 +143,7 @@
     --net 77 --leaves --keep "$log"
 run_step soak-evacuations python3 soak/soak.py build/rel/cicadabay 5 6 \
     --seconds 12 --net 77 --evacuations --keep "$log"
+run_step soak-fuzz python3 soak/fuzz.py build/rel/unit_tests --seconds 10
 run_step soak-sanitizer python3 soak/soak.py build/asan/cicadabay 200 201 \
     --seconds 6 --net 78 --keep "$log"
 run_process_tests build/asan sanitizer-
