Memory: messages between instances are bounded in total

Cause: the buffers of identified instances and the send queues (8 MB each) weren't in the account of memory. Instances that don't read, or that begin large messages, made a replica hold more than its machine has; a limit that closed connections had cut off all of 285 entry instances. A larger message is reserved as a whole when its header has arrived; until it fits, nothing more is read from that connection, and heartbeats keep it open. A message that arrives too slowly is closed.

--- a/src/node/frame.c
+++ b/src/node/frame.c
@@ -66,6 +66,16 @@
 	return FRAME_OK;
 }
 
+/* Returns the size that the header of a frame announces. */
+size_t
+frame_announced_size(struct str buf)
+{
+	if (buf.len < FRAME_HEADER_BYTES)
+		return 0;
+	return FRAME_HEADER_BYTES +
+	    (size_t)get_be32((const uint8_t *)buf.p + 4);
+}
+
 /* Returns the name of a fault for log lines. */
 const char *
 frame_fault_name(enum frame_fault fault)
--- a/src/node/frame.h
+++ b/src/node/frame.h
@@ -41,6 +41,9 @@
     uint8_t *head, enum frame_type, const void *p, size_t len);
 /* Parses the frame at the start of buf; fills f only for FRAME_OK. */
 enum frame_fault frame_parse(struct str buf, struct frame *);
+/* Returns the size of the frame at the start of buf, of which at least the
+ * header has arrived and was found valid; 0 without a whole header. */
+size_t frame_announced_size(struct str buf);
 const char *frame_fault_name(enum frame_fault);
 
 __END_DECLS
--- a/src/node/front_sock.c
+++ b/src/node/front_sock.c
@@ -53,6 +53,8 @@
 	case MEMACCT_WORK:
 	case MEMACCT_PEERS:
 	case MEMACCT_CALLS:
+	case MEMACCT_RECEIVE:
+	case MEMACCT_SEND:
 	case MEMACCT_USES:
 		break;
 	}
--- a/src/node/memacct.c
+++ b/src/node/memacct.c
@@ -27,8 +27,8 @@
  * to queue the same configuration as a call.
  */
 static const size_t parts[][MEMACCT_USES] = {
-	[MEMACCT_ENTRY] = { 20, 6, 1, 1, 4, 0 },
-	[MEMACCT_REPLICA] = { 5, 2, 0, 1, 1, 4 },
+	[MEMACCT_ENTRY] = { 20, 6, 1, 1, 1, 0, 1, 2 },
+	[MEMACCT_REPLICA] = { 5, 2, 0, 1, 1, 4, 1, 2 },
 };
 #define PARTS_TOTAL 32
 
@@ -50,6 +50,8 @@
 		mb = 1;
 	for (i = 0; i < MEMACCT_USES; i++)
 		l.max[i] = (size_t)mb * MB / PARTS_TOTAL * parts[kind][i];
+	if (kind == MEMACCT_ENTRY)
+		l.max[MEMACCT_SEND] += MEMACCT_ENTRY_SEND_MB * MB;
 	return l;
 }
 
@@ -129,12 +131,29 @@
 	c->bytes = c->work = 0;
 	if (!memacct_fits(m, use, n))
 		return false;
+	memacct_open_any(m, c, use, addr, n);
+	return true;
+}
+
+/* Reserves n bytes for a new connection, also over the limit. */
+void
+memacct_open_any(struct memacct *m, struct memacct_conn *c,
+    enum memacct_use use, uint64_t addr, size_t n)
+{
+	c->use = use;
+	c->bytes = c->work = 0;
 	c->addr = get_addr(m, addr);
 	c->addr->nconns++;
+	memacct_hold(m, c, n);
+}
+
+/* Reserves n further bytes for a connection, also over the limit. */
+void
+memacct_hold(struct memacct *m, struct memacct_conn *c, size_t n)
+{
+	c->bytes += n;
 	c->addr->bytes += n;
-	c->bytes = n;
-	add_level(m, use, n);
-	return true;
+	add_level(m, c->use, n);
 }
 
 /* Reserves n further bytes for a connection. */
@@ -143,9 +162,7 @@
 {
 	if (!memacct_fits(m, c->use, n))
 		return false;
-	c->bytes += n;
-	c->addr->bytes += n;
-	add_level(m, c->use, n);
+	memacct_hold(m, c, n);
 	return true;
 }
 
@@ -166,9 +183,7 @@
 {
 	if (!admits(m, c->use, n))
 		return false;
-	c->bytes += n;
-	c->addr->bytes += n;
-	add_level(m, c->use, n);
+	memacct_hold(m, c, n);
 	return true;
 }
 
--- a/src/node/memacct.h
+++ b/src/node/memacct.h
@@ -22,8 +22,10 @@
 	MEMACCT_WORK,	   /* complete requests: decoded, waiting, answered */
 	MEMACCT_READINESS, /* connections that check readiness */
 	MEMACCT_METRICS,   /* connections that read counters */
-	MEMACCT_PEERS,	   /* connections that haven't identified themselves */
+	MEMACCT_PEERS,	   /* small buffers of connections between instances */
 	MEMACCT_CALLS,	   /* calls of other instances that the leader queues */
+	MEMACCT_RECEIVE,   /* larger frames that instances are sending */
+	MEMACCT_SEND,	   /* queues of frames to be sent to instances */
 	MEMACCT_USES
 };
 
@@ -38,6 +40,7 @@
 /* Memory of an entry instance without connections: measured 9 MB, and 7 MB for
  * messages that wait to be sent to the leader. */
 #define MEMACCT_ENTRY_BASE_MB 16
+#define MEMACCT_ENTRY_SEND_MB 7
 /* An eighth of the memory is left to the allocator: blocks are rounded up, and
  * free ones lie between those in use. */
 #define MEMACCT_SLACK_DIVISOR 8
@@ -46,7 +49,8 @@
 #define MEMACCT_HIGH_EIGHTHS 7
 #define MEMACCT_LOW_EIGHTHS  6
 
-/* Part of MEMACCT_WORK or MEMACCT_CALLS that is in use in calm. */
+/* Part of MEMACCT_WORK, MEMACCT_CALLS, MEMACCT_RECEIVE or MEMACCT_SEND that is
+ * in use in calm. */
 #define MEMACCT_LITTLE_DIVISOR 4
 
 struct memacct;
@@ -75,11 +79,16 @@
  * reserved, if they don't fit. */
 bool memacct_open(struct memacct *, struct memacct_conn *, enum memacct_use,
     uint64_t addr, size_t n);
+/* The same, also over the limit. */
+void memacct_open_any(struct memacct *, struct memacct_conn *, enum memacct_use,
+    uint64_t addr, size_t n);
 /* Reserves n further bytes; false, and nothing reserved, if they don't fit. */
 bool memacct_grow(struct memacct *, struct memacct_conn *, size_t n);
 /* Reserves n further bytes. Any size is admitted while at most
  * 1 / MEMACCT_LITTLE_DIVISOR of the part is in use. */
 bool memacct_grow_any(struct memacct *, struct memacct_conn *, size_t n);
+/* Reserves n further bytes, also over the limit. */
+void memacct_hold(struct memacct *, struct memacct_conn *, size_t n);
 /* Gives n bytes back. */
 void memacct_shrink(struct memacct *, struct memacct_conn *, size_t n);
 /* Reserves n bytes for the handling of a connection's request. Any size is
--- a/src/node/nctr.c
+++ b/src/node/nctr.c
@@ -78,7 +78,8 @@
 	[NCTR_PEER_SILENT] = { "peer_silent",
 	    "connections closed because nothing arrived" },
 	[NCTR_PEER_QUEUE_FULL] = { "peer_queue_full",
-	    "messages dropped because the send queue was full" },
+	    "messages dropped because the send queue, or the memory for all of "
+	    "them, was full" },
 	[NCTR_PEER_TOO_LARGE] = { "peer_too_large",
 	    "messages over the frame limit" },
 	[NCTR_DISK_SYNCS] = { "disk_syncs", "syncs of the log" },
@@ -114,8 +115,11 @@
 	ENTRY(REQUESTS, "requests", "clients or workers"),
 	ENTRY(READINESS, "readiness", "readiness address"),
 	ENTRY(METRICS, "metrics", "metrics address"),
-	[NCTR_PEERS_NO_MEMORY] = { "peers_no_memory",
-	    "connections of instances closed, no memory for a frame" },
+	[NCTR_PEER_READS_PAUSED] = { "peer_reads_paused",
+	    "times that nothing more was read from an instance until there was "
+	    "memory for its message" },
+	[NCTR_PEER_SLOW] = { "peer_slow",
+	    "connections closed, as a large message arrived too slowly" },
 	[NCTR_PEERS_SHED] = { "peers_shed",
 	    "connections that had not said HELLO, closed for new ones" },
 	[NCTR_CALLS_NO_MEMORY] = { "calls_no_memory",
--- a/src/node/peer.h
+++ b/src/node/peer.h
@@ -16,7 +16,6 @@
 
 __BEGIN_DECLS
 
-#define PEER_QUEUE_MAX_BYTES	   (8 * 1024 * 1024) /* waiting per instance */
 #define PEER_HEARTBEAT_INTERVAL_MS 1000
 #define PEER_SILENCE_TIMEOUT_MS	   3000 /* then the connection is closed */
 /* What arrives on an accepted connection is answered by a heartbeat, at most
@@ -26,6 +25,9 @@
  * Instances of earlier versions send a heartbeat every
  * PEER_HEARTBEAT_INTERVAL_MS instead of answers. */
 #define PEER_ANSWER_TIMEOUT_MS 1200
+/* While others wait for memory, a large message has this long and the time that
+ * it takes at SHED_FAIR_BYTES_PER_SEC. */
+#define PEER_FRAME_GRACE_MS 2000
 /* Ticks that come later than this are not held against the other side. */
 #define PEER_TICK_LATE_MS   100
 #define PEER_BACKOFF_MIN_MS 50
@@ -48,7 +50,7 @@
 	uint64_t seed;	     /* of the backoff */
 	size_t max_accepted; /* open at once; 0: PEER_ACCEPTED_MAX */
 	struct ctr_set *ctr;
-	struct memacct *account; /* of the memory of buffers; or NULL */
+	struct memacct *account; /* of buffers and queues; or NULL */
 	/* A message from an instance; valid during the call. */
 	void (*on_message)(void *arg, const Control__PeerMsg *);
 	/* The connection to an instance failed. */
@@ -67,8 +69,9 @@
     TALLOC_CTX *, struct tevent_context *, const struct peer_conf *);
 /* Adds an instance to connect to; the address is copied. */
 void peer_add(struct peer *, const struct node_peer *);
-/* Queues a message; STATUS_FULL when the queue is at its limit,
- * STATUS_NOT_FOUND for an unknown instance, STATUS_LIMIT when too large. */
+/* Queues a message; STATUS_FULL, and the message is dropped, when the queue or
+ * the memory for all of them is at its limit, STATUS_NOT_FOUND for an unknown
+ * instance, STATUS_LIMIT when too large. */
 enum status peer_send(
     struct peer *, uint32_t instance, const Control__PeerMsg *);
 /* Writes queued messages now. Not allowed from within a callback. */
--- a/src/request/eng.c
+++ b/src/request/eng.c
@@ -191,7 +191,8 @@
 	c->unmet_requests++;
 	if (eng_has_competing_class(e, c))
 		ctr_add(&e->ctr,
-		    c->urgent ? ENG_C_CROWDED_URGENT : ENG_C_CROWDED_BATCH, 1);
+		    c->urgent ? ENG_C_COMPETING_URGENT : ENG_C_COMPETING_BATCH,
+		    1);
 }
 
 /*
--- a/src/request/eng_ctr.c
+++ b/src/request/eng_ctr.c
@@ -71,9 +71,9 @@
 	[ENG_C_READMITTED] = { "worker_readmitted",
 	    "Workers back in use after a probe." },
 	[ENG_C_PROBE_FAILED] = { "probe_failed", "Probes that failed." },
-	[ENG_C_CROWDED_URGENT] = { "crowded_urgent",
+	[ENG_C_COMPETING_URGENT] = { "competing_urgent",
 	    "Urgent requests refused while other classes held slots." },
-	[ENG_C_CROWDED_BATCH] = { "crowded_batch",
+	[ENG_C_COMPETING_BATCH] = { "competing_batch",
 	    "Batch requests refused while other classes held slots." },
 };
 
