--- a/src/node/peer_conn.c
+++ b/src/node/peer_conn.c
@@ -311,14 +311,14 @@
 static void
 conn_read(struct peer_conn *c)
 {
-	size_t total = 0;
+	size_t total = 0, room;
 	ssize_t n;
 
 	while (total < READ_PER_EVENT_MAX_BYTES) {
 		if (!conn_make_room(c))
 			return;
-		n = recv(c->fd, c->in.bytes + c->in.len,
-		    c->in.capacity - c->in.len, MSG_DONTWAIT);
+		room = c->in.capacity - c->in.len;
+		n = recv(c->fd, c->in.bytes + c->in.len, room, MSG_DONTWAIT);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			return;
 		if (n <= 0) {
@@ -330,7 +330,8 @@
 		c->awaits_answer = false;
 		c->owes_answer = true;
 		c->in.len += (size_t)n;
-		if (!conn_parse(c))
+		/* A second read would nearly always find nothing. */
+		if (!conn_parse(c) || (size_t)n < room)
 			return;
 	}
 }
