Advice: decision, leader part, calls, relayed calls, formats

Starts on a queue with advice were refused for lack of a ticket. The leader now asks the service which workers may run a step (jadvice, jlead_advice), itself and through the replicas (node/advice), plans only on workers with a usable ticket, and sends no start without one. Without such a queue a tick and a plan compare one flag.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -154,6 +154,7 @@
 	jl->leading = false;
 	jl->evac.nruns = 0;
 	jl_wave_stop(jl);
+	jl_advice_stop(jl);
 	while (jl->sessions != NULL)
 		session_free(jl, jl->sessions);
 }
@@ -201,6 +202,7 @@
 			st->room_nended = 0;
 			st->room_since_ms = st->room_retry_ms = 0;
 			st->nspeed = 0;
+			st->advice = NULL;
 			for (k = 0; k < st->spec->count; k++) {
 				struct jst_task *t = &st->tasks[k];
 
@@ -250,6 +252,7 @@
 	jroom_init(&jl->room);
 	jl->leading = true;
 	jl->plan_needed = true;
+	jl_advice_begin(jl);
 	for (i = 0; i < jl->st->nworkers; i++)
 		session_new(jl, jl->st->workers[i]);
 	find_restarted_workers(jl);
@@ -489,6 +492,7 @@
 		r->started_at = jl->now;
 		c.spec = r->step->job->spec->text;
 		c.checkpoint = jst_checkpoint(r->step, r->task);
+		c.ticket = jl_advice_ticket(jl, r);
 		ctr_add(jl->ctr, JCTR_STARTS, 1);
 		jl_log_start(jl, r, &c);
 	} else {
@@ -821,9 +825,11 @@
 		handle_registration(jl, res->worker);
 	else if (c->wave_step != NULL)
 		jl_wave_applied(jl, c->wave_step);
-	else if (c->config != NULL)
+	else if (c->config != NULL) {
+		jl_advice_configured(jl);
 		for (j = jl->st->active; j != NULL; j = j->next)
 			clear_queue_cache(j);
+	}
 	if (res->job_ended && res->job != NULL)
 		stop_job_runs(jl, res->job);
 }
@@ -945,5 +951,6 @@
 	for (ws = jl->sessions; ws != NULL; ws = ws->next)
 		session_tick(jl, ws);
 	jl_wave_tick(jl);
+	jl_advice_tick(jl);
 	jl->plan_needed = true;
 }
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -18,6 +18,7 @@
 
 #include "base/ctr.h"
 #include "base/hist.h"
+#include "job/jadvice.h"
 #include "job/jcloud.h"
 #include "job/jdemand.h"
 #include "job/jevac.h"
@@ -239,6 +240,18 @@
 struct late_end;
 struct jl_waves;
 
+/* Advice of a leader. */
+struct jl_advice {
+	struct jadvice_ops ops; /* call NULL: there is no setting */
+	bool is_used;		/* a queue has advice */
+	struct jadvice *known;	/* NULL: this replica doesn't lead */
+	bool is_lack_logged;	/* that the setting is missing */
+	struct timespec log_at; /* next log line */
+	/* Steps that could start and have no usable ticket, calls that wait for
+	 * a caller, and usable tickets. */
+	size_t nwaiting, nqueued, ntickets;
+};
+
 /* State of the job leader. On other replicas only the averages are kept up. */
 struct jlead {
 	struct jst *st;
@@ -279,6 +292,7 @@
 	size_t plan_cap;
 	uint32_t nrelays;	/* other instances that relay its calls */
 	struct jl_waves *waves; /* NULL: no maintenance is ordered */
+	struct jl_advice advice;
 };
 
 void jlead_init(
@@ -316,6 +330,12 @@
 /* Takes the result of an order. */
 void jlead_on_ordered(
     struct jlead *, struct timespec now, uint64_t serial, enum jcloud_result);
+/* Enables calls for advice; called once, after jlead_init. */
+void jlead_set_advice(struct jlead *, const struct jadvice_ops *);
+/* Takes the answer to such a call of the leader with this token, or that there
+ * was none. */
+void jlead_on_advice(struct jlead *, struct timespec now, uint64_t token,
+    const struct jadvice_answer *);
 /* Assigns tasks that can start now. Called at the end of each round of
  * events. */
 void jlead_plan(struct jlead *);
--- a/src/job/jlead_evac.c
+++ b/src/job/jlead_evac.c
@@ -56,8 +56,8 @@
  * wait for it in vain. Those that aren't sent are given up, also once their
  * assignment is committed; the others are stopped. The gang starts again as a
  * whole. */
-static void
-withhold_gang(struct jlead *jl, const struct jrun *withheld)
+void
+jl_withhold_gang(struct jlead *jl, const struct jrun *withheld)
 {
 	struct jst_step *st = withheld->step;
 	struct jrun *r;
@@ -82,7 +82,7 @@
 {
 	ctr_add(jl->ctr, JCTR_STARTS_EVACUATED, 1);
 	if (r->step->spec->gang && r->ws->closed)
-		withhold_gang(jl, r);
+		jl_withhold_gang(jl, r);
 }
 
 /* Handles a committed order, on every replica. Starts without an answer are
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -201,6 +201,17 @@
 void jl_evac_gave_up(struct jlead *, const struct jrun *);
 void jl_evac_applied(struct jlead *, const Job__Evacuation *, enum status);
 void jl_evac_scan(struct jlead *);
+void jl_withhold_gang(struct jlead *, const struct jrun *);
+/* jlead_advice.c */
+void jl_advice_begin(struct jlead *);
+void jl_advice_stop(struct jlead *);
+void jl_advice_configured(struct jlead *);
+void jl_advice_tick(struct jlead *);
+void jl_advice_prepare(struct jlead *);
+const char *jl_advice_ticket(const struct jlead *, const struct jrun *);
+bool jl_advice_withholds(const struct jlead *, const struct jrun *);
+void jl_advice_gave_up(struct jlead *, const struct jrun *);
+bool jl_advice_refused(struct jlead *, const struct jrun *);
 /* jlead_room.c */
 struct jplan_lookahead *jl_lookahead(struct jlead *);
 double jl_slowness(const struct jlead *, const struct wsess *);
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -265,6 +265,7 @@
 	jl->plan_at = clk_add_ms(
 	    jl->now, (int64_t)jl->nsessions / JLEAD_PLAN_WORKERS_PER_MS);
 	update_plan_workers(jl);
+	jl_advice_prepare(jl);
 	n = jplan_choose(jl->st, &jl->interf, &jl->demand, jl->plan_workers,
 	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS,
 	    jl_lookahead(jl), &out, JLEAD_ASSIGN_MAX);
--- a/src/job/jlead_reply.c
+++ b/src/job/jlead_reply.c
@@ -190,10 +190,16 @@
 static void
 end_refused_run(struct jlead *jl, struct jrun *r, enum jctr which)
 {
+	bool is_ticket =
+	    which == JCTR_START_BAD_TICKET && jl_advice_refused(jl, r);
+
 	ctr_add(jl->ctr, which, 1);
 	if (which == JCTR_START_NO_ROOM || which == JCTR_START_UNHEALTHY)
 		record_refusal(jl, r->ws);
-	r->ws->paused_until = clk_add_ms(jl->now, JLEAD_REFUSED_PAUSE_MS);
+	/* A ticket concerns one step only. */
+	if (!is_ticket)
+		r->ws->paused_until =
+		    clk_add_ms(jl->now, JLEAD_REFUSED_PAUSE_MS);
 	if (r->unconfirmed)
 		jrun_stop(jl, r, JL_STOP_UNCONFIRMED);
 	else
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -240,6 +240,7 @@
 {
 	return r->phase == RUN_STARTING && !r->must_stop &&
 	    (r->ws->w->draining || jl_evac_withholds(jl, r) ||
+		jl_advice_withholds(jl, r) ||
 		clk_diff_ms(jl->now, r->starting_at) > JLEAD_START_MS);
 }
 
@@ -256,6 +257,8 @@
 	ctr_add(jl->ctr, JCTR_STARTS_GIVEN_UP, 1);
 	if (jl_evac_withholds(jl, r))
 		jl_evac_gave_up(jl, r);
+	else if (jl_advice_withholds(jl, r))
+		jl_advice_gave_up(jl, r);
 	else if (!r->ws->w->draining)
 		jl_add_failure(jl, r->ws, 1.0);
 	if (r->unconfirmed)
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -1375,6 +1375,94 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+job__advice_call__init(Job__AdviceCall *message)
+{
+	static const Job__AdviceCall init_value = JOB__ADVICE_CALL__INIT;
+	*message = init_value;
+}
+size_t
+job__advice_call__get_packed_size(const Job__AdviceCall *message)
+{
+	assert(message->base.descriptor == &job__advice_call__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__advice_call__pack(const Job__AdviceCall *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__advice_call__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__advice_call__pack_to_buffer(
+    const Job__AdviceCall *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__advice_call__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__AdviceCall *
+job__advice_call__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__AdviceCall *)protobuf_c_message_unpack(
+	    &job__advice_call__descriptor, allocator, len, data);
+}
+void
+job__advice_call__free_unpacked(
+    Job__AdviceCall *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__advice_call__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
+job__advice_answer__init(Job__AdviceAnswer *message)
+{
+	static const Job__AdviceAnswer init_value = JOB__ADVICE_ANSWER__INIT;
+	*message = init_value;
+}
+size_t
+job__advice_answer__get_packed_size(const Job__AdviceAnswer *message)
+{
+	assert(message->base.descriptor == &job__advice_answer__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__advice_answer__pack(const Job__AdviceAnswer *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__advice_answer__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__advice_answer__pack_to_buffer(
+    const Job__AdviceAnswer *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__advice_answer__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__AdviceAnswer *
+job__advice_answer__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__AdviceAnswer *)protobuf_c_message_unpack(
+	    &job__advice_answer__descriptor, allocator, len, data);
+}
+void
+job__advice_answer__free_unpacked(
+    Job__AdviceAnswer *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__advice_answer__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 job__msg__init(Job__Msg *message)
 {
 	static const Job__Msg init_value = JOB__MSG__INIT;
@@ -2754,7 +2842,7 @@
 	job__answer__number_ranges, (ProtobufCMessageInit)job__answer__init,
 	NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__ping__field_descriptors[3] = {
+static const ProtobufCFieldDescriptor job__ping__field_descriptors[4] = {
 	{
 	    "seq", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
 	    0,					     /* quantifier_offset */
@@ -2773,17 +2861,24 @@
 	    offsetof(Job__Ping, calls_workers), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "calls_advice", 4, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_BOOL,
+	    offsetof(Job__Ping, has_calls_advice),
+	    offsetof(Job__Ping, calls_advice), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__ping__field_indices_by_name[] = {
+	3, /* field[3] = calls_advice */
 	2, /* field[2] = calls_workers */
 	1, /* field[1] = domain */
 	0, /* field[0] = seq */
 };
 static const ProtobufCIntRange job__ping__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 3 } };
+	{ 0, 4 } };
 const ProtobufCMessageDescriptor job__ping__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Ping", "Ping", "Job__Ping",
-	"job", sizeof(Job__Ping), 3, job__ping__field_descriptors,
+	"job", sizeof(Job__Ping), 4, job__ping__field_descriptors,
 	job__ping__field_indices_by_name, 1, job__ping__number_ranges,
 	(ProtobufCMessageInit)job__ping__init, NULL, NULL,
 	NULL /* reserved[123] */
@@ -3254,7 +3349,111 @@
 	(ProtobufCMessageInit)job__worker_answers__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__msg__field_descriptors[7] = {
+static const ProtobufCFieldDescriptor job__advice_call__field_descriptors[5] = {
+	{
+	    "token", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Job__AdviceCall, token), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "serial", 2, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
+	    0, /* quantifier_offset */
+	    offsetof(Job__AdviceCall, serial), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "step", 3, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_MESSAGE,
+	    0, /* quantifier_offset */
+	    offsetof(Job__AdviceCall, step), &job__task__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "workers", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+	    offsetof(Job__AdviceCall, n_workers),
+	    offsetof(Job__AdviceCall, workers), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "timeout_ms", 5, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Job__AdviceCall, timeout_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned job__advice_call__field_indices_by_name[] = {
+	1, /* field[1] = serial */
+	2, /* field[2] = step */
+	4, /* field[4] = timeout_ms */
+	0, /* field[0] = token */
+	3, /* field[3] = workers */
+};
+static const ProtobufCIntRange job__advice_call__number_ranges[1 + 1] = {
+	{ 1, 0 }, { 0, 5 }
+};
+const ProtobufCMessageDescriptor job__advice_call__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.AdviceCall", "AdviceCall",
+	"Job__AdviceCall", "job", sizeof(Job__AdviceCall), 5,
+	job__advice_call__field_descriptors,
+	job__advice_call__field_indices_by_name, 1,
+	job__advice_call__number_ranges,
+	(ProtobufCMessageInit)job__advice_call__init, NULL, NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    job__advice_answer__field_descriptors[5] = {
+	    {
+		"token", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
+		0, /* quantifier_offset */
+		offsetof(Job__AdviceAnswer, token), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+	    {
+		"serial", 2, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
+		0, /* quantifier_offset */
+		offsetof(Job__AdviceAnswer, serial), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+	    {
+		"result", 3, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT32,
+		0, /* quantifier_offset */
+		offsetof(Job__AdviceAnswer, result), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+	    {
+		"good", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+		offsetof(Job__AdviceAnswer, n_good),
+		offsetof(Job__AdviceAnswer, good), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+	    {
+		"tickets", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+		offsetof(Job__AdviceAnswer, n_tickets),
+		offsetof(Job__AdviceAnswer, tickets), NULL, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+    };
+static const unsigned job__advice_answer__field_indices_by_name[] = {
+	3, /* field[3] = good */
+	2, /* field[2] = result */
+	1, /* field[1] = serial */
+	4, /* field[4] = tickets */
+	0, /* field[0] = token */
+};
+static const ProtobufCIntRange job__advice_answer__number_ranges[1 + 1] = {
+	{ 1, 0 }, { 0, 5 }
+};
+const ProtobufCMessageDescriptor job__advice_answer__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.AdviceAnswer",
+	"AdviceAnswer", "Job__AdviceAnswer", "job", sizeof(Job__AdviceAnswer),
+	5, job__advice_answer__field_descriptors,
+	job__advice_answer__field_indices_by_name, 1,
+	job__advice_answer__number_ranges,
+	(ProtobufCMessageInit)job__advice_answer__init, NULL, NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor job__msg__field_descriptors[9] = {
 	{
 	    "call", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -3304,8 +3503,24 @@
 	    &job__worker_answers__descriptor, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "advice_call", 8, PROTOBUF_C_LABEL_OPTIONAL,
+	    PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
+	    offsetof(Job__Msg, advice_call), &job__advice_call__descriptor,
+	    NULL, 0,	  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "advice_answer", 9, PROTOBUF_C_LABEL_OPTIONAL,
+	    PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
+	    offsetof(Job__Msg, advice_answer), &job__advice_answer__descriptor,
+	    NULL, 0,	  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__msg__field_indices_by_name[] = {
+	8, /* field[8] = advice_answer */
+	7, /* field[7] = advice_call */
 	1, /* field[1] = answer */
 	0, /* field[0] = call */
 	4, /* field[4] = join */
@@ -3315,10 +3530,10 @@
 	5, /* field[5] = worker_calls */
 };
 static const ProtobufCIntRange job__msg__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 7 } };
+	{ 0, 9 } };
 const ProtobufCMessageDescriptor job__msg__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Msg", "Msg", "Job__Msg",
-	"job", sizeof(Job__Msg), 7, job__msg__field_descriptors,
+	"job", sizeof(Job__Msg), 9, job__msg__field_descriptors,
 	job__msg__field_indices_by_name, 1, job__msg__number_ranges,
 	(ProtobufCMessageInit)job__msg__init, NULL, NULL,
 	NULL /* reserved[123] */
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -46,6 +46,8 @@
 typedef struct Job__WorkerRows Job__WorkerRows;
 typedef struct Job__WorkerAnswer Job__WorkerAnswer;
 typedef struct Job__WorkerAnswers Job__WorkerAnswers;
+typedef struct Job__AdviceCall Job__AdviceCall;
+typedef struct Job__AdviceAnswer Job__AdviceAnswer;
 typedef struct Job__Msg Job__Msg;
 
 /* --- enums --- */
@@ -711,11 +713,16 @@
 	 */
 	protobuf_c_boolean has_calls_workers;
 	protobuf_c_boolean calls_workers;
+	/*
+	 * and calls for advice
+	 */
+	protobuf_c_boolean has_calls_advice;
+	protobuf_c_boolean calls_advice;
 };
 #define JOB__PING__INIT                                                        \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__ping__descriptor)                \
-		, 0, NULL, 0, 0                                                \
+		, 0, NULL, 0, 0, 0, 0                                          \
 	}
 
 struct Job__Pong {
@@ -903,6 +910,55 @@
 		, 0, 0, NULL                                                   \
 	}
 
+struct Job__AdviceCall {
+	ProtobufCMessage base;
+	/*
+	 * of the leader
+	 */
+	uint64_t token;
+	uint64_t serial;
+	/*
+	 * its index is unused
+	 */
+	Job__Task *step;
+	/*
+	 * ids
+	 */
+	size_t n_workers;
+	char **workers;
+	uint32_t timeout_ms;
+};
+#define JOB__ADVICE_CALL__INIT                                                 \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__advice_call__descriptor)         \
+		, 0, 0, NULL, 0, NULL, 0                                       \
+	}
+
+struct Job__AdviceAnswer {
+	ProtobufCMessage base;
+	uint64_t token;
+	uint64_t serial;
+	/*
+	 * enum jadvice_result
+	 */
+	uint32_t result;
+	/*
+	 * ids of workers that may run the step
+	 */
+	size_t n_good;
+	char **good;
+	/*
+	 * one for each of them
+	 */
+	size_t n_tickets;
+	char **tickets;
+};
+#define JOB__ADVICE_ANSWER__INIT                                               \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__advice_answer__descriptor)       \
+		, 0, 0, 0, 0, NULL, 0, NULL                                    \
+	}
+
 /*
  * One message; exactly one field is set.
  */
@@ -915,11 +971,13 @@
 	Job__Join *join;
 	Job__WorkerCalls *worker_calls;
 	Job__WorkerAnswers *worker_answers;
+	Job__AdviceCall *advice_call;
+	Job__AdviceAnswer *advice_answer;
 };
 #define JOB__MSG__INIT                                                         \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__msg__descriptor)                 \
-		, NULL, NULL, NULL, NULL, NULL, NULL, NULL                     \
+		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL         \
 	}
 
 /* Job__Step methods */
@@ -1242,6 +1300,26 @@
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void job__worker_answers__free_unpacked(
     Job__WorkerAnswers *message, ProtobufCAllocator *allocator);
+/* Job__AdviceCall methods */
+void job__advice_call__init(Job__AdviceCall *message);
+size_t job__advice_call__get_packed_size(const Job__AdviceCall *message);
+size_t job__advice_call__pack(const Job__AdviceCall *message, uint8_t *out);
+size_t job__advice_call__pack_to_buffer(
+    const Job__AdviceCall *message, ProtobufCBuffer *buffer);
+Job__AdviceCall *job__advice_call__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__advice_call__free_unpacked(
+    Job__AdviceCall *message, ProtobufCAllocator *allocator);
+/* Job__AdviceAnswer methods */
+void job__advice_answer__init(Job__AdviceAnswer *message);
+size_t job__advice_answer__get_packed_size(const Job__AdviceAnswer *message);
+size_t job__advice_answer__pack(const Job__AdviceAnswer *message, uint8_t *out);
+size_t job__advice_answer__pack_to_buffer(
+    const Job__AdviceAnswer *message, ProtobufCBuffer *buffer);
+Job__AdviceAnswer *job__advice_answer__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__advice_answer__free_unpacked(
+    Job__AdviceAnswer *message, ProtobufCAllocator *allocator);
 /* Job__Msg methods */
 void job__msg__init(Job__Msg *message);
 size_t job__msg__get_packed_size(const Job__Msg *message);
@@ -1308,6 +1386,10 @@
     const Job__WorkerAnswer *message, void *closure_data);
 typedef void (*Job__WorkerAnswers_Closure)(
     const Job__WorkerAnswers *message, void *closure_data);
+typedef void (*Job__AdviceCall_Closure)(
+    const Job__AdviceCall *message, void *closure_data);
+typedef void (*Job__AdviceAnswer_Closure)(
+    const Job__AdviceAnswer *message, void *closure_data);
 typedef void (*Job__Msg_Closure)(const Job__Msg *message, void *closure_data);
 
 /* --- services --- */
@@ -1350,6 +1432,8 @@
 extern const ProtobufCMessageDescriptor job__worker_rows__descriptor;
 extern const ProtobufCMessageDescriptor job__worker_answer__descriptor;
 extern const ProtobufCMessageDescriptor job__worker_answers__descriptor;
+extern const ProtobufCMessageDescriptor job__advice_call__descriptor;
+extern const ProtobufCMessageDescriptor job__advice_answer__descriptor;
 extern const ProtobufCMessageDescriptor job__msg__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -202,6 +202,27 @@
 	    (c->band == 0 ? c->deadline_ms : late_ms);
 }
 
+/* Returns the band of a step that starts at a time, and sets its deadline. */
+int
+jplan_band(struct jst_step *st, int64_t at_ms, int64_t *deadline_ms)
+{
+	struct candidate c;
+
+	candidate_init(&c, st, 0, at_ms);
+	*deadline_ms = c.deadline_ms;
+	return c.band;
+}
+
+/* Tells whether a step has to wait because no worker with a ticket is known. */
+static bool
+lacks_advice(const struct jst_step *st)
+{
+	const Job__Queue *q = st->job->queue_cfg;
+
+	return q != NULL && q->advice != NULL &&
+	    (st->advice == NULL || jadvice_step_count(st->advice) == 0);
+}
+
 /* Tells whether a task of an occurrence has been assigned; the first task of a
  * step is before the others. */
 static bool
@@ -222,8 +243,8 @@
 
 /* Tells whether the start time of an occurrence has come. One that has begun
  * goes on if the wall clock is stepped back, or a leader's is behind. */
-static bool
-occurrence_may_start(const struct jst_step *st, int64_t wall_ms)
+bool
+jplan_may_start(const struct jst_step *st, int64_t wall_ms)
 {
 	const Job__Spec *spec = st->job->spec;
 
@@ -270,8 +291,8 @@
 			struct jst_step *st = &j->steps[i];
 
 			if (st->nwaiting <= st->nproposed ||
-			    !occurrence_may_start(st, wall_ms) ||
-			    !jst_step_ready(st))
+			    !jplan_may_start(st, wall_ms) ||
+			    !jst_step_ready(st) || lacks_advice(st))
 				continue;
 			if (n + 1 >= cap) {
 				cap = cap == 0 ? 64 : cap * 2;
--- a/src/job/jplan.h
+++ b/src/job/jplan.h
@@ -240,6 +240,13 @@
 /* Sets queue_cfg and deadline_ms of a job. The deadline is the objective of its
  * queue after the submission. */
 void jplan_set_deadline(const struct jst *, struct jst_job *);
+/* Returns the band of a step that starts at a time: 0 if its job can be in
+ * time, 1 if it is late, 2 if it is worthless; and sets its deadline. */
+int jplan_band(struct jst_step *, int64_t at_ms, int64_t *deadline_ms);
+/* Tells whether the start time of a step's occurrence has come. */
+bool jplan_may_start(const struct jst_step *, int64_t wall_ms);
+/* Tells whether a worker has a label; any has the one that is NULL or empty. */
+bool jplan_has_label(const Job__Worker *, const char *label);
 /* Sets out to the choices, which the caller frees, and returns their number: at
  * most max, unless a gang begins below and ends above. Subtracts chosen tasks
  * from the free resources. wall_ms counts for deadlines and start times,
--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -2,6 +2,7 @@
 #ifndef JOB_JPLAN_IMPL_H
 #define JOB_JPLAN_IMPL_H
 
+#include "job/jadvice.h"
 #include "job/jplan.h"
 
 /* Most needs remembered as not fitting during one plan. A need at least as
@@ -22,6 +23,8 @@
 	/* a best-effort task that needs no processors left for it */
 	bool shares_cpu;
 	size_t image_index;
+	/* NULL: every worker of the service is allowed */
+	const struct jadvice_step *advice;
 	int64_t cpu, mem, accel;
 	/* With look-ahead: for how long it holds its resources, its order, and
 	 * whether it may use places kept for others. */
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -146,6 +146,13 @@
 	return false;
 }
 
+/* Tells whether a worker has a label; any has the one that is NULL or empty. */
+bool
+jplan_has_label(const Job__Worker *w, const char *label)
+{
+	return label == NULL || label[0] == '\0' || has_label(w, label);
+}
+
 /* Returns s, NULL if it is empty. */
 static const char *
 nonempty_or_null(const char *s)
@@ -184,6 +191,7 @@
 	d.service_index =
 	    q == NULL ? JPLAN_NO_SERVICE : find_service(r, q->service);
 	d.label = nonempty_or_null(s->label);
+	d.advice = q == NULL || q->advice == NULL ? NULL : st->advice;
 	d.rack = nonempty_or_null(s->rack);
 	d.best_effort = s->fills;
 	d.prefers_warm = !s->fills;
@@ -228,12 +236,15 @@
 	return false;
 }
 
-/* Tells whether a worker has the service and the label that a task needs. */
+/* Tells whether a worker has the service and the label that a task needs, and a
+ * ticket if it needs one. */
 bool
 jplan_is_eligible(const struct jplan_need *d, const struct jplan_worker *p)
 {
 	return d->service_index == p->service_index &&
-	    (d->label == NULL || has_label(p->w->info, d->label));
+	    (d->label == NULL || has_label(p->w->info, d->label)) &&
+	    (d->advice == NULL ||
+		jadvice_allows(d->advice, p->w->info->id, p->w->num));
 }
 
 /* Returns the processors that further best-effort tasks can use on a worker. */
@@ -634,7 +645,8 @@
 			found = heap_find_best(r, st, &d, &best);
 		}
 		if (!found) {
-			if (st->spec->spread == 0 && !met_reserve)
+			if (st->spec->spread == 0 && !met_reserve &&
+			    d.advice == NULL)
 				record_no_fit(r, &d);
 			break;
 		}
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -53,6 +53,7 @@
 struct jst_job;
 struct jst_worker;
 struct jrun;
+struct jadvice_step;
 
 struct jst_task {
 	enum jst_task_state state;
@@ -103,6 +104,9 @@
 	float speed_ms[JST_SPEED_MAX];
 	uint32_t nspeed;
 	bool speed_drops_first; /* from the full list, or the last */
+	/* leader: what is known of its workers, NULL: nothing; owned by the
+	 * leader */
+	struct jadvice_step *advice;
 };
 
 struct jst_job {
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -42,7 +42,7 @@
 	bool is_ping_unanswered;
 	uint64_t ping_seq, next_id;
 	const char *domain; /* of this instance, or NULL */
-	bool calls_workers;
+	bool calls_workers, calls_advice;
 	struct caller_call *calls,
 	    *calls_last; /* in the order of their start */
 	size_t ncalls;
@@ -174,6 +174,13 @@
 	c->calls_workers = calls_workers;
 }
 
+/* Makes pings say that this instance makes calls for advice. */
+void
+caller_offer_advice(struct caller *c)
+{
+	c->calls_advice = true;
+}
+
 /* Ends a call without its callback. */
 void
 caller_abort(struct caller *c, struct caller_call *k)
@@ -426,6 +433,7 @@
 	p.domain = (char *)(uintptr_t)c->domain;
 	p.has_calls_workers = c->calls_workers;
 	p.calls_workers = c->calls_workers;
+	p.has_calls_advice = p.calls_advice = c->calls_advice;
 	m.ping = &p;
 	c->ops.send(c->ops.arg, to->instance, &m);
 }
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -198,6 +198,9 @@
 	if (c->leading && p->calls_workers && from != c->inst->instance)
 		relay_on_peer(
 		    c->relay, from, p->domain == NULL ? "" : p->domain);
+	if (c->leading && p->calls_advice && c->advice != NULL &&
+	    from != c->inst->instance)
+		advice_on_peer(c->advice, from);
 }
 
 /* Adds a replica that asks to become a member, or removes one that stops. Only
@@ -238,6 +241,10 @@
 		relay_on_calls(c->relay, from, m->worker_calls);
 	else if (m->worker_answers != NULL)
 		relay_on_answers(c->relay, from, m->worker_answers);
+	else if (m->advice_call != NULL && c->advice != NULL)
+		advice_on_call(c->advice, from, m->advice_call);
+	else if (m->advice_answer != NULL && c->advice != NULL)
+		advice_on_answer(c->advice, from, m->advice_answer);
 }
 
 /* Ends the relayed calls of an instance whose connection failed. */
@@ -247,6 +254,8 @@
 	struct core *c = arg;
 
 	relay_on_disconnect(c->relay, instance);
+	if (c->advice != NULL)
+		advice_on_disconnect(c->advice, instance);
 }
 
 /* Passes a message of the consensus protocol to raft. */
@@ -320,6 +329,8 @@
 	relay_tick(c->relay);
 	if (c->cloud != NULL)
 		cloud_tick(c->cloud);
+	if (c->advice != NULL)
+		advice_tick(c->advice);
 	c->jl.nrelays = (uint32_t)relay_count_peers(c->relay);
 	if (c->leading)
 		jlead_tick(&c->jl, now, mesh_wall_ms(c->mesh));
@@ -507,6 +518,7 @@
 	rc.arg = c;
 	c->relay = relay_new(c, &rc);
 	core_cloud_start(c);
+	core_advice_start(c);
 	if (c->raft != NULL)
 		relay_on_leader(c->relay, raft_term(c->raft));
 	c->metrics =
@@ -522,6 +534,11 @@
 	jevac_reset(&c->jl.evac, clk_ns(mesh_now(c->mesh)) / CLK_NS_PER_MS);
 	metrics_add_gauge(c->metrics, "evacuated_domains", &c->st.nevacuations);
 	metrics_add_gauge(c->metrics, "evacuated_runs", &c->jl.evac.nruns);
+	metrics_add_gauge(
+	    c->metrics, "advice_waiting_steps", &c->jl.advice.nwaiting);
+	metrics_add_gauge(
+	    c->metrics, "advice_queued_calls", &c->jl.advice.nqueued);
+	metrics_add_gauge(c->metrics, "advice_tickets", &c->jl.advice.ntickets);
 	c->next_join_at = mesh_now(c->mesh);
 	c->ticker = ticker_new(c, c->ev, TICK_MS, on_tick, c, e);
 	return c->ticker == NULL ? e->status : STATUS_OK;
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -7,6 +7,7 @@
 #include "control/raft.h"
 #include "control/wal.h"
 #include "job/jlead.h"
+#include "node/advice.h"
 #include "node/cloud.h"
 #include "node/core.h"
 #include "node/dsync.h"
@@ -72,8 +73,9 @@
 	struct memacct *account; /* of the memory of connections */
 	struct mesh *mesh;
 	struct front *control;
-	struct relay *relay; /* calls to workers */
-	struct cloud *cloud; /* calls about machines; NULL: no such service */
+	struct relay *relay;   /* calls to workers */
+	struct cloud *cloud;   /* calls about machines; NULL: no such service */
+	struct advice *advice; /* calls for advice; NULL: no such service */
 	struct ticker *ticker;
 	struct timespec ticked_at; /* last tick; zero before the first */
 	struct pause pause;
@@ -134,6 +136,8 @@
     struct core *, const Job__Command *, const struct core_waiter *);
 /* core_cloud.c */
 void core_cloud_start(struct core *);
+/* core_advice.c */
+void core_advice_start(struct core *);
 /* core_log.c */
 void core_step(struct core *, const struct raft_ev *);
 bool core_log_flush(struct core *);
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -189,6 +189,8 @@
 	relay_drop_calls(c->relay);
 	if (c->cloud != NULL)
 		cloud_drop(c->cloud);
+	if (c->advice != NULL)
+		advice_drop(c->advice);
 	fail_inflight(c);
 	core_fail_reads(c);
 	core_answer_leaves(c, 0, JOB__OUTCOME__NOT_LEADER);
