Advice: unit tests, and usability of a worker read from its session

A call named workers that had just become unusable: the plan's input is as old as the last plan. Both now ask jl_is_usable.

--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -270,7 +270,8 @@
 	const Job__Worker *w = ws->w->info;
 
 	/* The entry may still be another worker's. */
-	if (p->w != ws->w || !p->usable || p->cold ||
+	if (p->w != ws->w || !jl_is_usable(jl, ws) ||
+	    clk_before(jl->now, ws->cold_until) ||
 	    strcmp(w->service, st->job->queue_cfg->service) != 0 ||
 	    !jplan_has_label(w, st->spec->label) ||
 	    p->failure_score > JPLAN_SLOT_FAILURE_MAX ||
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -202,6 +202,8 @@
 void jl_evac_applied(struct jlead *, const Job__Evacuation *, enum status);
 void jl_evac_scan(struct jlead *);
 void jl_withhold_gang(struct jlead *, const struct jrun *);
+/* jlead_plan.c */
+bool jl_is_usable(const struct jlead *, const struct wsess *);
 /* jlead_advice.c */
 void jl_advice_begin(struct jlead *);
 void jl_advice_stop(struct jlead *);
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -113,6 +113,15 @@
 	return clk_ns(ws->paused_until) / CLK_NS_PER_MS;
 }
 
+/* Tells whether a worker may be given work now. */
+bool
+jl_is_usable(const struct jlead *jl, const struct wsess *ws)
+{
+	return ws->contacted && !ws->silent && !ws->restarted && !ws->closed &&
+	    !ws->leave_announced && !ws->removal_proposed && !ws->w->draining &&
+	    !clk_before(jl->now, ws->paused_until) && jl_takes_new_work(ws);
+}
+
 /* Brings the plan's input up to date. */
 static void
 update_plan_workers(struct jlead *jl)
@@ -127,11 +136,7 @@
 			fill_plan_worker(jl, ws, p);
 		p->closed = ws->closed;
 		p->cold = clk_before(jl->now, ws->cold_until);
-		p->usable = ws->contacted && !ws->silent && !ws->restarted &&
-		    !ws->closed && !ws->leave_announced &&
-		    !ws->removal_proposed && !ws->w->draining &&
-		    !clk_before(jl->now, ws->paused_until) &&
-		    jl_takes_new_work(ws);
+		p->usable = jl_is_usable(jl, ws);
 		p->usable_at_ms = p->usable ? 0 : usable_at_ms(jl, ws);
 		p->slowness = jl->lookahead ? jl_slowness(jl, ws) : 0;
 		p->failure_score =
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -91,7 +91,7 @@
 	int64_t poll_until_ms;
 	uint64_t incarnation;
 	jl_call call;
-	std::string id, spec, checkpoint;
+	std::string id, spec, checkpoint, ticket;
 	int64_t sent_ms;
 	bool late = false; /* is carried out late */
 };
@@ -145,6 +145,11 @@
 	std::function<bool(const jl_call &)> is_late = [](const jl_call &) {
 		return false;
 	};
+	/* called for each start that the leader sends */
+	std::function<void(const SimCall &)> on_start = [](const SimCall &) {};
+	/* tells whether a worker takes the ticket of a start */
+	std::function<bool(const SimCall &, const SimWorker &)> takes_ticket =
+	    [](const SimCall &, const SimWorker &) { return true; };
 	/* share of answers that take up to this much longer */
 	double slow_answer_rate = 0;
 	int64_t slow_answer_max_ms = 2000;
@@ -846,11 +851,13 @@
 		k->sent_ms = s->now_ms;
 		k->spec = c->spec == NULL ? "" : c->spec;
 		k->checkpoint = c->checkpoint == NULL ? "" : c->checkpoint;
+		k->ticket = c->ticket == NULL ? "" : c->ticket;
 		k->call.spec = k->call.checkpoint = k->call.id = k->call.addr =
-		    NULL;
+		    k->call.ticket = NULL;
 		if (c->kind == JL_START) {
 			s->check_order(l, key(c->task));
 			s->check_open(l, s->worker_of(c->worker).zone);
+			s->on_start(*k);
 		}
 		uint64_t incarnation = s->worker_of(c->worker).incarnation;
 		bool lost = rng_chance(&s->rng, s->loss_rate) ||
@@ -1228,6 +1235,10 @@
 			r.kind = JL_NO_ROOM;
 			return;
 		}
+		if (!takes_ticket(order, w)) {
+			r.kind = JL_BAD_TICKET;
+			return;
+		}
 		most_cpu = std::max(most_cpu, used);
 		check_start(k, sp);
 		check_requested(order, k);
