--- a/soak/advised.py
+++ b/soak/advised.py
@@ -45,7 +45,6 @@
         self.is_silent = False
         self.findings = []
         self.calls = self.faults = self.starts = self.bad = 0
-        self.senders = set()  # connections
         self.silent_calls = 0
 
     async def serve(self):
@@ -97,7 +96,6 @@
                 first, _, body = await read_message(reader)
                 if first.split()[:2] != ["POST", "/-/advise"]:
                     self.findings.append(f"CALL {first}")
-                self.senders.add(id(writer))
                 status, answer = await self.answer(json.loads(body))
                 if status is None:
                     await asyncio.sleep(30)
@@ -214,6 +212,15 @@
             return int(found[-1]) if found else 0
         return max(self.soak.cores, key=last_token)
 
+    def count_relayed(self):
+        """Returns how many calls other replicas were to make."""
+        n = 0
+        for p in self.soak.cores:
+            with open(os.path.join(self.root, p.name + ".log")) as f:
+                n += len(re.findall(r"event=advice_call .*caller=[1-9]",
+                                    f.read()))
+        return n
+
     async def disturb(self):
         """Kills the leader, restarts a worker, and silences the service."""
         await asyncio.sleep(3)
@@ -247,10 +254,13 @@
         if self.advisor.silent_calls > 5 * 4 * (SILENT_S + PLAIN_S) / 2:
             self.findings.append(
                 f"CALLS {self.advisor.silent_calls} to a silent service")
+        relayed = self.count_relayed()
+        if relayed == 0:
+            self.findings.append("CALLS by the leader only")
         return (f"{sum(left)} of {len(jobs)} jobs ended, "
                 f"{self.advisor.calls} calls, {self.advisor.faults} with "
                 f"faults, {self.advisor.silent_calls} while silent, "
-                f"{len(self.advisor.senders)} connections, "
+                f"{relayed} by other replicas, "
                 f"{self.advisor.starts} starts with advice, "
                 f"{self.advisor.bad} refused")
 
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -222,7 +222,7 @@
 	AdviceSim s(1);
 	s.start(60, 20);
 	s.cold_left_ms = 60000;
-	s.new_zone = "a";
+	s.new_zone = "e";
 	std::string cold = s.workers[s.add_worker(64000)].id;
 	s.cold_left_ms = 0;
 	s.run(200);
@@ -338,6 +338,23 @@
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
 }
 
+/* Guards against a start without an answer that is sent again after its ticket
+ * ran out, and against a task that stays at that worker. */
+TEST(JobAdvice, AStartIsNotRepeatedOnceItsTicketRunsOut)
+{
+	AdviceSim s(18);
+	s.valid_ms = 1500;
+	s.start(1, 1);
+	uint64_t lost = s.workers.begin()->first;
+	s.drop_starts_to = lost;
+	s.submit(1, "fast", { JobSim::step(1, 2000) });
+	s.run(2600);
+	EXPECT_GE(s.count(JCTR_STARTS_NO_TICKET), 1U);
+	s.drop_starts_to = 0;
+	s.run(16000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
 /* Guards against a step that ends up without a ticket while its tasks wait. */
 TEST(JobAdvice, TicketsAreRenewedWhileTasksWait)
 {
@@ -398,6 +415,8 @@
 	EXPECT_EQ(3U, s.calls.size());
 	EXPECT_EQ(1U, s.count(JCTR_ADVICE_UNEXPECTED));
 	EXPECT_EQ(2U, s.count(JCTR_ADVICE_OK));
+	s.dark(10);
+	EXPECT_EQ(nullptr, s.jl.advice.known);
 }
 
 /* Guards against an answer for a job that has ended, and a caller that stays
