Advice: calls in a file of their own, failure score read from its session

The failure score of a worker was as old as the last plan, so that a call could name one that had just failed; the test now covers paused, failing and slow workers.

--- a/src/job/jadvice.c
+++ b/src/job/jadvice.c
@@ -1,53 +1,12 @@
-#include "job/jadvice.h"
-
-#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Most failure domains that are told apart when workers are spread. */
-#define DOMAINS_MAX 64
-
-/* What is known of a worker for one step. */
-struct known {
-	bool is_good;
-	char *ticket;	   /* NULL: none, or refused */
-	uint64_t num;	   /* registration that the ticket was issued for */
-	int64_t until_ms;  /* end of its validity */
-	uint32_t nrefused; /* tickets in a row */
-	int64_t retry_ms;  /* it isn't named in a call before */
-};
-
-struct jadvice_step {
-	uint64_t job;
-	uint32_t occurrence, number;
-	GHashTable *known; /* by the worker's id */
-	uint32_t ncalls;   /* with an answer */
-	bool is_in_call;
-	int64_t called_ms; /* start of the last call */
-	int64_t look_ms;   /* no call is needed before */
-	int64_t place_ms;  /* time that jadvice_allows refers to */
-	size_t nusable;	   /* at that time */
-};
+#include "job/jadvice_impl.h"
 
-/* An instance that makes calls, and its call in flight. */
-struct caller {
-	uint32_t instance;
-	bool is_live; /* it may be given calls */
-	int64_t retry_ms, backoff_ms;
-	uint64_t serial; /* 0: no call */
-	Job__Task step;
-	GPtrArray *ids;	 /* of the workers that are named */
-	uint64_t *nums;	 /* their registrations */
-	int64_t sent_ms; /* when the leader ordered the call */
-	int64_t until_ms, valid_ms;
-};
+/* What is known of steps and workers, and which workers a call names. */
 
-struct jadvice {
-	GHashTable *steps; /* a set of struct jadvice_step */
-	struct caller callers[JADVICE_CALLERS_MAX];
-	size_t ncallers;
-	uint64_t serial; /* of the last call */
-};
+/* Most failure domains that are told apart when workers are spread. */
+#define DOMAINS_MAX 64
 
 /* ---- what is known ---- */
 
@@ -75,7 +34,7 @@
 static void
 known_free(gpointer p)
 {
-	struct known *k = p;
+	struct jadvice_known *k = p;
 
 	g_free(k->ticket);
 	g_free(k);
@@ -105,18 +64,6 @@
 	return a;
 }
 
-/* Removes the call of a caller. */
-static void
-clear_call(struct caller *c)
-{
-	c->serial = 0;
-	if (c->ids != NULL)
-		g_ptr_array_free(c->ids, TRUE);
-	g_free(c->nums);
-	c->ids = NULL;
-	c->nums = NULL;
-}
-
 /* Frees everything; calls in flight are forgotten. */
 void
 jadvice_free(struct jadvice *a)
@@ -126,14 +73,14 @@
 	if (a == NULL)
 		return;
 	for (i = 0; i < a->ncallers; i++)
-		clear_call(&a->callers[i]);
+		jadvice_clear_call(&a->callers[i]);
 	g_hash_table_destroy(a->steps);
 	g_free(a);
 }
 
 /* Returns the record of a step, NULL if there is none. */
-static struct jadvice_step *
-find_step(const struct jadvice *a, const Job__Task *t)
+struct jadvice_step *
+jadvice_step_find(const struct jadvice *a, const Job__Task *t)
 {
 	struct jadvice_step key = {
 		.job = t->job, .occurrence = t->occurrence, .number = t->step
@@ -146,7 +93,7 @@
 struct jadvice_step *
 jadvice_step_get(struct jadvice *a, const Job__Task *t)
 {
-	struct jadvice_step *s = find_step(a, t);
+	struct jadvice_step *s = jadvice_step_find(a, t);
 
 	if (s != NULL)
 		return s;
@@ -198,7 +145,8 @@
 
 /* Tells whether a ticket applies to a registration and is valid for so long. */
 static bool
-is_valid(const struct known *k, uint64_t num, int64_t now_ms, int64_t left_ms)
+is_valid(const struct jadvice_known *k, uint64_t num, int64_t now_ms,
+    int64_t left_ms)
 {
 	return k != NULL && k->ticket != NULL && k->num == num &&
 	    k->until_ms - now_ms > left_ms;
@@ -215,7 +163,7 @@
 	s->nusable = 0;
 	g_hash_table_iter_init(&it, s->known);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct known *k = value;
+		const struct jadvice_known *k = value;
 
 		s->nusable += is_valid(k, k->num, now_ms, JADVICE_PLACE_MS);
 	}
@@ -242,7 +190,7 @@
 jadvice_ticket(
     const struct jadvice_step *s, const char *id, uint64_t num, int64_t now_ms)
 {
-	const struct known *k = g_hash_table_lookup(s->known, id);
+	const struct jadvice_known *k = g_hash_table_lookup(s->known, id);
 
 	return is_valid(k, num, now_ms, JADVICE_LAST_MS) ? k->ticket : NULL;
 }
@@ -252,7 +200,7 @@
 jadvice_reject(
     struct jadvice_step *s, const char *id, uint64_t num, int64_t now_ms)
 {
-	struct known *k = g_hash_table_lookup(s->known, id);
+	struct jadvice_known *k = g_hash_table_lookup(s->known, id);
 	int64_t pause_ms = JADVICE_REJECTED_MS;
 
 	if (k == NULL || k->num != num || k->ticket == NULL)
@@ -270,8 +218,8 @@
 /* ---- which call comes next ---- */
 
 /* Returns the time that a call about n workers needs. */
-static int64_t
-call_ms(const struct jadvice_terms *t, size_t n)
+int64_t
+jadvice_call_ms(const struct jadvice_terms *t, size_t n)
 {
 	return t->decide_ms + t->each_ms * (int64_t)n;
 }
@@ -285,7 +233,8 @@
 	double worth = band == 0 ? 1 : band == 1 ? 0.5 : 0.01;
 
 	return worth / (1.0 + priority) * (is_ready ? 1 : 0.5) *
-	    (is_first ? 1 : 0.5) / (double)(call_ms(t, JADVICE_WORKERS) + 1);
+	    (is_first ? 1 : 0.5) /
+	    (double)(jadvice_call_ms(t, JADVICE_WORKERS) + 1);
 }
 
 /* Tells whether a comes before b. */
@@ -406,10 +355,10 @@
     struct jadvice_worker *out, struct survey *u)
 {
 	/* Renewing earlier than half-way would name a worker at all times. */
-	int64_t ahead_ms =
-	    call_ms(t, JADVICE_WORKERS) + JADVICE_TIMEOUT_MS + JADVICE_PLACE_MS;
+	int64_t ahead_ms = jadvice_call_ms(t, JADVICE_WORKERS) +
+	    JADVICE_TIMEOUT_MS + JADVICE_PLACE_MS;
 	struct jadvice_worker w;
-	const struct known *k;
+	const struct jadvice_known *k;
 	size_t i;
 
 	if (ahead_ms > t->valid_ms / 2)
@@ -479,213 +428,3 @@
 	nnew = take_spread(v, nnew, out + u.nrenewed, most);
 	return u.nrenewed + nnew;
 }
-
-/* ---- calls ---- */
-
-/* Returns an instance that makes calls, NULL if it isn't known. */
-static struct caller *
-find_caller(struct jadvice *a, uint32_t instance)
-{
-	size_t i;
-
-	for (i = 0; i < a->ncallers; i++) {
-		if (a->callers[i].instance == instance)
-			return &a->callers[i];
-	}
-	return NULL;
-}
-
-/* Sets the instances that make calls besides the leader. Those that left and
- * have no call are forgotten. */
-void
-jadvice_set_callers(struct jadvice *a, const uint32_t *v, size_t n)
-{
-	struct caller *c;
-	size_t i, kept = 1;
-
-	for (i = 1; i < a->ncallers; i++)
-		a->callers[i].is_live = false;
-	for (i = 0; i < n; i++) {
-		c = find_caller(a, v[i]);
-		if (c == NULL) {
-			if (a->ncallers == JADVICE_CALLERS_MAX)
-				break;
-			c = &a->callers[a->ncallers++];
-			memset(c, 0, sizeof(*c));
-			c->instance = v[i];
-			c->backoff_ms = JADVICE_RETRY_MS;
-		}
-		c->is_live = true;
-	}
-	for (i = 1; i < a->ncallers; i++) {
-		if (a->callers[i].is_live || a->callers[i].serial != 0)
-			a->callers[kept++] = a->callers[i];
-	}
-	a->ncallers = kept;
-}
-
-/* Finds a caller without a call that doesn't pause. */
-bool
-jadvice_find_caller(const struct jadvice *a, int64_t now_ms, uint32_t *instance)
-{
-	size_t i;
-
-	for (i = 0; i < a->ncallers; i++) {
-		const struct caller *c = &a->callers[i];
-
-		if (!c->is_live || c->serial != 0 || now_ms < c->retry_ms)
-			continue;
-		*instance = c->instance;
-		return true;
-	}
-	return false;
-}
-
-/* Records a call. */
-uint64_t
-jadvice_begin(struct jadvice *a, uint32_t instance, struct jadvice_step *s,
-    const struct jadvice_terms *t, const struct jadvice_worker *v, size_t n,
-    int64_t now_ms, int64_t *timeout_ms)
-{
-	struct caller *c = find_caller(a, instance);
-	size_t i;
-
-	*timeout_ms = call_ms(t, n) + JADVICE_TIMEOUT_MS;
-	clear_call(c);
-	c->serial = ++a->serial;
-	job__task__init(&c->step);
-	c->step.job = s->job;
-	c->step.has_occurrence = c->step.has_step = 1;
-	c->step.occurrence = s->occurrence;
-	c->step.step = s->number;
-	c->ids = g_ptr_array_new_with_free_func(g_free);
-	c->nums = g_new(uint64_t, n);
-	for (i = 0; i < n; i++) {
-		g_ptr_array_add(c->ids, g_strdup(v[i].id));
-		c->nums[i] = v[i].num;
-	}
-	c->sent_ms = now_ms;
-	c->until_ms = now_ms + *timeout_ms + JADVICE_RELAY_MS;
-	c->valid_ms = t->valid_ms;
-	s->is_in_call = true;
-	s->called_ms = now_ms;
-	return c->serial;
-}
-
-/* Returns the ticket of a worker in an answer, NULL if it isn't good. */
-static const char *
-find_good(const struct jadvice_answer *r, const char *id)
-{
-	size_t i;
-
-	for (i = 0; i < r->ngood; i++) {
-		if (strcmp(r->good[i].worker, id) == 0)
-			return r->good[i].ticket;
-	}
-	return NULL;
-}
-
-/* Stores what an answer says of a worker. One that was allowed and isn't listed
- * again may be unknown to the service for a while, as the set of allowed
- * workers doesn't change. */
-static void
-learn(struct jadvice_step *s, const struct caller *c, size_t i,
-    const struct jadvice_answer *r, int64_t now_ms)
-{
-	const char *id = g_ptr_array_index(c->ids, i);
-	const char *ticket = find_good(r, id);
-	struct known *k = g_hash_table_lookup(s->known, id);
-
-	if (k == NULL) {
-		k = g_new0(struct known, 1);
-		g_hash_table_insert(s->known, g_strdup(id), k);
-	}
-	if (ticket == NULL) {
-		k->retry_ms = now_ms + JADVICE_REJECTED_MS;
-		return;
-	}
-	if (k->num != c->nums[i])
-		k->nrefused = 0;
-	g_free(k->ticket);
-	k->is_good = true;
-	k->ticket = g_strdup(ticket);
-	k->num = c->nums[i];
-	k->until_ms = c->sent_ms + c->valid_ms;
-}
-
-/* Sets when a caller gets its next call. */
-static void
-pause_caller(struct caller *c, enum jadvice_result result, int64_t now_ms)
-{
-	if (result == JADVICE_OK) {
-		c->backoff_ms = JADVICE_RETRY_MS;
-		c->retry_ms = now_ms;
-		return;
-	}
-	c->retry_ms = now_ms + c->backoff_ms;
-	c->backoff_ms = MIN(c->backoff_ms * 2, JADVICE_RETRY_MAX_MS);
-}
-
-/* Records the end of a call. Answers to calls that have ended are dropped. */
-void
-jadvice_end(struct jadvice *a, const struct jadvice_answer *r, int64_t now_ms,
-    struct jadvice_outcome *o)
-{
-	struct caller *c = find_caller(a, r->instance);
-	struct jadvice_step *s;
-	size_t i;
-
-	memset(o, 0, sizeof(*o));
-	if (c == NULL || c->serial == 0 || c->serial != r->serial)
-		return;
-	o->expected = true;
-	o->step = c->step;
-	o->nasked = c->ids->len;
-	o->took_ms = now_ms - c->sent_ms;
-	s = find_step(a, &c->step);
-	o->has_step = s != NULL;
-	if (s != NULL) {
-		s->is_in_call = false;
-		s->look_ms = now_ms;
-		s->ncalls += r->result == JADVICE_OK;
-	}
-	for (i = 0; s != NULL && r->result == JADVICE_OK && i < c->ids->len;
-	     i++) {
-		learn(s, c, i, r, now_ms);
-		o->ngood += find_good(r, g_ptr_array_index(c->ids, i)) != NULL;
-	}
-	pause_caller(c, r->result, now_ms);
-	clear_call(c);
-}
-
-/* Finds a call whose time limit has passed, or whose caller is gone. */
-bool
-jadvice_find_overdue(
-    const struct jadvice *a, int64_t now_ms, struct jadvice_answer *r)
-{
-	size_t i;
-
-	for (i = 0; i < a->ncallers; i++) {
-		const struct caller *c = &a->callers[i];
-
-		if (c->serial == 0 || (c->is_live && now_ms < c->until_ms))
-			continue;
-		memset(r, 0, sizeof(*r));
-		r->instance = c->instance;
-		r->serial = c->serial;
-		r->result = JADVICE_NO_ANSWER;
-		return true;
-	}
-	return false;
-}
-
-/* Returns the number of calls in flight. */
-size_t
-jadvice_count_calls(const struct jadvice *a)
-{
-	size_t i, n = 0;
-
-	for (i = 0; i < a->ncallers; i++)
-		n += a->callers[i].serial != 0;
-	return n;
-}
--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -274,7 +274,8 @@
 	    clk_before(jl->now, ws->cold_until) ||
 	    strcmp(w->service, st->job->queue_cfg->service) != 0 ||
 	    !jplan_has_label(w, st->spec->label) ||
-	    p->failure_score > JPLAN_SLOT_FAILURE_MAX ||
+	    (ws->failure_score > 0 &&
+		jl_failure_score(jl, ws) > JPLAN_SLOT_FAILURE_MAX) ||
 	    jl_slowness(jl, ws) > 0)
 		return false;
 	o->id = w->id;
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -216,7 +216,7 @@
 };
 
 /* Guards against a call for each worker, against workers of few domains, and
- * against such as can't take a task: cold, evacuated, draining or full. */
+ * against such as are cold, evacuated, paused, failing or slow. */
 TEST(JobAdvice, OneCallNamesFreeWorkersOfAllDomains)
 {
 	AdviceSim s(1);
@@ -225,7 +225,20 @@
 	s.new_zone = "e";
 	std::string cold = s.workers[s.add_worker(64000)].id;
 	s.cold_left_ms = 0;
+	std::vector<struct wsess *> bad;
+	for (auto zone : { "f", "g", "h" }) {
+		s.new_zone = zone;
+		uint64_t num = s.add_worker(64000);
+		bad.push_back(
+		    (struct wsess *)jst_find_worker(&s.st, num)->session);
+	}
 	s.run(200);
+	int64_t at_ms = s.now_ms;
+	bad[0]->paused_until = clk_add_ms(s.now(), 5000);
+	bad[1]->failure_score = 5;
+	bad[1]->failure_score_at = s.now();
+	bad[2]->speed = { 100, 100, 101, at_ms };
+	s.jl.speed = { 1000, 0, 10, at_ms };
 	s.evacuate("d");
 	s.submit(1, "fast", { JobSim::step(6, 2000) });
 	s.run(2500);
@@ -235,6 +248,8 @@
 	std::map<std::string, int> zones;
 	for (auto &id : s.calls[0].workers) {
 		EXPECT_NE(cold, id);
+		for (auto *ws : bad)
+			EXPECT_NE(ws->w->info->id, id);
 		for (auto &x : s.workers)
 			zones[x.second.zone] += x.second.id == id;
 	}
