Advice: tests of old tickets, of occurrences and of steps that aren't ready

Removing the validity that a plan asks for, the time before an occurrence, and the limit of one call before a step is ready were not noticed by the tests.

--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -389,6 +389,23 @@
 	EXPECT_EQ(n, s.calls.size());
 }
 
+/* Guards against a plan that goes on with tickets that ran out. */
+TEST(JobAdvice, NothingIsPlacedWithAnOldTicket)
+{
+	AdviceSim s(19);
+	s.valid_ms = 2500;
+	s.start(1, 1, 2000);
+	s.submit(1, "fast", { JobSim::step(8, 2000) });
+	s.run(300);
+	s.fault = SILENT;
+	s.run(6000);
+	EXPECT_EQ(0U, s.count(JCTR_STARTS_NO_TICKET));
+	EXPECT_EQ(0U, s.starts.count({ 1, 0, 0, 7 }));
+	s.fault = ANSWER;
+	s.run(9000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
 /* Guards against a ticket that is used again after it was refused, a new call
  * at once, and a worker that is closed to other queues for it. */
 TEST(JobAdvice, ARefusedTicketIsReplaced)
@@ -498,12 +515,14 @@
 	EXPECT_EQ(60U, s.calls[1].workers.size());
 }
 
-/* Guards against a step that waits for its advice after the step before. */
+/* Guards against a step that waits for its advice after the step before, and
+ * against more than one call for it meanwhile. */
 TEST(JobAdvice, AStepIsAskedAboutBeforeItCanStart)
 {
 	AdviceSim s(13);
-	s.start(8, 3);
-	Job__Step first = JobSim::step(2, 2000), second = first;
+	s.start(60, 20);
+	Job__Step first = JobSim::step(2, 2000),
+		  second = JobSim::step(30, 16000);
 	uint32_t after = 0;
 	second.after = &after;
 	second.n_after = 1;
@@ -511,12 +530,31 @@
 	s.run(600);
 	ASSERT_EQ(2U, s.calls.size());
 	EXPECT_EQ(1U, s.calls[1].step.step);
-	s.run(1600);
+	s.run(550);
+	EXPECT_EQ(2U, s.calls.size());
+	s.run(4000);
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
 	SimTask t0 = { 1, 0, 0, 0 }, t1 = { 1, 0, 1, 0 };
 	EXPECT_LE(s.last_start_ms[t1] - s.last_start_ms[t0], 800 + 100);
 }
 
+/* Guards against a repeated job that is asked about long before its
+ * occurrences, when their tickets would run out, or only once they are due. */
+TEST(JobAdvice, AnOccurrenceIsAskedAboutShortlyBefore)
+{
+	AdviceSim s(20);
+	s.start(8, 3);
+	int64_t from_ms = s.now_ms;
+	s.submit(1, "fast", { JobSim::step(2, 2000) }, 3);
+	s.run(900);
+	EXPECT_EQ(1U, s.calls.size());
+	s.run(4000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+	EXPECT_EQ(3U, s.calls.size());
+	SimTask last = { 1, 2, 0, 0 };
+	EXPECT_LE(s.last_start_ms[last], from_ms + 3000 + 60);
+}
+
 /* Guards against a gang that starts without tickets for all of it. */
 TEST(JobAdvice, AGangNeedsTicketsForAll)
 {
