--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -395,12 +395,16 @@
 	AdviceSim s(19);
 	s.valid_ms = 2500;
 	s.start(1, 1, 2000);
-	s.submit(1, "fast", { JobSim::step(8, 2000) });
-	s.run(300);
+	s.submit(1, "fast", { JobSim::step(12, 2000) });
+	s.run(900);
+	/* The ticket of the second worker runs out later. */
+	s.allowed.insert(s.workers[s.add_worker(2000)].id);
+	s.run(700);
+	ASSERT_GE(s.count(JCTR_ADVICE_OK), 2U);
 	s.fault = SILENT;
 	s.run(6000);
 	EXPECT_EQ(0U, s.count(JCTR_STARTS_NO_TICKET));
-	EXPECT_EQ(0U, s.starts.count({ 1, 0, 0, 7 }));
+	EXPECT_EQ(0U, s.starts.count({ 1, 0, 0, 11 }));
 	s.fault = ANSWER;
 	s.run(9000);
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
