--- a/src/node/tests/inst_test.cc
+++ b/src/node/tests/inst_test.cc
@@ -71,6 +71,10 @@
 	EXPECT_EQ(STATUS_INVALID, f.load(good + "lookahead = true\n"));
 	ASSERT_EQ(STATUS_OK, f.load(good));
 	EXPECT_FALSE(f.in.lookahead);
+	/* Not every deployment has the service. */
+	EXPECT_EQ(0U, f.in.advice.len);
+	ASSERT_EQ(STATUS_OK, f.load(good + "advice = 10.0.0.9:80\n"));
+	EXPECT_TRUE(str_eq_c(f.in.advice, "10.0.0.9:80"));
 	ASSERT_EQ(STATUS_OK, f.load(good + "lookahead = on\n"));
 	EXPECT_TRUE(f.in.lookahead);
 	std::string bad = good;
