Advice: the steps looked at in a tick go by the size of the fleet

Four steps a tick could leave out steps that need a call while others wait for room with tickets that are valid; now about 8000 workers are looked at, 16 steps on a fleet of 490. Comments no longer give times that weren't measured.

--- a/src/job/jadvice.h
+++ b/src/job/jadvice.h
@@ -4,10 +4,10 @@
  * service that knows them is made next, by whom, and which workers it names;
  * keeps the answers. Pure.
  *
- * Built for about 15 steps a second with 10 to 20 tasks each, of which the
- * service allows a part of the workers. It takes 0.1 to 0.4 s for a call about
- * 30 workers and handles one call at a time for each calling machine, so that a
- * call for each worker or task would make all steps late.
+ * Built for tens of short steps a second, of which the service allows a part of
+ * the workers each. A call takes a fixed time and some for each worker, and the
+ * service handles one at a time for each calling machine: a call for each
+ * worker or task, or about all workers, would make all steps late.
  */
 #ifndef JOB_JADVICE_H
 #define JOB_JADVICE_H
--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -8,9 +8,10 @@
 /* The leader's side of advice: which steps need it, which workers may be named,
  * and the tickets of starts. */
 
-/* Most steps for which workers are chosen in one tick. Each costs a look at all
- * workers, about 0.1 us for one. */
-#define LOOKS_PER_TICK 4
+/* Workers looked at in one tick to choose those that calls name, and one more
+ * step. A step that turns out to need no call takes part of it, so that it has
+ * to be enough for many steps on a fleet of hundreds of workers. */
+#define LOOKED_AT_PER_TICK 8000
 
 /* Returns the leader's monotonic time in ms. */
 static int64_t
@@ -337,14 +338,13 @@
 make_calls(struct jlead *jl, struct jadvice_queue *q)
 {
 	uint32_t instance;
-	size_t i, nlooks = 0, ncalls = 0;
+	size_t i, ncalls = 0;
+	size_t most = LOOKED_AT_PER_TICK / (jl->nsessions + 1) + 1;
 
-	for (i = 0; i < q->n && nlooks < LOOKS_PER_TICK &&
+	for (i = 0; i < q->n && i < most &&
 	     jadvice_find_caller(jl->advice.known, now_ms(jl), &instance);
-	     i++) {
+	     i++)
 		ncalls += make_call(jl, q->v[i].arg, instance);
-		nlooks++;
-	}
 	jl->advice.nqueued = q->n - ncalls;
 }
 
