--- a/src/node/tests/advice_test.cc
+++ b/src/node/tests/advice_test.cc
@@ -46,11 +46,11 @@
 	static bool send(void *arg, uint32_t to, const Job__Msg *m)
 	{
 		auto *t = (AdviceCalls *)arg;
+		if (t->is_cut_off)
+			return false;
 		std::vector<uint8_t> b(job__msg__get_packed_size(m));
 		job__msg__pack(m, b.data());
 		Job__Msg *got = job__msg__unpack(NULL, b.size(), b.data());
-		if (t->is_cut_off)
-			return false;
 		if (to == 2)
 			advice_on_call(t->replica, 1, got->advice_call);
 		else
