--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -18,6 +18,7 @@
 
 #include "base/ctr.h"
 #include "base/hist.h"
+#include "job/jadvice.h"
 #include "job/jcloud.h"
 #include "job/jdemand.h"
 #include "job/jevac.h"
@@ -240,6 +241,18 @@
 struct jl_waves;
 struct jl_pools;
 
+/* Advice of a leader. */
+struct jl_advice {
+	struct jadvice_ops ops; /* call NULL: there is no setting */
+	bool is_used;		/* a queue has advice */
+	struct jadvice *known;	/* NULL: this replica doesn't lead */
+	bool is_lack_logged;	/* that the setting is missing */
+	struct timespec log_at; /* next log line */
+	/* Steps that could start and have no usable ticket, calls that wait for
+	 * a caller, and usable tickets. */
+	size_t nwaiting, nqueued, ntickets;
+};
+
 /* State of the job leader. On other replicas only the averages are kept up. */
 struct jlead {
 	struct jst *st;
@@ -281,6 +294,7 @@
 	uint32_t nrelays;	/* other instances that relay its calls */
 	struct jl_waves *waves; /* NULL: no maintenance is ordered */
 	struct jl_pools *pools; /* NULL as well: no moves between pools */
+	struct jl_advice advice;
 };
 
 void jlead_init(
@@ -322,6 +336,12 @@
  * to the first max of them, in no order. None without look-ahead. */
 size_t jlead_kept_places(const struct jlead *, uint64_t job,
     const struct jplan_worker **out, size_t max);
+/* Enables calls for advice; called once, after jlead_init. */
+void jlead_set_advice(struct jlead *, const struct jadvice_ops *);
+/* Takes the answer to such a call of the leader with this token, or that there
+ * was none. */
+void jlead_on_advice(struct jlead *, struct timespec now, uint64_t token,
+    const struct jadvice_answer *);
 /* Assigns tasks that can start now. Called at the end of each round of
  * events. */
 void jlead_plan(struct jlead *);
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -202,6 +202,27 @@
 	    (c->band == 0 ? c->deadline_ms : late_ms);
 }
 
+/* Returns the band of a step that starts at a time, and sets its deadline. */
+int
+jplan_band(struct jst_step *st, int64_t at_ms, int64_t *deadline_ms)
+{
+	struct candidate c;
+
+	candidate_init(&c, st, 0, at_ms);
+	*deadline_ms = c.deadline_ms;
+	return c.band;
+}
+
+/* Tells whether a step has to wait because no worker with a ticket is known. */
+static bool
+lacks_advice(const struct jst_step *st)
+{
+	const Job__Queue *q = st->job->queue_cfg;
+
+	return q != NULL && q->advice != NULL &&
+	    (st->advice == NULL || jadvice_step_count(st->advice) == 0);
+}
+
 /* Tells whether a task of an occurrence has been assigned; the first task of a
  * step is before the others. */
 static bool
@@ -271,7 +292,7 @@
 
 			if (st->nwaiting <= st->nproposed ||
 			    !jplan_may_start(st, wall_ms) ||
-			    !jst_step_ready(st))
+			    !jst_step_ready(st) || lacks_advice(st))
 				continue;
 			if (n + 1 >= cap) {
 				cap = cap == 0 ? 64 : cap * 2;
