Tests: answers, a failed sync and shutdown with the log in its thread

The thread that syncs the log of "serve" had no test of what it must not break: an answer waits for the sync of its entry, a failed sync stops the replica and answers nothing that rested on it, and a shutdown during a sync waits for it.

--- a/src/node/tests/control_test.cc
+++ b/src/node/tests/control_test.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <errno.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdlib.h>
@@ -18,6 +19,7 @@
 #include "control/wal.h"
 #include "node/control.h"
 #include "node/frame.h"
+#include "node/nctr.h"
 #include "node/peer.h"
 #include "node/sock.h"
 
@@ -52,7 +54,7 @@
 	struct node_counters counters = {};
 	std::thread thread;
 	std::atomic<int> script_runs{ -1 }; /* -1: the script is off */
-	std::atomic<bool> replied_before_sync{ false };
+	std::atomic<bool> replied_before_sync{ false }, sync_fails{ false };
 	bool check_early_reply = false;
 	int script_holds_ms = 0; /* the first sync takes as long instead */
 
@@ -65,6 +67,10 @@
 	{
 		ControlSync *t = (ControlSync *)arg;
 		int n = t->script_runs;
+		if (t->sync_fails) {
+			errno = EIO;
+			return -1;
+		}
 		if (n >= 0) {
 			t->script(n + 1);
 			t->script_runs = n + 1;
@@ -244,6 +250,16 @@
 		return false;
 	}
 
+	/* Receives for a while; tells whether the reply to an operation came.
+	 */
+	static bool is_replied_within(
+	    struct fake_instance &s, uint64_t id, int wait_ms)
+	{
+		for (int ms = 0; ms < wait_ms && s.replied != id; ms += 10)
+			receive(s, 10);
+		return s.replied == id;
+	}
+
 	/* Waits until the n-th sync; meanwhile only the script receives. */
 	bool synced(int n)
 	{
@@ -312,12 +328,21 @@
 		}
 	}
 
-	void TearDown() override
+	/* Ends the control thread and frees what it had. */
+	void stop()
 	{
+		if (control == NULL)
+			return;
 		mbox_post(&shared.control, mbox_msg_new(MBOX_DRAIN, 0));
 		mbox_post(&shared.control, mbox_msg_new(MBOX_IDLE, 0));
 		thread.join();
 		talloc_free(control);
+		control = NULL;
+	}
+
+	void TearDown() override
+	{
+		stop();
 		mbox_destroy(&shared.control);
 		mbox_destroy(&traffic);
 		for (struct fake_instance &s : fakes) {
@@ -366,3 +391,47 @@
 	EXPECT_EQ(0, script_runs); /* the sync goes on */
 	EXPECT_TRUE(synced(1));
 }
+
+/* Guards against an answer that leaves before the entry on which it rests is on
+ * disk, and would be lost with the process. */
+TEST_F(ControlSync, AnswersWaitForTheSync)
+{
+	script_holds_ms = 800;
+	script_runs = 0;
+	send_claim(fakes[0], 1);
+	EXPECT_FALSE(is_replied_within(fakes[0], 1, 400));
+	EXPECT_EQ(0, script_runs); /* the sync goes on */
+	EXPECT_TRUE(replied(fakes[0], 1));
+	EXPECT_EQ(1, script_runs);
+}
+
+/* Guards against a replica that answers, or goes on as the leader, although its
+ * log could not be synced. */
+TEST_F(ControlSync, AFailedSyncStopsTheReplica)
+{
+	const struct ctr_set *node = counters.v[0].set;
+	log_set_level(LOG_ALERT);
+	sync_fails = true;
+	send_claim(fakes[0], 1);
+	for (int ms = 0; ctr_get(node, NCTR_DISK_FAILED) == 0; ms++) {
+		ASSERT_GT(TIMEOUT_MS, ms);
+		usleep(1000);
+	}
+	EXPECT_FALSE(is_replied_within(fakes[0], 1, 300));
+	send_claim(fakes[0], 2);
+	EXPECT_TRUE(is_replied_within(fakes[0], 2, TIMEOUT_MS));
+	EXPECT_EQ(STATUS_NOT_LEADER, fakes[0].status);
+	EXPECT_EQ(1u, ctr_get(node, NCTR_DISK_FAILED));
+}
+
+/* Guards against a shutdown during a sync that frees the log under the thread
+ * which writes it, or loses what is queued. */
+TEST_F(ControlSync, ShutdownWaitsForTheSync)
+{
+	script_holds_ms = 3000;
+	script_runs = 0;
+	send_claim(fakes[0], 1);
+	EXPECT_FALSE(is_replied_within(fakes[0], 1, 100));
+	stop();
+	EXPECT_LE(1, script_runs);
+}
