Soak: a run without a configuration ends

Cause: the first configuration is sent until it is acknowledged, without a limit. A fault that leaves the replicas without a leader from the start would hang the run; odd_entries, which used to send one change only, reported it.

Change: it is reported after 60 s.

--- a/soak/world.py
+++ b/soak/world.py
@@ -11,6 +11,8 @@
 # acknowledgement; the operator sends an order again after RESEND_S, for at most
 # ACK_S.
 EVACUATE_S, RESEND_S, ACK_S = 5.0, 1.0, 5.0
+# Without a configuration for so long the run has failed.
+CONFIGURE_S = 60
 ZONES = ("za", "zb", "zc")
 
 
@@ -469,9 +471,13 @@
     async def configure(self):
         """Sends configurations until one is acknowledged. The tries of one
         change end after 3 s, and on a busy machine the first leader may take
-        longer; a refusal ends it."""
+        longer; a refusal ends it, and so does CONFIGURE_S."""
+        until = time.monotonic() + CONFIGURE_S
         while self.acknowledged_version == 0 and not self.ledger.findings:
             await self.change_config()
+            if self.acknowledged_version == 0 and time.monotonic() > until:
+                self.ledger.report("CONFIG none was acknowledged in "
+                                   f"{CONFIGURE_S} s")
 
     async def check_config(self):
         """Checks that the version isn't older than one acknowledged before."""
