Memory: messages of replicas don't wait for entry instances

Cause: large messages of entry instances, which may take 14 s for 900 KB at 64 KB/s, could fill the whole part for messages being received. A message of the consensus protocol then waited for them, with all that follows on its connection. A replica's message that would fit was also put first among those that wait, but wasn't read until another connection released memory. Change: a quarter of the part is left to replicas, and a replica's message waits only behind those of other replicas.

--- a/src/node/peer_conn.c
+++ b/src/node/peer_conn.c
@@ -207,7 +207,7 @@
 	return alive;
 }
 
-/* Stops to wait for memory. */
+/* Removes a connection from those that wait for memory, if it waits. */
 static void
 stop_waiting(struct peer_conn *c)
 {
@@ -240,15 +240,26 @@
 	peer_conn_update_events(c);
 }
 
+/* Tells whether no connection that waits for memory comes before this one. */
+static bool
+is_next(const struct peer_conn *c)
+{
+	const struct peer_conn *first = c->peer->waiting;
+
+	return first == NULL || first == c ||
+	    (c->is_replica && !first->is_replica);
+}
+
 /* Makes room to read; closes the connection if its frame is longer than it may
- * be. A frame waits behind those that began to wait earlier. */
+ * be. A frame waits behind those that began to wait earlier, but one of a
+ * replica only behind those of replicas. */
 static bool
 conn_make_room(struct peer_conn *c)
 {
-	bool is_next = c->peer->waiting == NULL || c->peer->waiting == c;
 	bool is_new_frame = recvbuf_missing(&c->in) > 0;
 
-	switch (recvbuf_make_room(&c->in, c->has_hello, is_next)) {
+	switch (recvbuf_make_room(
+	    &c->in, c->has_hello, is_next(c), c->is_replica)) {
 	case RECVBUF_ROOM:
 		if (is_new_frame)
 			c->frame_since = clk_now(&c->peer->clk);
--- a/src/node/recvbuf.c
+++ b/src/node/recvbuf.c
@@ -54,20 +54,37 @@
 	b->capacity = capacity;
 }
 
+/* Reserves the memory of a large frame; false if it doesn't fit. One frame may
+ * be larger than the part of a small process, so any size is admitted while
+ * little is in use. */
+static bool
+reserve(struct recvbuf *b, size_t size, bool is_replica)
+{
+	size_t max, used;
+
+	if (b->account == NULL)
+		return true;
+	max = memacct_max(b->account, MEMACCT_RECEIVE);
+	used = memacct_used(b->account, MEMACCT_RECEIVE);
+	if (!is_replica && used > max / MEMACCT_LITTLE_DIVISOR &&
+	    used + size > max - max / RECVBUF_REPLICA_DIVISOR)
+		return false;
+	return memacct_grow_any(b->account, &b->large, size);
+}
+
 /* Makes room for at least one more byte. All of a large frame is reserved at
  * once: frames that each have a part of the memory could all wait for the rest
  * for good. */
 enum recvbuf_room
-recvbuf_make_room(struct recvbuf *b, bool allows_large, bool may_reserve)
+recvbuf_make_room(
+    struct recvbuf *b, bool allows_large, bool may_reserve, bool is_replica)
 {
 	size_t size = recvbuf_missing(b);
 
 	if (size > 0) {
 		if (!allows_large)
 			return RECVBUF_TOO_LONG;
-		if (!may_reserve ||
-		    (b->account != NULL &&
-			!memacct_grow_any(b->account, &b->large, size)))
+		if (!may_reserve || !reserve(b, size, is_replica))
 			return RECVBUF_NO_ROOM;
 		resize(b, size);
 	} else if (b->bytes == NULL) {
--- a/src/node/recvbuf.h
+++ b/src/node/recvbuf.h
@@ -15,6 +15,10 @@
 /* A HELLO, and nearly every message of ordinary traffic, is smaller. */
 #define RECVBUF_SMALL_BYTES 4096
 
+/* Part of MEMACCT_RECEIVE that only frames of replicas use: slow frames of
+ * entry instances must not hold up the consensus protocol. */
+#define RECVBUF_REPLICA_DIVISOR 4
+
 enum recvbuf_room {
 	RECVBUF_ROOM,
 	RECVBUF_NO_ROOM, /* no memory for the frame at present */
@@ -35,13 +39,14 @@
 bool recvbuf_init(
     struct recvbuf *, struct memacct *, uint64_t addr, bool is_forced);
 void recvbuf_destroy(struct recvbuf *);
-/* Returns how many bytes the frame at the start of the buffer needs beyond the
- * small buffer's size, 0 if it needs none or has them. */
+/* Returns the size of the large frame at the start of the buffer, 0 if there is
+ * none or the buffer has room for it. */
 size_t recvbuf_missing(const struct recvbuf *);
 /* Makes room for at least one more byte. allows_large tells whether a frame may
- * exceed the small buffer, may_reserve whether memory may be reserved now. */
+ * exceed the small buffer, may_reserve whether memory may be reserved now,
+ * is_replica whether it may be from the part for replicas. */
 enum recvbuf_room recvbuf_make_room(
-    struct recvbuf *, bool allows_large, bool may_reserve);
+    struct recvbuf *, bool allows_large, bool may_reserve, bool is_replica);
 /* Drops the first n bytes; true if that released the memory of a large frame.
  */
 bool recvbuf_consume(struct recvbuf *, size_t n);
