Peers: a test of large messages on slow links

Cause: no test failed if the limit of slow messages closed healthy connections while others wait for memory. Change: 14 instances send 900 KB each at 100 KB/s, where 10 of them fit. A comment on MEMACCT_LITTLE_DIVISOR says what it does.

--- a/src/node/memacct.h
+++ b/src/node/memacct.h
@@ -49,8 +49,8 @@
 #define MEMACCT_HIGH_EIGHTHS 7
 #define MEMACCT_LOW_EIGHTHS  6
 
-/* Part of MEMACCT_WORK, MEMACCT_CALLS, MEMACCT_RECEIVE or MEMACCT_SEND that is
- * in use in calm. */
+/* MEMACCT_WORK, MEMACCT_CALLS, MEMACCT_RECEIVE and MEMACCT_SEND admit any size
+ * while at most this part of them is in use. */
 #define MEMACCT_LITTLE_DIVISOR 4
 
 struct memacct;
--- a/src/node/tests/peer_memory_test.cc
+++ b/src/node/tests/peer_memory_test.cc
@@ -421,6 +421,39 @@
 	close_and_expect_none_held(fds);
 }
 
+/* Guards against entry instances whose configurations are closed as too slow
+ * while others wait for memory, at less than half of a link of 2 Mbit/s. */
+TEST_F(PeerMemory, ConfigurationsOnSlowLinksArriveWhileOthersWait)
+{
+	const uint32_t N = 14;
+	const size_t RATE = 100 * 1000;
+	std::vector<int> fds;
+	std::vector<std::string> out;
+	for (uint32_t i = 0; i < N; i++) {
+		fds.push_back(connect_as(FIRST + i));
+		out.push_back(make_frame(FIRST + i, false, CONFIG_BYTES));
+	}
+	std::vector<size_t> sent(N);
+	struct timespec begin = clk_now(&clk);
+	run(20000, [&]() {
+		size_t due =
+		    (size_t)clk_diff_ms(clk_now(&clk), begin) * RATE / 1000;
+		for (uint32_t i = 0; i < N; i++) {
+			size_t end = std::min(due, out[i].size());
+			if (sent[i] >= end)
+				continue;
+			ssize_t k = send(fds[i], out[i].data() + sent[i],
+			    end - sent[i], MSG_NOSIGNAL | MSG_DONTWAIT);
+			sent[i] += k > 0 ? (size_t)k : 0;
+		}
+		return count_messages() == N;
+	});
+	EXPECT_EQ(N, count_messages());
+	EXPECT_GT(ctr_get(&ctr, NCTR_PEER_READS_PAUSED), 0U);
+	EXPECT_EQ(0U, ctr_get(&ctr, NCTR_PEER_CLOSED));
+	close_and_expect_none_held(fds);
+}
+
 /* Guards against instances that don't read and take the memory for messages to
  * those that do, and against a log line for each dropped message. */
 TEST_F(PeerMemory, InstancesThatDoNotReadLeaveRoomForOthers)
