Peers: a test of the part of the queues for consensus messages

Cause: InstancesThatDoNotReadLeaveRoomForOthers passed without the quarter that is left to the consensus protocol, and without the rule that one of its messages is always admitted to an empty queue. Change: a test of both.

--- a/src/node/tests/peer_memory_test.cc
+++ b/src/node/tests/peer_memory_test.cc
@@ -489,6 +489,27 @@
 	EXPECT_TRUE(sendq_admits(account, 0, 4 * MB - 100, true));
 }
 
+/* Guards against consensus messages that are dropped as ordinary ones fill the
+ * queues, and against one that a small process never sends. */
+TEST_F(PeerMemory, QueuesLeaveRoomForConsensusMessages)
+{
+	const size_t MAX = memacct_max(account, MEMACCT_SEND);
+	struct sendq q;
+	sendq_init(&q, account, 1);
+	/* To one more instance each time, so that none is at its own limit. */
+	while (sendq_admits(account, 0, 10 * 1024, false))
+		sendq_push(&q, FRAME_MSG, sendq_frame_new(10 * 1024));
+	EXPECT_GT(memacct_used(account, MEMACCT_SEND), MAX / 2);
+	EXPECT_TRUE(sendq_admits(account, 1, MAX / 5, true));
+	while (sendq_admits(account, 1, 10 * 1024, true))
+		sendq_push(&q, FRAME_MSG, sendq_frame_new(10 * 1024));
+	EXPECT_LE(memacct_used(account, MEMACCT_SEND), MAX);
+	EXPECT_FALSE(sendq_admits(account, 0, 1, false));
+	EXPECT_TRUE(sendq_admits(account, 0, 2 * MB, true));
+	sendq_destroy(&q);
+	EXPECT_EQ(0U, memacct_used(account, MEMACCT_SEND));
+}
+
 /* Guards against memory beyond the bound as all instances get a large
  * configuration at once, and against one that never gets it, though it is sent
  * again. */
