Peers: no large message is received on a connection of a link

Cause: on the connection that an instance makes in order to send, only a HELLO and heartbeats may arrive, but memory for a larger message was reserved and the message refused once it was whole. Change: the connection is closed when the header has arrived. Result: the new test fails without the change (memory is reserved, the connection stays open); all 45 tests of PeerMemory, Peer, Caller and MemAcct pass.

--- a/src/node/peer_conn.c
+++ b/src/node/peer_conn.c
@@ -257,9 +257,11 @@
 conn_make_room(struct peer_conn *c)
 {
 	bool is_new_frame = recvbuf_missing(&c->in) > 0;
+	/* Only a HELLO and heartbeats arrive on connections of links. */
+	bool allows_large = c->has_hello && c->link == NULL;
 
 	switch (recvbuf_make_room(
-	    &c->in, c->has_hello, is_next(c), c->is_replica)) {
+	    &c->in, allows_large, is_next(c), c->is_replica)) {
 	case RECVBUF_ROOM:
 		if (is_new_frame)
 			c->frame_since = clk_now(&c->peer->clk);
@@ -270,8 +272,9 @@
 	case RECVBUF_TOO_LONG:
 		break;
 	}
-	ctr_add(c->peer->conf.ctr, NCTR_PEER_HELLO_REFUSED, 1);
-	peer_conn_close(c, "long_hello");
+	ctr_add(c->peer->conf.ctr,
+	    c->has_hello ? NCTR_PEER_BAD_MESSAGE : NCTR_PEER_HELLO_REFUSED, 1);
+	peer_conn_close(c, c->has_hello ? "unexpected_message" : "long_hello");
 	return false;
 }
 
--- a/src/node/tests/peer_memory_test.cc
+++ b/src/node/tests/peer_memory_test.cc
@@ -454,6 +454,21 @@
 	close_and_expect_none_held(fds);
 }
 
+/* Guards against memory that is reserved for a large message on a connection
+ * on which none may arrive. */
+TEST_F(PeerMemory, ALargeMessageInTheWrongDirectionIsNotReceived)
+{
+	connect_to(1);
+	std::string s = make_frame(FIRST, false, MB);
+	EXPECT_EQ(8192, send(fars[FIRST].fd, s.data(), 8192, MSG_NOSIGNAL));
+	run(500, [&]() {
+		return lost > 0 || memacct_used(account, MEMACCT_RECEIVE) > 0;
+	});
+	EXPECT_EQ(1U, lost);
+	EXPECT_EQ(0U, memacct_used(account, MEMACCT_RECEIVE));
+	EXPECT_EQ(1U, ctr_get(&ctr, NCTR_PEER_BAD_MESSAGE));
+}
+
 /* Guards against instances that don't read and take the memory for messages to
  * those that do, and against a log line for each dropped message. */
 TEST_F(PeerMemory, InstancesThatDoNotReadLeaveRoomForOthers)
