--- a/src/node/tests/peer_memory_test.cc
+++ b/src/node/tests/peer_memory_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <functional>
 #include <malloc.h>
@@ -25,6 +26,8 @@
 
 const size_t MB = 1024 * 1024;
 const size_t CONFIG_BYTES = 900 * 1024;
+/* Three messages of entry instances of this size fit, a fourth one waits. */
+const size_t THREE_FIT = 2900 * 1024;
 const uint32_t REPLICA = 1, FIRST = 1000;
 /* Heap of a connection and its link beyond what the account counts. */
 const size_t CONNECTION_BYTES = 2048;
@@ -278,8 +281,7 @@
 		}
 		EXPECT_EQ((size_t)(n * rounds), count_messages());
 		EXPECT_EQ(0U, ctr_get(&ctr, NCTR_PEER_CLOSED));
-		for (int fd : fds)
-			close(fd);
+		close_and_expect_none_held(fds);
 	}
 	/* Sends the beginning of a message, which takes a while also at the
 	 * rate that is allowed in a shortage: longer than a connection may be
@@ -294,6 +296,15 @@
 			return sent == n;
 		});
 	}
+	/* Closes connections to the replica, some of them in the middle of a
+	 * message or while they wait, and checks that nothing stays counted. */
+	void close_and_expect_none_held(const std::vector<int> &fds)
+	{
+		for (int fd : fds)
+			close(fd);
+		run(5000, [&]() { return memacct_total(account) == 0; });
+		EXPECT_EQ(0U, memacct_total(account));
+	}
 	size_t count_messages()
 	{
 		size_t n = 0;
@@ -347,19 +358,19 @@
  * closes the connection itself, while it has to wait. */
 TEST_F(PeerMemory, MessagesThatArriveTooSlowlyMakeRoomForOthers)
 {
-	std::string s = make_frame(FIRST, false, 3 * MB);
+	std::string s = make_frame(FIRST, false, THREE_FIT);
 	struct timespec next = clk_now(&clk);
 	size_t sent = 0, beats = 0;
 	char buf[4096];
 	std::vector<int> fds;
 	for (uint32_t i = 0; i < 3; i++) {
 		fds.push_back(connect_as(FIRST + i));
-		s = make_frame(FIRST + i, false, 3 * MB);
+		s = make_frame(FIRST + i, false, THREE_FIT);
 		send_begun(fds[i], s);
 	}
 	run(100, []() { return false; });
 	int other = connect_as(FIRST + 9);
-	s = make_frame(FIRST + 9, false, 3 * MB);
+	s = make_frame(FIRST + 9, false, THREE_FIT);
 	run(20000, [&]() {
 		for (int fd : fds) {
 			if (clk_before(next, clk_now(&clk)))
@@ -378,8 +389,84 @@
 	EXPECT_GT(beats, 10U);
 	EXPECT_GT(ctr_get(&ctr, NCTR_PEER_SLOW), 0U);
 	fds.push_back(other);
-	for (int fd : fds)
-		close(fd);
+	close_and_expect_none_held(fds);
+}
+
+/* Guards against a consensus message that waits for slow messages of entry
+ * instances: for the memory that they hold, or behind one that waits itself. */
+TEST_F(PeerMemory, MessagesOfReplicasDoNotWaitForEntryInstances)
+{
+	std::vector<int> fds;
+	for (uint32_t i = 0; i < 14; i++) {
+		fds.push_back(connect_as(FIRST + i));
+		send_begun(fds[i], make_frame(FIRST + i, false, CONFIG_BYTES));
+	}
+	run(50, []() { return false; });
+	EXPECT_GT(ctr_get(&ctr, NCTR_PEER_READS_PAUSED), 0U);
+	size_t paused = ctr_get(&ctr, NCTR_PEER_READS_PAUSED);
+	int replica = connect_as(2, 2);
+	std::string s = make_frame(2, false, 2 * MB);
+	struct timespec begin = clk_now(&clk);
+	run(1000, [&]() {
+		ssize_t k = send(
+		    replica, s.data(), s.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+		s.erase(0, k > 0 ? (size_t)k : 0);
+		return messages[2] > 0;
+	});
+	EXPECT_EQ(1U, messages[2]);
+	EXPECT_LT(clk_diff_ms(clk_now(&clk), begin), 1000);
+	EXPECT_EQ(paused, ctr_get(&ctr, NCTR_PEER_READS_PAUSED));
+	EXPECT_EQ(0U, ctr_get(&ctr, NCTR_PEER_SLOW));
+	fds.push_back(replica);
+	close_and_expect_none_held(fds);
+}
+
+/* Guards against entry instances whose configurations are closed as too slow
+ * while others wait for memory, at less than half of a link of 2 Mbit/s. */
+TEST_F(PeerMemory, ConfigurationsOnSlowLinksArriveWhileOthersWait)
+{
+	const uint32_t N = 14;
+	const size_t RATE = 100 * 1000;
+	std::vector<int> fds;
+	std::vector<std::string> out;
+	for (uint32_t i = 0; i < N; i++) {
+		fds.push_back(connect_as(FIRST + i));
+		out.push_back(make_frame(FIRST + i, false, CONFIG_BYTES));
+	}
+	std::vector<size_t> sent(N);
+	struct timespec begin = clk_now(&clk);
+	run(20000, [&]() {
+		size_t due =
+		    (size_t)clk_diff_ms(clk_now(&clk), begin) * RATE / 1000;
+		for (uint32_t i = 0; i < N; i++) {
+			size_t end = std::min(due, out[i].size());
+			if (sent[i] >= end)
+				continue;
+			ssize_t k = send(fds[i], out[i].data() + sent[i],
+			    end - sent[i], MSG_NOSIGNAL | MSG_DONTWAIT);
+			sent[i] += k > 0 ? (size_t)k : 0;
+		}
+		return count_messages() == N;
+	});
+	EXPECT_EQ(N, count_messages());
+	EXPECT_GT(ctr_get(&ctr, NCTR_PEER_READS_PAUSED), 0U);
+	EXPECT_EQ(0U, ctr_get(&ctr, NCTR_PEER_CLOSED));
+	close_and_expect_none_held(fds);
+}
+
+/* Guards against memory that is reserved for a large message on a connection
+ * on which none may arrive. */
+TEST_F(PeerMemory, ALargeMessageInTheWrongDirectionIsNotReceived)
+{
+	connect_to(1);
+	std::string s = make_frame(FIRST, false, MB);
+	EXPECT_EQ(8192, send(fars[FIRST].fd, s.data(), 8192, MSG_NOSIGNAL));
+	run(500, [&]() {
+		return lost > 0 || memacct_used(account, MEMACCT_RECEIVE) > 0;
+	});
+	EXPECT_EQ(1U, lost);
+	EXPECT_EQ(0U, memacct_used(account, MEMACCT_RECEIVE));
+	EXPECT_EQ(1U, ctr_get(&ctr, NCTR_PEER_BAD_MESSAGE));
 }
 
 /* Guards against instances that don't read and take the memory for messages to
@@ -417,6 +504,27 @@
 	EXPECT_TRUE(sendq_admits(account, 0, 4 * MB - 100, true));
 }
 
+/* Guards against consensus messages that are dropped as ordinary ones fill the
+ * queues, and against one that a small process never sends. */
+TEST_F(PeerMemory, QueuesLeaveRoomForConsensusMessages)
+{
+	const size_t MAX = memacct_max(account, MEMACCT_SEND);
+	struct sendq q;
+	sendq_init(&q, account, 1);
+	/* To one more instance each time, so that none is at its own limit. */
+	while (sendq_admits(account, 0, 10 * 1024, false))
+		sendq_push(&q, FRAME_MSG, sendq_frame_new(10 * 1024));
+	EXPECT_GT(memacct_used(account, MEMACCT_SEND), MAX / 2);
+	EXPECT_TRUE(sendq_admits(account, 1, MAX / 5, true));
+	while (sendq_admits(account, 1, 10 * 1024, true))
+		sendq_push(&q, FRAME_MSG, sendq_frame_new(10 * 1024));
+	EXPECT_LE(memacct_used(account, MEMACCT_SEND), MAX);
+	EXPECT_FALSE(sendq_admits(account, 0, 1, false));
+	EXPECT_TRUE(sendq_admits(account, 0, 2 * MB, true));
+	sendq_destroy(&q);
+	EXPECT_EQ(0U, memacct_used(account, MEMACCT_SEND));
+}
+
 /* Guards against memory beyond the bound as all instances get a large
  * configuration at once, and against one that never gets it, though it is sent
  * again. */
