Advice: calls are short where tickets are valid for a short time

Validity counts from when the leader orders the call. With a validity of 600 ms and calls of 90 ms plus 10 ms for each worker, a call about 30 workers left 210 ms of it, less than a placement needs (300 ms): the step was asked about without end and never started, although all workers were allowed. A call now takes at most half of the time in which its tickets can be used.

CallsAreShortIfTicketsAre fails without the limit (the job isn't complete after 5 s) and passes with it. Calls for the usual validity of 4 s are unchanged.

--- a/src/job/jadvice.c
+++ b/src/job/jadvice.c
@@ -347,6 +347,20 @@
 	size_t nwith_room;
 };
 
+/* Returns how many workers a call may name. Tickets count from when the call is
+ * ordered: one that takes most of their validity brings none that can be
+ * used. */
+static size_t
+call_limit(const struct jadvice_terms *t)
+{
+	int64_t left_ms = t->valid_ms - JADVICE_PLACE_MS - t->decide_ms;
+	int64_t most = JADVICE_WORKERS_MAX;
+
+	if (t->each_ms > 0 && left_ms / 2 / t->each_ms < most)
+		most = left_ms / 2 / t->each_ms;
+	return most > 1 ? (size_t)most : 1;
+}
+
 /* Sorts the workers into those that need another ticket and those that were not
  * asked about. */
 static void
@@ -382,7 +396,7 @@
 			u->nallowed++;
 		}
 		if (!is_valid(k, w.num, now_ms, ahead_ms) &&
-		    now_ms >= k->retry_ms && u->nrenewed < JADVICE_WORKERS_MAX)
+		    now_ms >= k->retry_ms && u->nrenewed < call_limit(t))
 			out[u->nrenewed++] = w;
 	}
 }
@@ -390,11 +404,11 @@
 /* Returns how many new workers a call may name: as many more with each call, as
  * the ones before brought too few. */
 static size_t
-limit_of(const struct jadvice_step *s)
+limit_of(const struct jadvice_step *s, const struct jadvice_terms *t)
 {
 	size_t most = JADVICE_WORKERS * ((size_t)s->ncalls + 1);
 
-	return most < JADVICE_WORKERS_MAX ? most : JADVICE_WORKERS_MAX;
+	return most < call_limit(t) ? most : call_limit(t);
 }
 
 /* Chooses the workers that a call for a step names: those whose ticket runs
@@ -406,7 +420,7 @@
     int64_t now_ms, struct jadvice_worker *out)
 {
 	struct survey u;
-	size_t most = limit_of(s), nnew, few;
+	size_t most = limit_of(s, t), nnew, few;
 
 	s->look_ms = now_ms + JADVICE_LOOK_MS;
 	survey_workers(s, t, v, n, now_ms, out, &u);
@@ -421,8 +435,8 @@
 	if (s->ncalls > 0 && nnew < JADVICE_FEW &&
 	    now_ms - s->called_ms < JADVICE_FEW_WAIT_MS)
 		return u.nrenewed;
-	if (most > JADVICE_WORKERS_MAX - u.nrenewed)
-		most = JADVICE_WORKERS_MAX - u.nrenewed;
+	if (most > call_limit(t) - u.nrenewed)
+		most = call_limit(t) - u.nrenewed;
 	if (u.nnew > 1)
 		qsort(v, u.nnew, sizeof(*v), compare_workers);
 	nnew = take_spread(v, nnew, out + u.nrenewed, most);
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -60,7 +60,7 @@
 	}
 
 	/* Configures "fast" with advice, "batch" without. */
-	void advise(uint64_t version = 2)
+	void advise(uint64_t version = 2, bool has_advice = true)
 	{
 		Job__Command c = JOB__COMMAND__INIT;
 		Job__Config cf = JOB__CONFIG__INIT;
@@ -82,7 +82,7 @@
 			q[i].has_max_attempts = 1;
 			q[i].max_attempts = 3;
 		}
-		q[0].advice = &a;
+		q[0].advice = has_advice ? &a : NULL;
 		cf.version = version;
 		cf.queues = p;
 		cf.n_queues = 2;
@@ -628,6 +628,20 @@
 		EXPECT_EQ(JST_COMPLETED, s.state(id));
 }
 
+/* Guards against calls that take so much of the validity of their tickets that
+ * none can be used. */
+TEST(JobAdvice, CallsAreShortIfTicketsAre)
+{
+	AdviceSim s(19);
+	s.valid_ms = 600;
+	s.start(60, 0);
+	for (auto &x : s.workers)
+		s.allowed.insert(x.second.id);
+	s.submit(1, "fast", { JobSim::step(4, 2000) });
+	s.run(5000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
 /* Guards against a queue without a bound, or one in which urgent steps come
  * last. */
 TEST(JobAdvice, TheQueueKeepsThoseThatGainMost)
