Advice: steps that need no call don't hold up others on a large fleet

Above 8,000 workers one step is looked at in a tick. A step that turned out to need no call was due again after 100 ms, so that a few of these, with more gain than others, used all ticks, and the others were never asked about. The pause now grows with the number of steps for each place in a tick, up to 2 s.

With 8,000 workers and 40 steps whose label no worker has, a step after them wasn't asked about within 2 s before; it is now.

--- a/src/job/jadvice.c
+++ b/src/job/jadvice.c
@@ -270,6 +270,13 @@
 	return !s->is_in_call && now_ms >= s->look_ms;
 }
 
+/* Leaves a step for which no call was needed until a later time. */
+void
+jadvice_put_off(struct jadvice_step *s, int64_t until_ms)
+{
+	s->look_ms = until_ms;
+}
+
 /* Orders workers: those with room first, then those with the fewest runs, then
  * by what is free. Equal ones go by registration, so that choices are
  * reproducible. */
--- a/src/job/jadvice.h
+++ b/src/job/jadvice.h
@@ -55,6 +55,9 @@
 #define JADVICE_AHEAD_MS 1000
 /* A step for which no call was needed isn't looked at again for this long. */
 #define JADVICE_LOOK_MS 100
+/* On a large fleet it is put off for longer, up to this, as only few steps are
+ * looked at in a tick. */
+#define JADVICE_LOOK_MAX_MS 2000
 
 enum jadvice_result {
 	JADVICE_OK,
@@ -140,6 +143,7 @@
 	struct jadvice_want v[JADVICE_QUEUE_MAX];
 	size_t n;
 	size_t nleft_out; /* for lack of a place */
+	size_t nsteps;	  /* that may need a call, now or later */
 };
 
 struct jadvice *jadvice_new(void);
@@ -179,6 +183,8 @@
 void jadvice_queue_add(struct jadvice_queue *, const struct jadvice_want *);
 /* Tells whether a step is to be looked at now. */
 bool jadvice_is_due(const struct jadvice_step *, int64_t now_ms);
+/* Leaves a step for which no call was needed until a later time. */
+void jadvice_put_off(struct jadvice_step *, int64_t until_ms);
 /* Writes the workers that a call for a step names to out, which has
  * JADVICE_WORKERS_MAX entries, and returns their number; 0: no call is needed.
  * v is reordered. */
--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -200,6 +200,7 @@
 		step_ref(st, &ref);
 		st->advice = jadvice_step_get(jl->advice.known, &ref);
 	}
+	q->nsteps++;
 	if (!jadvice_is_due(st->advice, now_ms(jl)))
 		return;
 	band = jplan_band(st,
@@ -333,6 +334,21 @@
 	return true;
 }
 
+/* Returns when a step for which no call was needed is looked at again: late
+ * enough that the others have their turn, about twice the time that it takes to
+ * look at all of them. Otherwise a few that need no call would be the first of
+ * the queue at all times. */
+static int64_t
+next_look_ms(const struct jlead *jl, const struct jadvice_queue *q, size_t most)
+{
+	int64_t pause_ms =
+	    JADVICE_LOOK_MS + JADVICE_LOOK_MS / 2 * (int64_t)(q->nsteps / most);
+
+	if (pause_ms > JADVICE_LOOK_MAX_MS)
+		pause_ms = JADVICE_LOOK_MAX_MS;
+	return now_ms(jl) + pause_ms;
+}
+
 /* Makes the calls that come next, as far as callers are free. */
 static void
 make_calls(struct jlead *jl, struct jadvice_queue *q)
@@ -343,8 +359,13 @@
 
 	for (i = 0; i < q->n && i < most &&
 	     jadvice_find_caller(jl->advice.known, now_ms(jl), &instance);
-	     i++)
-		ncalls += make_call(jl, q->v[i].arg, instance);
+	     i++) {
+		if (make_call(jl, q->v[i].arg, instance))
+			ncalls++;
+		else
+			jadvice_put_off(
+			    q->v[i].step, next_look_ms(jl, q, most));
+	}
 	jl->advice.nqueued = q->n - ncalls;
 }
 
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -628,6 +628,25 @@
 		EXPECT_EQ(JST_COMPLETED, s.state(id));
 }
 
+/* Guards against steps that need no call being looked at again and again on a
+ * large fleet, so that those after them are never asked about. */
+TEST(JobAdvice, StepsThatNeedNoCallDoNotHoldUpOthers)
+{
+	AdviceSim s(18);
+	std::string label = "nowhere";
+	s.start(8000, 8000);
+	for (uint64_t id = 1; id <= 40; id++) {
+		auto step = JobSim::step(1, 1000);
+		step.label = label.data();
+		s.submit(id, "fast", { step });
+	}
+	s.run(200);
+	EXPECT_EQ(0U, s.calls.size());
+	s.submit(41, "fast", { JobSim::step(1, 1000) });
+	s.run(2000);
+	EXPECT_EQ(1U, s.calls.size());
+}
+
 /* Guards against calls that take so much of the validity of their tickets that
  * none can be used. */
 TEST(JobAdvice, CallsAreShortIfTicketsAre)
