Advice: nothing is kept once no queue has advice

The tick returned early then: records of steps stayed until the end of the leadership, and the gauges went on showing the steps that waited when the configuration changed. Both are now cleared with the configuration.

NothingIsKeptOnceNoQueueHasAdvice fails without the change.

--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -49,28 +49,6 @@
 	jl->advice.ops = *ops;
 }
 
-/* Looks up whether any queue has advice. */
-void
-jl_advice_configured(struct jlead *jl)
-{
-	const Job__Config *c = jl->st->config;
-	size_t i;
-
-	jl->advice.is_used = false;
-	for (i = 0; c != NULL && i < c->n_queues; i++)
-		jl->advice.is_used |= c->queues[i]->advice != NULL;
-}
-
-/* Starts a term: nothing is known. */
-void
-jl_advice_begin(struct jlead *jl)
-{
-	jl->advice.known = jadvice_new();
-	jl->advice.log_at = jl->now;
-	jl->advice.is_lack_logged = false;
-	jl_advice_configured(jl);
-}
-
 /* Drops what is known, at the end of a term. */
 void
 jl_advice_stop(struct jlead *jl)
@@ -156,6 +134,32 @@
 	return false;
 }
 
+/* Looks up whether any queue has advice; drops what is known otherwise. */
+void
+jl_advice_configured(struct jlead *jl)
+{
+	const Job__Config *c = jl->st->config;
+	size_t i;
+
+	jl->advice.is_used = false;
+	for (i = 0; c != NULL && i < c->n_queues; i++)
+		jl->advice.is_used |= c->queues[i]->advice != NULL;
+	if (jl->advice.is_used)
+		return;
+	jadvice_prune(jl->advice.known, is_step_needed, jl);
+	jl->advice.nwaiting = jl->advice.ntickets = jl->advice.nqueued = 0;
+}
+
+/* Starts a term: nothing is known. */
+void
+jl_advice_begin(struct jlead *jl)
+{
+	jl->advice.known = jadvice_new();
+	jl->advice.log_at = jl->now;
+	jl->advice.is_lack_logged = false;
+	jl_advice_configured(jl);
+}
+
 /* Tells whether the steps before one have begun their last tasks, so that it
  * may be asked about. Sets *is_ready if they are done. */
 static bool
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -661,6 +661,23 @@
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
 }
 
+/* Guards against records and figures of steps that stay once no queue has
+ * advice any more. */
+TEST(JobAdvice, NothingIsKeptOnceNoQueueHasAdvice)
+{
+	AdviceSim s(20);
+	s.start(8, 3);
+	s.fault = SILENT;
+	s.submit(1, "fast", { JobSim::step(4, 2000) });
+	s.run(60);
+	const struct jst_step *st = jst_find_step(jst_find_job(&s.st, 1), 0, 0);
+	ASSERT_NE(nullptr, st->advice);
+	ASSERT_EQ(1U, s.jl.advice.nwaiting);
+	s.advise(3, false);
+	EXPECT_EQ(nullptr, st->advice);
+	EXPECT_EQ(0U, s.jl.advice.nwaiting);
+}
+
 /* Guards against a queue without a bound, or one in which urgent steps come
  * last. */
 TEST(JobAdvice, TheQueueKeepsThoseThatGainMost)
