Advice: refusals of tickets count only in a row

A ticket that is replaced at its end wasn't refused: it resets the count.

RefusalsCountOnlyInARow fails without the change.

--- a/src/job/jadvice_call.c
+++ b/src/job/jadvice_call.c
@@ -138,7 +138,8 @@
 		k->retry_ms = now_ms + JADVICE_REJECTED_MS;
 		return;
 	}
-	if (k->num != c->nums[i])
+	/* A ticket that is replaced at its end wasn't refused. */
+	if (k->num != c->nums[i] || k->ticket != NULL)
 		k->nrefused = 0;
 	g_free(k->ticket);
 	k->is_good = true;
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -678,6 +678,49 @@
 	EXPECT_EQ(0U, s.jl.advice.nwaiting);
 }
 
+/* Gives a step a ticket for one worker. */
+void
+give_ticket(struct jadvice *a, struct jadvice_step *s,
+    const struct jadvice_terms *t, int64_t now_ms)
+{
+	struct jadvice_worker w = { "i-1", "a", 1, 1, 0, 1000, true };
+	struct jadvice_good good = { "i-1", "t" };
+	struct jadvice_answer r = { 0, 0, JADVICE_OK, &good, 1 };
+	struct jadvice_outcome o;
+	int64_t timeout_ms;
+	r.serial = jadvice_begin(a, 0, s, t, &w, 1, now_ms, &timeout_ms);
+	jadvice_end(a, &r, now_ms, &o);
+}
+
+/* Guards against refusals that are long past making the pause after the next
+ * one longer. */
+TEST(JobAdvice, RefusalsCountOnlyInARow)
+{
+	struct jadvice *a = jadvice_new();
+	struct jadvice_terms t = { 90, 10, 4000 };
+	struct jadvice_worker w, out[JADVICE_WORKERS_MAX];
+	Job__Task ref = JOB__TASK__INIT;
+	ref.job = 1;
+	struct jadvice_step *s = jadvice_step_get(a, &ref);
+	int64_t now = 1000;
+	auto is_named = [&](int64_t at) {
+		w = { "i-1", "a", 1, 1, 0, 1000, true };
+		return jadvice_choose(s, &t, &w, 1, 1, true, at, out) == 1;
+	};
+	for (int i = 0; i < 3; i++) {
+		give_ticket(a, s, &t, now);
+		jadvice_reject(s, "i-1", 1, now);
+	}
+	EXPECT_FALSE(is_named(now + 3 * JADVICE_REJECTED_MS));
+	now += 10000;
+	give_ticket(a, s, &t, now);
+	give_ticket(a, s, &t, now + 3000);
+	jadvice_reject(s, "i-1", 1, now + 3000);
+	EXPECT_FALSE(is_named(now + 3000 + JADVICE_REJECTED_MS - 1));
+	EXPECT_TRUE(is_named(now + 3000 + JADVICE_REJECTED_MS));
+	jadvice_free(a);
+}
+
 /* Guards against a queue without a bound, or one in which urgent steps come
  * last. */
 TEST(JobAdvice, TheQueueKeepsThoseThatGainMost)
