Advice: a silent instance loses its place among the callers

Up to 64 instances are recorded. A silent one whose connection didn't fail kept its place, so that after 64 of these no other instance was given calls. Its place now goes to the next one that offers to make calls.

ASilentPeerLosesItsPlace fails without the change.

--- a/src/node/advice.c
+++ b/src/node/advice.c
@@ -218,20 +218,33 @@
 	talloc_free(good);
 }
 
-/* Records that an instance makes calls. */
+/* Tells whether an instance has sent no ping for too long. */
+static bool
+is_silent(const struct peer *p, struct timespec now)
+{
+	return clk_diff_ms(now, p->heard_at) > ADVICE_PEER_SILENT_MS;
+}
+
+/* Records that an instance makes calls; one that is silent may lose its
+ * place. */
 void
 advice_on_peer(struct advice *a, uint32_t instance)
 {
+	struct timespec now = clk_now(&a->conf.clk);
 	size_t i;
 
 	for (i = 0; i < a->npeers && a->peers[i].instance != instance; i++)
 		;
+	if (i == a->npeers) {
+		for (i = 0; i < a->npeers && !is_silent(&a->peers[i], now); i++)
+			;
+	}
 	if (i == JADVICE_CALLERS_MAX)
 		return;
 	if (i == a->npeers)
 		a->npeers++;
 	a->peers[i].instance = instance;
-	a->peers[i].heard_at = clk_now(&a->conf.clk);
+	a->peers[i].heard_at = now;
 }
 
 /* Stops using an instance to which the connection failed: a call or its answer
@@ -257,8 +270,7 @@
 	size_t i, n = 0;
 
 	for (i = 0; i < a->npeers && n < max; i++) {
-		if (clk_diff_ms(now, a->peers[i].heard_at) <=
-		    ADVICE_PEER_SILENT_MS)
+		if (!is_silent(&a->peers[i], now))
 			out[n++] = a->peers[i].instance;
 	}
 	return n;
--- a/src/node/tests/advice_test.cc
+++ b/src/node/tests/advice_test.cc
@@ -208,4 +208,17 @@
 	EXPECT_EQ(0U, advice_list_peers(leader, v, 8));
 }
 
+/* Guards against replicas that are never given calls once as many others as can
+ * be recorded have fallen silent. */
+TEST_F(AdviceCalls, ASilentPeerLosesItsPlace)
+{
+	uint32_t v[8];
+	for (uint32_t i = 0; i < JADVICE_CALLERS_MAX; i++)
+		advice_on_peer(leader, 2 + i);
+	ahead_ms += ADVICE_PEER_SILENT_MS + 1;
+	advice_on_peer(leader, 1000);
+	ASSERT_EQ(1U, advice_list_peers(leader, v, 8));
+	EXPECT_EQ(1000U, v[0]);
+}
+
 } // namespace
