Advice: best-effort tasks that fit are counted as the plan counts them

Every worker with a ticket counted as having room for all tasks of a best-effort step, so that no more workers were asked about although the plan places only as many there as the processors allow. A step of 8 tasks of 16 processors each with one allowed worker among the first 30 named ran one task after the other, with 30 other allowed workers idle.

MoreAreNamedForBestEffortTasks: one call and at most one task in 1.5 s before; all 8 tasks are started now.

--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -250,14 +250,30 @@
 	}
 }
 
-/* Returns how many tasks of a step fit into what is free. */
+/* Returns the processors that further tasks of a step can use on a worker, as
+ * the plan counts them. */
+static int64_t
+free_cpu(const Job__Step *s, const struct jplan_worker *p)
+{
+	if (!s->fills)
+		return p->free_cpu;
+	return p->free_cpu - p->best_effort_cpu +
+	    (int64_t)((double)p->serving_cpu * (1 - JPLAN_SERVING_USE));
+}
+
+/* Returns how many tasks of a step fit into what is free. A best-effort task of
+ * any size fits where there is no other one. */
 static uint32_t
-count_room(const Job__Step *s, int64_t cpu, int64_t mem, int64_t accel)
+count_room(const Job__Step *s, int64_t cpu, int64_t mem, int64_t accel,
+    bool has_best_effort)
 {
 	int64_t n = s->spread > 0 ? s->spread : s->count;
+	int64_t least = s->fills && !has_best_effort ? 1 : 0;
 
-	if (s->cpu_milli > 0 && !s->fills && cpu / s->cpu_milli < n)
+	if (s->cpu_milli > 0 && cpu / s->cpu_milli < n)
 		n = cpu / s->cpu_milli;
+	if (n < least)
+		n = least;
 	if (s->mem_mb > 0 && mem / s->mem_mb < n)
 		n = mem / s->mem_mb;
 	if (s->accel > 0 && accel / s->accel < n)
@@ -287,12 +303,13 @@
 	o->id = w->id;
 	o->domain = w->zone;
 	o->num = ws->w->num;
-	o->room = count_room(st->spec, p->free_cpu, p->free_mem, p->free_accel);
+	o->room = count_room(st->spec, free_cpu(st->spec, p), p->free_mem,
+	    p->free_accel, p->nbest_effort > 0);
 	o->nruns = ws->nruns;
 	o->free = p->cpu_total > 0 ? p->free_cpu * 1000 / p->cpu_total : 0;
 	o->fits_empty = count_room(st->spec, p->cpu_total - p->lasting_cpu,
 			    (int64_t)w->mem_mb - p->lasting_mem,
-			    (int64_t)w->accel - p->lasting_accel) > 0;
+			    (int64_t)w->accel - p->lasting_accel, false) > 0;
 	return true;
 }
 
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -628,6 +628,26 @@
 		EXPECT_EQ(JST_COMPLETED, s.state(id));
 }
 
+/* Guards against best-effort tasks that wait for the few workers with a ticket
+ * while others that may run them are never named. */
+TEST(JobAdvice, MoreAreNamedForBestEffortTasks)
+{
+	AdviceSim s(21);
+	auto step = JobSim::step(8, 16000, 3000);
+	step.has_fills = step.fills = 1;
+	s.start(60, 0);
+	for (auto &x : s.workers)
+		s.allowed.insert(x.second.id);
+	s.submit(1, "fast", { step });
+	s.run(60);
+	ASSERT_EQ(1U, s.calls.size());
+	for (size_t i = 1; i < s.calls[0].workers.size(); i++)
+		s.allowed.erase(s.calls[0].workers[i]);
+	s.run(1500);
+	EXPECT_GE(s.calls.size(), 2U);
+	EXPECT_EQ(1U, s.starts.count({ 1, 0, 0, 7 }));
+}
+
 /* Guards against steps that need no call being looked at again and again on a
  * large fleet, so that those after them are never asked about. */
 TEST(JobAdvice, StepsThatNeedNoCallDoNotHoldUpOthers)
