--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -49,28 +49,6 @@
 	jl->advice.ops = *ops;
 }
 
-/* Looks up whether any queue has advice. */
-void
-jl_advice_configured(struct jlead *jl)
-{
-	const Job__Config *c = jl->st->config;
-	size_t i;
-
-	jl->advice.is_used = false;
-	for (i = 0; c != NULL && i < c->n_queues; i++)
-		jl->advice.is_used |= c->queues[i]->advice != NULL;
-}
-
-/* Starts a term: nothing is known. */
-void
-jl_advice_begin(struct jlead *jl)
-{
-	jl->advice.known = jadvice_new();
-	jl->advice.log_at = jl->now;
-	jl->advice.is_lack_logged = false;
-	jl_advice_configured(jl);
-}
-
 /* Drops what is known, at the end of a term. */
 void
 jl_advice_stop(struct jlead *jl)
@@ -156,6 +134,32 @@
 	return false;
 }
 
+/* Looks up whether any queue has advice; drops what is known otherwise. */
+void
+jl_advice_configured(struct jlead *jl)
+{
+	const Job__Config *c = jl->st->config;
+	size_t i;
+
+	jl->advice.is_used = false;
+	for (i = 0; c != NULL && i < c->n_queues; i++)
+		jl->advice.is_used |= c->queues[i]->advice != NULL;
+	if (jl->advice.is_used)
+		return;
+	jadvice_prune(jl->advice.known, is_step_needed, jl);
+	jl->advice.nwaiting = jl->advice.ntickets = jl->advice.nqueued = 0;
+}
+
+/* Starts a term: nothing is known. */
+void
+jl_advice_begin(struct jlead *jl)
+{
+	jl->advice.known = jadvice_new();
+	jl->advice.log_at = jl->now;
+	jl->advice.is_lack_logged = false;
+	jl_advice_configured(jl);
+}
+
 /* Tells whether the steps before one have begun their last tasks, so that it
  * may be asked about. Sets *is_ready if they are done. */
 static bool
@@ -200,6 +204,7 @@
 		step_ref(st, &ref);
 		st->advice = jadvice_step_get(jl->advice.known, &ref);
 	}
+	q->nsteps++;
 	if (!jadvice_is_due(st->advice, now_ms(jl)))
 		return;
 	band = jplan_band(st,
@@ -245,14 +250,30 @@
 	}
 }
 
-/* Returns how many tasks of a step fit into what is free. */
+/* Returns the processors that further tasks of a step can use on a worker, as
+ * the plan counts them. */
+static int64_t
+free_cpu(const Job__Step *s, const struct jplan_worker *p)
+{
+	if (!s->fills)
+		return p->free_cpu;
+	return p->free_cpu - p->best_effort_cpu +
+	    (int64_t)((double)p->serving_cpu * (1 - JPLAN_SERVING_USE));
+}
+
+/* Returns how many tasks of a step fit into what is free. A best-effort task of
+ * any size fits where there is no other one. */
 static uint32_t
-count_room(const Job__Step *s, int64_t cpu, int64_t mem, int64_t accel)
+count_room(const Job__Step *s, int64_t cpu, int64_t mem, int64_t accel,
+    bool has_best_effort)
 {
 	int64_t n = s->spread > 0 ? s->spread : s->count;
+	int64_t least = s->fills && !has_best_effort ? 1 : 0;
 
-	if (s->cpu_milli > 0 && !s->fills && cpu / s->cpu_milli < n)
+	if (s->cpu_milli > 0 && cpu / s->cpu_milli < n)
 		n = cpu / s->cpu_milli;
+	if (n < least)
+		n = least;
 	if (s->mem_mb > 0 && mem / s->mem_mb < n)
 		n = mem / s->mem_mb;
 	if (s->accel > 0 && accel / s->accel < n)
@@ -282,12 +303,13 @@
 	o->id = w->id;
 	o->domain = w->zone;
 	o->num = ws->w->num;
-	o->room = count_room(st->spec, p->free_cpu, p->free_mem, p->free_accel);
+	o->room = count_room(st->spec, free_cpu(st->spec, p), p->free_mem,
+	    p->free_accel, p->nbest_effort > 0);
 	o->nruns = ws->nruns;
 	o->free = p->cpu_total > 0 ? p->free_cpu * 1000 / p->cpu_total : 0;
 	o->fits_empty = count_room(st->spec, p->cpu_total - p->lasting_cpu,
 			    (int64_t)w->mem_mb - p->lasting_mem,
-			    (int64_t)w->accel - p->lasting_accel) > 0;
+			    (int64_t)w->accel - p->lasting_accel, false) > 0;
 	return true;
 }
 
@@ -333,6 +355,21 @@
 	return true;
 }
 
+/* Returns when a step for which no call was needed is looked at again: late
+ * enough that the others have their turn, about twice the time that it takes to
+ * look at all of them. Otherwise a few that need no call would be the first of
+ * the queue at all times. */
+static int64_t
+next_look_ms(const struct jlead *jl, const struct jadvice_queue *q, size_t most)
+{
+	int64_t pause_ms =
+	    JADVICE_LOOK_MS + JADVICE_LOOK_MS / 2 * (int64_t)(q->nsteps / most);
+
+	if (pause_ms > JADVICE_LOOK_MAX_MS)
+		pause_ms = JADVICE_LOOK_MAX_MS;
+	return now_ms(jl) + pause_ms;
+}
+
 /* Makes the calls that come next, as far as callers are free. */
 static void
 make_calls(struct jlead *jl, struct jadvice_queue *q)
@@ -343,8 +380,13 @@
 
 	for (i = 0; i < q->n && i < most &&
 	     jadvice_find_caller(jl->advice.known, now_ms(jl), &instance);
-	     i++)
-		ncalls += make_call(jl, q->v[i].arg, instance);
+	     i++) {
+		if (make_call(jl, q->v[i].arg, instance))
+			ncalls++;
+		else
+			jadvice_put_off(
+			    q->v[i].step, next_look_ms(jl, q, most));
+	}
 	jl->advice.nqueued = q->n - ncalls;
 }
 
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -1,220 +1,7 @@
-#include "job/tests/job_sim.h"
-
-#include "job/jadvice.h"
+#include "job/tests/advice_sim.h"
 
 namespace {
 
-/* What the service does with a call. */
-enum service_fault {
-	ANSWER,
-	SILENT,	 /* no answer until the time limit */
-	LIMITED, /* refused at once */
-	NO_CONNECTION,
-	RELAY_SILENT /* the instance that makes the call says nothing */
-};
-
-/* The service that knows which workers may run steps of "fast", beside the
- * simulation. Its tickets are valid from when the call was ordered, the worst
- * that the leader has to expect. Checks each start that is sent. */
-class AdviceSim : public JobSim {
-      public:
-	struct Call {
-		uint32_t instance;
-		uint64_t token, serial;
-		SimTask step;
-		std::vector<std::string> workers;
-		int64_t at_ms;
-	};
-	struct Ticket {
-		std::string worker;
-		uint64_t incarnation;
-		SimTask step;
-		int64_t until_ms;
-	};
-	std::vector<Call> calls;
-	std::map<std::string, Ticket> tickets;
-	std::set<std::string> allowed;
-	std::vector<uint32_t> callers;
-	std::map<uint32_t, int64_t> busy_until_ms; /* by caller */
-	enum service_fault fault = ANSWER;
-	uint32_t valid_ms = 4000;
-	int64_t extra_ms = 0; /* on top of the time that a call needs */
-	bool answers_twice = false;
-	unsigned nrefuse = 0; /* starts that workers refuse from now on */
-	unsigned nrefused = 0, nbad = 0;
-
-	explicit AdviceSim(uint64_t seed, bool has_setting = true)
-	    : JobSim(seed)
-	{
-		struct jadvice_ops ops = { on_advice_call, list, this };
-		if (has_setting)
-			jlead_set_advice(&jl, &ops);
-		on_start = [this](const SimCall &c) { check_ticket(c); };
-		takes_ticket = [this](const SimCall &c, const SimWorker &w) {
-			return take(c, w);
-		};
-	}
-	~AdviceSim()
-	{
-		EXPECT_EQ(0U, nbad) << "starts without a valid ticket";
-	}
-
-	/* Configures "fast" with advice, "batch" without. */
-	void advise(uint64_t version = 2)
-	{
-		Job__Command c = JOB__COMMAND__INIT;
-		Job__Config cf = JOB__CONFIG__INIT;
-		Job__Advice a = JOB__ADVICE__INIT;
-		Job__Queue q[2], *p[2] = { &q[0], &q[1] };
-		std::string names[] = { "fast", "batch" }, host = "h",
-			    prefixes[] = { "/f/", "/b/" }, service = "svc";
-		a.decide_ms = 90;
-		a.each_ms = 10;
-		a.valid_ms = valid_ms;
-		for (int i = 0; i < 2; i++) {
-			job__queue__init(&q[i]);
-			q[i].name = names[i].data();
-			q[i].host = host.data();
-			q[i].prefix = prefixes[i].data();
-			q[i].service = service.data();
-			q[i].has_target_ms = 1;
-			q[i].target_ms = 5000;
-			q[i].has_max_attempts = 1;
-			q[i].max_attempts = 3;
-		}
-		q[0].advice = &a;
-		cf.version = version;
-		cf.queues = p;
-		cf.n_queues = 2;
-		c.config = &cf;
-		apply(c);
-	}
-
-	/* Adds workers, the first half in "a" and the others in three more
-	 * domains, and leads. Every third one is allowed, up to nallowed. */
-	void start(int n, size_t nallowed, uint32_t cpu = 16000)
-	{
-		for (int i = 0; i < n; i++) {
-			new_zone = i < n / 2
-			    ? "a"
-			    : std::string(1, (char)('b' + i % 3));
-			uint64_t num = add_worker(cpu);
-			if (i % 3 == 0 && allowed.size() < nallowed)
-				allowed.insert(workers[num].id);
-		}
-		advise();
-		lead();
-		run(200);
-	}
-
-	uint64_t count(enum jctr which) const
-	{
-		return ctr_get(&ctr, which);
-	}
-
-	static size_t list(void *arg, uint32_t *out, size_t max)
-	{
-		auto *s = (AdviceSim *)arg;
-		std::copy(s->callers.begin(), s->callers.end(), out);
-		return s->callers.size();
-	}
-	static bool on_advice_call(void *arg, const struct jadvice_call *c)
-	{
-		auto *s = (AdviceSim *)arg;
-		Call k = { c->instance, c->token, c->serial,
-			{ c->step.job, c->step.occurrence, c->step.step, 0 },
-			{}, s->now_ms };
-		int64_t took_ms = 90 + 10 * (int64_t)c->nworkers + s->extra_ms;
-		for (size_t i = 0; i < c->nworkers; i++)
-			k.workers.push_back(c->workers[i]);
-		EXPECT_LE(c->nworkers, (size_t)JADVICE_WORKERS_MAX);
-		EXPECT_EQ(90 + 10 * (int64_t)c->nworkers + 500, c->timeout_ms);
-		EXPECT_GE(s->now_ms, s->busy_until_ms[c->instance])
-		    << "a second call of one caller";
-		s->calls.push_back(k);
-		if (s->fault == NO_CONNECTION)
-			return false;
-		s->busy_until_ms[c->instance] = s->now_ms + c->timeout_ms;
-		if (s->fault == SILENT || took_ms >= c->timeout_ms)
-			s->answer_at(c->timeout_ms, k, JADVICE_NO_ANSWER);
-		if (s->fault == LIMITED)
-			s->answer_at(2, k, JADVICE_LIMITED);
-		if (s->fault == ANSWER)
-			s->answer_at(took_ms, k, JADVICE_OK);
-		if (s->answers_twice)
-			s->answer_at(took_ms + 5, k, JADVICE_OK);
-		return true;
-	}
-	void answer_at(int64_t ms, const Call &k, enum jadvice_result result)
-	{
-		events.emplace(now_ms + ms, [=]() { answer(k, result); });
-	}
-	void answer(const Call &k, enum jadvice_result result)
-	{
-		std::vector<std::string> issued;
-		std::vector<struct jadvice_good> good;
-		struct jadvice_answer r = { k.instance, k.serial, result, NULL,
-			0 };
-		busy_until_ms[k.instance] = 0;
-		for (auto &id : k.workers) {
-			if (result != JADVICE_OK || allowed.count(id) == 0)
-				continue;
-			std::string text =
-			    id + "/" + std::to_string(tickets.size());
-			uint64_t born = 0;
-			for (auto &x : workers)
-				born = x.second.id == id ? x.second.incarnation
-							 : born;
-			tickets[text] = { id, born, k.step,
-				k.at_ms + valid_ms };
-			issued.push_back(text);
-		}
-		for (auto &x : issued)
-			good.push_back(
-			    { tickets[x].worker.c_str(), x.c_str() });
-		r.good = good.data();
-		r.ngood = good.size();
-		jlead_on_advice(&jl, now(), k.token, &r);
-	}
-
-	bool is_advised(uint64_t job)
-	{
-		return std::string(jst_find_job(&st, job)->queue) == "fast";
-	}
-	/* Checks that a start is sent with a ticket of its step and worker that
-	 * is valid for long enough. */
-	void check_ticket(const SimCall &c)
-	{
-		if (!is_advised(c.call.task.job)) {
-			EXPECT_EQ("", c.ticket);
-			return;
-		}
-		auto it = tickets.find(c.ticket);
-		ASSERT_TRUE(it != tickets.end()) << "no ticket";
-		EXPECT_EQ(worker_of(c.call.worker).id, it->second.worker);
-		EXPECT_EQ(c.call.task.job, it->second.step.job);
-		EXPECT_EQ(c.call.task.step, it->second.step.step);
-		EXPECT_GT(it->second.until_ms - now_ms, JADVICE_LAST_MS);
-	}
-	bool take(const SimCall &c, const SimWorker &w)
-	{
-		if (!is_advised(c.call.task.job))
-			return true;
-		if (nrefuse > 0) {
-			nrefuse--;
-			nrefused++;
-			return false;
-		}
-		auto it = tickets.find(c.ticket);
-		bool good = it != tickets.end() && it->second.worker == w.id &&
-		    it->second.incarnation == w.incarnation &&
-		    it->second.step.job == c.call.task.job &&
-		    now_ms < it->second.until_ms;
-		nbad += !good;
-		return good;
-	}
-};
-
 /* Guards against a call for each worker, against workers of few domains, and
  * against such as are cold, evacuated, paused, failing or slow. */
 TEST(JobAdvice, OneCallNamesFreeWorkersOfAllDomains)
@@ -628,6 +415,119 @@
 		EXPECT_EQ(JST_COMPLETED, s.state(id));
 }
 
+/* Guards against best-effort tasks that wait for the few workers with a ticket
+ * while others that may run them are never named. */
+TEST(JobAdvice, MoreAreNamedForBestEffortTasks)
+{
+	AdviceSim s(21);
+	auto step = JobSim::step(8, 16000, 3000);
+	step.has_fills = step.fills = 1;
+	s.start(60, 0);
+	for (auto &x : s.workers)
+		s.allowed.insert(x.second.id);
+	s.submit(1, "fast", { step });
+	s.run(60);
+	ASSERT_EQ(1U, s.calls.size());
+	for (size_t i = 1; i < s.calls[0].workers.size(); i++)
+		s.allowed.erase(s.calls[0].workers[i]);
+	s.run(1500);
+	EXPECT_GE(s.calls.size(), 2U);
+	EXPECT_EQ(1U, s.starts.count({ 1, 0, 0, 7 }));
+}
+
+/* Guards against steps that need no call being looked at again and again on a
+ * large fleet, so that those after them are never asked about. */
+TEST(JobAdvice, StepsThatNeedNoCallDoNotHoldUpOthers)
+{
+	AdviceSim s(18);
+	std::string label = "nowhere";
+	s.start(8000, 8000);
+	for (uint64_t id = 1; id <= 40; id++) {
+		auto step = JobSim::step(1, 1000);
+		step.label = label.data();
+		s.submit(id, "fast", { step });
+	}
+	s.run(200);
+	EXPECT_EQ(0U, s.calls.size());
+	s.submit(41, "fast", { JobSim::step(1, 1000) });
+	s.run(2000);
+	EXPECT_EQ(1U, s.calls.size());
+}
+
+/* Guards against calls that take so much of the validity of their tickets that
+ * none can be used. */
+TEST(JobAdvice, CallsAreShortIfTicketsAre)
+{
+	AdviceSim s(19);
+	s.valid_ms = 600;
+	s.start(60, 0);
+	for (auto &x : s.workers)
+		s.allowed.insert(x.second.id);
+	s.submit(1, "fast", { JobSim::step(4, 2000) });
+	s.run(5000);
+	EXPECT_EQ(JST_COMPLETED, s.state(1));
+}
+
+/* Guards against records and figures of steps that stay once no queue has
+ * advice any more. */
+TEST(JobAdvice, NothingIsKeptOnceNoQueueHasAdvice)
+{
+	AdviceSim s(20);
+	s.start(8, 3);
+	s.fault = SILENT;
+	s.submit(1, "fast", { JobSim::step(4, 2000) });
+	s.run(60);
+	const struct jst_step *st = jst_find_step(jst_find_job(&s.st, 1), 0, 0);
+	ASSERT_NE(nullptr, st->advice);
+	ASSERT_EQ(1U, s.jl.advice.nwaiting);
+	s.advise(3, false);
+	EXPECT_EQ(nullptr, st->advice);
+	EXPECT_EQ(0U, s.jl.advice.nwaiting);
+}
+
+/* Gives a step a ticket for one worker. */
+void
+give_ticket(struct jadvice *a, struct jadvice_step *s,
+    const struct jadvice_terms *t, int64_t now_ms)
+{
+	struct jadvice_worker w = { "i-1", "a", 1, 1, 0, 1000, true };
+	struct jadvice_good good = { "i-1", "t" };
+	struct jadvice_answer r = { 0, 0, JADVICE_OK, &good, 1 };
+	struct jadvice_outcome o;
+	int64_t timeout_ms;
+	r.serial = jadvice_begin(a, 0, s, t, &w, 1, now_ms, &timeout_ms);
+	jadvice_end(a, &r, now_ms, &o);
+}
+
+/* Guards against refusals that are long past making the pause after the next
+ * one longer. */
+TEST(JobAdvice, RefusalsCountOnlyInARow)
+{
+	struct jadvice *a = jadvice_new();
+	struct jadvice_terms t = { 90, 10, 4000 };
+	struct jadvice_worker w, out[JADVICE_WORKERS_MAX];
+	Job__Task ref = JOB__TASK__INIT;
+	ref.job = 1;
+	struct jadvice_step *s = jadvice_step_get(a, &ref);
+	int64_t now = 1000;
+	auto is_named = [&](int64_t at) {
+		w = { "i-1", "a", 1, 1, 0, 1000, true };
+		return jadvice_choose(s, &t, &w, 1, 1, true, at, out) == 1;
+	};
+	for (int i = 0; i < 3; i++) {
+		give_ticket(a, s, &t, now);
+		jadvice_reject(s, "i-1", 1, now);
+	}
+	EXPECT_FALSE(is_named(now + 3 * JADVICE_REJECTED_MS));
+	now += 10000;
+	give_ticket(a, s, &t, now);
+	give_ticket(a, s, &t, now + 3000);
+	jadvice_reject(s, "i-1", 1, now + 3000);
+	EXPECT_FALSE(is_named(now + 3000 + JADVICE_REJECTED_MS - 1));
+	EXPECT_TRUE(is_named(now + 3000 + JADVICE_REJECTED_MS));
+	jadvice_free(a);
+}
+
 /* Guards against a queue without a bound, or one in which urgent steps come
  * last. */
 TEST(JobAdvice, TheQueueKeepsThoseThatGainMost)
