Look-ahead: why doesn't read the entries of removed workers

When a worker is removed, the last entry of the plan's input takes its index, and keeps the removed worker's data until the next plan. The command why read the freed worker there if the last plan had kept it, and a place on the last worker was forgotten. With look-ahead, the last entry now moves as a whole.

Without the change the new test finds a place on the removed worker. With lookahead = off nothing is copied, so that decisions between plans stay as they were.

--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -54,12 +54,16 @@
 }
 
 /* Removes a session's entry from the plan's input; the last one takes its
- * index. */
+ * index. With look-ahead it takes its entry along: that tells for which job its
+ * worker is kept, also between plans. */
 static void
 plan_slot_remove(struct jlead *jl, const struct wsess *ws)
 {
 	struct wsess *last = jl->plan_sessions[--jl->nsessions];
 
+	if (jl->lookahead)
+		jl->plan_workers[ws->plan_index] =
+		    jl->plan_workers[last->plan_index];
 	last->plan_index = ws->plan_index;
 	last->plan_stale = true;
 	jl->plan_sessions[last->plan_index] = last;
--- a/src/job/tests/room_rules_test.cc
+++ b/src/job/tests/room_rules_test.cc
@@ -382,6 +382,40 @@
 	EXPECT_EQ(0u, jlead_kept_places(&s.jl, Room::LARGE, v, 2));
 }
 
+/* Guards against "why" that reads the entry of a worker that was removed since
+ * the last plan, and against a place that gets lost when the entry of another
+ * worker is removed. */
+TEST(JobRoomRules, AWorkerThatIsRemovedBetweenPlansIsNotShown)
+{
+	for (bool removes_kept : { true, false }) {
+		Room s(0);
+		s.new_kind = removes_kept ? "b" : "a";
+		uint64_t first = s.add_worker(16000);
+		s.new_kind = removes_kept ? "a" : "b";
+		uint64_t last = s.add_worker(16000);
+		s.run(100);
+		s.task(1, "fast", 6000, 3000, 0, 2, "a");
+		s.task(2, "fast", 6000, 3000, 0, 2, "b");
+		s.run(100);
+		s.task(Room::LARGE, "fast", 14000, 3000, 0, 1, "b");
+		s.run(50);
+		ASSERT_EQ(1u, s.slots());
+		Job__Command c = JOB__COMMAND__INIT;
+		Job__WorkerGone g = JOB__WORKER_GONE__INIT;
+		g.num = first;
+		c.gone = &g;
+		s.apply(c);
+		const struct jplan_worker *v[2] = {};
+		size_t n = jlead_kept_places(&s.jl, Room::LARGE, v, 2);
+		ASSERT_EQ(removes_kept ? 0u : 1u, n);
+		if (n == 1) {
+			EXPECT_EQ(last, v[0]->w->num);
+			ASSERT_EQ(1u, s.slots());
+			EXPECT_FALSE(s.jl.look.slots[0].is_new);
+		}
+	}
+}
+
 /* Guards against ends that are read out of order: each search must find the
  * same start as one that sorts all ends. */
 TEST(JobRoomRules, EndsAreReadInOrder)
