Look-ahead: searches among workers with tickets are remembered apart

A plan remembers for a service and label whether a single end suffices, and whether no further worker may be kept. The step's advice is now part of the key.

Without the change the new test finds no place for the step without advice.

--- a/src/job/jplan_impl.h
+++ b/src/job/jplan_impl.h
@@ -73,6 +73,7 @@
 	/* of the tasks that the search was for */
 	uint32_t service_index;
 	const char *label;
+	const struct jadvice_step *advice;
 	struct jroom_amount need;
 	/* that may run such a task by label and size, and places kept there */
 	size_t nworkers, nslots;
--- a/src/job/jplan_room.c
+++ b/src/job/jplan_room.c
@@ -134,7 +134,7 @@
 }
 
 /* Tells whether a worker, if it were empty, could run the task: it has the
- * service, the label and the size. */
+ * service, the label, a ticket if the task needs one, and the size. */
 static bool
 may_run(const struct jplan_need *d, const struct jplan_worker *p)
 {
@@ -265,6 +265,7 @@
 		const struct jplan_set *s = &r->sets[i];
 
 		if (s->service_index != d->service_index ||
+		    s->advice != d->advice ||
 		    !jplan_is_same_label(s->label, d->label))
 			continue;
 		if (s->one_is_enough && d->cpu <= s->need.cpu &&
@@ -317,6 +318,7 @@
 	set = &r->sets[r->nsets++];
 	*set = (struct jplan_set){ .service_index = d.service_index,
 		.label = d.label,
+		.advice = d.advice,
 		.need = { d.cpu, d.mem, d.accel } };
 	n = find_places(r, st, &d, set, v, most);
 	if (n == 0)
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -651,4 +651,32 @@
 	    jadvice_gain(1, 0, true, true, &t));
 }
 
+/* Guards against a task for which no worker is kept because a single end
+ * suffices for a step that needs tickets, on the few workers that it has. */
+TEST(JobAdvice, AnEndOnAWorkerWithATicketSaysNothingOfOtherSteps)
+{
+	AdviceSim s(6);
+	s.jl.lookahead = true;
+	uint64_t first = s.add_worker(16000);
+	s.allowed.insert(s.workers[first].id);
+	s.new_kind = "b";
+	s.add_worker(16000);
+	s.advise();
+	s.lead();
+	s.run(200);
+	char label[] = "b";
+	Job__Step pair = JobSim::step(2, 6000, 3000);
+	pair.label = label;
+	s.submit(1, "batch", { pair });
+	s.run(100);
+	s.submit(2, "fast", { JobSim::step(2, 14000, 4000) });
+	s.run(500);
+	ASSERT_EQ(1U, s.starts.count({ 2, 0, 0, 0 }));
+	EXPECT_EQ(0U, s.jl.look.nslots);
+	s.submit(3, "batch", { JobSim::step(1, 14000, 4000) });
+	s.run(50);
+	ASSERT_EQ(1U, s.jl.look.nslots);
+	EXPECT_EQ(3U, s.jl.look.slots[0].step->job->id);
+}
+
 } // namespace
