Why: at most 64 steps are listed

A job may have 20,000 steps in all its occurrences, and the leader formatted a line for each waiting one, about 1 MB in one answer, as often as somebody asked. It now lists the first 64 and counts the others, as for kept workers.

The process test asks about a job of 2,000 occurrences: CLUSTER_PORT=33500 tests/evacuate.sh ends without findings. The code before lists 2,000 lines; the test wasn't run against it.

--- a/soak/evacuated.py
+++ b/soak/evacuated.py
@@ -150,8 +150,8 @@
             await self.expect(DONE, "evacuate", "za", "--end")
 
     async def check_why(self):
-        """Checks that why tells of a job that fits nowhere, and refuses one
-        that isn't known."""
+        """Checks that why tells of a job that fits nowhere, in a bounded
+        answer, and refuses one that isn't known or has no proper id."""
         job = f"{self.soak.rng.getrandbits(64):016x}"
         step = {"count": 1, "cpu": 900000, "memMb": 10, "estimateMs": 800}
         await self.soak.client.submit(job, {"spec": "x", "steps": [step]})
@@ -160,6 +160,12 @@
         if code != DONE or json.loads(out)["text"] != expected:
             self.findings.append(f"why ended with {code}: {out}")
         await self.expect(REFUSED, "why", "0" * 15 + "1")
+        job = f"{self.soak.rng.getrandbits(64):016x}"
+        await self.soak.client.submit(job, {"spec": "x", "steps": [step], "repeatCount": 2000})
+        code, out = await self.command("why", job, "--json")
+        text = json.loads(out)["text"] if code == DONE else []
+        if text[64:] != ["1936 more steps wait", "no worker is kept for it"]:
+            self.findings.append(f"why of many steps ended with {code}: {out[-200:]}")
 
     async def check(self):
         """Evacuates, kills replicas, and takes the domain back."""
--- a/src/node/core_why.c
+++ b/src/node/core_why.c
@@ -7,8 +7,10 @@
 /* Why a job waits: its steps with waiting tasks, and the workers that
  * look-ahead placement keeps for them. */
 
-/* Most places that are shown. */
+/* Most places and steps that are shown. A job has up to 20,000 steps in all its
+ * occurrences. */
 #define WHY_PLACES_MAX 64
+#define WHY_STEPS_MAX  64
 
 /* Adds a line to the text; takes the line. */
 static void
@@ -20,16 +22,17 @@
 	talloc_free(line);
 }
 
-/* Adds a line for each step with waiting tasks. */
+/* Adds a line for each of the first steps with waiting tasks, and one for the
+ * number of the others. */
 static void
 add_steps(TALLOC_CTX *ctx, struct json_object *text, const struct jst_job *j)
 {
-	uint32_t i;
+	uint32_t i, n = 0;
 
 	for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
 		const struct jst_step *st = &j->steps[i];
 
-		if (st->nwaiting == 0)
+		if (st->nwaiting == 0 || n++ >= WHY_STEPS_MAX)
 			continue;
 		add_line(text,
 		    talloc_asprintf(ctx, "step %u.%u: %u of %u tasks wait%s",
@@ -37,6 +40,10 @@
 			st->spec->count,
 			jst_step_ready(st) ? "" : " for earlier steps"));
 	}
+	if (n > WHY_STEPS_MAX)
+		add_line(text,
+		    talloc_asprintf(
+			ctx, "%" PRIu32 " more steps wait", n - WHY_STEPS_MAX));
 }
 
 /* Adds a line for each worker that is kept for the job. */
