Moves: no maintenance is recorded with the worker a move has ended

After an answer of 200 to a move, the last list of machines still showed the machine as up in its old pool, with the worker that the move had ended. A wave that named it before the next list recorded its maintenance with that worker, and ordered it while the machine was moving. If such an order had no answer, the new worker in the next list would have counted as proof that the maintenance had begun.

The machine now counts as moving until a list that was requested after the answer. PoolFail.AWaveWaitsForAMachineOnItsWay failed before (the wave's state was 1, begun, while the machine was moving) and passes.

--- a/src/job/jlead_pool.c
+++ b/src/job/jlead_pool.c
@@ -189,12 +189,18 @@
 }
 
 /* Records that a move is done. Its worker has ended, unless the list still
- * shows it. */
+ * shows it. After an answer the last list is out of date: until the next one
+ * the machine counts as on its way, so that no wave records maintenance of it
+ * with the worker that has ended. */
 static void
 finish_move(struct jlead *jl, const Job__Move *m, bool is_listed)
 {
-	const struct jl_seen *s = jl_wave_find_seen(jl->waves, m->machine);
+	struct jl_seen *s = jl_wave_find_seen(jl->waves, m->machine);
 
+	if (!is_listed && s != NULL) {
+		s->state = JCLOUD_MOVING;
+		s->moved_at_ms = jl_wave_now_ms(jl);
+	}
 	if (!is_listed || s == NULL || s->worker == NULL || m->worker == NULL ||
 	    strcmp(s->worker, m->worker) != 0)
 		jl_wave_end_worker(jl, m->worker);
--- a/src/job/jlead_wave.c
+++ b/src/job/jlead_wave.c
@@ -309,7 +309,9 @@
 		}
 		g_free(s->worker);
 		s->worker = g_strdup(m[i].worker);
-		s->state = m[i].state;
+		s->state = s->moved_at_ms > 0 && v->list_ms <= s->moved_at_ms
+		    ? JCLOUD_MOVING
+		    : m[i].state;
 		s->list = v->nlists;
 		if (jl_pool_is_possible(jl))
 			jl_wave_fill_seen(s, &m[i]);
--- a/src/job/jlead_wave_impl.h
+++ b/src/job/jlead_wave_impl.h
@@ -28,6 +28,7 @@
 	struct jpool_amount size;
 	int64_t empty_since_ms; /* without work, 0: not known to be */
 	int64_t move_after_ms;	/* isn't moved before */
+	int64_t moved_at_ms;	/* a list requested before shows it earlier */
 	uint32_t ndown; /* waves for which it is down, in this decision */
 };
 
--- a/src/job/tests/pool_fail_test.cc
+++ b/src/job/tests/pool_fail_test.cc
@@ -318,4 +318,21 @@
 	}
 }
 
+/* Guards against maintenance that is recorded for a machine on its way to
+ * another pool, with the worker that its move has ended: the list read before
+ * the move still shows it as up. */
+TEST(PoolFail, AWaveWaitsForAMachineOnItsWay)
+{
+	Shortage c(34);
+	c.run_until_ordered();
+	while (c.s.st.moves[0]->state == JOB__MOVE_STATE__MOVE_BEGUN)
+		c.s.run(1);
+	c.wave("m-2");
+	while (c.machines["m-2"].state == JCLOUD_MOVING) {
+		c.s.run(1);
+		ASSERT_EQ(
+		    JST_WAVE_WAITING, jst_find_wave(&c.s.st, 1)->states[0]);
+	}
+}
+
 } // namespace
