Moves: what a list repeats of a machine isn't copied again

With moves possible, each list of machines copied pool, zone and labels of every machine, at most once per second while a move is open or a machine is away from its spare pool. They rarely change, so they are now compared first.

--- a/src/job/jlead_wave_input.c
+++ b/src/job/jlead_wave_input.c
@@ -22,20 +22,43 @@
 #define ABSENT_LISTS  3
 #define ABSENT_MIN_MS 5000
 
+/* Sets a text; most stay the same from one list to the next. */
+static void
+set_text(char **p, const char *v)
+{
+	if (g_strcmp0(*p, v) == 0)
+		return;
+	g_free(*p);
+	*p = g_strdup(v);
+}
+
+/* Tells whether the labels of a machine are the listed ones. */
+static bool
+has_labels(const struct jl_seen *s, const struct jcloud_machine *m)
+{
+	size_t i;
+
+	for (i = 0; s->labels != NULL && s->labels[i] != NULL; i++) {
+		if (i >= m->nlabels || strcmp(s->labels[i], m->labels[i]) != 0)
+			return false;
+	}
+	return s->labels != NULL && i == m->nlabels;
+}
+
 /* Takes what is listed of a machine and only moves between pools need. */
 void
 jl_wave_fill_seen(struct jl_seen *s, const struct jcloud_machine *m)
 {
 	size_t i;
 
-	g_free(s->pool);
-	g_free(s->zone);
-	g_strfreev(s->labels);
-	s->pool = g_strdup(m->pool);
-	s->zone = g_strdup(m->zone);
-	s->labels = g_new0(char *, m->nlabels + 1);
-	for (i = 0; i < m->nlabels; i++)
-		s->labels[i] = g_strdup(m->labels[i]);
+	set_text(&s->pool, m->pool);
+	set_text(&s->zone, m->zone);
+	if (!has_labels(s, m)) {
+		g_strfreev(s->labels);
+		s->labels = g_new0(char *, m->nlabels + 1);
+		for (i = 0; i < m->nlabels; i++)
+			s->labels[i] = g_strdup(m->labels[i]);
+	}
 	s->size.cpu = m->cpu_milli;
 	s->size.mem = m->mem_mb;
 	s->size.accel = m->accel;
