Moves: fewer workers, machines and lists per decision; services share the steps

Cause: the decision looked at the first 64 waiting steps of all services. A service with 64 or more of them, which no machine fits, hid the shortage of another service for good. The list of all machines was also read each second for tasks that had waited for 2 s but would start soon without a move. And every decision visited the runs of all workers, also those of services without a shortage or while nothing waited and a machine was away from its spare pool, and all listed machines, also those of pools that can't give any.

Change: each service has an equal share of the 64 steps, at least 8. The list is read after the decision, if tasks remain in it, or if some were placed onto a machine on its way. Workers are visited only in services with such a step, machines only in pools that may give one, and records are looked up only for machines with a record or a choice.

Result: Pool.ManyStepsHideNoOtherService failed before (no move) and passes, Pool.NothingIsReadForTasksThatStartSoon failed before (2 reads) and passes, each tried with its mechanism taken out.

--- a/src/job/jlead_pool.c
+++ b/src/job/jlead_pool.c
@@ -481,24 +481,27 @@
 	p->is_active = g_hash_table_size(p->notes) > 0;
 }
 
-/* Reads the list, decides, and acts. */
+/* Decides, acts, and reads the list if it is needed. */
 static void
 run_pools(struct jlead *jl)
 {
 	struct jl_pools *p = jl->pools;
+	const struct jpool_machine *m;
 	size_t i;
 
 	mark_sessions(jl);
 	jl_pool_fill_input(jl);
-	if (jl_pool_needs_list(jl))
-		jl_wave_read(jl);
 	jpool_choose(&p->in);
 	for (i = 0; i < p->in.nmachines &&
 	     clk_diff_ms(jl->now, jl->leading_since) >=
 		 jl->waves->holder_wait_ms;
-	     i++)
-		act(jl, g_ptr_array_index(p->names, i),
-		    &g_array_index(p->machines, struct jpool_machine, i));
+	     i++) {
+		m = &g_array_index(p->machines, struct jpool_machine, i);
+		if (i < p->nrecords || m->choice != JPOOL_NONE)
+			act(jl, g_ptr_array_index(p->names, i), m);
+	}
+	if (jl_pool_needs_list(jl))
+		jl_wave_read(jl);
 	jl_pool_log(jl);
 }
 
--- a/src/job/jlead_pool_impl.h
+++ b/src/job/jlead_pool_impl.h
@@ -57,6 +57,8 @@
 	GArray *hosts;	     /* struct jpool_host */
 	GArray *machines;    /* struct jpool_machine */
 	GPtrArray *names;    /* of the machines */
+	uint32_t nservices;  /* that aren't spare pools, at least 1 */
+	size_t nrecords;     /* machines with a record; they come first */
 	GHashTable *index;   /* of a service, plus 1, by name */
 	GHashTable *in_wave; /* machines of open waves */
 };
--- a/src/job/jlead_pool_input.c
+++ b/src/job/jlead_pool_input.c
@@ -117,7 +117,7 @@
 		    JPOOL_MOVE_MS);
 }
 
-/* Adds a worker to what its pool has. */
+/* Adds a worker to what its pool has, if tasks wait there. */
 static void
 add_host(struct jlead *jl, const struct wsess *ws)
 {
@@ -126,8 +126,9 @@
 	struct jpool_host h = { .pool = jl_pool_index(p, w->service) };
 	const struct jrun *r;
 
-	if (h.pool == JPOOL_NONE || !jl_pool_is_usable(jl, ws) ||
-	    !jl_takes_new_work(ws))
+	if (h.pool == JPOOL_NONE ||
+	    g_array_index(p->pools, struct jpool_pool, h.pool).ndemands == 0 ||
+	    !jl_pool_is_usable(jl, ws) || !jl_takes_new_work(ws))
 		return;
 	h.labels.v = (const char *const *)(const void *)w->labels;
 	h.labels.n = w->n_labels;
@@ -281,11 +282,26 @@
 	add_machine(p, &m, r->machine);
 }
 
+/* Tells whether a pool could give a machine for tasks that remain. */
+static bool
+can_help(const struct jpool_input *in, size_t pool)
+{
+	size_t i;
+
+	for (i = 0; i < in->ndemands; i++) {
+		if (in->demands[i].nmissing > 0 &&
+		    jpool_may_give(in, pool, in->demands[i].pool))
+			return true;
+	}
+	return false;
+}
+
 /* Adds the listed machines without a record that may be moved. */
 static void
 add_free_machines(struct jlead *jl)
 {
 	struct jl_pools *p = jl->pools;
+	bool *can_give = g_new0(bool, p->in.npools + 1);
 	GHashTable *moved = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter it;
 	gpointer key, value;
@@ -293,13 +309,16 @@
 
 	for (i = 0; i < jl->st->nmoves; i++)
 		g_hash_table_add(moved, jl->st->moves[i]->machine);
+	for (i = 0; i < p->in.npools; i++)
+		can_give[i] = can_help(&p->in, i);
 	g_hash_table_iter_init(&it, jl->waves->seen);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct jl_seen *s = value;
 		struct jpool_machine m = new_machine();
 
 		m.pool = jl_pool_index(p, s->pool);
-		if (m.pool == JPOOL_NONE || s->list < jl->waves->nlists ||
+		if (m.pool == JPOOL_NONE || !can_give[m.pool] ||
+		    s->list < jl->waves->nlists ||
 		    g_hash_table_contains(moved, key) ||
 		    g_hash_table_contains(p->notes, key) ||
 		    !jl_pool_may_move(jl, key, s))
@@ -310,6 +329,7 @@
 		add_machine(p, &m, key);
 	}
 	g_hash_table_destroy(moved);
+	g_free(can_give);
 }
 
 /* Collects the machines that open waves name. */
@@ -354,22 +374,24 @@
 	g_array_set_size(p->machines, 0);
 	g_ptr_array_set_size(p->names, 0);
 	fill_in_wave(jl);
-	for (ws = jl->sessions; ws != NULL; ws = ws->next)
-		add_host(jl, ws);
-	fill_moves(jl);
-	if (p->demands->len > 0)
-		add_free_machines(jl);
 	p->in.pools = (struct jpool_pool *)(void *)p->pools->data;
 	p->in.npools = p->pools->len;
 	p->in.demands = (struct jpool_demand *)(void *)p->demands->data;
 	p->in.ndemands = p->demands->len;
+	p->in.is_refused = is_refused;
+	p->in.arg = jl;
+	for (ws = jl->sessions; ws != NULL && p->demands->len > 0;
+	     ws = ws->next)
+		add_host(jl, ws);
+	fill_moves(jl);
+	p->nrecords = p->machines->len;
+	if (p->demands->len > 0)
+		add_free_machines(jl);
 	p->in.hosts = (struct jpool_host *)(void *)p->hosts->data;
 	p->in.nhosts = p->hosts->len;
 	p->in.machines = (struct jpool_machine *)(void *)p->machines->data;
 	p->in.nmachines = p->machines->len;
 	p->in.nopen = g_hash_table_size(p->notes);
-	p->in.is_refused = is_refused;
-	p->in.arg = jl;
 }
 
 /* Tells whether a pool has a machine to give, as far as is known without a
@@ -389,27 +411,36 @@
 	return false;
 }
 
-/* Tells whether the list of machines is needed: a move is open, a machine is
- * away from its spare pool, or another pool may help a service that is short of
- * capacity. */
+/* Tells whether a machine that moved counts as on its way. */
+static bool
+is_any_coming(const struct jpool_input *in)
+{
+	size_t i;
+
+	for (i = 0; i < in->nmachines && !in->machines[i].is_coming; i++)
+		;
+	return i < in->nmachines;
+}
+
+/* Tells whether the list of machines is needed, after the decision: a move is
+ * open, a machine is away from its spare pool, or another pool may help a
+ * service that is short of capacity. Tasks placed onto a machine on its way
+ * count: the list shows when its worker is there. */
 bool
 jl_pool_needs_list(const struct jlead *jl)
 {
 	const struct jl_pools *p = jl->pools;
 	size_t i, k;
-	bool helps;
 
-	if (g_hash_table_size(p->notes) > 0)
+	if (g_hash_table_size(p->notes) > 0 ||
+	    (p->in.ndemands > 0 && is_any_coming(&p->in)))
 		return true;
 	for (i = 0; i < jl->st->nmoves; i++) {
 		if (jl_pool_is_away(p, jl->st->moves[i]))
 			return true;
 	}
 	for (k = 0; k < p->in.npools; k++) {
-		for (i = 0, helps = false; i < p->in.ndemands && !helps; i++)
-			helps =
-			    jpool_may_give(&p->in, k, p->in.demands[i].pool);
-		if (helps && has_machine(jl, k))
+		if (can_help(&p->in, k) && has_machine(jl, k))
 			return true;
 	}
 	return false;
--- a/src/job/jlead_pool_load.c
+++ b/src/job/jlead_pool_load.c
@@ -7,8 +7,10 @@
 /* Moves between pools: what waits and runs in each pool. */
 
 /* Steps that are looked at, those found first; limits the time of a decision,
- * which compares each with all workers of its service. */
-#define DEMANDS_MAX 64
+ * which compares each with all workers of its service. They are shared among
+ * the services, so that one with many waiting steps doesn't hide another. */
+#define DEMANDS_MAX	    64
+#define SERVICE_DEMANDS_MIN 8
 
 /* Adds n times the resources of a task to an amount. */
 void
@@ -38,13 +40,16 @@
 
 	g_array_set_size(p->pools, 0);
 	g_hash_table_remove_all(p->index);
+	p->nservices = 0;
 	for (i = 0; c != NULL && i < c->n_services; i++) {
 		struct jpool_pool k = { .is_spare = c->services[i]->spare };
 
 		g_array_append_val(p->pools, k);
+		p->nservices += !k.is_spare;
 		g_hash_table_insert(
 		    p->index, c->services[i]->name, GSIZE_TO_POINTER(i + 1));
 	}
+	p->nservices = MAX(p->nservices, 1);
 }
 
 /* Adds the waiting tasks of a step to those of its pool, and to the demands
@@ -60,6 +65,7 @@
 		.size = { st->spec->cpu_milli, st->spec->mem_mb,
 		    st->spec->accel },
 		.ntasks = n,
+		.nmissing = n,
 		.spread = st->spec->spread,
 		.waited_ms = jl_wave_now_ms(jl) - st->short_since_ms };
 
@@ -69,8 +75,10 @@
 		return;
 	if (st->spec->label != NULL && st->spec->label[0] != '\0')
 		d.label = st->spec->label;
-	if (p->demands->len < DEMANDS_MAX)
-		g_array_append_val(p->demands, d);
+	if (k->ndemands >= MAX(DEMANDS_MAX / p->nservices, SERVICE_DEMANDS_MIN))
+		return;
+	g_array_append_val(p->demands, d);
+	k->ndemands++;
 }
 
 /* Tells whether tasks of a step could run now and aren't assigned. */
--- a/src/job/jpool.h
+++ b/src/job/jpool.h
@@ -88,7 +88,8 @@
 	 * which that isn't known gives no machine. */
 	struct jpool_amount peak;
 	bool has_peak;
-	uint32_t nopen; /* set: open moves to it */
+	uint32_t ndemands; /* if 0, its hosts aren't needed */
+	uint32_t nopen;	   /* set: open moves to it */
 };
 
 struct jpool_input {
--- a/src/job/tests/pool_test.cc
+++ b/src/job/tests/pool_test.cc
@@ -60,6 +60,39 @@
 	}
 }
 
+/* Guards against a read of the list, of all machines, for tasks that have
+ * waited for 2 s and start soon without a move. */
+TEST(Pool, NothingIsReadForTasksThatStartSoon)
+{
+	Pools c(2);
+	c.add("svc", 1);
+	c.add("spare", 2);
+	c.lead();
+	c.load(1, "svc", 2, 4000);
+	c.s.run(12000);
+	EXPECT_EQ(2U, c.s.starts.size());
+	EXPECT_EQ(0U, c.nreads);
+}
+
+/* Guards against a service whose many waiting steps, which no machine fits,
+ * keep those of another service from being looked at. */
+TEST(Pool, ManyStepsHideNoOtherService)
+{
+	Pools c(11);
+	c.add("svc", 1);
+	c.add("other", 1);
+	c.add("spare", 2);
+	c.lead();
+	for (uint64_t i = 1; i <= 80; i++) {
+		Job__Step st = JobSim::step(1, 1000);
+		st.label = (char *)"b";
+		c.s.submit(i, "svc", { st });
+	}
+	c.load(100, "other", 2);
+	c.s.run(8000);
+	EXPECT_EQ(1U, c.moves.size());
+}
+
 /* Guards against a service that gives away what its own waiting tasks, or an
  * eighth of what runs there, need; and one that gives machines with work. */
 TEST(Pool, AServiceKeepsWhatItNeeds)
