Moves: test that a machine whose worker has joined isn't on its way

Without the rule that tasks on a machine on its way need it too, a moved machine would count twice, as itself and as its worker, for up to 10 s.

--- a/src/job/tests/pool_fail_test.cc
+++ b/src/job/tests/pool_fail_test.cc
@@ -335,4 +335,19 @@
 	}
 }
 
+/* Guards against a moved machine that counts as on its way after its worker has
+ * joined, for lack of a new list: a task that waits then would get its machine
+ * seconds later. */
+TEST(PoolFail, AMachineThatHasJoinedIsNotOnItsWay)
+{
+	Shortage c(35);
+	c.add("other", 4);
+	for (int i = 0; i < 10000 && c.s.starts.size() < 2; i++)
+		c.s.run(1);
+	ASSERT_EQ(2U, c.s.starts.size());
+	c.load(2, "svc", 1);
+	c.s.run(4500);
+	EXPECT_EQ(2U, c.moves.size());
+}
+
 } // namespace
