--- a/src/job/jlead_pool.c
+++ b/src/job/jlead_pool.c
@@ -189,12 +189,18 @@
 }
 
 /* Records that a move is done. Its worker has ended, unless the list still
- * shows it. */
+ * shows it. After an answer the last list is out of date: until the next one
+ * the machine counts as on its way, so that no wave records maintenance of it
+ * with the worker that has ended. */
 static void
 finish_move(struct jlead *jl, const Job__Move *m, bool is_listed)
 {
-	const struct jl_seen *s = jl_wave_find_seen(jl->waves, m->machine);
+	struct jl_seen *s = jl_wave_find_seen(jl->waves, m->machine);
 
+	if (!is_listed && s != NULL) {
+		s->state = JCLOUD_MOVING;
+		s->moved_at_ms = jl_wave_now_ms(jl);
+	}
 	if (!is_listed || s == NULL || s->worker == NULL || m->worker == NULL ||
 	    strcmp(s->worker, m->worker) != 0)
 		jl_wave_end_worker(jl, m->worker);
@@ -475,24 +481,27 @@
 	p->is_active = g_hash_table_size(p->notes) > 0;
 }
 
-/* Reads the list, decides, and acts. */
+/* Decides, acts, and reads the list if it is needed. */
 static void
 run_pools(struct jlead *jl)
 {
 	struct jl_pools *p = jl->pools;
+	const struct jpool_machine *m;
 	size_t i;
 
 	mark_sessions(jl);
 	jl_pool_fill_input(jl);
-	if (jl_pool_needs_list(jl))
-		jl_wave_read(jl);
 	jpool_choose(&p->in);
 	for (i = 0; i < p->in.nmachines &&
 	     clk_diff_ms(jl->now, jl->leading_since) >=
 		 jl->waves->holder_wait_ms;
-	     i++)
-		act(jl, g_ptr_array_index(p->names, i),
-		    &g_array_index(p->machines, struct jpool_machine, i));
+	     i++) {
+		m = &g_array_index(p->machines, struct jpool_machine, i);
+		if (i < p->nrecords || m->choice != JPOOL_NONE)
+			act(jl, g_ptr_array_index(p->names, i), m);
+	}
+	if (jl_pool_needs_list(jl))
+		jl_wave_read(jl);
 	jl_pool_log(jl);
 }
 
--- a/src/job/tests/pool_fail_test.cc
+++ b/src/job/tests/pool_fail_test.cc
@@ -318,4 +318,36 @@
 	}
 }
 
+/* Guards against maintenance that is recorded for a machine on its way to
+ * another pool, with the worker that its move has ended: the list read before
+ * the move still shows it as up. */
+TEST(PoolFail, AWaveWaitsForAMachineOnItsWay)
+{
+	Shortage c(34);
+	c.run_until_ordered();
+	while (c.s.st.moves[0]->state == JOB__MOVE_STATE__MOVE_BEGUN)
+		c.s.run(1);
+	c.wave("m-2");
+	while (c.machines["m-2"].state == JCLOUD_MOVING) {
+		c.s.run(1);
+		ASSERT_EQ(
+		    JST_WAVE_WAITING, jst_find_wave(&c.s.st, 1)->states[0]);
+	}
+}
+
+/* Guards against a moved machine that counts as on its way after its worker has
+ * joined, for lack of a new list: a task that waits then would get its machine
+ * seconds later. */
+TEST(PoolFail, AMachineThatHasJoinedIsNotOnItsWay)
+{
+	Shortage c(35);
+	c.add("other", 4);
+	for (int i = 0; i < 10000 && c.s.starts.size() < 2; i++)
+		c.s.run(1);
+	ASSERT_EQ(2U, c.s.starts.size());
+	c.load(2, "svc", 1);
+	c.s.run(4500);
+	EXPECT_EQ(2U, c.moves.size());
+}
+
 } // namespace
