--- a/soak/crowd.py
+++ b/soak/crowd.py
@@ -121,7 +121,7 @@
 
 def make_fields(kind, size):
     """Returns an object of exactly this many bytes that consists of very many
-    short fields, lists or numbers."""
+    short fields, objects or numbers."""
     if kind == 0:  # members of the object itself
         begin, end = b'{"spec":"x"', b"}"
         room = max(0, size - len(begin) - len(end))
@@ -131,10 +131,10 @@
             used += len(parts[-1])
             i += 1
         middle = b"".join(parts)
-    elif kind == 1:  # empty lists
-        begin, end = b'{"x":[[]', b"]}"
+    elif kind == 1:  # empty objects
+        begin, end = b'{"x":[{}', b"]}"
         room = max(0, size - len(begin) - len(end))
-        middle = b",[]" * (room // 3)
+        middle = b",{}" * (room // 3)
     else:  # steps that wait for the same step again and again
         begin = b'{"spec":"x","steps":[{"count":1,"estimateMs":1,"cpu":1,' \
             b'"memMb":1},{"count":1,"after":[0'
