--- a/src/job/jcall.c
+++ b/src/job/jcall.c
@@ -59,6 +59,9 @@
 		if (w->machines[i] == NULL)
 			return report_missing(e, "wave.machines");
 	}
+	if (w->n_machines > JST_WAVE_MACHINES_MAX)
+		return err_set(e, STATUS_INVALID, "wave.machines: over %d",
+		    JST_WAVE_MACHINES_MAX);
 	return STATUS_OK;
 }
 
--- a/src/job/jctr.c
+++ b/src/job/jctr.c
@@ -54,6 +54,10 @@
 	[JCTR_DONE_IGNORED] = { "done_ignored",
 	    "Ends as done acknowledged without effect on a task that isn't "
 	    "done; must stay 0." },
+	[JCTR_CHECKPOINTS_DROPPED] = { "checkpoints_dropped",
+	    "Checkpoints not kept for lack of memory; the one before is." },
+	[JCTR_REFUSED_FULL] = { "jobs_refused_full",
+	    "Submissions refused because the state has no room for them." },
 	[JCTR_COMMANDS_STALE] = { "commands_stale",
 	    "Assignments and ends that no longer applied once committed." },
 	[JCTR_WORKERS_LOST] = { "workers_lost",
--- a/src/job/jlead.c
+++ b/src/job/jlead.c
@@ -163,6 +163,7 @@
 	jl_advice_stop(jl);
 	while (jl->sessions != NULL)
 		session_free(jl, jl->sessions);
+	jst_close_untouched(jl->st);
 }
 
 /* Releases everything except the replicated state. */
@@ -195,15 +196,15 @@
 static uint32_t
 inherit_runs(struct jlead *jl, struct jst_job *j)
 {
-	uint32_t i, k, n = 0;
+	struct jst_step *st;
+	uint32_t o, i, k, n = 0;
 
 	for (; j != NULL; j = j->next) {
 		clear_queue_cache(j);
 		j->begun_proposed = false;
 		j->nruns = 0;
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			struct jst_step *st = &j->steps[i];
-
+		JST_FOREACH_STEP(j, st, o, i)
+		{
 			st->nproposed = 0;
 			jl_forget_room(st);
 			st->short_since_ms = 0;
@@ -253,6 +254,7 @@
 	jl->wall_ms = wall_ms;
 	jl->token = token;
 	jl->nfences = 0;
+	jl->forget_at = now;
 	jl->first_serial = jl->serial + 1;
 	memset(&jl->speed, 0, sizeof(jl->speed));
 	jroom_init(&jl->room);
@@ -262,8 +264,8 @@
 	for (i = 0; i < jl->st->nworkers; i++)
 		session_new(jl, jl->st->workers[i]);
 	find_restarted_workers(jl);
-	inherited =
-	    inherit_runs(jl, jl->st->active) + inherit_runs(jl, jl->st->ended);
+	inherited = inherit_runs(jl, jl->st->active) +
+	    inherit_runs(jl, jl->st->dormant) + inherit_runs(jl, jl->st->ended);
 	log_event(LOG_NOTICE, "job",
 	    "event=lead token=%" PRIu64 " workers=%zu inherited_runs=%u", token,
 	    jl->st->nworkers, inherited);
@@ -596,12 +598,14 @@
 static void
 stop_job_runs(struct jlead *jl, struct jst_job *j)
 {
-	uint32_t i, k;
+	struct jst_step *st;
+	uint32_t o, i, k;
 
-	for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-		for (k = 0; k < j->steps[i].spec->count; k++) {
-			if (j->steps[i].tasks[k].active_run != NULL)
-				jrun_stop(jl, j->steps[i].tasks[k].active_run,
+	JST_FOREACH_STEP(j, st, o, i)
+	{
+		for (k = 0; k < st->spec->count; k++) {
+			if (st->tasks[k].active_run != NULL)
+				jrun_stop(jl, st->tasks[k].active_run,
 				    JL_STOP_JOB_ENDED);
 		}
 	}
@@ -811,6 +815,8 @@
 			session_free(jl, ws);
 	}
 	jst_apply(jl->st, c, res);
+	if (jl->leading && res->checkpoint_dropped)
+		ctr_add(jl->ctr, JCTR_CHECKPOINTS_DROPPED, 1);
 	if (c->submit != NULL && res->status == STATUS_OK)
 		count_demand(jl, res->job);
 	record_time(c, now, res);
@@ -837,6 +843,8 @@
 		jl_advice_configured(jl);
 		for (j = jl->st->active; j != NULL; j = j->next)
 			clear_queue_cache(j);
+		for (j = jl->st->dormant; j != NULL; j = j->next)
+			clear_queue_cache(j);
 	}
 	if (res->job_ended && res->job != NULL)
 		stop_job_runs(jl, res->job);
@@ -942,6 +950,22 @@
 	jl_poll(jl, ws);
 }
 
+/* Has ended jobs forgotten that have been kept for long enough. */
+static void
+forget_expired(struct jlead *jl)
+{
+	Job__Command cmd = JOB__COMMAND__INIT;
+	Job__Forget f = JOB__FORGET__INIT;
+
+	if (clk_before(jl->now, jl->forget_at) ||
+	    !jst_has_expired(jl->st, jl->wall_ms - JLEAD_FORGET_LATE_MS))
+		return;
+	jl->forget_at = clk_add_ms(jl->now, JLEAD_FORGET_INTERVAL_MS);
+	f.at_ms = jl->wall_ms;
+	cmd.forget = &f;
+	jl->ops.propose(jl->ops.arg, &cmd);
+}
+
 /* Sends the orders and polls that are due, and gives up runs that can no longer
  * be running. */
 void
@@ -958,6 +982,8 @@
 	    jl->nrelays * JLEAD_FIRST_POLLS_PER_RELAY;
 	for (ws = jl->sessions; ws != NULL; ws = ws->next)
 		session_tick(jl, ws);
+	forget_expired(jl);
+	jst_open_due(jl->st, wall_ms + JADVICE_AHEAD_MS);
 	jl_wave_tick(jl);
 	jl_pool_tick(jl);
 	jl_advice_tick(jl);
--- a/src/job/jlead.h
+++ b/src/job/jlead.h
@@ -134,6 +134,11 @@
 /* A start that is sent later than this after its assignment is logged
  * separately. */
 #define JLEAD_LATE_START_MS 1000
+/* Ended jobs that could have been forgotten for this long are, and how often
+ * that is tried. Submissions forget them too, but may be refused before they
+ * are in the log. */
+#define JLEAD_FORGET_LATE_MS	 5000
+#define JLEAD_FORGET_INTERVAL_MS 1000
 /* Most assignments of one plan, besides the rest of a gang; keeps the log
  * record below 64 KiB. */
 #define JLEAD_ASSIGN_MAX 512
@@ -272,6 +277,9 @@
 	uint64_t serial;	      /* of the last call */
 	uint64_t nfences;	      /* registrations in this term */
 	size_t nrestarted;	      /* sessions of earlier incarnations */
+	uint32_t nruns;		      /* of all sessions */
+	size_t checkpoint_bytes;      /* copies of their checkpoints */
+	struct timespec forget_at;    /* next order to forget ended jobs */
 	uint64_t first_serial;	      /* of this term's calls */
 	struct jinterf interf;	      /* kept when the leader changes */
 	struct jdemand demand;
--- a/src/job/jlead_advice.c
+++ b/src/job/jlead_advice.c
@@ -223,8 +223,9 @@
 {
 	const Job__Advice *a;
 	struct jst_job *j;
+	struct jst_step *st;
 	bool is_ready;
-	uint32_t i;
+	uint32_t o, i;
 
 	jl->advice.nwaiting = jl->advice.ntickets = 0;
 	for (j = jl->st->active; j != NULL; j = j->next) {
@@ -233,9 +234,8 @@
 			continue;
 		if (j->deadline_ms == 0)
 			jplan_set_deadline(jl->st, j);
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			struct jst_step *st = &j->steps[i];
-
+		JST_FOREACH_STEP(j, st, o, i)
+		{
 			if (!is_expected(jl, st, &is_ready))
 				continue;
 			if (st->advice != NULL)
@@ -444,14 +444,15 @@
 jl_advice_prepare(struct jlead *jl)
 {
 	struct jst_job *j;
-	uint32_t i;
+	struct jst_step *st;
+	uint32_t o, i;
 
 	for (j = jl->advice.is_used ? jl->st->active : NULL; j != NULL;
 	     j = j->next) {
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			if (j->steps[i].advice != NULL)
-				jadvice_step_update(
-				    j->steps[i].advice, now_ms(jl));
+		JST_FOREACH_STEP(j, st, o, i)
+		{
+			if (st->advice != NULL)
+				jadvice_step_update(st->advice, now_ms(jl));
 		}
 	}
 }
--- a/src/job/jlead_idle.c
+++ b/src/job/jlead_idle.c
@@ -273,13 +273,14 @@
 {
 	struct idle_scan scan = { 0 };
 	struct jst_job *j;
-	uint32_t i;
+	struct jst_step *st;
+	uint32_t o, i;
 
 	for (j = jl->st->active; j != NULL; j = j->next) {
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			if (j->steps[i].ndone < j->steps[i].spec->count &&
-			    jst_step_ready(&j->steps[i]))
-				scan_step(jl, &j->steps[i], &scan);
+		JST_FOREACH_STEP(j, st, o, i)
+		{
+			if (st->ndone < st->spec->count && jst_step_ready(st))
+				scan_step(jl, st, &scan);
 		}
 	}
 	scan_unheard(jl);
--- a/src/job/jlead_impl.h
+++ b/src/job/jlead_impl.h
@@ -172,6 +172,7 @@
 struct jrun *jrun_new(struct jlead *, struct wsess *, struct jst_step *,
     uint32_t index, uint32_t run, enum run_phase);
 void jrun_free(struct jlead *, struct jrun *);
+void jl_set_checkpoint(struct jlead *, struct jrun *, const char *);
 void jrun_end(struct jlead *, struct jrun *, Job__How, const char *checkpoint);
 void jl_note_begun(struct jlead *, struct jst_job *);
 void jrun_confirm(struct jrun *);
--- a/src/job/jlead_log.c
+++ b/src/job/jlead_log.c
@@ -138,8 +138,8 @@
 
 /* Returns why a run is orphaned, and the counter of that cause. */
 static const char *
-orphan_cause(const struct jst_job *j, const struct jst_task *t, uint32_t run,
-    enum jctr *which)
+orphan_cause(const struct jst_job *j, const struct jst_task *t,
+    uint32_t occurrence, uint32_t run, enum jctr *which)
 {
 	*which = JCTR_ORPHANS_UNKNOWN;
 	if (j == NULL)
@@ -148,6 +148,10 @@
 		*which = JCTR_ORPHANS_JOB_ENDED;
 		return "job_ended";
 	}
+	if (t == NULL && jst_has_done(j, occurrence)) {
+		*which = JCTR_ORPHANS_RUN_ENDED;
+		return "run_ended";
+	}
 	if (t == NULL || run > t->run)
 		return "run_unknown";
 	*which = JCTR_ORPHANS_RUN_ENDED;
@@ -165,7 +169,8 @@
 	struct jst_step *st = NULL;
 	const struct jst_task *t = jst_find_task(jl->st, &row->task, &st);
 	enum jctr which;
-	const char *cause = orphan_cause(j, t, row->run, &which);
+	const char *cause =
+	    orphan_cause(j, t, row->task.occurrence, row->run, &which);
 
 	ctr_add(jl->ctr, JCTR_ORPHANS, 1);
 	ctr_add(jl->ctr, which, 1);
@@ -194,7 +199,8 @@
 	if (j->state != JST_ACTIVE)
 		return "job_ended";
 	if (t == NULL)
-		return "task_unknown";
+		return jst_has_done(j, e->task.occurrence) ? "task_done"
+							   : "task_unknown";
 	if (t->state == JST_DONE)
 		return "task_done";
 	*is_lost = e->how == JOB__HOW__DONE;
--- a/src/job/jlead_plan.c
+++ b/src/job/jlead_plan.c
@@ -189,13 +189,13 @@
 count_waiting(const struct jst *st, struct waiting_tasks *w)
 {
 	const struct jst_job *j;
-	uint32_t i, n;
+	const struct jst_step *s;
+	uint32_t o, i, n;
 
 	memset(w, 0, sizeof(*w));
 	for (j = st->active; j != NULL; j = j->next) {
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			const struct jst_step *s = &j->steps[i];
-
+		JST_FOREACH_STEP(j, s, o, i)
+		{
 			if (s->nwaiting <= s->nproposed || !jst_step_ready(s))
 				continue;
 			n = s->nwaiting - s->nproposed;
@@ -245,16 +245,34 @@
 	    " allocated=%" PRId64 " serving=%" PRId64 " best_effort=%" PRId64
 	    " mem_mb=%" PRId64 " free_mem_mb=%" PRId64
 	    " waiting=%u waiting_best_effort=%u waiting_long_running=%u "
-	    "plans=%" PRIu64 " evacuated=%u cold=%u",
+	    "plans=%" PRIu64
+	    " evacuated=%u cold=%u runs=%u dormant=%u blocked=%u state=%zu "
+	    "state_max=%zu",
 	    jl->nsessions, usable, silent, cpu / 1000, allocated / 1000,
 	    serving / 1000, best_effort / 1000, mem, free_mem, w.others,
-	    w.best_effort, w.long_running, jl->nplans, closed, cold);
+	    w.best_effort, w.long_running, jl->nplans, closed, cold, jl->nruns,
+	    g_tree_nnodes(jl->st->timers), g_queue_get_length(&jl->st->blocked),
+	    jl->st->bytes, jl->st->max.jobs);
 	jl->nplans = 0;
 	jl_evac_scan(jl);
 	jl->nreserve_lines = 0;
 	jl_scan_idle(jl);
 }
 
+/* Returns how many tasks may be assigned in this plan: each run takes memory on
+ * the leader. */
+static size_t
+assignments_left(const struct jlead *jl)
+{
+	uint32_t max = jl->st->max.runs;
+
+	if (max == 0)
+		return JLEAD_ASSIGN_MAX;
+	if (jl->nruns >= max)
+		return 0;
+	return MIN(JLEAD_ASSIGN_MAX, max - jl->nruns);
+}
+
 /* Assigns tasks that can start now. */
 void
 jlead_plan(struct jlead *jl)
@@ -273,7 +291,7 @@
 	jl_advice_prepare(jl);
 	n = jplan_choose(jl->st, &jl->interf, &jl->demand, jl->plan_workers,
 	    jl->nsessions, jl->wall_ms, clk_ns(jl->now) / CLK_NS_PER_MS,
-	    jl_lookahead(jl), &out, JLEAD_ASSIGN_MAX);
+	    jl_lookahead(jl), &out, assignments_left(jl));
 	for (i = 0; i < n; i++)
 		propose_assign(jl, &out[i], &jl->plan_workers[out[i].worker]);
 	free(out);
--- a/src/job/jlead_poll.c
+++ b/src/job/jlead_poll.c
@@ -61,10 +61,8 @@
 	r->metric = row->metric;
 	if (row->checkpoint != NULL && row->checkpoint[0] != '\0' &&
 	    (r->checkpoint == NULL ||
-		strcmp(r->checkpoint, row->checkpoint) != 0)) {
-		free(r->checkpoint);
-		r->checkpoint = strdup(row->checkpoint);
-	}
+		strcmp(r->checkpoint, row->checkpoint) != 0))
+		jl_set_checkpoint(jl, r, row->checkpoint);
 	if (r->phase == RUN_STARTING || r->phase == RUN_INHERITED)
 		jrun_confirm(r);
 	repeat_confirmed_stop(jl, r);
--- a/src/job/jlead_pool_load.c
+++ b/src/job/jlead_pool_load.c
@@ -176,7 +176,8 @@
 {
 	const Job__Queue *q;
 	struct jst_job *j;
-	uint32_t i;
+	struct jst_step *st;
+	uint32_t o, i;
 	size_t pool;
 
 	fill_pools(jl);
@@ -187,9 +188,8 @@
 					 : jst_queue(jl->st, j->queue);
 		pool = q == NULL ? JPOOL_NONE
 				 : jl_pool_index(jl->pools, q->service);
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			struct jst_step *st = &j->steps[i];
-
+		JST_FOREACH_STEP(j, st, o, i)
+		{
 			if (!is_waiting(jl, st)) {
 				st->short_since_ms = 0;
 				continue;
--- a/src/job/jlead_run.c
+++ b/src/job/jlead_run.c
@@ -62,7 +62,9 @@
 	allocate(ws, st->spec, 1);
 	ws->plan_stale = true;
 	r->task->active_run = r;
+	jst_occ_ref(st->occ);
 	r->task->run_worker = ws->w;
+	jl->nruns++;
 	if (phase == RUN_PROPOSED)
 		st->nproposed++;
 	else
@@ -70,6 +72,28 @@
 	return r;
 }
 
+/* Replaces the copy of a run's checkpoint; NULL removes it. If there is no
+ * memory for a longer one, the one before is kept: the task would resume from
+ * there. */
+void
+jl_set_checkpoint(struct jlead *jl, struct jrun *r, const char *checkpoint)
+{
+	size_t max = jl->st->max.checkpoints;
+	size_t before =
+	    r->checkpoint == NULL ? 0 : jmem_block(strlen(r->checkpoint) + 1);
+	size_t after =
+	    checkpoint == NULL ? 0 : jmem_block(strlen(checkpoint) + 1);
+
+	if (max > 0 && after > before &&
+	    jl->checkpoint_bytes + after - before > max) {
+		ctr_add(jl->ctr, JCTR_CHECKPOINTS_DROPPED, 1);
+		return;
+	}
+	jl->checkpoint_bytes += after - before;
+	free(r->checkpoint);
+	r->checkpoint = jst_copy_text(checkpoint);
+}
+
 /* Removes a run from its session and frees it. */
 void
 jrun_free(struct jlead *jl, struct jrun *r)
@@ -98,7 +122,9 @@
 	}
 	if (r->task->active_run == r)
 		r->task->active_run = NULL;
-	free(r->checkpoint);
+	jst_occ_unref(jl->st, r->step->occ);
+	jl->nruns--;
+	jl_set_checkpoint(jl, r, NULL);
 	free(r);
 	jl->plan_needed = true;
 }
--- a/src/job/job.pb-c.c
+++ b/src/job/job.pb-c.c
@@ -729,6 +729,90 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+job__limit__init(Job__Limit *message)
+{
+	static const Job__Limit init_value = JOB__LIMIT__INIT;
+	*message = init_value;
+}
+size_t
+job__limit__get_packed_size(const Job__Limit *message)
+{
+	assert(message->base.descriptor == &job__limit__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__limit__pack(const Job__Limit *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__limit__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__limit__pack_to_buffer(const Job__Limit *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__limit__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__Limit *
+job__limit__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__Limit *)protobuf_c_message_unpack(
+	    &job__limit__descriptor, allocator, len, data);
+}
+void
+job__limit__free_unpacked(Job__Limit *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__limit__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
+job__forget__init(Job__Forget *message)
+{
+	static const Job__Forget init_value = JOB__FORGET__INIT;
+	*message = init_value;
+}
+size_t
+job__forget__get_packed_size(const Job__Forget *message)
+{
+	assert(message->base.descriptor == &job__forget__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__forget__pack(const Job__Forget *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__forget__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__forget__pack_to_buffer(const Job__Forget *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__forget__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__Forget *
+job__forget__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__Forget *)protobuf_c_message_unpack(
+	    &job__forget__descriptor, allocator, len, data);
+}
+void
+job__forget__free_unpacked(Job__Forget *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__forget__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 job__move__init(Job__Move *message)
 {
 	static const Job__Move init_value = JOB__MOVE__INIT;
@@ -901,6 +985,51 @@
 	    (ProtobufCMessage *)message, allocator);
 }
 void
+job__occurrence_image__init(Job__OccurrenceImage *message)
+{
+	static const Job__OccurrenceImage init_value =
+	    JOB__OCCURRENCE_IMAGE__INIT;
+	*message = init_value;
+}
+size_t
+job__occurrence_image__get_packed_size(const Job__OccurrenceImage *message)
+{
+	assert(message->base.descriptor == &job__occurrence_image__descriptor);
+	return protobuf_c_message_get_packed_size(
+	    (const ProtobufCMessage *)(message));
+}
+size_t
+job__occurrence_image__pack(const Job__OccurrenceImage *message, uint8_t *out)
+{
+	assert(message->base.descriptor == &job__occurrence_image__descriptor);
+	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+job__occurrence_image__pack_to_buffer(
+    const Job__OccurrenceImage *message, ProtobufCBuffer *buffer)
+{
+	assert(message->base.descriptor == &job__occurrence_image__descriptor);
+	return protobuf_c_message_pack_to_buffer(
+	    (const ProtobufCMessage *)message, buffer);
+}
+Job__OccurrenceImage *
+job__occurrence_image__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+{
+	return (Job__OccurrenceImage *)protobuf_c_message_unpack(
+	    &job__occurrence_image__descriptor, allocator, len, data);
+}
+void
+job__occurrence_image__free_unpacked(
+    Job__OccurrenceImage *message, ProtobufCAllocator *allocator)
+{
+	if (!message)
+		return;
+	assert(message->base.descriptor == &job__occurrence_image__descriptor);
+	protobuf_c_message_free_unpacked(
+	    (ProtobufCMessage *)message, allocator);
+}
+void
 job__job_image__init(Job__JobImage *message)
 {
 	static const Job__JobImage init_value = JOB__JOB_IMAGE__INIT;
@@ -2430,6 +2559,53 @@
 	(ProtobufCMessageInit)job__evacuation__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor job__limit__field_descriptors[2] = {
+	{
+	    "instance", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Limit, instance), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "memory_mb", 2, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT32,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Limit, memory_mb), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned job__limit__field_indices_by_name[] = {
+	0, /* field[0] = instance */
+	1, /* field[1] = memory_mb */
+};
+static const ProtobufCIntRange job__limit__number_ranges[1 + 1] = { { 1, 0 },
+	{ 0, 2 } };
+const ProtobufCMessageDescriptor job__limit__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Limit", "Limit",
+	"Job__Limit", "job", sizeof(Job__Limit), 2,
+	job__limit__field_descriptors, job__limit__field_indices_by_name, 1,
+	job__limit__number_ranges, (ProtobufCMessageInit)job__limit__init, NULL,
+	NULL, NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor job__forget__field_descriptors[1] = {
+	{
+	    "at_ms", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_INT64,
+	    0,						 /* quantifier_offset */
+	    offsetof(Job__Forget, at_ms), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+};
+static const unsigned job__forget__field_indices_by_name[] = {
+	0, /* field[0] = at_ms */
+};
+static const ProtobufCIntRange job__forget__number_ranges[1 + 1] = { { 1, 0 },
+	{ 0, 1 } };
+const ProtobufCMessageDescriptor job__forget__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Forget", "Forget",
+	"Job__Forget", "job", sizeof(Job__Forget), 1,
+	job__forget__field_descriptors, job__forget__field_indices_by_name, 1,
+	job__forget__number_ranges, (ProtobufCMessageInit)job__forget__init,
+	NULL, NULL, NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor job__move__field_descriptors[7] = {
 	{
 	    "machine", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_STRING,
@@ -2493,7 +2669,7 @@
 	(ProtobufCMessageInit)job__move__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__command__field_descriptors[12] = {
+static const ProtobufCFieldDescriptor job__command__field_descriptors[14] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2578,6 +2754,20 @@
 	    0,		  /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "limit", 13, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Command, limit), &job__limit__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "forget", 14, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
+	    0, /* quantifier_offset */
+	    offsetof(Job__Command, forget), &job__forget__descriptor, NULL,
+	    0,		  /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__command__field_indices_by_name[] = {
 	3,  /* field[3] = assign */
@@ -2586,7 +2776,9 @@
 	0,  /* field[0] = config */
 	4,  /* field[4] = end */
 	10, /* field[10] = evacuation */
+	13, /* field[13] = forget */
 	6,  /* field[6] = gone */
+	12, /* field[12] = limit */
 	11, /* field[11] = move */
 	1,  /* field[1] = submit */
 	7,  /* field[7] = wave */
@@ -2594,10 +2786,10 @@
 	5,  /* field[5] = worker */
 };
 static const ProtobufCIntRange job__command__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 12 } };
+	{ 0, 14 } };
 const ProtobufCMessageDescriptor job__command__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Command", "Command",
-	"Job__Command", "job", sizeof(Job__Command), 12,
+	"Job__Command", "job", sizeof(Job__Command), 14,
 	job__command__field_descriptors, job__command__field_indices_by_name, 1,
 	job__command__number_ranges, (ProtobufCMessageInit)job__command__init,
 	NULL, NULL, NULL /* reserved[123] */
@@ -2680,7 +2872,41 @@
 	(ProtobufCMessageInit)job__task_image__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__job_image__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor
+    job__occurrence_image__field_descriptors[2] = {
+	    {
+		"number", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT32,
+		0, /* quantifier_offset */
+		offsetof(Job__OccurrenceImage, number), NULL, NULL,
+		0,	      /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+	    {
+		"tasks", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+		offsetof(Job__OccurrenceImage, n_tasks),
+		offsetof(Job__OccurrenceImage, tasks),
+		&job__task_image__descriptor, NULL, 0, /* flags */
+		0, NULL, NULL /* reserved1,reserved2, etc */
+	    },
+    };
+static const unsigned job__occurrence_image__field_indices_by_name[] = {
+	0, /* field[0] = number */
+	1, /* field[1] = tasks */
+};
+static const ProtobufCIntRange job__occurrence_image__number_ranges[1 + 1] = {
+	{ 1, 0 }, { 0, 2 }
+};
+const ProtobufCMessageDescriptor job__occurrence_image__descriptor = {
+	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.OccurrenceImage",
+	"OccurrenceImage", "Job__OccurrenceImage", "job",
+	sizeof(Job__OccurrenceImage), 2,
+	job__occurrence_image__field_descriptors,
+	job__occurrence_image__field_indices_by_name, 1,
+	job__occurrence_image__number_ranges,
+	(ProtobufCMessageInit)job__occurrence_image__init, NULL, NULL,
+	NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor job__job_image__field_descriptors[9] = {
 	{
 	    "submit", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2712,26 +2938,55 @@
 	    &job__task_image__descriptor, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "sparse", 6, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_BOOL,
+	    offsetof(Job__JobImage, has_sparse),
+	    offsetof(Job__JobImage, sparse), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "opened", 7, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_UINT32,
+	    offsetof(Job__JobImage, has_opened),
+	    offsetof(Job__JobImage, opened), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "occurrences", 8, PROTOBUF_C_LABEL_REPEATED,
+	    PROTOBUF_C_TYPE_MESSAGE, offsetof(Job__JobImage, n_occurrences),
+	    offsetof(Job__JobImage, occurrences),
+	    &job__occurrence_image__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
+	{
+	    "withdrawn", 9, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_BOOL,
+	    offsetof(Job__JobImage, has_withdrawn),
+	    offsetof(Job__JobImage, withdrawn), NULL, NULL, 0, /* flags */
+	    0, NULL, NULL /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__job_image__field_indices_by_name[] = {
 	2, /* field[2] = ended_ms */
+	7, /* field[7] = occurrences */
+	6, /* field[6] = opened */
+	5, /* field[5] = sparse */
 	3, /* field[3] = started */
 	1, /* field[1] = state */
 	0, /* field[0] = submit */
 	4, /* field[4] = tasks */
+	8, /* field[8] = withdrawn */
 };
 static const ProtobufCIntRange job__job_image__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
+	{ 1, 0 }, { 0, 9 }
 };
 const ProtobufCMessageDescriptor job__job_image__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.JobImage", "JobImage",
-	"Job__JobImage", "job", sizeof(Job__JobImage), 5,
+	"Job__JobImage", "job", sizeof(Job__JobImage), 9,
 	job__job_image__field_descriptors,
 	job__job_image__field_indices_by_name, 1, job__job_image__number_ranges,
 	(ProtobufCMessageInit)job__job_image__init, NULL, NULL,
 	NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__image__field_descriptors[9] = {
+static const ProtobufCFieldDescriptor job__image__field_descriptors[11] = {
 	{
 	    "config", 1, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_MESSAGE,
 	    0, /* quantifier_offset */
@@ -2789,23 +3044,38 @@
 	    &job__move__descriptor, NULL, 0, /* flags */
 	    0, NULL, NULL		     /* reserved1,reserved2, etc */
 	},
+	{
+	    "limits", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+	    offsetof(Job__Image, n_limits), offsetof(Job__Image, limits),
+	    &job__limit__descriptor, NULL, 0, /* flags */
+	    0, NULL, NULL		      /* reserved1,reserved2, etc */
+	},
+	{
+	    "waves_done", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT64,
+	    offsetof(Job__Image, n_waves_done),
+	    offsetof(Job__Image, waves_done), NULL, NULL,
+	    0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+	    0, NULL, NULL		      /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__image__field_indices_by_name[] = {
-	0, /* field[0] = config */
-	7, /* field[7] = evacuations */
-	1, /* field[1] = jobs */
-	6, /* field[6] = left */
-	8, /* field[8] = moves */
-	3, /* field[3] = next_worker */
-	5, /* field[5] = wave_steps */
-	4, /* field[4] = waves */
-	2, /* field[2] = workers */
+	0,  /* field[0] = config */
+	7,  /* field[7] = evacuations */
+	1,  /* field[1] = jobs */
+	6,  /* field[6] = left */
+	9,  /* field[9] = limits */
+	8,  /* field[8] = moves */
+	3,  /* field[3] = next_worker */
+	5,  /* field[5] = wave_steps */
+	4,  /* field[4] = waves */
+	10, /* field[10] = waves_done */
+	2,  /* field[2] = workers */
 };
 static const ProtobufCIntRange job__image__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 9 } };
+	{ 0, 11 } };
 const ProtobufCMessageDescriptor job__image__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Image", "Image",
-	"Job__Image", "job", sizeof(Job__Image), 9,
+	"Job__Image", "job", sizeof(Job__Image), 11,
 	job__image__field_descriptors, job__image__field_indices_by_name, 1,
 	job__image__number_ranges, (ProtobufCMessageInit)job__image__init, NULL,
 	NULL, NULL /* reserved[123] */
@@ -2962,7 +3232,7 @@
 	job__answer__number_ranges, (ProtobufCMessageInit)job__answer__init,
 	NULL, NULL, NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor job__ping__field_descriptors[4] = {
+static const ProtobufCFieldDescriptor job__ping__field_descriptors[5] = {
 	{
 	    "seq", 1, PROTOBUF_C_LABEL_REQUIRED, PROTOBUF_C_TYPE_UINT64,
 	    0,					     /* quantifier_offset */
@@ -2987,18 +3257,25 @@
 	    offsetof(Job__Ping, calls_advice), NULL, NULL, 0, /* flags */
 	    0, NULL, NULL /* reserved1,reserved2, etc */
 	},
+	{
+	    "memory_mb", 5, PROTOBUF_C_LABEL_OPTIONAL, PROTOBUF_C_TYPE_UINT32,
+	    offsetof(Job__Ping, has_memory_mb), offsetof(Job__Ping, memory_mb),
+	    NULL, NULL, 0, /* flags */
+	    0, NULL, NULL  /* reserved1,reserved2, etc */
+	},
 };
 static const unsigned job__ping__field_indices_by_name[] = {
 	3, /* field[3] = calls_advice */
 	2, /* field[2] = calls_workers */
 	1, /* field[1] = domain */
+	4, /* field[4] = memory_mb */
 	0, /* field[0] = seq */
 };
 static const ProtobufCIntRange job__ping__number_ranges[1 + 1] = { { 1, 0 },
-	{ 0, 4 } };
+	{ 0, 5 } };
 const ProtobufCMessageDescriptor job__ping__descriptor = {
 	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC, "job.Ping", "Ping", "Job__Ping",
-	"job", sizeof(Job__Ping), 4, job__ping__field_descriptors,
+	"job", sizeof(Job__Ping), 5, job__ping__field_descriptors,
 	job__ping__field_indices_by_name, 1, job__ping__number_ranges,
 	(ProtobufCMessageInit)job__ping__init, NULL, NULL,
 	NULL /* reserved[123] */
@@ -3759,7 +4036,7 @@
 	job__call_kind__enum_values_by_name, 1, job__call_kind__value_ranges,
 	NULL, NULL, NULL, NULL /* reserved[1234] */
 };
-static const ProtobufCEnumValue job__outcome__enum_values_by_number[8] = {
+static const ProtobufCEnumValue job__outcome__enum_values_by_number[9] = {
 	{ "OK", "JOB__OUTCOME__OK", 0 },
 	{ "NOT_LEADER", "JOB__OUTCOME__NOT_LEADER", 1 },
 	{ "NOT_FOUND", "JOB__OUTCOME__NOT_FOUND", 2 },
@@ -3768,11 +4045,13 @@
 	{ "BUSY", "JOB__OUTCOME__BUSY", 5 },
 	{ "INVALID", "JOB__OUTCOME__INVALID", 6 },
 	{ "UNKNOWN", "JOB__OUTCOME__UNKNOWN", 7 },
+	{ "FULL", "JOB__OUTCOME__FULL", 8 },
 };
 static const ProtobufCIntRange job__outcome__value_ranges[] = { { 0, 0 },
-	{ 0, 8 } };
-static const ProtobufCEnumValueIndex job__outcome__enum_values_by_name[8] = {
+	{ 0, 9 } };
+static const ProtobufCEnumValueIndex job__outcome__enum_values_by_name[9] = {
 	{ "BUSY", 5 },
+	{ "FULL", 8 },
 	{ "INVALID", 6 },
 	{ "NOT_FOUND", 2 },
 	{ "NOT_LEADER", 1 },
@@ -3783,7 +4062,7 @@
 };
 const ProtobufCEnumDescriptor job__outcome__descriptor = {
 	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC, "job.Outcome", "Outcome",
-	"Job__Outcome", "job", 8, job__outcome__enum_values_by_number, 8,
+	"Job__Outcome", "job", 9, job__outcome__enum_values_by_number, 9,
 	job__outcome__enum_values_by_name, 1, job__outcome__value_ranges, NULL,
 	NULL, NULL, NULL /* reserved[1234] */
 };
--- a/src/job/job.pb-c.h
+++ b/src/job/job.pb-c.h
@@ -31,10 +31,13 @@
 typedef struct Job__Wave Job__Wave;
 typedef struct Job__WaveStep Job__WaveStep;
 typedef struct Job__Evacuation Job__Evacuation;
+typedef struct Job__Limit Job__Limit;
+typedef struct Job__Forget Job__Forget;
 typedef struct Job__Move Job__Move;
 typedef struct Job__Command Job__Command;
 typedef struct Job__Batch Job__Batch;
 typedef struct Job__TaskImage Job__TaskImage;
+typedef struct Job__OccurrenceImage Job__OccurrenceImage;
 typedef struct Job__JobImage Job__JobImage;
 typedef struct Job__Image Job__Image;
 typedef struct Job__Call Job__Call;
@@ -129,8 +132,12 @@
 	/*
 	 * it may have taken effect
 	 */
-	JOB__OUTCOME__UNKNOWN =
-	    7 PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB__OUTCOME)
+	JOB__OUTCOME__UNKNOWN = 7,
+	/*
+	 * not accepted: the state has no room for the job
+	 */
+	JOB__OUTCOME__FULL =
+	    8 PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JOB__OUTCOME)
 } Job__Outcome;
 
 /* --- messages --- */
@@ -547,6 +554,36 @@
 		, NULL, 0, 0, 0, 0, 0                                          \
 	}
 
+/*
+ * Memory that the settings give to a replica; all decide by the smallest.
+ */
+struct Job__Limit {
+	ProtobufCMessage base;
+	uint32_t instance;
+	/*
+	 * 0: it is no replica any more
+	 */
+	uint32_t memory_mb;
+};
+#define JOB__LIMIT__INIT                                                       \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__limit__descriptor)               \
+		, 0, 0                                                         \
+	}
+
+/*
+ * Ended jobs that have been kept for long enough at this time are forgotten.
+ */
+struct Job__Forget {
+	ProtobufCMessage base;
+	int64_t at_ms;
+};
+#define JOB__FORGET__INIT                                                      \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__forget__descriptor)              \
+		, 0                                                            \
+	}
+
 /*
  * A machine goes from one pool to another.
  */
@@ -595,12 +632,14 @@
 	Job__Begun *begun;
 	Job__Evacuation *evacuation;
 	Job__Move *move;
+	Job__Limit *limit;
+	Job__Forget *forget;
 };
 #define JOB__COMMAND__INIT                                                     \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__command__descriptor)             \
 		, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL,  \
-		    NULL, NULL                                                 \
+		    NULL, NULL, NULL, NULL                                     \
 	}
 
 struct Job__Batch {
@@ -643,6 +682,24 @@
 		, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0, 0                           \
 	}
 
+/*
+ * An occurrence of which a task has been assigned and that isn't done.
+ */
+struct Job__OccurrenceImage {
+	ProtobufCMessage base;
+	uint32_t number;
+	/*
+	 * step, index
+	 */
+	size_t n_tasks;
+	Job__TaskImage **tasks;
+};
+#define JOB__OCCURRENCE_IMAGE__INIT                                            \
+	{                                                                      \
+		PROTOBUF_C_MESSAGE_INIT(&job__occurrence_image__descriptor)    \
+		, 0, 0, NULL                                                   \
+	}
+
 struct Job__JobImage {
 	ProtobufCMessage base;
 	Job__Submit *submit;
@@ -652,15 +709,29 @@
 	protobuf_c_boolean has_started;
 	protobuf_c_boolean started;
 	/*
-	 * occurrence, step, index
+	 * Of earlier versions: all tasks, by occurrence, step, index.
 	 */
 	size_t n_tasks;
 	Job__TaskImage **tasks;
+	/*
+	 * has occurrences in place of tasks
+	 */
+	protobuf_c_boolean has_sparse;
+	protobuf_c_boolean sparse;
+	/*
+	 * no task of a later one was assigned
+	 */
+	protobuf_c_boolean has_opened;
+	uint32_t opened;
+	size_t n_occurrences;
+	Job__OccurrenceImage **occurrences;
+	protobuf_c_boolean has_withdrawn;
+	protobuf_c_boolean withdrawn;
 };
 #define JOB__JOB_IMAGE__INIT                                                   \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__job_image__descriptor)           \
-		, NULL, 0, 0, 0, 0, 0, 0, NULL                                 \
+		, NULL, 0, 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, NULL, 0, 0      \
 	}
 
 struct Job__Image {
@@ -690,12 +761,19 @@
 	 */
 	size_t n_moves;
 	Job__Move **moves;
+	size_t n_limits;
+	Job__Limit **limits;
+	/*
+	 * ids, oldest first
+	 */
+	size_t n_waves_done;
+	uint64_t *waves_done;
 };
 #define JOB__IMAGE__INIT                                                       \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__image__descriptor)               \
 		, NULL, 0, NULL, 0, NULL, 0, 0, NULL, 0, NULL, 0, NULL, 0,     \
-		    NULL, 0, NULL                                              \
+		    NULL, 0, NULL, 0, NULL, 0, NULL                            \
 	}
 
 struct Job__Call {
@@ -766,11 +844,16 @@
 	 */
 	protobuf_c_boolean has_calls_advice;
 	protobuf_c_boolean calls_advice;
+	/*
+	 * of a replica, by its settings
+	 */
+	protobuf_c_boolean has_memory_mb;
+	uint32_t memory_mb;
 };
 #define JOB__PING__INIT                                                        \
 	{                                                                      \
 		PROTOBUF_C_MESSAGE_INIT(&job__ping__descriptor)                \
-		, 0, NULL, 0, 0, 0, 0                                          \
+		, 0, NULL, 0, 0, 0, 0, 0, 0                                    \
 	}
 
 struct Job__Pong {
@@ -1197,6 +1280,26 @@
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void job__evacuation__free_unpacked(
     Job__Evacuation *message, ProtobufCAllocator *allocator);
+/* Job__Limit methods */
+void job__limit__init(Job__Limit *message);
+size_t job__limit__get_packed_size(const Job__Limit *message);
+size_t job__limit__pack(const Job__Limit *message, uint8_t *out);
+size_t job__limit__pack_to_buffer(
+    const Job__Limit *message, ProtobufCBuffer *buffer);
+Job__Limit *job__limit__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__limit__free_unpacked(
+    Job__Limit *message, ProtobufCAllocator *allocator);
+/* Job__Forget methods */
+void job__forget__init(Job__Forget *message);
+size_t job__forget__get_packed_size(const Job__Forget *message);
+size_t job__forget__pack(const Job__Forget *message, uint8_t *out);
+size_t job__forget__pack_to_buffer(
+    const Job__Forget *message, ProtobufCBuffer *buffer);
+Job__Forget *job__forget__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__forget__free_unpacked(
+    Job__Forget *message, ProtobufCAllocator *allocator);
 /* Job__Move methods */
 void job__move__init(Job__Move *message);
 size_t job__move__get_packed_size(const Job__Move *message);
@@ -1237,6 +1340,18 @@
     ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
 void job__task_image__free_unpacked(
     Job__TaskImage *message, ProtobufCAllocator *allocator);
+/* Job__OccurrenceImage methods */
+void job__occurrence_image__init(Job__OccurrenceImage *message);
+size_t job__occurrence_image__get_packed_size(
+    const Job__OccurrenceImage *message);
+size_t job__occurrence_image__pack(
+    const Job__OccurrenceImage *message, uint8_t *out);
+size_t job__occurrence_image__pack_to_buffer(
+    const Job__OccurrenceImage *message, ProtobufCBuffer *buffer);
+Job__OccurrenceImage *job__occurrence_image__unpack(
+    ProtobufCAllocator *allocator, size_t len, const uint8_t *data);
+void job__occurrence_image__free_unpacked(
+    Job__OccurrenceImage *message, ProtobufCAllocator *allocator);
 /* Job__JobImage methods */
 void job__job_image__init(Job__JobImage *message);
 size_t job__job_image__get_packed_size(const Job__JobImage *message);
@@ -1418,6 +1533,10 @@
     const Job__WaveStep *message, void *closure_data);
 typedef void (*Job__Evacuation_Closure)(
     const Job__Evacuation *message, void *closure_data);
+typedef void (*Job__Limit_Closure)(
+    const Job__Limit *message, void *closure_data);
+typedef void (*Job__Forget_Closure)(
+    const Job__Forget *message, void *closure_data);
 typedef void (*Job__Move_Closure)(const Job__Move *message, void *closure_data);
 typedef void (*Job__Command_Closure)(
     const Job__Command *message, void *closure_data);
@@ -1425,6 +1544,8 @@
     const Job__Batch *message, void *closure_data);
 typedef void (*Job__TaskImage_Closure)(
     const Job__TaskImage *message, void *closure_data);
+typedef void (*Job__OccurrenceImage_Closure)(
+    const Job__OccurrenceImage *message, void *closure_data);
 typedef void (*Job__JobImage_Closure)(
     const Job__JobImage *message, void *closure_data);
 typedef void (*Job__Image_Closure)(
@@ -1477,10 +1598,13 @@
 extern const ProtobufCMessageDescriptor job__wave__descriptor;
 extern const ProtobufCMessageDescriptor job__wave_step__descriptor;
 extern const ProtobufCMessageDescriptor job__evacuation__descriptor;
+extern const ProtobufCMessageDescriptor job__limit__descriptor;
+extern const ProtobufCMessageDescriptor job__forget__descriptor;
 extern const ProtobufCMessageDescriptor job__move__descriptor;
 extern const ProtobufCMessageDescriptor job__command__descriptor;
 extern const ProtobufCMessageDescriptor job__batch__descriptor;
 extern const ProtobufCMessageDescriptor job__task_image__descriptor;
+extern const ProtobufCMessageDescriptor job__occurrence_image__descriptor;
 extern const ProtobufCMessageDescriptor job__job_image__descriptor;
 extern const ProtobufCMessageDescriptor job__image__descriptor;
 extern const ProtobufCMessageDescriptor job__call__descriptor;
--- a/src/job/jplan.c
+++ b/src/job/jplan.c
@@ -102,8 +102,7 @@
 static double
 remaining_work(const struct jst_step *st)
 {
-	const struct jst_step *base =
-	    &st->job->steps[st->occurrence * st->job->spec->n_steps];
+	const struct jst_step *base = jst_first_step(st);
 	double sum = 0;
 	size_t i;
 
@@ -145,14 +144,11 @@
 count_running(const struct jst *s)
 {
 	const struct jst_job *j;
-	uint32_t i, n = 0;
+	uint32_t o, n = 0;
 
 	for (j = s->active; j != NULL; j = j->next) {
-		for (i = 0; i < j->occurrences * j->spec->n_steps &&
-		     !is_long_running(j);
-		     i++)
-			n += j->steps[i].spec->count - j->steps[i].ndone -
-			    j->steps[i].nwaiting;
+		for (o = 0; o < j->nlive && !is_long_running(j); o++)
+			n += j->live[o]->nassigned;
 	}
 	return n;
 }
@@ -229,8 +225,7 @@
 occurrence_has_begun(const struct jst_step *st)
 {
 	const Job__Spec *spec = st->job->spec;
-	const struct jst_step *base =
-	    &st->job->steps[st->occurrence * spec->n_steps];
+	const struct jst_step *base = jst_first_step(st);
 	size_t i;
 
 	for (i = 0; i < spec->n_steps; i++) {
@@ -278,18 +273,18 @@
 collect_candidates(struct jst *s, int64_t wall_ms, struct candidate **out)
 {
 	struct jst_job *j;
+	struct jst_step *st;
 	struct candidate *v = NULL;
 	size_t n = 0, cap = 0;
-	uint32_t i, running = count_running(s);
+	uint32_t o, i, running = count_running(s);
 
 	for (j = s->active; j != NULL; j = j->next) {
 		if (j->deadline_ms == 0)
 			jplan_set_deadline(s, j);
 		else if (j->queue_cfg == NULL)
 			j->queue_cfg = jst_queue(s, j->queue);
-		for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-			struct jst_step *st = &j->steps[i];
-
+		JST_FOREACH_STEP(j, st, o, i)
+		{
 			if (st->nwaiting <= st->nproposed ||
 			    !jplan_may_start(st, wall_ms) ||
 			    !jst_step_ready(st) || lacks_advice(st))
@@ -344,11 +339,13 @@
     struct jplan_choice **out, size_t max)
 {
 	struct jplan_round round;
+	struct jplan_choice *chosen;
 	struct candidate *c;
-	size_t i, k, n = 0, ncand = collect_candidates(s, wall_ms, &c);
-	struct jplan_choice *chosen =
-	    calloc(max + largest_gang(c, ncand), sizeof(*chosen));
+	size_t i, k, n = 0, ncand;
 
+	jst_open_due(s, wall_ms);
+	ncand = collect_candidates(s, wall_ms, &c);
+	chosen = calloc(max + largest_gang(c, ncand), sizeof(*chosen));
 	if (chosen == NULL)
 		abort();
 	jplan_round_init(&round, interf, demand, v, nworkers, wall_ms, now_ms);
--- a/src/job/jplan_place.c
+++ b/src/job/jplan_place.c
@@ -568,8 +568,7 @@
 is_occurrence_idle(const struct jst_step *st)
 {
 	const Job__Spec *spec = st->job->spec;
-	const struct jst_step *s =
-	    &st->job->steps[st->occurrence * spec->n_steps];
+	const struct jst_step *s = jst_first_step(st);
 	size_t i;
 
 	for (i = 0; i < spec->n_steps; i++) {
--- a/src/job/jst.c
+++ b/src/job/jst.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 /* Returns n zeroed elements; aborts if memory is exhausted. */
-static void *
-alloc_zeroed(size_t n, size_t size)
+void *
+jst_alloc(size_t n, size_t size)
 {
 	void *p = calloc(n == 0 ? 1 : n, size);
 
@@ -16,8 +16,8 @@
 }
 
 /* Returns a copy of a string, NULL for NULL. */
-static char *
-copy_text(const char *s)
+char *
+jst_copy_text(const char *s)
 {
 	char *p = s == NULL ? NULL : strdup(s);
 
@@ -27,11 +27,11 @@
 }
 
 /* Returns a deep copy of a message. */
-static ProtobufCMessage *
-copy_msg(const ProtobufCMessage *m)
+void *
+jst_copy_msg(const ProtobufCMessage *m)
 {
 	size_t len = protobuf_c_message_get_packed_size(m);
-	uint8_t *buf = alloc_zeroed(len, 1);
+	uint8_t *buf = jst_alloc(len, 1);
 	ProtobufCMessage *out;
 
 	protobuf_c_message_pack(m, buf);
@@ -42,9 +42,9 @@
 	return out;
 }
 
-/* Frees a message from copy_msg; NULL is allowed. */
-static void
-free_msg(void *m)
+/* Frees a message from jst_copy_msg; NULL is allowed. */
+void
+jst_free_msg(void *m)
 {
 	if (m != NULL)
 		protobuf_c_message_free_unpacked(m, NULL);
@@ -57,79 +57,42 @@
 	memset(s, 0, sizeof(*s));
 	s->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	s->left = alloc_zeroed(JST_LEFT_MAX, sizeof(*s->left));
+	s->uses = g_hash_table_new(g_str_hash, g_str_equal);
+	jst_init_timers(s);
+	s->left = jst_alloc(JST_LEFT_MAX, sizeof(*s->left));
 	s->next_worker = 1;
 }
 
-/* Returns the number of steps of a job over all occurrences. */
-static uint32_t
-job_steps(const struct jst_job *j)
-{
-	return j->occurrences * (uint32_t)j->spec->n_steps;
-}
-
-/* Frees a job. */
-static void
-job_free(struct jst_job *j)
-{
-	uint32_t i, k;
-
-	for (i = 0; i < job_steps(j); i++) {
-		for (k = 0; k < j->steps[i].spec->count; k++)
-			free(j->steps[i].tasks[k].checkpoint);
-		free(j->steps[i].checkpoint);
-		free(j->steps[i].tasks);
-	}
-	free(j->steps);
-	free(j->queue);
-	free_msg(j->submit);
-	free(j);
-}
-
-/* Frees a maintenance wave. */
-static void
-wave_free(struct jst_wave *w)
-{
-	size_t i;
-
-	for (i = 0; i < w->info->n_machines; i++)
-		free(w->orders[i].worker);
-	free(w->orders);
-	free(w->notes);
-	free(w->states);
-	free_msg(w->info);
-	free(w);
-}
-
 /* Releases all memory. */
 void
 jst_finish(struct jst *s)
 {
-	struct jst_job *j, *next;
-	struct jst_wave *w, *wnext;
+	struct jst_job *j, *next, *lists[3];
 	size_t i;
 
-	for (j = s->active; j != NULL; j = next) {
-		next = j->next;
-		job_free(j);
-	}
-	for (j = s->ended; j != NULL; j = next) {
-		next = j->next;
-		job_free(j);
-	}
-	for (w = s->waves; w != NULL; w = wnext) {
-		wnext = w->next;
-		wave_free(w);
+	jst_free_dead(s);
+	lists[0] = s->active;
+	lists[1] = s->dormant;
+	lists[2] = s->ended;
+	jst_finish_timers(s);
+	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
+		for (j = lists[i]; j != NULL; j = next) {
+			next = j->next;
+			jst_job_free(j);
+		}
 	}
+	g_hash_table_destroy(s->uses);
+	free(s->limits);
+	jst_free_waves(s);
 	for (i = 0; i < s->nworkers; i++) {
-		free_msg((void *)(uintptr_t)s->workers[i]->info);
+		jst_free_msg((void *)(uintptr_t)s->workers[i]->info);
 		free(s->workers[i]);
 	}
 	free(s->workers);
 	for (i = 0; i < s->nleft; i++)
-		free_msg(s->left[i]);
+		jst_free_msg(s->left[i]);
 	free(s->left);
-	free_msg(s->config);
+	jst_free_msg(s->config);
 	jst_free_evacuations(s);
 	jst_free_moves(s);
 	g_hash_table_destroy(s->jobs);
@@ -137,55 +100,19 @@
 	memset(s, 0, sizeof(*s));
 }
 
-/* Appends a job to a list. */
-static void
-list_add(struct jst_job **head, struct jst_job **last, struct jst_job *j)
-{
-	j->next = NULL;
-	j->prev = *last;
-	if (*last != NULL)
-		(*last)->next = j;
-	else
-		*head = j;
-	*last = j;
-}
-
-/* Removes a job from a list. */
-static void
-list_remove(struct jst_job **head, struct jst_job **last, struct jst_job *j)
-{
-	if (j->prev != NULL)
-		j->prev->next = j->next;
-	else
-		*head = j->next;
-	if (j->next != NULL)
-		j->next->prev = j->prev;
-	else
-		*last = j->prev;
-}
-
-/* Ends an active job and moves it to the list of ended ones. */
-static void
-job_end(struct jst *s, struct jst_job *j, enum jst_job_state state,
-    int64_t at_ms, struct jst_result *r)
+/* Tells whether an ended job may be forgotten. */
+bool
+jst_has_expired(const struct jst *s, int64_t now_ms)
 {
-	if (j->state != JST_ACTIVE)
-		return;
-	j->state = state;
-	j->ended_ms = at_ms;
-	list_remove(&s->active, &s->active_last, j);
-	list_add(&s->ended, &s->ended_last, j);
-	r->job_ended = true;
-}
+	const struct jst_job *j;
 
-/* Removes an ended job from the state. */
-static void
-job_forget(struct jst *s, struct jst_job *j)
-{
-	s->nwithdrawn -= j->spec->n_steps == 0;
-	list_remove(&s->ended, &s->ended_last, j);
-	g_hash_table_remove(s->jobs, &j->id);
-	job_free(j);
+	for (j = s->ended; j != NULL; j = j->next) {
+		if (j->ended_ms + JST_ENDED_RETENTION_MS > now_ms)
+			break;
+		if (j->ncounted == 0)
+			return true;
+	}
+	return false;
 }
 
 /* Removes jobs that ended JST_ENDED_RETENTION_MS ago and have no assigned
@@ -194,60 +121,22 @@
 forget_ended(struct jst *s, int64_t now_ms)
 {
 	struct jst_job *j, *next;
-	uint32_t i, k;
 
 	if (s->loading)
 		return;
 	for (j = s->ended; j != NULL; j = next) {
-		bool busy = false;
-
 		next = j->next;
 		if (j->ended_ms + JST_ENDED_RETENTION_MS > now_ms)
 			return;
-		for (i = 0; i < job_steps(j) && !busy; i++) {
-			for (k = 0; k < j->steps[i].spec->count; k++)
-				busy |=
-				    j->steps[i].tasks[k].state == JST_ASSIGNED;
-		}
-		if (busy)
-			continue;
-		job_forget(s, j);
-	}
-}
-
-/* Adds an active job. */
-static struct jst_job *
-job_new(struct jst *s, const Job__Submit *m)
-{
-	struct jst_job *j = alloc_zeroed(1, sizeof(*j));
-	uint32_t i;
-
-	j->submit = (Job__Submit *)copy_msg(&m->base);
-	j->spec = j->submit->spec;
-	j->id = m->job;
-	j->queue = copy_text(m->queue);
-	j->submitted_ms = m->at_ms;
-	j->occurrences = m->spec->repeat > 0 ? m->spec->repeat : 1;
-	j->steps = alloc_zeroed(job_steps(j), sizeof(*j->steps));
-	for (i = 0; i < job_steps(j); i++) {
-		struct jst_step *st = &j->steps[i];
-
-		st->job = j;
-		st->occurrence = i / (uint32_t)j->spec->n_steps;
-		st->number = i % (uint32_t)j->spec->n_steps;
-		st->spec = j->spec->steps[st->number];
-		st->tasks = alloc_zeroed(st->spec->count, sizeof(*st->tasks));
-		st->nwaiting = st->spec->count;
+		if (j->ncounted == 0)
+			jst_job_forget(s, j);
 	}
-	s->nwithdrawn += j->spec->n_steps == 0;
-	list_add(&s->active, &s->active_last, j);
-	g_hash_table_insert(s->jobs, &j->id, j);
-	return j;
 }
 
 /* Adds a job. One whose cancel came first is added as cancelled, with
  * STATUS_STALE. One whose queue has been forgotten since it was proposed could
- * never run and is refused with STATUS_NOT_FOUND. */
+ * never run and is refused with STATUS_NOT_FOUND, one for which there is no
+ * room with STATUS_FULL. */
 static void
 apply_submit(struct jst *s, const Job__Submit *m, struct jst_result *r)
 {
@@ -264,11 +153,15 @@
 		return;
 	}
 	withdrawn = jst_find_withdrawn(s, m->job);
+	if (withdrawn == NULL && !s->loading && !jst_admits(s, m)) {
+		r->status = STATUS_FULL;
+		return;
+	}
 	if (withdrawn != NULL)
-		job_forget(s, withdrawn);
-	r->job = job_new(s, m);
+		jst_job_forget(s, withdrawn);
+	r->job = jst_job_new(s, m);
 	if (withdrawn != NULL) {
-		job_end(s, r->job, JST_CANCELLED, m->at_ms, r);
+		jst_job_end(s, r->job, JST_CANCELLED, m->at_ms, r);
 		r->status = STATUS_STALE;
 	}
 }
@@ -278,9 +171,7 @@
 static void
 record_early_cancel(struct jst *s, const Job__Cancel *m, struct jst_result *r)
 {
-	Job__Submit none = JOB__SUBMIT__INIT;
-	Job__Spec spec = JOB__SPEC__INIT;
-	char text[] = "";
+	struct jst_job *j;
 
 	forget_ended(s, m->at_ms);
 	r->status = STATUS_NOT_FOUND;
@@ -290,13 +181,11 @@
 		r->status = STATUS_FULL;
 		return;
 	}
-	spec.text = text;
-	none.job = m->job;
-	none.queue = text;
-	none.spec = &spec;
-	none.at_ms = m->at_ms;
-	job_end(s, job_new(s, &none), JST_CANCELLED, m->at_ms, r);
-	r->job_ended = false; /* no job existed */
+	j = jst_job_new_ended(s, m->job, "", m->at_ms);
+	j->is_withdrawn = true;
+	j->state = JST_CANCELLED;
+	j->ended_ms = m->at_ms;
+	s->nwithdrawn++;
 }
 
 /* Cancels a job. */
@@ -305,7 +194,7 @@
 {
 	r->job = jst_find_job(s, m->job);
 	if (r->job != NULL)
-		job_end(s, r->job, JST_CANCELLED, m->at_ms, r);
+		jst_job_end(s, r->job, JST_CANCELLED, m->at_ms, r);
 	else
 		record_early_cancel(s, m, r);
 }
@@ -318,6 +207,7 @@
 		return;
 	t->state = JST_WAITING;
 	st->nwaiting++;
+	st->occ->nassigned--;
 	if (t->worker != NULL)
 		t->worker->nassigned--;
 	t->worker = NULL;
@@ -325,14 +215,19 @@
 
 /* Assigns a task to a worker for a run. Refused with STATUS_STALE if the task
  * has another run, or its job or worker is gone; the leader must not send the
- * order then. */
+ * order then. The first assignment of an occurrence takes memory for it on all
+ * replicas, whether there is room or not: the leader has seen to that. */
 static void
 apply_assign(struct jst *s, const Job__Assign *m, struct jst_result *r)
 {
-	struct jst_step *st = NULL;
-	struct jst_task *t = jst_find_task(s, m->task, &st);
 	struct jst_worker *w = jst_find_worker(s, m->worker);
+	struct jst_job *j = jst_find_job(s, m->task->job);
+	struct jst_step *st = NULL;
+	struct jst_task *t;
 
+	if (j != NULL && j->state == JST_ACTIVE && w != NULL)
+		jst_occ_touch(s, j, m->task->occurrence);
+	t = jst_find_task(s, m->task, &st);
 	r->task = t;
 	r->step = st;
 	r->worker = w;
@@ -348,6 +243,7 @@
 	t->worker = w;
 	w->nassigned++;
 	st->nwaiting--;
+	st->occ->nassigned++;
 	r->status = STATUS_OK;
 }
 
@@ -361,20 +257,21 @@
 		return;
 	}
 	r->status = r->job->started ? STATUS_EXISTS : STATUS_OK;
-	r->job->started = true;
+	jst_job_begun(r->job);
 }
 
-/* Completes the job if all its steps are done. */
+/* Completes the occurrence if all its steps are done, and the job with its
+ * last occurrence. */
 static void
 step_done(
     struct jst *s, struct jst_step *st, int64_t at_ms, struct jst_result *r)
 {
 	struct jst_job *j = st->job;
 
-	if (st->ndone < st->spec->count)
+	if (st->ndone < st->spec->count || ++st->occ->ndone < j->spec->n_steps)
 		return;
-	if (++j->ndone == job_steps(j))
-		job_end(s, j, JST_COMPLETED, at_ms, r);
+	if (++j->ndone == j->occurrences)
+		jst_job_end(s, j, JST_COMPLETED, at_ms, r);
 }
 
 /* Completes a gang step: the first task that is done completes all of them. */
@@ -389,11 +286,8 @@
 
 		if (t->state == JST_DONE)
 			continue;
-		if (t->state == JST_WAITING)
-			st->nwaiting--;
-		else if (t->worker != NULL)
-			t->worker->nassigned--;
-		t->worker = NULL;
+		task_unassign(st, t);
+		st->nwaiting--;
 		t->state = JST_DONE;
 		st->ndone++;
 	}
@@ -414,26 +308,50 @@
 }
 
 /*
- * Keeps the checkpoint of an ended run. In a gang, the ends of several members
- * name different ones: those that members have listed count before the last one
- * known of a member that was lost, and none counts before those of a later run.
+ * Keeps the checkpoint of an ended run, unless it is a long one and there is no
+ * room for it; the one before is kept then. In a gang, the ends of several
+ * members name different ones: those that members have listed count before the
+ * last one known of a member that was lost, and none counts before those of a
+ * later run.
  */
 static void
-save_checkpoint(struct jst_step *st, struct jst_task *t, const Job__End *m)
+save_checkpoint(struct jst *s, struct jst_step *st, struct jst_task *t,
+    const Job__End *m, struct jst_result *r)
 {
-	char **checkpoint = &t->checkpoint;
+	char **checkpoint = st->spec->gang ? &st->checkpoint : &t->checkpoint;
 
 	if (m->saved == NULL || m->saved[0] == '\0')
 		return;
-	if (st->spec->gang) {
-		if (m->run < st->checkpoint_run ||
-		    (m->run == st->checkpoint_run && m->how == JOB__HOW__GONE))
-			return;
+	if (st->spec->gang &&
+	    (m->run < st->checkpoint_run ||
+		(m->run == st->checkpoint_run && m->how == JOB__HOW__GONE)))
+		return;
+	if (!jst_save_checkpoint(s, st, checkpoint, m->saved))
+		r->checkpoint_dropped = true;
+	else if (st->spec->gang)
 		st->checkpoint_run = m->run;
-		checkpoint = &st->checkpoint;
+}
+
+/* Applies an end to the state of its task. */
+static void
+end_task(struct jst *s, struct jst_step *st, struct jst_task *t,
+    const Job__End *m, struct jst_result *r)
+{
+	task_unassign(st, t);
+	save_checkpoint(s, st, t, m, r);
+	if (m->how == JOB__HOW__DONE && !st->spec->lasting) {
+		if (st->spec->gang) {
+			gang_done(s, st, m->at_ms, r);
+			return;
+		}
+		t->state = JST_DONE;
+		st->nwaiting--;
+		st->ndone++;
+		step_done(s, st, m->at_ms, r);
+	} else if (m->how == JOB__HOW__FAILED && !st->spec->lasting &&
+	    ++t->nfailed >= jst_max_attempts(s, st->job)) {
+		jst_job_end(s, st->job, JST_FAILED, m->at_ms, r);
 	}
-	free(*checkpoint);
-	*checkpoint = copy_text(m->saved);
 }
 
 /* Ends a run. The task is done, waits again, or fails its job. */
@@ -453,28 +371,15 @@
 		return;
 	r->status = STATUS_OK;
 	r->worker = t->worker;
-	task_unassign(st, t);
-	save_checkpoint(st, t, m);
-	if (m->how == JOB__HOW__DONE && !st->spec->lasting) {
-		if (st->spec->gang) {
-			gang_done(s, st, m->at_ms, r);
-			return;
-		}
-		t->state = JST_DONE;
-		st->nwaiting--;
-		st->ndone++;
-		step_done(s, st, m->at_ms, r);
-	} else if (m->how == JOB__HOW__FAILED && !st->spec->lasting &&
-	    ++t->nfailed >= jst_max_attempts(s, st->job)) {
-		job_end(s, st->job, JST_FAILED, m->at_ms, r);
-	}
+	end_task(s, st, t, m, r);
+	jst_occ_check(s, st->occ);
 }
 
 /* Removes an entry from the list of workers that have left. */
 static void
 remove_left(struct jst *s, size_t i)
 {
-	free_msg(s->left[i]);
+	jst_free_msg(s->left[i]);
 	s->nleft--;
 	memmove(
 	    &s->left[i], &s->left[i + 1], (s->nleft - i) * sizeof(s->left[0]));
@@ -488,7 +393,7 @@
 	size_t i;
 
 	if (jst_has_left(s, w->id, w->born)) {
-		free_msg(w);
+		jst_free_msg(w);
 		return;
 	}
 	for (i = 0; i < s->nleft; i++) {
@@ -543,12 +448,14 @@
 		r->status = STATUS_STALE;
 		return;
 	}
-	if (s->nworkers >= JST_WORKERS_MAX) {
+	if (!s->loading &&
+	    s->nworkers >=
+		(s->max.workers > 0 ? s->max.workers : JST_WORKERS_MAX)) {
 		r->status = STATUS_FULL;
 		return;
 	}
-	w = alloc_zeroed(1, sizeof(*w));
-	info = (Job__Worker *)copy_msg(&m->base);
+	w = jst_alloc(1, sizeof(*w));
+	info = jst_copy_msg(&m->base);
 	w->num = s->next_worker++;
 	info->has_num = 1;
 	info->num = w->num;
@@ -571,6 +478,33 @@
 	return latest != NULL && jst_is_other_writer(s, latest->info, w->info);
 }
 
+/* Makes the tasks of a list of jobs wait again that are assigned to a
+ * worker. */
+static void
+unassign_all(struct jst *s, struct jst_job *j, const struct jst_worker *w)
+{
+	uint32_t o, n, k;
+
+	for (; j != NULL; j = j->next) {
+		for (o = 0; o < j->nlive; o++) {
+			struct jst_occ *occ = j->live[o];
+
+			if (occ->nassigned == 0)
+				continue;
+			for (n = 0; n < j->spec->n_steps; n++) {
+				struct jst_step *st = &occ->steps[n];
+
+				for (k = 0; k < st->spec->count; k++) {
+					if (st->tasks[k].worker == w)
+						task_unassign(
+						    st, &st->tasks[k]);
+				}
+			}
+			jst_occ_check(s, occ);
+		}
+	}
+}
+
 /* Removes a registration. Its runs should have been ended before; tasks still
  * assigned to it wait again. */
 static void
@@ -579,28 +513,16 @@
 	size_t i = jst_worker_index(s, m->num);
 	struct jst_worker *w = jst_find_worker(s, m->num);
 	Job__Worker *info;
-	struct jst_job *j, *lists[2] = { s->active, s->ended };
 	bool has_left;
-	uint32_t n, k;
-	int l;
 
 	if (w == NULL) {
 		r->status = STATUS_NOT_FOUND;
 		return;
 	}
 	has_left = (m->left || w->draining) && !is_replaced_writer(s, w);
-	for (l = 0; w->nassigned > 0 && l < 2; l++) {
-		for (j = lists[l]; j != NULL; j = j->next) {
-			for (n = 0; n < job_steps(j); n++) {
-				struct jst_step *st = &j->steps[n];
-
-				for (k = 0; k < st->spec->count; k++) {
-					if (st->tasks[k].worker == w)
-						task_unassign(
-						    st, &st->tasks[k]);
-				}
-			}
-		}
+	if (w->nassigned > 0) {
+		unassign_all(s, s->active, w);
+		unassign_all(s, s->ended, w);
 	}
 	jst_unindex_worker(s, w);
 	info = (Job__Worker *)(uintptr_t)w->info;
@@ -608,7 +530,7 @@
 		info->has_draining = info->draining = 1;
 		jst_add_left(s, info);
 	} else {
-		free_msg(info);
+		jst_free_msg(info);
 	}
 	free(w);
 	memmove(&s->workers[i], &s->workers[i + 1],
@@ -620,23 +542,19 @@
 static bool
 queue_has_jobs(const struct jst *s, const char *name)
 {
-	const struct jst_job *j;
+	const struct jst_use *u = jst_find_use(s, name);
 
-	for (j = s->active; j != NULL; j = j->next) {
-		if (strcmp(j->queue, name) == 0)
-			return true;
-	}
-	return false;
+	return u != NULL && u->nactive > 0;
 }
 
 /* Adds a copy of a queue to a configuration as a removed one. */
 static void
 add_removed_queue(Job__Config *c, const Job__Queue *q)
 {
-	Job__Queue *copy = (Job__Queue *)copy_msg(&q->base);
+	Job__Queue *copy = jst_copy_msg(&q->base);
 
 	free(copy->host);
-	copy->host = copy_text("");
+	copy->host = jst_copy_text("");
 	c->queues = realloc(c->queues, (c->n_queues + 1) * sizeof(*c->queues));
 	if (c->queues == NULL)
 		abort();
@@ -663,78 +581,39 @@
 	}
 }
 
-/* Replaces the configuration if the version is higher. */
+/* Counts what the removed queues that are kept for their jobs take. */
 static void
-apply_config(struct jst *s, const Job__Config *m, struct jst_result *r)
+count_removed_queues(struct jst *s)
 {
-	Job__Config *old = s->config;
+	size_t i, sum = 0;
 
-	if (old != NULL && m->version <= old->version) {
-		r->status = STATUS_EXISTS;
-		return;
+	for (i = 0; i < s->config->n_queues; i++) {
+		const Job__Queue *q = s->config->queues[i];
+
+		if (jst_queue_removed(q))
+			sum += jmem_message(&q->base) +
+			    JMEM_SNAPSHOT_COPIES *
+				job__queue__get_packed_size(q);
 	}
-	s->config = (Job__Config *)copy_msg(&m->base);
-	keep_removed_queues(s, old);
-	free_msg(old);
+	s->bytes += sum - s->removed_bytes;
+	s->local_bytes += sum - s->removed_bytes;
+	s->removed_bytes = sum;
 }
 
-/* Adds a maintenance wave. */
+/* Replaces the configuration if the version is higher. */
 static void
-apply_wave(struct jst *s, const Job__Wave *m, struct jst_result *r)
+apply_config(struct jst *s, const Job__Config *m, struct jst_result *r)
 {
-	struct jst_wave *w = jst_find_wave(s, m->id);
+	Job__Config *old = s->config;
 
-	if (w != NULL) {
+	if (old != NULL && m->version <= old->version) {
 		r->status = STATUS_EXISTS;
 		return;
 	}
-	w = alloc_zeroed(1, sizeof(*w));
-	w->info = (Job__Wave *)copy_msg(&m->base);
-	w->states = alloc_zeroed(m->n_machines, sizeof(*w->states));
-	w->orders = alloc_zeroed(m->n_machines, sizeof(*w->orders));
-	w->next = s->waves;
-	s->waves = w;
-}
-
-/* Tells whether a step is later than what is recorded of its machine. States
- * advance; only an attempt that was given up makes its machine wait again. */
-static bool
-is_later_step(const struct jst_wave *w, size_t i, const Job__WaveStep *m)
-{
-	enum jst_wave_state state = (enum jst_wave_state)m->state;
-
-	if (w->states[i] == JST_WAVE_DONE)
-		return false;
-	if (m->attempt != w->orders[i].attempt)
-		return m->attempt > w->orders[i].attempt;
-	return state > w->states[i];
-}
-
-/* Advances a machine of a maintenance wave, which may be named several times.
- */
-static void
-apply_wave_step(struct jst *s, const Job__WaveStep *m, struct jst_result *r)
-{
-	struct jst_wave *w = jst_find_wave(s, m->wave);
-	size_t i;
-
-	r->status = STATUS_NOT_FOUND;
-	for (i = 0; w != NULL && i < w->info->n_machines; i++) {
-		if (strcmp(w->info->machines[i], m->machine) != 0)
-			continue;
-		if (r->status == STATUS_NOT_FOUND)
-			r->status = STATUS_STALE;
-		if (is_later_step(w, i, m)) {
-			w->states[i] = (enum jst_wave_state)m->state;
-			w->orders[i].attempt = m->attempt;
-			if (m->worker != NULL ||
-			    m->state == JOB__WAVE_STATE__WAVE_WAITING) {
-				free(w->orders[i].worker);
-				w->orders[i].worker = copy_text(m->worker);
-			}
-			r->status = STATUS_OK;
-		}
-	}
+	s->config = jst_copy_msg(&m->base);
+	keep_removed_queues(s, old);
+	count_removed_queues(s);
+	jst_free_msg(old);
 }
 
 /* Applies one command and reports its effect. */
@@ -742,6 +621,7 @@
 jst_apply(struct jst *s, const Job__Command *c, struct jst_result *r)
 {
 	memset(r, 0, sizeof(*r));
+	jst_free_dead(s);
 	if (c->config != NULL)
 		apply_config(s, c->config, r);
 	else if (c->submit != NULL)
@@ -759,13 +639,17 @@
 	else if (c->gone != NULL)
 		apply_gone(s, c->gone, r);
 	else if (c->wave != NULL)
-		apply_wave(s, c->wave, r);
+		jst_apply_wave(s, c->wave, r);
 	else if (c->wave_step != NULL)
-		apply_wave_step(s, c->wave_step, r);
+		jst_apply_wave_step(s, c->wave_step, r);
 	else if (c->evacuation != NULL)
 		jst_apply_evacuation(s, c->evacuation, r);
 	else if (c->move != NULL)
 		jst_apply_move(s, c->move, r);
+	else if (c->limit != NULL)
+		jst_apply_limit(s, c->limit, r);
+	else if (c->forget != NULL)
+		forget_ended(s, c->forget->at_ms);
 	else
 		r->status = STATUS_INVALID;
 }
--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -7,8 +7,11 @@
 #ifndef JOB_JST_H
 #define JOB_JST_H
 
+#include <glib.h>
+
 #include "base/err.h"
 #include "base/str.h"
+#include "job/jmem.h"
 #include "job/job.pb-c.h"
 
 __BEGIN_DECLS
@@ -18,14 +21,28 @@
 #define JST_ENDED_RETENTION_MS 180000
 /* Attempts of a task if its queue sets no number. */
 #define JST_ATTEMPTS_DEFAULT 3
-/* Most tasks of a job over all its occurrences; limits the memory of a job, at
- * 64 bytes a task. */
+/* Most tasks of a job over all its occurrences. */
 #define JST_TASKS_MAX 20000
 /* Most registered workers; further registrations are refused. */
 #define JST_WORKERS_MAX 30000
 /* Most cancels remembered of jobs that haven't been submitted; further ones are
- * refused. Limits their memory, at about 500 bytes each. */
+ * refused. Limits their memory, at about 300 bytes each. */
 #define JST_WITHDRAWN_MAX 20000
+/* Most occurrences of a job that are in memory before a task of theirs is
+ * assigned. */
+#define JST_OPEN_MAX 16
+/* Jobs with an occurrence that is due, but for which there was no memory, that
+ * are tried again at once. */
+#define JST_BLOCKED_TRIES 64
+/* Most machines of all waves, most waves that are done and kept with their
+ * machines, and most that are done and kept by their id;
+ * a wave beyond the first is refused, beyond the others the oldest is
+ * forgotten. */
+#define JST_WAVE_MACHINES_MAX 30000
+#define JST_WAVES_KEPT_MAX    64
+#define JST_WAVES_DONE_MAX    20000
+/* Most replicas whose memory is recorded. */
+#define JST_LIMITS_MAX 64
 
 /* Most workers that have left which are remembered; the oldest are forgotten
  * first. Limits their memory, at about 500 bytes each. */
@@ -54,6 +71,7 @@
 };
 
 struct jst_job;
+struct jst_occ;
 struct jst_worker;
 struct jrun;
 struct jadvice_step;
@@ -76,6 +94,7 @@
 
 struct jst_step {
 	struct jst_job *job;
+	struct jst_occ *occ;
 	const Job__Step *spec;
 	uint32_t occurrence, number;
 	struct jst_task *tasks; /* spec->count */
@@ -117,18 +136,72 @@
 	struct jadvice_step *advice;
 };
 
+/*
+ * An occurrence that is in memory: one that is due, or of which a task has been
+ * assigned. It is retired once it needs no memory any more by the replicated
+ * state, and freed when the leader has no run of it either.
+ */
+struct jst_occ {
+	struct jst_job *job;
+	struct jst_occ *next_dead; /* list of those to be freed */
+	uint32_t number;
+	uint32_t ndone;	    /* finished steps */
+	uint32_t nassigned; /* assigned tasks */
+	uint32_t nrefs;	    /* leader: its runs of it */
+	/* Accounted for on all replicas; false: opened by this leader only. */
+	bool is_counted;
+	bool is_retired, is_dead;
+	struct jst_step steps[]; /* of the job's specification */
+};
+
+/* What a queue's jobs take. */
+struct jst_use {
+	char *queue;
+	size_t bytes;
+	uint32_t njobs;	   /* in the state */
+	uint32_t nactive;  /* that haven't ended */
+	uint32_t nwaiting; /* of these, without a task that has begun */
+};
+
+/* Lists that a job can be in. */
+enum jst_list {
+	JST_LIST_NONE,	  /* forgotten, but the leader still has a run of it */
+	JST_LIST_ACTIVE,  /* has occurrences in memory */
+	JST_LIST_DORMANT, /* its next occurrence isn't due yet */
+	JST_LIST_ENDED,
+	JST_LISTS
+};
+
 struct jst_job {
 	uint64_t id;
 	char *queue; /* the queue that it was submitted to */
+	/* Empty once the job has ended and none of its tasks is assigned. */
 	const Job__Spec *spec;
-	Job__Submit *submit; /* owns spec */
+	Job__Submit *submit; /* owns spec, or NULL */
 	int64_t submitted_ms, ended_ms;
 	enum jst_job_state state;
-	bool started; /* a worker has begun a task */
+	bool started;	   /* a worker has begun a task */
+	bool is_withdrawn; /* only the cancel of a job not submitted yet */
 	uint32_t occurrences;
-	struct jst_step *steps;	     /* by occurrence, n_steps each */
-	uint32_t ndone;		     /* finished steps */
-	struct jst_job *prev, *next; /* list of active or of ended jobs */
+	/* Occurrences in memory, by number. One below opened that isn't among
+	 * them is done; the others have no tasks yet. */
+	struct jst_occ **live;
+	uint32_t nlive, live_cap;
+	uint32_t opened;    /* the first one that no command has touched */
+	uint32_t next_open; /* the first one that isn't in memory */
+	uint32_t ncounted;  /* in memory on all replicas */
+	uint32_t nsoft;	    /* opened by this leader only */
+	uint32_t ndone;	    /* finished occurrences */
+	/* Memory that it takes: by itself, for an occurrence, and for
+	 * checkpoints beyond what an occurrence reserves. */
+	size_t base_bytes, occ_bytes, extra_bytes;
+	size_t counted_bytes, local_bytes; /* as in struct jst */
+	struct jst_use *use;		   /* NULL: withdrawn */
+	enum jst_list list;
+	struct jst_job *prev, *next;
+	int64_t due_ms;	     /* of occurrence next_open */
+	bool is_timed;	     /* in the index by due_ms */
+	GList *blocked;	     /* its link in the list, or NULL */
 	uint32_t nruns;	     /* leader: runs that may exist on workers */
 	bool begun_proposed; /* leader: that it has started */
 	/* leader: derived from the configuration; cleared when it changes. When
@@ -171,12 +244,30 @@
 	struct jst_wave *next;
 };
 
+/* Memory of a replica, from its settings. */
+struct jst_limit {
+	uint32_t instance;
+	uint32_t memory_mb;
+};
+
 struct jst {
 	/* NULL: none set yet. Also holds removed queues that jobs need. */
 	Job__Config *config;
 	struct jst_job *active, *active_last;
+	struct jst_job *dormant, *dormant_last;
 	struct jst_job *ended, *ended_last; /* oldest first */
 	void *jobs;			    /* hash table by id */
+	GTree *timers;	      /* jobs by the time of their next occurrence */
+	GQueue blocked;	      /* jobs whose next occurrence lacks memory */
+	struct jst_occ *dead; /* to be freed before the next command */
+	GHashTable *uses;     /* struct jst_use by queue */
+	struct jst_limit *limits;
+	size_t nlimits;
+	struct jmem_limits max; /* by the smallest of them; 0: no limit known */
+	/* Memory that jobs take by the replicated state; and the same with what
+	 * this leader has opened ahead. */
+	size_t bytes, local_bytes;
+	size_t removed_bytes; /* of bytes: by removed queues */
 	/* Ended jobs that are only the cancel of a job not submitted yet; they
 	 * have no steps. */
 	uint32_t nwithdrawn;
@@ -190,7 +281,11 @@
 	/* The last incarnations of workers that have left, oldest first. */
 	Job__Worker **left;
 	size_t nleft;
-	struct jst_wave *waves;
+	struct jst_wave *waves; /* newest first */
+	size_t nwave_machines;	/* of open waves */
+	/* Ids of waves that are done, oldest first. */
+	uint64_t *waves_done;
+	size_t nwaves_done;
 	/* Evacuations in effect, in the order in which they began. */
 	Job__Evacuation **evacuations;
 	size_t nevacuations;
@@ -207,8 +302,17 @@
 	struct jst_step *step;
 	struct jst_worker *worker; /* worker registered or found */
 	bool job_ended;		   /* the command ended the job */
+	bool checkpoint_dropped;   /* there was no memory for it */
 };
 
+/* Goes through the steps of a job's occurrences that are in memory: st is the
+ * step; o and i are indexes. */
+#define JST_FOREACH_STEP(j, st, o, i)                                          \
+	for ((o) = 0; (o) < (j)->nlive; (o)++)                                 \
+		for ((i) = 0; (i) < (j)->spec->n_steps &&                      \
+		     ((st) = &(j)->live[o]->steps[i], true);                   \
+		     (i)++)
+
 void jst_init(struct jst *);
 void jst_finish(struct jst *);
 /* Applies one command and reports its effect. */
@@ -222,8 +326,13 @@
 bool jst_cancel_has_effect(const struct jst *, uint64_t id);
 struct jst_task *jst_find_task(
     const struct jst *, const Job__Task *, struct jst_step **);
+/* NULL also for a step of an occurrence that is done or not due yet. */
 struct jst_step *jst_find_step(
     const struct jst_job *, uint32_t occurrence, uint32_t step);
+/* Tells whether an occurrence is done and no longer in memory. */
+bool jst_has_done(const struct jst_job *, uint32_t occurrence);
+/* Returns the first step of a step's occurrence; the others follow it. */
+struct jst_step *jst_first_step(const struct jst_step *);
 /* Returns the checkpoint that the next run of a task resumes from, or NULL. */
 const char *jst_checkpoint(const struct jst_step *, const struct jst_task *);
 size_t jst_worker_index(const struct jst *, uint64_t num);
@@ -245,6 +354,8 @@
 /* Tells whether an incarnation, or a later one of its id, has left. */
 bool jst_has_left(const struct jst *, const char *id, uint64_t born);
 struct jst_wave *jst_find_wave(const struct jst *, uint64_t id);
+/* Tells whether a wave has been completed. */
+bool jst_wave_is_done(const struct jst *, uint64_t id);
 /* Returns the evacuation of a failure domain, NULL if none is in effect. */
 const Job__Evacuation *jst_find_evacuation(
     const struct jst *, const char *domain);
@@ -271,6 +382,58 @@
 bool jst_step_ready(const struct jst_step *);
 uint32_t jst_max_attempts(const struct jst *, const struct jst_job *);
 
+/* Leader: opens the occurrences that are due at a time of day, as far as there
+ * is memory for them; the next one of a job of which none is open always is. */
+void jst_open_due(struct jst *, int64_t until_ms);
+/* Drops what a leader has opened and no command has touched. */
+void jst_close_untouched(struct jst *);
+/* Leader: a run refers to an occurrence, or doesn't any more. */
+void jst_occ_ref(struct jst_occ *);
+void jst_occ_unref(struct jst *, struct jst_occ *);
+/* Tells whether there is room for a job, as a submission of it would. */
+bool jst_admits(const struct jst *, const Job__Submit *);
+/* Tells whether a job could be accepted if there were no other. */
+bool jst_can_ever_admit(const struct jst *, const Job__Submit *);
+/* Tells whether an ended job may be forgotten at a time of day. */
+bool jst_has_expired(const struct jst *, int64_t now_ms);
+
+/* Used only by the jst*.c files. */
+void *jst_alloc(size_t n, size_t size);
+char *jst_copy_text(const char *);
+void *jst_copy_msg(const ProtobufCMessage *);
+void jst_free_msg(void *);
+void jst_apply_limit(struct jst *, const Job__Limit *, struct jst_result *);
+struct jst_job *jst_job_new(struct jst *, const Job__Submit *);
+struct jst_job *jst_job_new_ended(
+    struct jst *, uint64_t id, const char *queue, int64_t submitted_ms);
+void jst_job_end(struct jst *, struct jst_job *, enum jst_job_state,
+    int64_t at_ms, struct jst_result *);
+void jst_job_begun(struct jst_job *);
+void jst_job_forget(struct jst *, struct jst_job *);
+void jst_job_free(struct jst_job *);
+void jst_job_list(struct jst *, struct jst_job *, enum jst_list);
+void jst_job_compact(struct jst *, struct jst_job *);
+void jst_update_memory(struct jst *, struct jst_job *);
+struct jst_use *jst_find_use(const struct jst *, const char *queue);
+void jst_init_timers(struct jst *);
+void jst_finish_timers(struct jst *);
+void jst_set_timer(struct jst *, struct jst_job *);
+void jst_clear_timer(struct jst *, struct jst_job *);
+struct jst_occ *jst_find_occ(const struct jst_job *, uint32_t number);
+struct jst_occ *jst_occ_open(struct jst *, struct jst_job *);
+void jst_occ_touch(struct jst *, struct jst_job *, uint32_t number);
+void jst_occ_check(struct jst *, struct jst_occ *);
+void jst_occ_free(struct jst_occ *);
+void jst_free_dead(struct jst *);
+bool jst_save_checkpoint(
+    struct jst *, struct jst_step *, char **, const char *);
+size_t jst_checkpoint_extra(const struct jst_step *, const char *);
+void jst_apply_wave(struct jst *, const Job__Wave *, struct jst_result *);
+void jst_apply_wave_step(
+    struct jst *, const Job__WaveStep *, struct jst_result *);
+void jst_add_wave_done(struct jst *, uint64_t id);
+void jst_free_waves(struct jst *);
+
 /* Serialises the whole state into memory owned by ctx, and loads it. */
 struct str jst_pack(const struct jst *, TALLOC_CTX *ctx);
 enum status jst_unpack(struct jst *, struct str, struct err *);
--- a/src/job/jst_find.c
+++ b/src/job/jst_find.c
@@ -11,7 +11,7 @@
 {
 	struct jst_job *j = g_hash_table_lookup(s->jobs, &id);
 
-	return j != NULL && j->spec->n_steps > 0 ? j : NULL;
+	return j != NULL && !j->is_withdrawn ? j : NULL;
 }
 
 /* Returns the record of a job that was cancelled before it was submitted. */
@@ -20,7 +20,7 @@
 {
 	struct jst_job *j = g_hash_table_lookup(s->jobs, &id);
 
-	return j != NULL && j->spec->n_steps == 0 ? j : NULL;
+	return j != NULL && j->is_withdrawn ? j : NULL;
 }
 
 /* Tells whether a cancel would change anything: it ends an active job, and is
@@ -33,13 +33,28 @@
 	return j == NULL || j->state == JST_ACTIVE;
 }
 
-/* Returns a step of a job, NULL if it has none of that number. */
+/* Returns a step of a job, NULL if it isn't in memory or there is none of that
+ * number. */
 struct jst_step *
 jst_find_step(const struct jst_job *j, uint32_t occurrence, uint32_t step)
 {
-	if (occurrence >= j->occurrences || step >= j->spec->n_steps)
-		return NULL;
-	return &j->steps[occurrence * j->spec->n_steps + step];
+	struct jst_occ *o = jst_find_occ(j, occurrence);
+
+	return o == NULL || step >= j->spec->n_steps ? NULL : &o->steps[step];
+}
+
+/* Tells whether an occurrence is done and no longer in memory. */
+bool
+jst_has_done(const struct jst_job *j, uint32_t occurrence)
+{
+	return occurrence < j->opened && jst_find_occ(j, occurrence) == NULL;
+}
+
+/* Returns the first step of a step's occurrence. */
+struct jst_step *
+jst_first_step(const struct jst_step *st)
+{
+	return st->occ->steps;
 }
 
 /* Returns a task and its step, NULL if there is none. */
@@ -254,20 +269,16 @@
 uint32_t
 jst_count_waiting(const struct jst *s, const char *queue)
 {
-	const struct jst_job *j;
-	uint32_t n = 0;
+	const struct jst_use *u = jst_find_use(s, queue);
 
-	for (j = s->active; j != NULL; j = j->next)
-		n += !j->started && strcmp(j->queue, queue) == 0;
-	return n;
+	return u == NULL ? 0 : u->nwaiting;
 }
 
 /* Tells whether all steps that a step depends on are done. */
 bool
 jst_step_ready(const struct jst_step *st)
 {
-	const struct jst_step *base =
-	    &st->job->steps[st->occurrence * st->job->spec->n_steps];
+	const struct jst_step *base = jst_first_step(st);
 	size_t i;
 
 	for (i = 0; i < st->spec->n_after; i++) {
--- a/src/job/tests/advice_test.cc
+++ b/src/job/tests/advice_test.cc
@@ -1,5 +1,9 @@
 #include "job/tests/advice_sim.h"
 
+extern "C" {
+#include "job/jadvice_impl.h"
+}
+
 namespace {
 
 /* Guards against a call for each worker, against workers of few domains, and
@@ -258,7 +262,10 @@
 	EXPECT_EQ(0U, s.starts.count({ 1, 0, 0, 0 }));
 	s.run(1000);
 	EXPECT_EQ(0U, s.jl.advice.ntickets);
-	EXPECT_EQ(nullptr, jst_find_step(jst_find_job(&s.st, 1), 0, 0)->advice);
+	EXPECT_EQ(nullptr, jst_find_step(jst_find_job(&s.st, 1), 0, 0));
+	Job__Task ended = JOB__TASK__INIT;
+	ended.job = 1;
+	EXPECT_EQ(nullptr, jadvice_step_find(s.jl.advice.known, &ended));
 }
 
 /* Guards against calls without end for a step that no worker may run, against
--- a/src/job/tests/gang_test.cc
+++ b/src/job/tests/gang_test.cc
@@ -112,7 +112,7 @@
 	ASSERT_EQ(3U, s.count_at_work());
 	s.lose_worker(s.find_busy());
 	s.run(100);
-	const struct jst_step *st = jst_find_job(&s.st, 1)->steps;
+	const struct jst_step *st = jst_find_step(jst_find_job(&s.st, 1), 0, 0);
 	ASSERT_NE(nullptr, st->checkpoint);
 	std::string listed = st->checkpoint;
 	s.run(JLEAD_LEASE_MS + 500);
--- a/src/job/tests/jlead_test.cc
+++ b/src/job/tests/jlead_test.cc
@@ -538,7 +538,7 @@
 	s.run(3000); /* pending long polls end first */
 	s.submit(1, "fast", { JobSim::step(6, 2000) });
 	s.run(100);
-	EXPECT_EQ(0U, jst_find_job(&s.st, 1)->steps[0].nwaiting);
+	EXPECT_EQ(0U, jst_find_step(jst_find_job(&s.st, 1), 0, 0)[0].nwaiting);
 	s.relay_lost_rate = 0;
 	s.run(4000);
 	EXPECT_EQ(JST_COMPLETED, s.state(1));
@@ -802,17 +802,17 @@
 	s.submit(1, "fast", { JobSim::step(1, 1000) });
 	s.run(2000);
 	ASSERT_EQ(JST_COMPLETED, s.state(1));
-	const Job__Submit *m = jst_find_job(&s.st, 1)->submit;
-	std::vector<uint8_t> buf(job__submit__get_packed_size(m));
-	job__submit__pack(m, buf.data());
-	Job__Submit *again = job__submit__unpack(NULL, buf.size(), buf.data());
+	Job__Submit again = JOB__SUBMIT__INIT;
 	Job__Command c = JOB__COMMAND__INIT;
+	std::string queue = "fast";
 	struct jst_result r;
-	again->at_ms = s.now_ms + JST_ENDED_RETENTION_MS + 1000;
-	c.submit = again;
-	jlead_apply(&s.jl, s.now(), again->at_ms, &c, &r);
+	again.job = 1;
+	again.queue = queue.data();
+	again.spec = s.specs.at(1).get();
+	again.at_ms = s.now_ms + JST_ENDED_RETENTION_MS + 1000;
+	c.submit = &again;
+	jlead_apply(&s.jl, s.now(), again.at_ms, &c, &r);
 	EXPECT_EQ(STATUS_EXISTS, r.status);
-	job__submit__free_unpacked(again, NULL);
 }
 
 class JobAsked : public testing::TestWithParam<unsigned> {};
--- a/src/job/tests/job_sim.h
+++ b/src/job/tests/job_sim.h
@@ -14,6 +14,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -211,7 +212,9 @@
 	/* Number of the present leader; proposals of earlier ones are
 	 * dropped. */
 	uint64_t &epoch = self.epoch;
-	std::set<SimTask> done;		/* committed ends */
+	std::set<SimTask> done; /* committed ends */
+	/* As submitted: workers know a task whether the state does or not. */
+	std::map<uint64_t, std::shared_ptr<Job__Spec>> specs;
 	std::set<SimTask> acknowledged; /* ends acknowledged to workers */
 	std::map<SimTask, int> starts;
 	std::map<SimTask, int64_t> last_start_ms;
@@ -535,6 +538,9 @@
 		spec.text = text.data();
 		spec.steps = ptr.data();
 		spec.n_steps = ptr.size();
+		specs.emplace(id,
+		    std::shared_ptr<Job__Spec>(
+			(Job__Spec *)jst_copy_msg(&spec.base), jst_free_msg));
 		if (repeat > 0) {
 			spec.has_repeat = spec.has_interval_ms = 1;
 			spec.has_start_at_ms = 1;
@@ -704,6 +710,43 @@
 		w.refused_up_to.clear();
 	}
 
+	/* Calls f for the steps of an occurrence that isn't done. One that
+	 * isn't in memory has the steps that it begins with. */
+	template <typename F>
+	static void each_step(struct jst_job *j, uint32_t number, F f)
+	{
+		struct jst_occ *o = jst_find_occ(j, number);
+		size_t n = j->spec->n_steps;
+
+		if (o != NULL) {
+			for (size_t i = 0; i < n; i++)
+				f(&o->steps[i]);
+			return;
+		}
+		if (number < j->opened)
+			return;
+		o = (struct jst_occ *)calloc(
+		    1, sizeof(*o) + n * sizeof(o->steps[0]));
+		o->job = j;
+		o->number = number;
+		for (size_t i = 0; i < n; i++) {
+			struct jst_step *st = &o->steps[i];
+			st->job = j;
+			st->occ = o;
+			st->occurrence = number;
+			st->number = (uint32_t)i;
+			st->spec = j->spec->steps[i];
+			st->nwaiting = st->spec->count;
+			st->tasks = (struct jst_task *)calloc(
+			    st->spec->count, sizeof(*st->tasks));
+		}
+		for (size_t i = 0; i < n; i++)
+			f(&o->steps[i]);
+		for (size_t i = 0; i < n; i++)
+			free(o->steps[i].tasks);
+		free(o);
+	}
+
       private:
 	struct Paused {
 		SimLeader self;
@@ -1092,14 +1135,10 @@
 	 * processors that it uses. */
 	uint32_t metric(const SimTask &k, const SimRun &run)
 	{
-		struct jst_step *sp = NULL;
-		Job__Task t;
-		ref(k, t);
-		if (jst_find_task(&st, &t, &sp) == NULL)
-			return 0;
-		return sp->spec->target_ms > 0
+		const Job__Step *s = spec_of(k);
+		return s->target_ms > 0
 		    ? tail_ms(k)
-		    : sp->spec->cpu_milli * run.throttle_percent / 100;
+		    : s->cpu_milli * run.throttle_percent / 100;
 	}
 
 	/* Tells whether a leader may still receive answers to its calls. */
@@ -1202,9 +1241,7 @@
 	{
 		const jl_call &c = order.call;
 		int64_t used = 0;
-		struct jst_step *sp = NULL;
-		Job__Task t;
-		ref(k, t);
+		const Job__Step *s = spec_of(k);
 		if (w.running.count(k) && w.running[k].run == c.run)
 			return;
 		if (c.lease_until_ms <= clock_ms(w)) {
@@ -1216,17 +1253,13 @@
 			return;
 		}
 		for (auto &x : w.running) {
-			struct jst_step *other = NULL;
-			ref(x.first, t);
+			const Job__Step *other = spec_of(x.first);
 			/* Best-effort tasks don't count. */
-			if (jst_find_task(&st, &t, &other) != NULL &&
-			    !other->spec->fills)
-				used += other->spec->cpu_milli;
+			if (!other->fills)
+				used += other->cpu_milli;
 		}
-		ref(k, t);
-		ASSERT_NE(nullptr, jst_find_task(&st, &t, &sp));
-		if (!sp->spec->fills)
-			used += sp->spec->cpu_milli;
+		if (!s->fills)
+			used += s->cpu_milli;
 		if (w.unhealthy) {
 			r.kind = JL_UNHEALTHY;
 			return;
@@ -1240,15 +1273,15 @@
 			return;
 		}
 		most_cpu = std::max(most_cpu, used);
-		check_start(k, sp);
+		check_start(k, s);
 		check_requested(order, k);
 		starts[k]++;
 		last_start_ms[k] = now_ms;
 		w.running[k] = { c.run,
-			sp->spec->lasting ? lasting_ms(k) : run_time_ms(k),
-			sp->spec->lasting || task_fails(k, alias[c.worker]),
-			now_ms, order.checkpoint, order.late };
-		w.running[k].is_alone = gang_timeout_ms > 0 && sp->spec->gang;
+			s->lasting ? lasting_ms(k) : run_time_ms(k),
+			s->lasting || task_fails(k, alias[c.worker]), now_ms,
+			order.checkpoint, order.late };
+		w.running[k].is_alone = gang_timeout_ms > 0 && s->gang;
 		w.running[k].resumed_from = order.checkpoint;
 	}
 
@@ -1269,10 +1302,7 @@
 	 * are noted for its first member. */
 	SimTask checkpoint_owner(SimTask k)
 	{
-		struct jst_step *sp = NULL;
-		Job__Task t;
-		ref(k, t);
-		if (jst_find_task(&st, &t, &sp) != NULL && sp->spec->gang)
+		if (spec_of(k)->gang)
 			k.index = 0;
 		return k;
 	}
@@ -1345,11 +1375,33 @@
 	    std::map<const struct jst_worker *, uint32_t> &assigned)
 	{
 		for (; j != NULL; j = j->next) {
-			uint32_t n =
-			    j->occurrences * (uint32_t)j->spec->n_steps;
-			for (uint32_t i = 0; i < n; i++)
-				check_step(j->steps[i], assigned);
+			for (uint32_t o = 0; o < j->nlive; o++) {
+				check_occurrence(*j->live[o]);
+				for (uint32_t i = 0; i < j->spec->n_steps; i++)
+					check_step(
+					    j->live[o]->steps[i], assigned);
+			}
+		}
+	}
+
+	/* Checks the counts of an occurrence. */
+	void check_occurrence(const struct jst_occ &o)
+	{
+		uint32_t nassigned = 0, ndone = 0, nrefs = 0;
+
+		for (uint32_t i = 0; i < o.job->spec->n_steps; i++) {
+			const struct jst_step &sp = o.steps[i];
+			ndone += sp.ndone == sp.spec->count;
+			for (uint32_t k = 0; k < sp.spec->count; k++)
+				nassigned += sp.tasks[k].state == JST_ASSIGNED;
+		}
+		for (auto *ws = jl.sessions; ws != NULL; ws = ws->next) {
+			for (auto *r = ws->runs; r != NULL; r = r->next)
+				nrefs += r->step->occ == &o;
 		}
+		EXPECT_EQ(nassigned, o.nassigned) << "job " << o.job->id;
+		EXPECT_EQ(ndone, o.ndone) << "job " << o.job->id;
+		EXPECT_EQ(nrefs, o.nrefs) << "job " << o.job->id;
 	}
 
 	/* Checks the counts of a step. */
@@ -1386,6 +1438,7 @@
 
 		check_steps(st.active, assigned);
 		check_steps(st.ended, assigned);
+		check_memory();
 		check_started();
 		for (size_t i = 0; i < st.nworkers; i++)
 			EXPECT_EQ(
@@ -1402,6 +1455,28 @@
 			    << ws->w->info->id;
 	}
 
+	/* Checks what jobs take against the sum over all of them. */
+	void check_memory()
+	{
+		struct jst_job *lists[] = { st.active, st.dormant, st.ended };
+		size_t counted = st.removed_bytes, local = st.removed_bytes;
+		std::map<std::string, size_t> queues;
+
+		for (auto *list : lists) {
+			for (auto *j = list; j != NULL; j = j->next) {
+				counted += j->counted_bytes;
+				local += j->local_bytes;
+				if (j->use != NULL)
+					queues[j->queue] += j->counted_bytes;
+			}
+		}
+		EXPECT_EQ(counted, st.bytes);
+		EXPECT_EQ(local, st.local_bytes);
+		for (auto &x : queues)
+			EXPECT_EQ(x.second,
+			    jst_find_use(&st, x.first.c_str())->bytes);
+	}
+
 	/* Checks that no job counts as started of which no worker has begun a
 	 * task. */
 	void check_started() const
@@ -1468,7 +1543,10 @@
 		}
 		for (struct jst_job *j = st.active; j != NULL; j = j->next) {
 			for (uint32_t i = 0; i < j->spec->n_steps; i++) {
-				const struct jst_step *s = &j->steps[i];
+				const struct jst_step *s =
+				    jst_find_step(j, 0, i);
+				if (s == NULL)
+					continue; /* done */
 				for (uint32_t n = 0; n < s->spec->count; n++) {
 					SimTask k = { j->id, 0, i, n };
 					check_run(k, &s->tasks[n]);
@@ -1483,11 +1561,7 @@
 	/* Saves a checkpoint of a task. */
 	void save(const SimTask &k, SimRun &run)
 	{
-		struct jst_step *sp = NULL;
-		Job__Task t;
-		ref(k, t);
-		if (jst_find_task(&st, &t, &sp) == NULL ||
-		    !sp->spec->checkpoints)
+		if (!spec_of(k)->checkpoints)
 			return;
 		run.checkpoint = std::to_string(k.job) + "." +
 		    std::to_string(k.occurrence) + "." +
@@ -1499,7 +1573,7 @@
 
 	/* Checks that a started task isn't running elsewhere, done, or waiting
 	 * for another step. */
-	void check_start(const SimTask &k, struct jst_step *sp)
+	void check_start(const SimTask &k, const Job__Step *s)
 	{
 		for (auto &x : workers) {
 			auto run = x.second.running.find(k);
@@ -1510,26 +1584,46 @@
 		}
 		EXPECT_EQ(0U, done.count(k)) << "a done task is started";
 		EXPECT_EQ(0U, acknowledged.count(k)) << "a noted end was lost";
-		for (size_t i = 0; i < sp->spec->n_after; i++) {
-			struct jst_step *d = jst_find_step(
-			    sp->job, k.occurrence, sp->spec->after[i]);
-			EXPECT_EQ(d->spec->count, d->ndone)
+		for (size_t i = 0; i < s->n_after; i++)
+			EXPECT_TRUE(is_step_done(k, s->after[i]))
 			    << "started before a step that it depends on";
-		}
+	}
+
+	/* Tells whether all tasks of another step of a task's occurrence are
+	 * done; that of a gang is done with the first of them. */
+	bool is_step_done(const SimTask &k, uint32_t step) const
+	{
+		const struct jst_job *j = jst_find_job(&st, k.job);
+		const struct jst_step *sp =
+		    j == NULL ? NULL : jst_find_step(j, k.occurrence, step);
+		const Job__Step *s = specs.at(k.job)->steps[step];
+		uint32_t n = 0;
+
+		if (sp != NULL)
+			return sp->ndone == sp->spec->count;
+		for (uint32_t i = 0; i < s->count; i++)
+			n += done.count({ k.job, k.occurrence, step, i });
+		return n == s->count || (s->gang && n > 0);
+	}
+
+	/* Returns what was submitted of a task's step; for a job that wasn't
+	 * submitted, a step without requirements. */
+	const Job__Step *spec_of(const SimTask &k) const
+	{
+		static const Job__Step none = JOB__STEP__INIT;
+		auto it = specs.find(k.job);
+		return it == specs.end() || k.step >= it->second->n_steps
+		    ? &none
+		    : it->second->steps[k.step];
 	}
 
 	/* Tells whether a run waits for other members of its gang. Once all are
 	 * there, it doesn't. */
 	bool is_alone(const SimTask &k, SimRun &run)
 	{
-		struct jst_step *sp = NULL;
-		Job__Task t;
 		uint32_t n = 0;
 		if (!run.is_alone)
 			return false;
-		ref(k, t);
-		if (jst_find_task(&st, &t, &sp) == NULL)
-			return true;
 		for (auto &x : workers) {
 			auto it = x.second.running.lower_bound(
 			    { k.job, k.occurrence, k.step, 0 });
@@ -1541,7 +1635,7 @@
 				n += x.second.up && it->second.run == run.run &&
 				    it->second.resumed_from == run.resumed_from;
 		}
-		run.is_alone = n < sp->spec->count;
+		run.is_alone = n < spec_of(k)->count;
 		return run.is_alone;
 	}
 
--- a/src/job/tests/jplan_property_test.cc
+++ b/src/job/tests/jplan_property_test.cc
@@ -215,9 +215,10 @@
 		     ws = ws->next)
 			check_session(ws);
 		for (struct jst_job *j = s.st.active; j != NULL; j = j->next) {
-			for (uint32_t i = 0;
-			     i < j->occurrences * j->spec->n_steps; i++)
-				check_displaced(&j->steps[i]);
+			for (uint32_t o = 0; o < j->nlive; o++) {
+				for (uint32_t i = 0; i < j->spec->n_steps; i++)
+					check_displaced(&j->live[o]->steps[i]);
+			}
 		}
 		check_idle();
 	}
@@ -318,7 +319,8 @@
 	void check_counts()
 	{
 		std::map<const struct jst_worker *, uint32_t> assigned;
-		struct jst_job *lists[] = { s.st.active, s.st.ended };
+		struct jst_job *lists[] = { s.st.active, s.st.dormant,
+			s.st.ended };
 		for (auto *list : lists) {
 			for (auto *j = list; j != NULL; j = j->next)
 				check_job(j, assigned);
@@ -331,10 +333,10 @@
 	void check_job(struct jst_job *j,
 	    std::map<const struct jst_worker *, uint32_t> &assigned)
 	{
-		uint32_t nruns = 0;
-		for (uint32_t i = 0; i < j->occurrences * j->spec->n_steps;
-		     i++) {
-			struct jst_step *st = &j->steps[i];
+		uint32_t nruns = 0, o, i;
+		struct jst_step *st;
+		JST_FOREACH_STEP(j, st, o, i)
+		{
 			uint32_t nwaiting = 0, ndone = 0, nproposed = 0;
 			for (uint32_t k = 0; k < st->spec->count; k++) {
 				const struct jst_task *t = &st->tasks[k];
@@ -439,27 +441,30 @@
 	void check_idle()
 	{
 		std::map<std::pair<uint64_t, uint32_t>, int64_t> idle;
-		for (struct jst_job *j = s.st.active; j != NULL; j = j->next) {
-			for (uint32_t o = 0; o < j->occurrences; o++) {
-				bool running = false, could = false;
-				for (uint32_t i = 0; i < j->spec->n_steps;
-				     i++) {
-					struct jst_step *st =
-					    &j->steps[o * j->spec->n_steps + i];
-					for (uint32_t k = 0;
-					     k < st->spec->count; k++)
-						running |=
-						    st->tasks[k].active_run !=
-						    NULL;
-					could |= could_run(st);
-				}
-				if (!running && could)
-					note_idle({ j->id, o }, idle);
-			}
+		for (auto *list : { s.st.active, s.st.dormant }) {
+			for (struct jst_job *j = list; j != NULL; j = j->next)
+				check_idle_job(j, idle);
 		}
 		idle_since = idle;
 	}
 
+	/* Notes the occurrences of a job that could run and don't. */
+	void check_idle_job(struct jst_job *j,
+	    std::map<std::pair<uint64_t, uint32_t>, int64_t> &idle)
+	{
+		for (uint32_t o = 0; o < j->occurrences; o++) {
+			bool running = false, could = false;
+			JobSim::each_step(j, o, [&](struct jst_step *st) {
+				for (uint32_t k = 0; k < st->spec->count; k++)
+					running |=
+					    st->tasks[k].active_run != NULL;
+				could |= could_run(st);
+			});
+			if (!running && could)
+				note_idle({ j->id, o }, idle);
+		}
+	}
+
 	void note_idle(std::pair<uint64_t, uint32_t> k,
 	    std::map<std::pair<uint64_t, uint32_t>, int64_t> &idle)
 	{
--- a/src/job/tests/jplan_test.cc
+++ b/src/job/tests/jplan_test.cc
@@ -550,7 +550,7 @@
 	InterferenceFleet b;
 	for (uint64_t n = 1; n <= 4; n++) {
 		b.add_serving(n, 0, 5);
-		jst_find_job(&b.s.st, n)->steps[0].load = 0.7;
+		jst_find_step(jst_find_job(&b.s.st, n), 0, 0)[0].load = 0.7;
 	}
 	/* Their jobs are late from the start and have no slack. */
 	for (uint64_t n = 0; n < 3; n++) {
@@ -581,7 +581,7 @@
 	st.image = b.image[0];
 	b.s.submit(1, "fast", { st });
 	b.s.run(100);
-	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	jst_find_step(jst_find_job(&b.s.st, 1), 0, 0)[0].load = 0.7;
 	Job__Step fill = JobSim::step(4, 6000, 12000);
 	fill.has_fills = fill.fills = 1;
 	fill.image = b.image[2];
@@ -605,7 +605,7 @@
 	st.image = b.image[0];
 	b.s.submit(1, "fast", { st });
 	b.s.run(100);
-	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	jst_find_step(jst_find_job(&b.s.st, 1), 0, 0)[0].load = 0.7;
 	Job__Step fill = JobSim::step(4, 6000, 60000);
 	fill.has_fills = fill.fills = 1;
 	fill.image = b.image[2];
@@ -625,7 +625,7 @@
 	for (uint64_t n = 1; n <= 4; n++)
 		b.add_serving(n, 0, 4);
 	for (auto *j = b.s.st.active; j != NULL; j = j->next)
-		j->steps[0].load = 0.6;
+		jst_find_step(j, 0, 0)->load = 0.6;
 	int64_t at = b.s.now_ms;
 	b.add_best_effort(10, 0, 1);
 	EXPECT_EQ(0U, b.s.starts.count(SimTask{ 10, 0, 0, 0 }));
@@ -746,7 +746,7 @@
 	st.image = b.image[0];
 	b.s.submit(1, "fast", { st });
 	b.s.run(100);
-	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	jst_find_step(jst_find_job(&b.s.st, 1), 0, 0)[0].load = 0.7;
 	Job__Step fill = JobSim::step(4, 24000, 60000);
 	fill.has_fills = fill.fills = fill.has_gang = fill.gang = 1;
 	fill.image = b.image[2];
@@ -909,7 +909,7 @@
 	st.image = b.image[0];
 	b.s.submit(1, "fast", { st });
 	b.s.run(100);
-	jst_find_job(&b.s.st, 1)->steps[0].load = 0.7;
+	jst_find_step(jst_find_job(&b.s.st, 1), 0, 0)[0].load = 0.7;
 	Job__Step fill = JobSim::step(4, 30000, 60000);
 	fill.has_fills = fill.fills = 1;
 	fill.image = b.image[3];
@@ -979,7 +979,7 @@
 	st.image = serving;
 	s.submit(1, "fast", { st });
 	s.run(100);
-	jst_find_job(&s.st, 1)->steps[0].load = 0.7;
+	jst_find_step(jst_find_job(&s.st, 1), 0, 0)[0].load = 0.7;
 	Job__Step fill = JobSim::step(1, 24000, 60000);
 	fill.has_fills = fill.fills = 1;
 	fill.image = best_effort;
--- a/src/job/tests/jst_snapshot_test.cc
+++ b/src/job/tests/jst_snapshot_test.cc
@@ -406,6 +406,12 @@
 	void compare_states()
 	{
 		TALLOC_CTX *ctx = talloc_new(NULL);
+
+		/* What is done takes memory until the next command, and its job
+		 * its place in the list of active ones. */
+		jst_free_dead(&kept);
+		jst_free_dead(&rebuilt);
+		EXPECT_EQ(kept.bytes, rebuilt.bytes);
 		struct str a = jst_pack(&kept, ctx);
 		struct str b = jst_pack(&rebuilt, ctx);
 
@@ -446,16 +452,46 @@
 		EXPECT_EQ(
 		    jst_max_attempts(&kept, x), jst_max_attempts(&rebuilt, y));
 		EXPECT_EQ(x->submitted_ms, y->submitted_ms);
-		EXPECT_EQ(x->ndone, y->ndone);
-		for (uint32_t i = 0; i < x->occurrences * x->spec->n_steps;
-		     i++) {
-			const struct jst_step *s = &x->steps[i];
-			const struct jst_step *t = &y->steps[i];
+		EXPECT_EQ(x->state, y->state);
+		if (x->state == JST_ACTIVE) {
+			EXPECT_EQ(x->ndone, y->ndone);
+		}
+		EXPECT_EQ(x->opened, y->opened);
+		EXPECT_EQ(x->ncounted, y->ncounted);
+		EXPECT_EQ(x->counted_bytes, y->counted_bytes);
+		for (uint32_t o = 0; o < x->opened; o++)
+			compare_occurrences(x, y, o);
+	}
+
+	/* One that needs no memory any more is freed sooner or later. */
+	static bool is_live(const struct jst_occ *o)
+	{
+		return o != NULL && !o->is_retired;
+	}
+
+	void compare_occurrences(
+	    const struct jst_job *x, const struct jst_job *y, uint32_t number)
+	{
+		const struct jst_occ *a = jst_find_occ(x, number);
+		const struct jst_occ *b = jst_find_occ(y, number);
+
+		ASSERT_EQ(is_live(a), is_live(b));
+		if (!is_live(a))
+			return;
+		EXPECT_EQ(a->nassigned, b->nassigned);
+		EXPECT_EQ(a->ndone, b->ndone);
+		for (uint32_t i = 0; i < x->spec->n_steps; i++) {
+			const struct jst_step *s = &a->steps[i];
+			const struct jst_step *t = &b->steps[i];
 			EXPECT_EQ(s->ndone, t->ndone);
 			EXPECT_EQ(s->nwaiting, t->nwaiting);
 			EXPECT_EQ(jst_step_ready(s), jst_step_ready(t));
-			for (uint32_t k = 0; k < s->spec->count; k++)
+			for (uint32_t k = 0; k < s->spec->count; k++) {
 				EXPECT_EQ(s->tasks[k].state, t->tasks[k].state);
+				EXPECT_EQ(s->tasks[k].run, t->tasks[k].run);
+				EXPECT_STREQ(jst_checkpoint(s, &s->tasks[k]),
+				    jst_checkpoint(t, &t->tasks[k]));
+			}
 		}
 	}
 };
--- a/src/job/tests/jst_test.cc
+++ b/src/job/tests/jst_test.cc
@@ -308,7 +308,9 @@
 	s.run(JLEAD_LEASE_MS + 2000);
 	for (uint64_t j = 1; j <= 4; j++)
 		EXPECT_EQ(JST_WAITING,
-		    jst_find_job(&s.st, j)->steps[0].tasks[0].state);
+		    jst_find_step(jst_find_job(&s.st, j), 0, 0)[0]
+			.tasks[0]
+			.state);
 	EXPECT_EQ(0U, jst_count_waiting(&s.st, "batch"));
 }
 
--- a/src/job/tests/leave_test.cc
+++ b/src/job/tests/leave_test.cc
@@ -689,7 +689,7 @@
 	s.leave_at_once(a, 5000);
 	s.submit(1, "batch", { JobSim::step(1, 1000) });
 	s.run(40);
-	EXPECT_EQ(0U, jst_find_job(&s.st, 1)->steps[0].nproposed);
+	EXPECT_EQ(0U, jst_find_step(jst_find_job(&s.st, 1), 0, 0)[0].nproposed);
 	uint64_t b = s.add_worker(8000);
 	s.run(200);
 	EXPECT_EQ(1U, s.workers[b].running.size());
@@ -852,14 +852,15 @@
 	void check_idle()
 	{
 		for (auto *j = s.st.active; j != NULL; j = j->next) {
-			for (uint32_t i = 0; i < j->steps[0].spec->count; i++)
+			for (uint32_t i = 0; i < j->spec->steps[0]->count; i++)
 				check_task({ j->id, 0, 0, i }, j);
 		}
 	}
 
 	void check_task(const SimTask &k, const struct jst_job *j)
 	{
-		const struct jst_task &t = j->steps[0].tasks[k.index];
+		const struct jst_task &t =
+		    jst_find_step(j, 0, 0)->tasks[k.index];
 		bool runs = t.state == JST_DONE;
 
 		for (auto &x : s.workers)
--- a/src/job/tests/lost_test.cc
+++ b/src/job/tests/lost_test.cc
@@ -390,20 +390,28 @@
 					running.insert({ y.first.job,
 					    y.first.occurrence });
 		}
-		for (struct jst_job *j = s.st.active; j != NULL; j = j->next) {
-			for (uint32_t o = 0; o < j->occurrences; o++) {
-				bool could = false;
-				for (uint32_t i = 0; i < j->spec->n_steps; i++)
-					could |= could_run(
-					    &j->steps[o * j->spec->n_steps +
-						i]);
-				if (could && !running.count({ j->id, o }))
-					note({ j->id, o }, idle);
-			}
+		for (auto *list : { s.st.active, s.st.dormant }) {
+			for (struct jst_job *j = list; j != NULL; j = j->next)
+				check_job(j, running, idle);
 		}
 		idle_since = idle;
 	}
 
+	/* Notes the occurrences of a job that could run and don't. */
+	void check_job(struct jst_job *j,
+	    const std::set<std::pair<uint64_t, uint32_t>> &running,
+	    std::map<std::pair<uint64_t, uint32_t>, int64_t> &idle)
+	{
+		for (uint32_t o = 0; o < j->occurrences; o++) {
+			bool could = false;
+			JobSim::each_step(j, o, [&](const struct jst_step *st) {
+				could |= could_run(st);
+			});
+			if (could && !running.count({ j->id, o }))
+				note({ j->id, o }, idle);
+		}
+	}
+
 	void note(std::pair<uint64_t, uint32_t> k,
 	    std::map<std::pair<uint64_t, uint32_t>, int64_t> &idle)
 	{
--- a/src/job/tests/twice_review_test.cc
+++ b/src/job/tests/twice_review_test.cc
@@ -64,8 +64,9 @@
 	s.run(8000);
 	s.commit_ms = 2000;
 	s.set_unreachable(a, false);
-	while (jst_find_job(&s.st, 1)->steps[0].tasks[0].active_run == NULL &&
-	    s.state(1) == JST_ACTIVE)
+	while (s.state(1) == JST_ACTIVE &&
+	    jst_find_step(jst_find_job(&s.st, 1), 0, 0)->tasks[0].active_run ==
+		NULL)
 		s.run(1);
 	ASSERT_NE(nullptr, s.jl.late_ends);
 	s.run(6000);
--- a/src/job/tests/wave_sim.h
+++ b/src/job/tests/wave_sim.h
@@ -134,10 +134,10 @@
 		for (auto *j = s.st.active; j != NULL; j = j->next) {
 			for (uint32_t i = 0; i < j->spec->n_steps; i++) {
 				if (!j->spec->steps[i]->lasting ||
-				    absent(&j->steps[i], 0) ==
-					absent(&j->steps[i], m.num))
+				    absent(&j->live[0]->steps[i], 0) ==
+					absent(&j->live[0]->steps[i], m.num))
 					continue;
-				EXPECT_LE(absent(&j->steps[i], m.num),
+				EXPECT_LE(absent(&j->live[0]->steps[i], m.num),
 				    j->spec->steps[i]->may_miss)
 				    << name;
 			}
--- a/src/node/caller.c
+++ b/src/node/caller.c
@@ -43,6 +43,7 @@
 	uint64_t ping_seq, next_id;
 	const char *domain; /* of this instance, or NULL */
 	bool calls_workers, calls_advice;
+	uint32_t memory_mb; /* of this replica; 0: an entry instance */
 	struct caller_call *calls,
 	    *calls_last; /* in the order of their start */
 	size_t ncalls;
@@ -174,6 +175,13 @@
 	c->calls_workers = calls_workers;
 }
 
+/* Makes pings say how much memory this replica has, in MB. */
+void
+caller_set_memory(struct caller *c, uint32_t memory_mb)
+{
+	c->memory_mb = memory_mb;
+}
+
 /* Makes pings say that this instance makes calls for advice. */
 void
 caller_offer_advice(struct caller *c)
@@ -443,6 +451,8 @@
 	p.has_calls_workers = c->calls_workers;
 	p.calls_workers = c->calls_workers;
 	p.has_calls_advice = p.calls_advice = c->calls_advice;
+	p.has_memory_mb = c->memory_mb > 0;
+	p.memory_mb = c->memory_mb;
 	m.ping = &p;
 	c->ops.send(c->ops.arg, to->instance, &m);
 }
--- a/src/node/caller.h
+++ b/src/node/caller.h
@@ -63,6 +63,8 @@
 /* Sets what pings say about this instance. */
 void caller_set_identity(
     struct caller *, const char *domain, bool calls_workers);
+/* Makes pings say how much memory this replica has, in MB. */
+void caller_set_memory(struct caller *, uint32_t memory_mb);
 /* Makes pings say that this instance makes calls for advice. */
 void caller_offer_advice(struct caller *);
 /* Adds replicas to ask. */
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -70,15 +70,20 @@
 
 /* Tells whether this replica still holds the leader's lease, so that no other
  * one can lead. */
-static bool
-is_sole_leader(void *arg)
+bool
+core_is_sole_leader(struct core *c)
 {
-	struct core *c = arg;
-
 	return !c->disk_failed &&
 	    raft_has_leader_lease(c->raft, mesh_now(c->mesh));
 }
 
+/* The same for the leader's decisions. */
+static bool
+is_sole_leader(void *arg)
+{
+	return core_is_sole_leader(arg);
+}
+
 /* ---- calls to workers ---- */
 
 /* Makes a call of the leader to a worker. */
@@ -195,6 +200,8 @@
 on_ping(struct core *c, uint32_t from, const Job__Ping *p)
 {
 	send_pong(c, from, p->seq);
+	if (c->leading && p->memory_mb > 0)
+		core_on_member_memory(c, from, p->memory_mb);
 	if (c->leading && p->calls_workers && from != c->inst->instance)
 		relay_on_peer(
 		    c->relay, from, p->domain == NULL ? "" : p->domain);
@@ -332,6 +339,7 @@
 	if (c->advice != NULL)
 		advice_tick(c->advice);
 	c->jl.nrelays = (uint32_t)relay_count_peers(c->relay);
+	core_limit_tick(c);
 	if (c->leading)
 		jlead_tick(&c->jl, now, mesh_wall_ms(c->mesh));
 	core_flush_later(c);
@@ -450,6 +458,7 @@
 		return e->status;
 	caller_set_identity(
 	    mesh_caller(c->mesh), str_cstr(c, c->inst->domain), true);
+	caller_set_memory(mesh_caller(c->mesh), core_memory_mb(c));
 	for (i = 0; i < c->nmembers; i++) {
 		mesh_connect(c->mesh, c->members[i].instance);
 		caller_add_members(
@@ -494,6 +503,8 @@
 	limits = memacct_split(MEMACCT_REPLICA, c->inst->memory_mb);
 	c->account = memacct_new(c, &limits);
 	memacct_open(c->account, &c->calls_held, MEMACCT_CALLS, 0, 0);
+	c->log_max_bytes =
+	    MIN(CORE_SNAPSHOT_BYTES, jmem_split(core_memory_mb(c)).log);
 	c->cmds_tail = &c->cmds;
 	c->inflight_tail = &c->inflight;
 	c->reads_tail = &c->reads;
@@ -539,6 +550,8 @@
 	metrics_add_gauge(
 	    c->metrics, "advice_queued_calls", &c->jl.advice.nqueued);
 	metrics_add_gauge(c->metrics, "advice_tickets", &c->jl.advice.ntickets);
+	metrics_add_gauge(c->metrics, "state_bytes", &c->st.bytes);
+	metrics_add_gauge(c->metrics, "state_max_bytes", &c->st.max.jobs);
 	c->next_join_at = mesh_now(c->mesh);
 	c->ticker = ticker_new(c, c->ev, TICK_MS, on_tick, c, e);
 	return c->ticker == NULL ? e->status : STATUS_OK;
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -15,6 +15,9 @@
  * entries takes about 0.1 s of processor time. */
 #define CORE_SNAPSHOT_ENTRIES 8192
 #define CORE_SNAPSHOT_BYTES   (8 * 1024 * 1024)
+/* Nothing is added to a log that is this many times as long: a disk that stalls
+ * must not cost the memory of the replica. */
+#define CORE_LOG_FULL_FACTOR 3
 /* Largest entry of several commands; further ones go into the next entry. */
 #define CORE_BATCH_MAX_BYTES (512 * 1024)
 /* Tag and length of a command in its entry. */
@@ -44,6 +47,14 @@
 #define CORE_BODY_MAX (4 * 1024 * 1024)
 /* After a refusal for lack of memory: a read takes some milliseconds. */
 #define CORE_BUSY_RETRY_MS 1000
+/* After a refusal because the state has no room for a job: room comes back as
+ * jobs end, and their records 180 s after that. */
+#define CORE_FULL_RETRY_MS 5000
+/* Least interval of log lines on refused submissions. */
+#define CORE_REFUSED_LOG_INTERVAL_MS 1000
+/* Interval at which the leader compares the memory of replicas with what is
+ * recorded. */
+#define CORE_LIMITS_INTERVAL_MS 500
 /* Copies of a document between the leader's state and the response. */
 #define CORE_ANSWER_COPIES 3
 /* Copies of a body between its decoding and the answer: the call, its message,
--- a/src/node/core_call.c
+++ b/src/node/core_call.c
@@ -74,18 +74,15 @@
 static void
 fill_wave_state(struct core *c, const Job__Call *k, Job__Answer *a)
 {
-	struct jst_wave *w =
-	    k->wave == NULL ? NULL : jst_find_wave(&c->st, k->wave->id);
-	size_t i;
+	bool is_done = k->wave != NULL && jst_wave_is_done(&c->st, k->wave->id);
 
-	if (w == NULL) {
+	if (k->wave == NULL ||
+	    (!is_done && jst_find_wave(&c->st, k->wave->id) == NULL)) {
 		a->outcome = JOB__OUTCOME__NOT_FOUND;
 		return;
 	}
 	a->has_state = 1;
-	a->state = 1;
-	for (i = 0; i < w->info->n_machines; i++)
-		a->state &= w->states[i] == JST_WAVE_DONE;
+	a->state = is_done;
 }
 
 /* Fills the answer to a query for the configuration. */
@@ -255,11 +252,87 @@
 	struct core_waiter w = { .from = from,
 		.call_id = k->id,
 		.kind = k->kind,
+		.job = cmd->submit == NULL ? 0 : cmd->submit->job,
 		.is_orphan = is_orphan };
 
 	core_propose(c, cmd, &w);
 }
 
+/* Tells whether an earlier copy of a submission is on its way into the log. */
+static bool
+is_submit_pending(const struct core *c, uint64_t job)
+{
+	const struct core_inflight *f;
+	const struct core_cmd *k;
+	size_t i;
+
+	for (k = c->cmds; k != NULL; k = k->next) {
+		if (k->waiter.job == job)
+			return true;
+	}
+	for (f = c->inflight; f != NULL; f = f->next) {
+		for (i = 0; i < f->nwaiters; i++) {
+			if (f->waiters[i].job == job)
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Counts and logs a submission that is refused for lack of room. */
+static void
+note_refused(struct core *c, const Job__Submit *m, bool never)
+{
+	const struct jst_use *u = jst_find_use(&c->st, m->queue);
+
+	ctr_add(&c->jctr, JCTR_REFUSED_FULL, 1);
+	if (clk_before(mesh_now(c->mesh), c->refused_log_at))
+		return;
+	c->refused_log_at =
+	    clk_add_ms(mesh_now(c->mesh), CORE_REFUSED_LOG_INTERVAL_MS);
+	log_event(LOG_NOTICE, "core",
+	    "event=refused job=%016" PRIx64
+	    " queue=%s reason=%s need=%zu queue_bytes=%zu state=%zu max=%zu "
+	    "refused=%" PRIu64,
+	    m->job, m->queue, never ? "too_large" : "full",
+	    jmem_job(m) + jmem_occurrence(m->spec), u == NULL ? 0 : u->bytes,
+	    c->st.bytes, c->st.max.jobs, ctr_get(&c->jctr, JCTR_REFUSED_FULL));
+}
+
+/* Answers a submission for which the state has no room. One that could never be
+ * accepted isn't told to come back. */
+static void
+send_full(struct core *c, uint32_t from, uint64_t id, bool never)
+{
+	Job__Answer a = JOB__ANSWER__INIT;
+
+	a.id = id;
+	a.outcome = JOB__OUTCOME__FULL;
+	a.has_retry_ms = !never;
+	a.retry_ms = never ? 0 : CORE_FULL_RETRY_MS;
+	send_answer(c, from, &a);
+}
+
+/*
+ * Refuses a submission for which the state has no room, without a record in the
+ * log. Only while no other replica can lead, and no earlier copy is on its way:
+ * that one may be accepted. The state itself decides when a record is applied.
+ */
+static bool
+refuse_full(
+    struct core *c, uint32_t from, const Job__Call *k, const Job__Submit *m)
+{
+	bool never = !jst_can_ever_admit(&c->st, m);
+
+	if (jst_admits(&c->st, m) || is_submit_pending(c, m->job) ||
+	    jst_find_withdrawn(&c->st, m->job) != NULL ||
+	    !core_is_sole_leader(c))
+		return false;
+	note_refused(c, m, never);
+	send_full(c, from, k->id, never);
+	return true;
+}
+
 /* Handles a submission; one that is sent again gets its answer at once. */
 static void
 handle_submit(struct core *c, uint32_t from, const Job__Call *k)
@@ -283,6 +356,8 @@
 	s.queue = q->name;
 	s.spec = k->spec;
 	s.at_ms = mesh_wall_ms(c->mesh);
+	if (refuse_full(c, from, k, &s))
+		return;
 	cmd.submit = &s;
 	core_propose_call(c, from, k, &cmd);
 }
@@ -539,7 +614,9 @@
 core_on_applied(struct core *c, const struct core_waiter *w,
     const Job__Command *cmd, const struct jst_result *r)
 {
-	if (cmd->submit != NULL) {
+	if (cmd->submit != NULL && r->status == STATUS_FULL) {
+		note_refused(c, cmd->submit, false);
+	} else if (cmd->submit != NULL) {
 		if (r->status != STATUS_NOT_FOUND)
 			ctr_add(&c->jctr, JCTR_ACCEPTED, 1);
 		log_event(LOG_INFO, "core",
@@ -566,6 +643,10 @@
 		    cmd->wave->id, cmd->wave->n_machines, cmd->wave->max_down,
 		    cmd->wave->term_ms);
 	}
+	if (cmd->submit != NULL && r->status == STATUS_FULL) {
+		send_full(c, w->from, w->call_id, false);
+		return;
+	}
 	core_send_outcome(c, w->from, w->call_id,
 	    w->is_orphan ? jcall_orphan_outcome(w->kind)
 			 : jcall_outcome(cmd, r->status));
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -24,6 +24,7 @@
 	uint32_t from; /* instance; 0: none */
 	uint64_t call_id;
 	Job__CallKind kind;
+	uint64_t job; /* of a submission; 0: none */
 	/* at a place where the job's queue was, but isn't any more */
 	bool is_orphan;
 	struct timespec since;
@@ -101,6 +102,7 @@
 	/* Newest snapshot; data is set until it is on disk. */
 	uint64_t snapshot_index, snapshot_term;
 	struct str snapshot_data;
+	size_t log_max_bytes; /* of the log before a snapshot is taken */
 	bool confirming, confirm_ok;
 	uint64_t confirmed_read;     /* reads up to this id may be answered */
 	struct raft_member *members; /* as of the applied index */
@@ -121,6 +123,8 @@
 	struct core_read *reads, **reads_tail;
 	uint64_t last_read;
 	struct memacct_conn calls_held; /* by reads and cmds */
+	struct timespec refused_log_at; /* next line on refused submissions */
+	struct timespec limits_at;	/* next check of the replicas' memory */
 	struct core_leave *leaves;
 	struct timespec next_join_at;
 	bool stopping;
@@ -132,8 +136,14 @@
 
 /* core.c */
 void core_flush_later(struct core *);
+bool core_is_sole_leader(struct core *);
 void core_propose(
     struct core *, const Job__Command *, const struct core_waiter *);
+/* core_limit.c */
+uint32_t core_memory_mb(const struct core *);
+void core_limit_tick(struct core *);
+void core_on_member_memory(
+    struct core *, uint32_t instance, uint32_t memory_mb);
 /* core_cloud.c */
 void core_cloud_start(struct core *);
 /* core_advice.c */
--- a/src/node/core_why.c
+++ b/src/node/core_why.c
@@ -22,28 +22,61 @@
 	talloc_free(line);
 }
 
+/* Adds a line for a step with waiting tasks. */
+static void
+add_step(TALLOC_CTX *ctx, struct json_object *text, uint32_t occurrence,
+    uint32_t number, uint32_t nwaiting, uint32_t count, bool is_ready)
+{
+	add_line(text,
+	    talloc_asprintf(ctx, "step %u.%u: %u of %u tasks wait%s",
+		occurrence, number, nwaiting, count,
+		is_ready ? "" : " for earlier steps"));
+}
+
+/* Adds lines for steps of occurrences that aren't in memory. Returns how many
+ * lines there are then. */
+static uint32_t
+add_later_steps(TALLOC_CTX *ctx, struct json_object *text,
+    const struct jst_job *j, uint32_t nlines)
+{
+	uint32_t o, i;
+
+	for (o = j->next_open; o < j->occurrences; o++) {
+		for (i = 0; i < j->spec->n_steps; i++) {
+			const Job__Step *s = j->spec->steps[i];
+
+			if (nlines == WHY_STEPS_MAX)
+				return nlines;
+			nlines++;
+			add_step(ctx, text, o, i, s->count, s->count,
+			    s->n_after == 0);
+		}
+	}
+	return nlines;
+}
+
 /* Adds a line for each of the first steps with waiting tasks, and one for the
  * number of the others. */
 static void
 add_steps(TALLOC_CTX *ctx, struct json_object *text, const struct jst_job *j)
 {
-	uint32_t i, n = 0;
-
-	for (i = 0; i < j->occurrences * j->spec->n_steps; i++) {
-		const struct jst_step *st = &j->steps[i];
+	const struct jst_step *st;
+	uint32_t o, i, n = 0, nlines = 0;
 
+	JST_FOREACH_STEP(j, st, o, i)
+	{
 		if (st->nwaiting == 0 || n++ >= WHY_STEPS_MAX)
 			continue;
-		add_line(text,
-		    talloc_asprintf(ctx, "step %u.%u: %u of %u tasks wait%s",
-			st->occurrence, st->number, st->nwaiting,
-			st->spec->count,
-			jst_step_ready(st) ? "" : " for earlier steps"));
+		nlines++;
+		add_step(ctx, text, st->occurrence, st->number, st->nwaiting,
+		    st->spec->count, jst_step_ready(st));
 	}
-	if (n > WHY_STEPS_MAX)
+	nlines = add_later_steps(ctx, text, j, nlines);
+	n += (j->occurrences - j->next_open) * (uint32_t)j->spec->n_steps;
+	if (n > nlines)
 		add_line(text,
 		    talloc_asprintf(
-			ctx, "%" PRIu32 " more steps wait", n - WHY_STEPS_MAX));
+			ctx, "%" PRIu32 " more steps wait", n - nlines));
 }
 
 /* Adds a line for each worker that is kept for the job. */
--- a/src/node/gate.c
+++ b/src/node/gate.c
@@ -78,6 +78,7 @@
 	case JOB__OUTCOME__NO_CONFIG:
 		return 503;
 	case JOB__OUTCOME__BUSY:
+	case JOB__OUTCOME__FULL:
 		return 429;
 	case JOB__OUTCOME__INVALID:
 		return 400;
@@ -90,6 +91,9 @@
 static struct str
 make_body(TALLOC_CTX *ctx, const struct http_call *k, const Job__Answer *a)
 {
+	if (a->outcome == JOB__OUTCOME__FULL)
+		return pf_format_refusal(
+		    ctx, a->retry_ms > 0 ? "full" : "too large");
 	if (a->outcome != JOB__OUTCOME__OK)
 		return str_mem("", 0);
 	if (k->kind == JOB__CALL_KIND__STATUS)
