--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -488,7 +488,8 @@
 		break;
 	case RAFT_EV_SNAPSHOT_TAKEN:
 		st = raft_snapshot_taken(r, ev->u.snapshot.index,
-		    ev->u.snapshot.term, ev->u.snapshot.data);
+		    ev->u.snapshot.term, ev->u.snapshot.data,
+		    ev->u.snapshot.is_given);
 		break;
 	case RAFT_EV_SNAPSHOT_LOADED:
 		st = raft_snapshot_loaded(r);
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -92,6 +92,9 @@
 		struct {
 			uint64_t index, term;
 			struct str data; /* kept for followers */
+			/* data is a talloc block that raft takes over;
+			 * otherwise it is copied */
+			bool is_given;
 		} snapshot;
 	} u;
 };
--- a/src/control/raft_priv.h
+++ b/src/control/raft_priv.h
@@ -224,7 +224,7 @@
 void raft_on_chunk(struct raft *, const Control__RaftMsg *);
 void raft_on_chunk_reply(struct raft *, const Control__RaftMsg *);
 enum status raft_snapshot_taken(
-    struct raft *, uint64_t index, uint64_t term, struct str data);
+    struct raft *, uint64_t index, uint64_t term, struct str data, bool given);
 enum status raft_snapshot_loaded(struct raft *);
 
 /* raft_member.c */
--- a/src/control/raft_snap.c
+++ b/src/control/raft_snap.c
@@ -180,25 +180,32 @@
  * Records a snapshot that this replica took up to an applied index, and
  * removes the entries it covers. Returns STATUS_INVALID if the index is not
  * applied or term is neither 0 nor its term, STATUS_STALE if there is a newer
- * snapshot or one is being loaded.
+ * snapshot or one is being loaded. Data that is given is kept or freed, other
+ * data is copied.
  */
 enum status
 raft_snapshot_taken(
-    struct raft *r, uint64_t index, uint64_t term, struct str data)
+    struct raft *r, uint64_t index, uint64_t term, struct str data, bool given)
 {
+	void *block = given ? (void *)(uintptr_t)data.p : NULL;
 	uint64_t entry_term = 0;
 
-	if (index <= r->snap_index || r->loading)
+	if (index <= r->snap_index || r->loading) {
+		talloc_free(block);
 		return STATUS_STALE;
+	}
 	if (index > r->applied || !raft_log_term(r, index, &entry_term) ||
-	    (term != 0 && term != entry_term))
+	    (term != 0 && term != entry_term)) {
+		talloc_free(block);
 		return STATUS_INVALID;
+	}
 	raft_member_list_at(r, index, &r->snap_members);
 	raft_log_compact(r, index);
 	r->snap_index = index;
 	r->snap_term = entry_term;
 	talloc_free((void *)(uintptr_t)r->snap_data.p);
-	r->snap_data = str_dup(r, data);
+	talloc_steal(r, block);
+	r->snap_data = given ? data : str_dup(r, data);
 	return STATUS_OK;
 }
 
--- a/src/node/core_disk.c
+++ b/src/node/core_disk.c
@@ -54,9 +54,9 @@
 	ev.u.snapshot.index = index;
 	ev.u.snapshot.term = c->snapshot_term;
 	ev.u.snapshot.data = c->snapshot_data;
-	core_step(c, &ev);
-	talloc_free((void *)(uintptr_t)c->snapshot_data.p);
+	ev.u.snapshot.is_given = true;
 	c->snapshot_data = str_mem(NULL, 0);
+	core_step(c, &ev);
 	core_flush_later(c);
 }
 
@@ -126,6 +126,7 @@
 		return e->status;
 	memset(&dc, 0, sizeof(dc));
 	dc.wal = c->wal;
+	dc.keeps_snapshots = true;
 	dc.on_synced = on_synced;
 	dc.on_saved = on_snapshot_saved;
 	dc.on_failed = on_disk_failed;
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -174,6 +174,7 @@
 		apply_members(c, en->data);
 	if (c->role == RAFT_LEADER && !c->leading && en->term == c->term) {
 		c->leading = true;
+		c->limits_at = mesh_now(c->mesh);
 		jlead_begin(
 		    &c->jl, mesh_now(c->mesh), mesh_wall_ms(c->mesh), c->term);
 	}
@@ -241,7 +242,7 @@
 	set_members(c, s.members, s.nmembers);
 	c->snapshot_index = s.index;
 	c->snapshot_term = s.term;
-	c->snapshot_data = str_dup(c, s.data);
+	/* Raft keeps the data until it is told that the snapshot is loaded. */
 	c->loading_snapshot = true;
 	dsync_snapshot(c->dsync, &s, true);
 }
@@ -423,7 +424,7 @@
 	if (c->disk_failed || c->saving_snapshot || c->loading_snapshot ||
 	    c->applied <= c->snapshot_index ||
 	    (raft_log_entries(c->raft) < CORE_SNAPSHOT_ENTRIES &&
-		raft_log_bytes(c->raft) < CORE_SNAPSHOT_BYTES))
+		raft_log_bytes(c->raft) < c->log_max_bytes))
 		return;
 	memset(&s, 0, sizeof(s));
 	s.index = c->snapshot_index = c->applied;
@@ -437,13 +438,22 @@
 	dsync_snapshot(c->dsync, &s, false);
 }
 
+/* Tells whether the log has no room: snapshots that would shorten it don't
+ * reach the disk. */
+static bool
+is_log_full(const struct core *c)
+{
+	return raft_log_bytes(c->raft) >
+	    CORE_LOG_FULL_FACTOR * c->log_max_bytes;
+}
+
 /* Proposes queued commands, or fails them if another replica leads; starts the
  * confirmation of reads. Returns true if anything was done. */
 bool
 core_log_flush(struct core *c)
 {
 	if (c->cmds != NULL && c->role == RAFT_LEADER && !c->propose_blocked &&
-	    propose_batch(c))
+	    !is_log_full(c) && propose_batch(c))
 		return true;
 	if (c->cmds != NULL && c->role != RAFT_LEADER) {
 		while (c->cmds != NULL) {
--- a/src/node/dsync.c
+++ b/src/node/dsync.c
@@ -229,7 +229,8 @@
 		abort();
 	w->kind = WORK_SNAPSHOT;
 	w->snapshot = *s;
-	w->snapshot.data = str_dup(w, s->data);
+	if (!d->conf.keeps_snapshots)
+		w->snapshot.data = str_dup(w, s->data);
 	w->snapshot.members = raft_members_copy(w, s->members, s->nmembers);
 	w->received = received;
 	enqueue(d, w);
--- a/src/node/dsync.h
+++ b/src/node/dsync.h
@@ -23,6 +23,9 @@
 	/* Items are queued by dsync_submit only, so that those of several
 	 * messages share a sync also if the disk is idle. */
 	bool submits;
+	/* The caller keeps the data of a snapshot, which may be large, until
+	 * on_saved is called or the thread has been stopped. */
+	bool keeps_snapshots;
 	/* Everything up to the PERSIST action with this sequence number is on
 	 * disk. */
 	void (*on_synced)(void *arg, uint64_t seq);
@@ -35,7 +38,8 @@
 
 struct dsync *dsync_new(TALLOC_CTX *, struct tevent_context *,
     const struct dsync_conf *, struct err *);
-/* Both copy their arguments. */
+/* Both copy their arguments, unless keeps_snapshots is set: then the data of a
+ * snapshot isn't copied. */
 void dsync_persist(struct dsync *, const struct raft_act *);
 void dsync_snapshot(struct dsync *, const struct wal_snapshot *, bool received);
 /* Queues what was held back since the last call; for conf.submits. */
