Core: the leader's own queued ends don't take memory without limit

Beyond a limit by the memory, ends are queued without their checkpoint, and counted (checkpoints_dropped); the task resumes from the one before.

--- a/src/job/jst.h
+++ b/src/job/jst.h
@@ -34,10 +34,9 @@
 /* Jobs with an occurrence that is due, but for which there was no memory, that
  * are tried again at once. */
 #define JST_BLOCKED_TRIES 64
-/* Most machines of all waves, most waves that are done and kept with their
- * machines, and most that are done and kept by their id;
- * a wave beyond the first is refused, beyond the others the oldest is
- * forgotten. */
+/* Most machines of all waves: a wave beyond that is refused. Most waves that
+ * are done and kept with their machines, and most that are kept by their id
+ * only: the oldest makes room. */
 #define JST_WAVE_MACHINES_MAX 30000
 #define JST_WAVES_KEPT_MAX    64
 #define JST_WAVES_DONE_MAX    20000
--- a/src/job/tests/jst_memory_test.cc
+++ b/src/job/tests/jst_memory_test.cc
@@ -465,6 +465,87 @@
 	talloc_free(ctx);
 }
 
+/* Guards against a snapshot of an earlier version, which has all tasks of a
+ * recurring job, that can't be loaded or loses what was done. */
+TEST(JobMemory, ASnapshotOfAnEarlierVersionIsLoaded)
+{
+	State x(0);
+	uint64_t w = x.add_worker();
+	ASSERT_EQ(STATUS_OK, x.submit(1, "a", 20, 2, 100));
+	ASSERT_EQ(STATUS_OK, x.submit(2, "b", 20, 1));
+	struct jst_job *j = jst_find_job(&x.s, 1);
+	Job__TaskImage tasks[200], *p[200], single = JOB__TASK_IMAGE__INIT;
+	Job__TaskImage *one = &single;
+	for (size_t i = 0; i < 200; i++) {
+		job__task_image__init(&tasks[i]);
+		p[i] = &tasks[i];
+	}
+	/* Done: 0 and 2. Of 3, one task is done and the other runs. */
+	for (size_t i : { 0, 1, 4, 5, 6, 7 }) {
+		tasks[i].has_run = 1;
+		tasks[i].run = 1;
+		tasks[i].has_done = tasks[i].done = i != 7;
+	}
+	tasks[7].has_worker = 1;
+	tasks[7].worker = w;
+	Job__JobImage a = JOB__JOB_IMAGE__INIT, b = JOB__JOB_IMAGE__INIT;
+	Job__JobImage c = JOB__JOB_IMAGE__INIT, *jobs[] = { &a, &b, &c };
+	a.submit = j->submit;
+	a.tasks = p;
+	a.n_tasks = 200;
+	b.submit = jst_find_job(&x.s, 2)->submit;
+	b.state = JST_FAILED;
+	b.has_ended_ms = 1;
+	b.ended_ms = x.now_ms;
+	b.tasks = &one;
+	b.n_tasks = 1;
+	/* The cancel of a job that was never submitted. */
+	Job__Submit mark = *b.submit;
+	Job__Spec none = JOB__SPEC__INIT;
+	none.text = b.submit->spec->text;
+	mark.job = 3;
+	mark.spec = &none;
+	c.submit = &mark;
+	c.state = JST_CANCELLED;
+	c.has_ended_ms = 1;
+	c.ended_ms = x.now_ms;
+	Job__Image im = JOB__IMAGE__INIT;
+	Job__Worker *worker = (Job__Worker *)x.s.workers[0]->info;
+	im.config = x.s.config;
+	im.jobs = jobs;
+	im.n_jobs = 3;
+	im.workers = &worker;
+	im.n_workers = 1;
+	im.next_worker = x.s.next_worker;
+	std::vector<uint8_t> buf(job__image__get_packed_size(&im));
+	job__image__pack(&im, buf.data());
+
+	State y(0);
+	struct err e;
+	err_clear(&e);
+	ASSERT_EQ(
+	    STATUS_OK, jst_unpack(&y.s, str_mem(buf.data(), buf.size()), &e));
+	j = jst_find_job(&y.s, 1);
+	EXPECT_EQ(4U, j->opened);
+	EXPECT_EQ(2U, j->ndone);
+	EXPECT_EQ(2U, j->nlive);
+	EXPECT_TRUE(jst_has_done(j, 0));
+	EXPECT_FALSE(jst_has_done(j, 1));
+	EXPECT_TRUE(jst_has_done(j, 2));
+	EXPECT_EQ(JST_DONE, jst_find_step(j, 3, 0)->tasks[0].state);
+	EXPECT_EQ(JST_ASSIGNED, jst_find_step(j, 3, 0)->tasks[1].state);
+	EXPECT_EQ(1U, y.s.workers[0]->nassigned);
+	EXPECT_EQ(JST_FAILED, jst_find_job(&y.s, 2)->state);
+	EXPECT_NE(nullptr, jst_find_withdrawn(&y.s, 3));
+	EXPECT_EQ(STATUS_OK, y.end(1, 3, 1, JOB__HOW__DONE).status);
+	EXPECT_EQ(3U, j->ndone);
+	a.n_tasks = 199;
+	buf.resize(job__image__get_packed_size(&im));
+	job__image__pack(&im, buf.data());
+	EXPECT_EQ(STATUS_CORRUPT,
+	    jst_unpack(&y.s, str_mem(buf.data(), buf.size()), &e));
+}
+
 /* Guards against waves that are kept for good with all their machines, and
  * against one that is ordered again when it has been forgotten so far. */
 TEST(JobMemory, WavesThatAreDoneKeepOnlyTheirId)
--- a/src/node/core.c
+++ b/src/node/core.c
@@ -50,6 +50,7 @@
 	if (k == NULL)
 		abort();
 	k->bytes = w == NULL ? 0 : sizeof(*k) + len;
+	c->own_bytes += w == NULL ? len : 0;
 	k->len = len;
 	job__command__pack(cmd, k->data);
 	if (w != NULL)
@@ -61,11 +62,25 @@
 	core_flush_later(c);
 }
 
-/* Queues a command of the leader's own decisions. */
+/* Queues a command of the leader's own decisions. These can't be refused; while
+ * many wait, as the disk stalls, ends go without their checkpoints, which may
+ * be long. The task resumes from the one before. */
 static void
 lead_propose(void *arg, const Job__Command *cmd)
 {
-	core_propose(arg, cmd, NULL);
+	struct core *c = arg;
+	Job__Command reduced = *cmd;
+	Job__End end;
+
+	if (cmd->end != NULL && cmd->end->saved != NULL &&
+	    c->st.max.checkpoints > 0 &&
+	    c->own_bytes + strlen(cmd->end->saved) > c->st.max.checkpoints) {
+		ctr_add(&c->jctr, JCTR_CHECKPOINTS_DROPPED, 1);
+		end = *cmd->end;
+		end.saved = NULL;
+		reduced.end = &end;
+	}
+	core_propose(c, &reduced, NULL);
 }
 
 /* Tells whether this replica still holds the leader's lease, so that no other
--- a/src/node/core_impl.h
+++ b/src/node/core_impl.h
@@ -34,7 +34,7 @@
 struct core_cmd {
 	struct core_cmd *next;
 	struct core_waiter waiter;
-	size_t bytes; /* reserved in core.calls_held */
+	size_t bytes; /* reserved in core.calls_held; 0: the leader's own */
 	size_t len;
 	uint8_t data[];
 };
@@ -118,6 +118,7 @@
 
 	struct core_cmd *cmds, **cmds_tail;
 	size_t ncmds;
+	size_t own_bytes;     /* of cmds: the leader's own */
 	bool propose_blocked; /* raft refused entries; until the next tick */
 	struct core_inflight *inflight, **inflight_tail;
 	struct core_read *reads, **reads_tail;
--- a/src/node/core_log.c
+++ b/src/node/core_log.c
@@ -343,6 +343,7 @@
 		struct core_cmd *k = c->cmds;
 
 		c->cmds = k->next;
+		c->own_bytes -= k->bytes == 0 ? k->len : 0;
 		memacct_shrink(c->account, &c->calls_held, k->bytes);
 		free(k);
 		c->ncmds--;
@@ -467,6 +468,7 @@
 		}
 		c->cmds_tail = &c->cmds;
 		c->ncmds = 0;
+		c->own_bytes = 0;
 		return true;
 	}
 	if (c->reads != NULL && c->leading && !c->confirming &&
